--- a/stairquay/cli.py
+++ b/stairquay/cli.py
@@ -20,6 +20,8 @@
 from stairquay.status import ExitStatus
 
 SETTINGS = Annotated[Path, Parameter(help="The box's settings: JSON with comments.")]
+BOX_SETTINGS = Annotated[Path | None, Parameter(help="The platform's settings; by default those it names.")]
+METRICS_PORT = Annotated[int, Parameter(help="The port for metrics; 0 for none.")]
 URL = Annotated[str, Parameter(name="--control", help="A control's URL; also STAIRQUAY_CONTROL.")]
 AS_JSON = Annotated[bool, Parameter(name="--json", negative="", help="Write the answer as JSON.")]
 FILE = Annotated[Path, Parameter(help="Intents as JSON with comments; `-` for standard input.")]
@@ -69,6 +71,7 @@
     app = App(name="stairquay", version=__version__, help="Serve prompts that come back after long gaps.")
     for program in PROGRAMS:
         app.command(_program(program, env), name=program.name)
+    app.command(_box(env), name="box")
     app.command(_intent(env), name="intent")
     app.command(_plan(env), name="plan")
     app.command(_status(env), name="status")
@@ -109,6 +112,28 @@
     return run_control
 
 
+def _box(env: Environment) -> Callable[..., ExitStatus]:
+    def command(settings: BOX_SETTINGS = None, *, metrics_port: METRICS_PORT = 0) -> ExitStatus:
+        """Serve a whole box in one process on the users' platform."""
+        from stairquay.platform.boot import load_boot
+        from stairquay.platform.names import SETTINGS_VARIABLE
+        from stairquay.platform.surroundings import open_surroundings
+        from stairquay.serving.app import run_box
+
+        path = settings or Path(env.variables.get(SETTINGS_VARIABLE, ""))
+        boot = load_boot(path, metrics_port)
+        if isinstance(boot, Err):
+            for mistake in boot.err_value:
+                env.complain(f"{path}: {mistake}")
+            return ExitStatus.BAD_SETTINGS
+        _start_logs()
+        table_address = boot.ok_value.table_address
+        asyncio.run(run_box(boot.ok_value.settings, lambda: open_surroundings(table_address)))
+        return ExitStatus.SUCCESS
+
+    return command
+
+
 def _start_logs() -> None:
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
--- /dev/null
+++ b/stairquay/core/catalog.py
@@ -0,0 +1,137 @@
+"""What operators configured, as one immutable catalog: routes, workspaces, services and store boxes."""
+
+from dataclasses import dataclass, field
+from functools import cached_property
+
+
+@dataclass(frozen=True)
+class Split:
+    """A share of a route's requests that goes to one service."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """How requests for one host and path prefix are served; times are seconds.
+
+    repeatable: the request may run more than once. streamed: the answer is a stream of events.
+    resumable: a broken stream may go on at another endpoint. objective_s: time to the first byte that
+    earns full value. gap_s: longest pause between events that is in time. priority: 0 is most urgent.
+    """
+
+    id: str
+    host: str
+    path_prefix: str
+    splits: tuple[Split, ...]
+    repeatable: bool = False
+    streamed: bool = False
+    resumable: bool = False
+    timeout_s: float = 30.0
+    objective_s: float = 1.0
+    gap_s: float = 0.0
+    max_attempts: int = 1
+    priority: int = 5
+    public: bool = False
+
+    @property
+    def may_run_again(self) -> bool:
+        """Tell whether a request whose first run is in doubt may be sent once more."""
+        return self.repeatable or self.resumable
+
+
+@dataclass(frozen=True)
+class WorkspaceRule:
+    """A workspace as routing sees it. `isolated`: it shares no kept context with any other."""
+
+    id: str
+    isolated: bool = False
+    priority: int | None = None
+
+
+@dataclass(frozen=True)
+class EngineShape:
+    """What the engines of a service have; `link_bytes_s` is the link that moves kept context."""
+
+    slots: int
+    memory_tokens: int
+    bytes_per_token: int
+    link_bytes_s: float
+    models: tuple[str, ...] = ()
+    max_followers: int = 8
+
+
+@dataclass(frozen=True)
+class ServiceShape:
+    """A service that requests are sent to. `engine` is None for plain services."""
+
+    id: str
+    max_connections: int = 100
+    engine: EngineShape | None = None
+
+
+@dataclass(frozen=True)
+class StoreShape:
+    """A store box. `managed`: it frees nothing by itself, so that we free what is not needed."""
+
+    id: str
+    address: str
+    data_hall: str
+    memory_tokens: int
+    link_bytes_s: float
+    first_s: float = 0.0
+    max_followers: int = 8
+    managed: bool = False
+
+
+@dataclass(frozen=True)
+class CallerLimits:
+    """Bounds on what a caller may send."""
+
+    max_body_bytes: int = 4_194_304
+
+
+@dataclass(frozen=True)
+class Catalog:
+    """One version of the configuration, complete."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services_by_id: dict[str, ServiceShape] = field(default_factory=dict)
+    stores_by_id: dict[str, StoreShape] = field(default_factory=dict)
+    workspaces_by_key: dict[str, WorkspaceRule] = field(default_factory=dict, repr=False)
+    keyed: bool = False
+    limits: CallerLimits = field(default_factory=CallerLimits)
+
+    @cached_property
+    def _routes_by_host(self) -> dict[str, tuple[Route, ...]]:
+        grouped: dict[str, list[Route]] = {}
+        for route in self.routes:
+            grouped.setdefault(route.host, []).append(route)
+        return {
+            host: tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
+            for host, routes in grouped.items()
+        }
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route of a host whose prefix begins the path and is longest."""
+        for route in self._routes_by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def needs_key(self, route: Route) -> bool:
+        """Tell whether requests on a route must carry a workspace's key."""
+        return self.keyed and not route.public
+
+
+def pick_service(route: Route, draw: float) -> str:
+    """Return the service for a draw in [0, 1), by the route's weights."""
+    total = sum(split.weight for split in route.splits)
+    left = draw * total
+    for split in route.splits:
+        left -= split.weight
+        if left < 0:
+            return split.service
+    return route.splits[-1].service
--- /dev/null
+++ b/stairquay/core/fleet.py
@@ -0,0 +1,79 @@
+"""Endpoints that the platform lists, and which of them may get new work.
+
+Whoever is leaving stays so. An endpoint that vanished from the list without a word may be one whose entry
+lapsed during an outage of the table service: it is a last resort for a short while.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+MISSING_GRACE_S = 1.6
+"""Seconds for which a vanished endpoint is a last resort: entries that lapsed in an outage are back two
+seconds after it, and new work must stop two seconds after an endpoint left."""
+
+
+@dataclass(frozen=True)
+class Endpoint:
+    """One endpoint in the list. `versions_by_model` is what it says of its weights."""
+
+    id: str
+    service: str
+    address: str
+    data_hall: str = ""
+    slots: int = 1
+    leaving: bool = False
+    versions_by_model: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass
+class Fleet:
+    """All endpoints known, by id, and since when the list misses some (monotonic seconds)."""
+
+    by_id: dict[str, Endpoint] = field(default_factory=dict)
+    missing_since_by_id: dict[str, float] = field(default_factory=dict)
+
+    def apply(self, present: Iterable[Endpoint], gone: Iterable[str], now: float) -> None:
+        """Take in changed entries, and entries that were removed."""
+        for endpoint in present:
+            known = self.by_id.get(endpoint.id)
+            if known is not None and known.leaving:
+                endpoint = replace(endpoint, leaving=True)
+            self.by_id[endpoint.id] = endpoint
+            self.missing_since_by_id.pop(endpoint.id, None)
+        for endpoint_id in gone:
+            self._miss(endpoint_id, now)
+        self._forget(now)
+
+    def apply_whole(self, present: Iterable[Endpoint], now: float) -> None:
+        """Take in the whole list; what it lacks is gone."""
+        listed = tuple(present)
+        ids = {endpoint.id for endpoint in listed}
+        self.apply(listed, [key for key in self.by_id if key not in ids], now)
+
+    def usable(self, service: str, now: float) -> list[Endpoint]:
+        """Return the endpoints of a service that may get new work; vanished ones only where no other is."""
+        staying = [item for item in self.by_id.values() if item.service == service and not item.leaving]
+        listed = [item for item in staying if item.id not in self.missing_since_by_id]
+        if listed:
+            return listed
+        return [item for item in staying if now - self.missing_since_by_id[item.id] < MISSING_GRACE_S]
+
+    def live(self) -> list[Endpoint]:
+        """Return all endpoints that the list has, leaving ones included."""
+        return [item for item in self.by_id.values() if item.id not in self.missing_since_by_id]
+
+    def _miss(self, endpoint_id: str, now: float) -> None:
+        known = self.by_id.get(endpoint_id)
+        if known is None:
+            return
+        if known.leaving:
+            del self.by_id[endpoint_id]
+            self.missing_since_by_id.pop(endpoint_id, None)
+            return
+        self.missing_since_by_id.setdefault(endpoint_id, now)
+
+    def _forget(self, now: float) -> None:
+        old = [key for key, since in self.missing_since_by_id.items() if now - since > MISSING_GRACE_S]
+        for endpoint_id in old:
+            del self.missing_since_by_id[endpoint_id]
+            self.by_id.pop(endpoint_id, None)
--- /dev/null
+++ b/stairquay/core/holdings.py
@@ -0,0 +1,103 @@
+"""Which engines and store boxes hold which parts of prompts, as told by their events.
+
+What is believed of an engine may be wrong: a miss costs time only. What is believed of a store box must
+be true, because a store box does not check what it hands out: its view counts only while its events are
+followed without a gap.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+Key = tuple[str, str]
+"""The scope under which context is kept, and a part's id."""
+
+
+@dataclass(frozen=True)
+class PartEvent:
+    """A holder now keeps `tokens` of a part; 0 where it dropped the part."""
+
+    number: int
+    scope: str
+    part: str
+    tokens: int
+
+
+@dataclass
+class Holding:
+    """What one holder keeps: tokens by key, and the number of the last event about each key."""
+
+    life: int = 0
+    position: int = 0
+    heard_at: float = 0.0
+    tokens_by_key: dict[Key, int] = field(default_factory=dict)
+    number_by_key: dict[Key, int] = field(default_factory=dict)
+
+
+@dataclass
+class Holdings:
+    """All holders by address, and the holders of each part."""
+
+    by_address: dict[str, Holding] = field(default_factory=dict)
+    holders_by_key: dict[Key, set[str]] = field(default_factory=dict)
+
+    def replace(
+        self, address: str, life: int, position: int, parts: Iterable[tuple[Key, int]], now: float
+    ) -> None:
+        """Take in a whole list of what a holder keeps."""
+        self.forget(address)
+        holding = Holding(life, position, now)
+        self.by_address[address] = holding
+        for key, tokens in parts:
+            self._set(address, holding, key, tokens, position)
+
+    def apply(self, address: str, events: Iterable[PartEvent], position: int, now: float) -> None:
+        """Take in a holder's events; one that is older than what is known of its part changes nothing."""
+        holding = self.by_address.setdefault(address, Holding())
+        holding.position = position
+        holding.heard_at = now
+        for event in events:
+            key = (event.scope, event.part)
+            if event.number > holding.number_by_key.get(key, -1):
+                self._set(address, holding, key, event.tokens, event.number)
+
+    def expect(self, address: str, scope: str, part: str, tokens: int) -> None:
+        """Believe that a holder is about to keep a part, until its events say more."""
+        holding = self.by_address.setdefault(address, Holding())
+        key = (scope, part)
+        if holding.tokens_by_key.get(key, 0) < tokens:
+            self._set(address, holding, key, tokens, holding.number_by_key.get(key, -1))
+
+    def forget(self, address: str) -> None:
+        """Forget all about a holder."""
+        holding = self.by_address.pop(address, None)
+        if holding is None:
+            return
+        for key in list(holding.tokens_by_key):
+            self._drop_holder(address, key)
+
+    def tokens(self, address: str, scope: str, part: str) -> int:
+        """Return how many tokens of a part a holder is believed to keep."""
+        holding = self.by_address.get(address)
+        return 0 if holding is None else holding.tokens_by_key.get((scope, part), 0)
+
+    def holders(self, scope: str, part: str) -> set[str]:
+        """Return the addresses believed to keep some of a part."""
+        return self.holders_by_key.get((scope, part), set())
+
+    def _set(self, address: str, holding: Holding, key: Key, tokens: int, number: int) -> None:
+        holding.number_by_key[key] = number
+        if tokens > 0:
+            holding.tokens_by_key[key] = tokens
+            self.holders_by_key.setdefault(key, set()).add(address)
+            return
+        # The number of a dropped part is kept: an older event about it may still arrive.
+        if holding.tokens_by_key.pop(key, None) is not None:
+            self._drop_holder(address, key)
+
+    def _drop_holder(self, address: str, key: Key) -> None:
+        holders = self.holders_by_key.get(key)
+        if holders is None:
+            return
+        holders.discard(address)
+        if not holders:
+            del self.holders_by_key[key]
--- /dev/null
+++ b/stairquay/core/placement.py
@@ -0,0 +1,129 @@
+"""Where a prompt runs: compare engines by the predicted time to the first token.
+
+Context that another engine or a store box keeps is brought over its link, which costs milliseconds where
+reading the same tokens anew costs tens of milliseconds of the engine.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from stairquay.core.call import Part
+
+PREFILL_TOKENS_S = 112_000.0
+"""Prompt tokens an engine reads in a second, from the site's data sheet."""
+
+PAIR_S = 0.154e-9
+"""Seconds for each pair of a new token and a token before it (attention), from the data sheet."""
+
+FETCH_SETUP_S = 0.002
+"""Fixed time of one fetch besides its bytes: a miss costs a millisecond."""
+
+RUN_S = 0.0005
+"""Predicted delay for each run under way: every step takes 0.05 ms longer, and a prompt spans steps."""
+
+OLD_VERSION_S = 0.12
+"""Seconds that running on replaced weights is worth avoiding: it costs a fifth of a 0.6 s objective."""
+
+FAILING_S = 0.5
+"""Seconds lost where an endpoint fails the request: about one objective."""
+
+STRANGE_HALL_S = 0.002
+"""Tie-break for an endpoint in another data hall: one round trip."""
+
+
+@dataclass(frozen=True)
+class EngineView:
+    """What is known of one engine now.
+
+    waiting_tokens: prompt tokens that wait or are being read. failing: share of recent requests it failed.
+    resident: tokens it keeps of each part of the prompt, in order.
+    """
+
+    id: str
+    address: str
+    resident: tuple[int, ...]
+    waiting_tokens: float = 0.0
+    running: int = 0
+    failing: float = 0.0
+    outdated: bool = False
+    here: bool = True
+
+
+@dataclass(frozen=True)
+class Source:
+    """Where one part of a prompt can be fetched from."""
+
+    address: str
+    tokens: int
+    bytes_s: float
+    first_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class Placement:
+    """The engine chosen. fetch_from: an address for each part, empty where nothing is fetched.
+
+    reused, fetched and read are tokens; first_token_s is the predicted time.
+    """
+
+    engine: EngineView
+    fetch_from: tuple[str, ...]
+    reused: int
+    fetched: int
+    read: int
+    first_token_s: float
+
+
+SourceOf = Callable[[int, str], Source | None]
+"""Returns the best source of the part at an index for an engine's address, or None."""
+
+
+def place(
+    parts: Sequence[Part],
+    tokens: int,
+    engines: Sequence[EngineView],
+    source_of: SourceOf,
+    bytes_per_token: int,
+) -> list[Placement]:
+    """Return a placement on every engine, the quickest first."""
+    found = [_on(engine, parts, tokens, source_of, bytes_per_token) for engine in engines]
+    return sorted(found, key=lambda placement: placement.first_token_s)
+
+
+def _on(
+    engine: EngineView, parts: Sequence[Part], tokens: int, source_of: SourceOf, bytes_per_token: int
+) -> Placement:
+    reused, fetched, fetch_s = 0, 0, 0.0
+    fetch_from = [""] * len(parts)
+    for index, part in enumerate(parts):
+        resident = engine.resident[index]
+        if resident >= part.tokens:
+            reused += part.tokens
+            continue
+        source = source_of(index, engine.address)
+        if source is None or source.tokens <= resident:
+            reused += resident
+            break
+        fetch_from[index] = source.address
+        fetched += source.tokens - resident
+        reused += resident
+        fetch_s += (source.tokens - resident) * bytes_per_token / source.bytes_s + source.first_s
+        if source.tokens < part.tokens:
+            break
+    if fetched:
+        fetch_s += FETCH_SETUP_S
+    read = max(1, tokens - reused - fetched)
+    first_token_s = _wait_s(engine) + max(fetch_s, 0.0) + _read_s(read, tokens)
+    return Placement(engine, tuple(fetch_from), reused, fetched, read, first_token_s)
+
+
+def _wait_s(engine: EngineView) -> float:
+    waits = engine.waiting_tokens / PREFILL_TOKENS_S + engine.running * RUN_S
+    waits += engine.failing * FAILING_S
+    if engine.outdated:
+        waits += OLD_VERSION_S
+    return waits if engine.here else waits + STRANGE_HALL_S
+
+
+def _read_s(read: int, tokens: int) -> float:
+    return read / PREFILL_TOKENS_S + read * tokens * PAIR_S
--- /dev/null
+++ b/stairquay/platform/boot.py
@@ -0,0 +1,128 @@
+"""The settings file that the platform lays on a box, decoded into the program's settings."""
+
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from result import Err, Ok, Result
+
+from stairquay.core.budget import Allowance
+from stairquay.core.decode import Mistake
+from stairquay.serving.settings import BoxSettings, FreshnessSettings, LeaseSettings
+
+KEYED_SHARE = 0.92
+"""Share of the bound on revoked keys after which keyed requests are refused; the rest covers the way
+from the check to the endpoint."""
+
+READY_SHARE = 0.5
+"""Share of that bound after which the box reports unready: requests are not owed from 0.6 of it on."""
+
+HANDOVER_SLACK_S = 0.3
+"""Added to the pause between two holders of the lease, for orders on their way."""
+
+DEFAULT_DESCRIPTORS = 1024
+
+
+@dataclass(frozen=True)
+class Boot:
+    """What a box needs to start: its settings, and the address of the table service."""
+
+    settings: BoxSettings
+    table_address: str
+
+
+def load_boot(path: Path, metrics_port: int) -> Result[Boot, list[Mistake]]:
+    """Return the settings in the platform's file, or every mistake in it."""
+    try:
+        given = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        return Err([Mistake("$", f"cannot be read: {error}")])
+    return parse_boot(given, metrics_port)
+
+
+def parse_boot(given: Mapping[str, Any], metrics_port: int) -> Result[Boot, list[Mistake]]:
+    """Return settings from the file's tables; fields that are not known are passed over."""
+    fields = _Fields(given)
+    ip = fields.text("ip")
+    settings = BoxSettings(
+        id=f"{fields.text('node_name')}@{ip}",
+        ip=ip,
+        data_hall=fields.text("zone"),
+        front=fields.address("listen.front"),
+        readiness=fields.address("listen.readiness"),
+        metrics_port=metrics_port,
+        stop_s=fields.number("bounds.grace_s", 8.0),
+        drain_s=fields.number("bounds.drain_ms", 2_000.0) / 1000,
+        memory_mb=int(fields.number("limits.memory_mb", 0)),
+        max_descriptors=int(fields.number("limits.max_fds", DEFAULT_DESCRIPTORS)),
+        freshness=_freshness(fields),
+        lease=LeaseSettings(handover_s=fields.number("bounds.lease_ms", 3_000.0) / 1000 + HANDOVER_SLACK_S),
+        repeats=Allowance(
+            ratio=fields.number("bounds.retry_budget_ratio", 0.1),
+            slack=fields.number("bounds.budget_slack", 10.0),
+            window_s=fields.number("bounds.budget_window_s", 10.0),
+        ),
+    )
+    table_address = fields.address("platform.address")
+    if fields.mistakes:
+        return Err(fields.mistakes)
+    return Ok(Boot(settings, table_address))
+
+
+def _freshness(fields: "_Fields") -> FreshnessSettings:
+    bound_s = fields.number("bounds.revoke_ms", 5_000.0) / 1000
+    ready_s = bound_s * READY_SHARE
+    if not fields.flag("bounds.strict_revoke", True):
+        return FreshnessSettings(keyed_s=float("inf"), ready_s=ready_s)
+    return FreshnessSettings(keyed_s=bound_s * KEYED_SHARE, ready_s=ready_s)
+
+
+class _Fields:
+    """Reads fields by dotted path, and gathers what is wrong with them."""
+
+    def __init__(self, given: Mapping[str, Any]) -> None:
+        self.given = given
+        self.mistakes: list[Mistake] = []
+
+    def text(self, path: str) -> str:
+        value = self._find(path)
+        if isinstance(value, str) and value:
+            return value
+        self.mistakes.append(Mistake(f"$.{path}", f"expected a text, not {value!r}"))
+        return ""
+
+    def address(self, path: str) -> str:
+        value = self._find(path)
+        host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+        if host and port.isdigit() and 0 < int(port) < 65_536:
+            return str(value)
+        self.mistakes.append(Mistake(f"$.{path}", f"expected IP:port, not {value!r}"))
+        return ""
+
+    def number(self, path: str, default: float) -> float:
+        value = self._find(path)
+        if value is None:
+            return default
+        if isinstance(value, int | float) and not isinstance(value, bool) and value >= 0:
+            return float(value)
+        self.mistakes.append(Mistake(f"$.{path}", f"expected a number of 0 or more, not {value!r}"))
+        return default
+
+    def flag(self, path: str, default: bool) -> bool:
+        value = self._find(path)
+        if value is None:
+            return default
+        if isinstance(value, bool):
+            return value
+        self.mistakes.append(Mistake(f"$.{path}", f"expected true or false, not {value!r}"))
+        return default
+
+    def _find(self, path: str) -> Any:
+        value: Any = self.given
+        for name in path.split("."):
+            if not isinstance(value, Mapping):
+                return None
+            value = value.get(name)
+        return value
--- /dev/null
+++ b/stairquay/platform/callers.py
@@ -0,0 +1,125 @@
+"""Callers' requests, decoded from the platform's headers, and refusals in its words."""
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from stairquay.core.call import Call, Part, PromptShape
+from stairquay.core.errors import ErrorKind, Refusal
+from stairquay.platform.names import (
+    AUTHORIZATION,
+    BEARER,
+    CHANNEL_ONLY,
+    LAST_EVENT,
+    MODEL,
+    OURS,
+    PARTS,
+    REQUEST_ID,
+    RETRY_AFTER,
+    TIME_LEFT,
+    TOKENS,
+)
+
+MAX_ID = 200
+"""Longest id of a request or part, in characters; the platform's own have 8 to 16."""
+
+MAX_PARTS = 64
+MAX_TOKENS = 10_000_000
+
+
+class CallerDialect:
+    """Decodes requests and writes refusals."""
+
+    def decode(self, request: web.Request) -> Result[Call, Refusal]:
+        """Return the request in our own types, or why it is malformed."""
+        headers = request.headers
+        call_id = headers.get(REQUEST_ID, "")
+        if not call_id or len(call_id) > MAX_ID:
+            return _malformed(f"{REQUEST_ID} is missing or too long")
+        time_left_s = _seconds(headers.get(TIME_LEFT))
+        if isinstance(time_left_s, Err):
+            return time_left_s
+        prompt = _prompt(headers.get(MODEL), headers.get(TOKENS), headers.get(PARTS))
+        if isinstance(prompt, Err):
+            return prompt
+        return Ok(
+            Call(
+                id=call_id,
+                method=request.method,
+                host=_host(headers.get("Host", "")),
+                path=request.raw_path.partition("?")[0],
+                target=request.raw_path,
+                headers=_passed_on(request),
+                key=_key(headers.get(AUTHORIZATION)),
+                time_left_s=time_left_s.ok_value,
+                prompt=prompt.ok_value,
+                resume_after=headers.get(LAST_EVENT),
+            )
+        )
+
+    def refuse(self, call_id: str, refusal: Refusal) -> web.Response:
+        """Return the answer to a request that was given up on."""
+        headers = {REQUEST_ID: call_id} if call_id else {}
+        if refusal.come_back_s is not None:
+            headers[RETRY_AFTER] = f"{refusal.come_back_s:.2f}"
+        body = {"error": {"kind": refusal.kind.value, "ran": refusal.ran.value, "message": refusal.message}}
+        return web.json_response(body, status=refusal.answer.status, headers=headers)
+
+
+def _malformed(detail: str) -> Err[Refusal]:
+    return Err(Refusal(ErrorKind.BAD_REQUEST, detail=detail))
+
+
+def _host(value: str) -> str:
+    return value.rpartition(":")[0].lower() if value.rpartition(":")[2].isdigit() else value.lower()
+
+
+def _key(value: str | None) -> str | None:
+    if value is None or not value.startswith(BEARER):
+        return None
+    return value[len(BEARER) :].strip()
+
+
+def _seconds(value: str | None) -> Result[float | None, Refusal]:
+    if value is None:
+        return Ok(None)
+    if not value.isascii() or not value.isdecimal() or len(value) > 12:
+        return _malformed(f"{TIME_LEFT} is not a whole number of milliseconds")
+    return Ok(int(value) / 1000)
+
+
+def _prompt(model: str | None, tokens: str | None, parts: str | None) -> Result[PromptShape | None, Refusal]:
+    """Return the prompt's shape, None where the request has no prompt."""
+    if model is None or tokens is None or parts is None:
+        return Ok(None)
+    counts = [_count(item) for item in tokens.split(",")]
+    if len(counts) != 2 or counts[0] is None or counts[1] is None:
+        return _malformed(f"{TOKENS} is not two whole numbers")
+    chain = [_part(item) for item in parts.split(",")]
+    if len(chain) > MAX_PARTS:
+        return _malformed(f"{PARTS} has more than {MAX_PARTS} parts")
+    known = tuple(part for part in chain if part is not None)
+    if len(known) != len(chain):
+        return _malformed(f"{PARTS} is not a list of ID:TOKENS")
+    return Ok(PromptShape(model, known, counts[0], counts[1]))
+
+
+def _part(text: str) -> Part | None:
+    part_id, _, count = text.strip().partition(":")
+    tokens = _count(count)
+    if not part_id or len(part_id) > MAX_ID or tokens is None:
+        return None
+    return Part(part_id, tokens)
+
+
+def _count(text: str) -> int | None:
+    value = text.strip()
+    if not value.isascii() or not value.isdecimal() or len(value) > 9:
+        return None
+    return int(value) if int(value) <= MAX_TOKENS else None
+
+
+def _passed_on(request: web.Request) -> tuple[tuple[str, str], ...]:
+    """Return the headers that go on: no others than the caller's own, and none for one connection only."""
+    named = {item.strip().lower() for item in request.headers.get("Connection", "").split(",")}
+    dropped = CHANNEL_ONLY | OURS | named - {REQUEST_ID.lower(), MODEL.lower(), TOKENS.lower(), PARTS.lower()}
+    return tuple((name, value) for name, value in request.headers.items() if name.lower() not in dropped)
--- /dev/null
+++ b/stairquay/platform/connections.py
@@ -0,0 +1,108 @@
+"""Connections to endpoints that are safe to use again, and that tell how they ended."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from contextvars import ContextVar
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from aiohttp import ClientError, ClientSession, ClientTimeout, DummyCookieJar, TCPConnector
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
+
+CONNECT_S = 0.4
+"""Seconds to open a connection: data halls are a millisecond apart, and a dead box says nothing."""
+
+IDLE_S = 4.0
+"""Seconds for which an idle connection is kept: endpoints close theirs after a time of their own."""
+
+SILENT_MS = 1_500
+"""Milliseconds after which bytes that nobody acknowledged end a connection."""
+
+PROBE_AFTER_S = 1
+PROBES = 2
+
+MAX_FIELD_BYTES = 32_768
+
+
+class SendRefused(ClientError):
+    """The request must not be sent any more."""
+
+
+class CheckedProtocol(ResponseHandler):
+    """A connection that remembers whether it broke, and is not used again after surplus bytes."""
+
+    broke = False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Remember how the connection ended."""
+        self.broke = exc is not None
+        super().connection_lost(exc)
+
+    def is_connected(self) -> bool:
+        """Tell whether the connection can be used: bytes that came unasked spoil it."""
+        idle = self._payload is None or self._payload.is_eof()
+        return super().is_connected() and not (idle and (self._buffer or self._tail))
+
+
+@dataclass
+class Sending:
+    """One request on its way. `allow` is asked at the last moment before its bytes can leave."""
+
+    allow: Callable[[], bool]
+    protocol: CheckedProtocol | None = None
+
+
+SENDING: ContextVar[Sending | None] = ContextVar("sending", default=None)
+"""The request that the current task sends."""
+
+
+class CheckedConnector(TCPConnector):
+    """Opens checked connections, and asks before each use whether the request may still go."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        factory: Any = partial(CheckedProtocol, loop=asyncio.get_running_loop())
+        self._factory = factory
+
+    async def connect(self, *args: Any, **options: Any) -> Connection:
+        """Return a connection for the request that the current task sends."""
+        connection = await super().connect(*args, **options)
+        sending = SENDING.get()
+        if sending is None:
+            return connection
+        if not sending.allow():
+            connection.close()
+            raise SendRefused("the request may not be sent any more")
+        protocol = connection.protocol
+        assert isinstance(protocol, CheckedProtocol)
+        sending.protocol = protocol
+        return connection
+
+
+def open_session(connect_s: float = CONNECT_S, idle_s: float = IDLE_S) -> ClientSession:
+    """Return a session without cookies, redirects or decoding, whose dead connections end soon."""
+    connector = CheckedConnector(limit=0, keepalive_timeout=idle_s, socket_factory=_socket)
+    return ClientSession(
+        connector=connector,
+        cookie_jar=DummyCookieJar(),
+        timeout=ClientTimeout(total=None, sock_connect=connect_s),
+        auto_decompress=False,
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+        max_field_size=MAX_FIELD_BYTES,
+        max_line_size=MAX_FIELD_BYTES,
+    )
+
+
+def _socket(address: tuple[Any, ...]) -> socket.socket:
+    family, kind, protocol = address[0], address[1], address[2]
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_AFTER_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    return made
--- /dev/null
+++ b/stairquay/platform/feeds.py
@@ -0,0 +1,278 @@
+"""What operators and endpoints write into the table service, decoded into our own types."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from stairquay.core.catalog import (
+    CallerLimits,
+    Catalog,
+    EngineShape,
+    Route,
+    ServiceShape,
+    Split,
+    StoreShape,
+    WorkspaceRule,
+)
+from stairquay.core.fleet import Endpoint
+from stairquay.platform.names import (
+    CONFIG_KEY,
+    ENDPOINT_TABLE,
+    KIND_REPEATABLE,
+    KIND_STREAM,
+    OPERATOR_TABLE,
+    STATE_DRAINING,
+    VERSION_PREFIX,
+)
+from stairquay.platform.rows import TableClient, WireRow, WireRows
+from stairquay.serving.ports import EndpointChanges, FeedFault, OperatorChanges
+
+MEGABIT_BYTES = 125_000.0
+
+
+class WireSplit(msgspec.Struct):
+    """A share of a route."""
+
+    service: str
+    weight: float = 1.0
+
+
+class WireRoute(msgspec.Struct):
+    """A route. `kind` says whether it may be repeated or is a stream; `public` needs no key."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str = ""
+    timeout_ms: float = 30_000.0
+    target_latency_ms: float = 1_000.0
+    gap_aim_ms: float = 0.0
+    priority: int = 5
+    service: str = ""
+    traffic_split: list[WireSplit] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+class WireModel(msgspec.Struct):
+    """A model by name; `version` is missing in the configuration."""
+
+    name: str
+    version: int = 0
+
+
+class WireEngine(msgspec.Struct):
+    """The engines of a service. `max_concurrency` bounds the callers that follow events."""
+
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 1_000.0
+    max_concurrency: int = 8
+    models: list[WireModel] = []
+
+
+class WireService(msgspec.Struct):
+    """A service, or a store box where `kv_store_addr` is given."""
+
+    name: str
+    max_connections: int = 100
+    engine: WireEngine | None = None
+    kv_store_addr: str = ""
+    zone: str = ""
+    kv_capacity_tokens: int = 0
+    link_mbps: float = 1_000.0
+    first_ms: float = 0.0
+    max_concurrency: int = 8
+    managed: bool = False
+
+
+class WireWorkspace(msgspec.Struct):
+    """A workspace. `isolated`: it shares no kept context."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    isolated: bool = False
+
+
+class WireLimits(msgspec.Struct):
+    """Bounds on callers."""
+
+    max_body_bytes: int = 4_194_304
+
+
+class WireConfig(msgspec.Struct):
+    """The whole configuration. Without `tenants`, no request needs a key."""
+
+    version: int
+    routes: list[WireRoute] = []
+    services: list[WireService] = []
+    tenants: list[WireWorkspace] | None = None
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+
+
+class WireVersion(msgspec.Struct):
+    """Newly named weights."""
+
+    model: str
+    version: int
+
+
+class WireEndpoint(msgspec.Struct):
+    """An endpoint's own entry in the list; its id is the row's key."""
+
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = ""
+    models: list[WireModel] = []
+
+
+class Feeds:
+    """Follows operators' rows and the list of endpoints."""
+
+    def __init__(self, client: TableClient) -> None:
+        self.client = client
+
+    async def read_operators(self) -> Result[OperatorChanges, FeedFault]:
+        """Read the configuration and the named versions."""
+        found = await self.client.rows(OPERATOR_TABLE)
+        if isinstance(found, Err):
+            return Err(FeedFault.UNREACHED)
+        return Ok(operator_changes(found.ok_value, whole=True))
+
+    async def follow_operators(self, after: int, wait_s: float) -> Result[OperatorChanges, FeedFault]:
+        """Wait for changes after a revision."""
+        found = await self.client.feed(OPERATOR_TABLE, after, wait_s)
+        return found.map(lambda rows: operator_changes(rows, whole=False))
+
+    async def read_endpoints(self) -> Result[EndpointChanges, FeedFault]:
+        """Read the list of endpoints."""
+        found = await self.client.rows(ENDPOINT_TABLE)
+        if isinstance(found, Err):
+            return Err(FeedFault.UNREACHED)
+        return Ok(endpoint_changes(found.ok_value, whole=True))
+
+    async def follow_endpoints(self, after: int, wait_s: float) -> Result[EndpointChanges, FeedFault]:
+        """Wait for changes of the list after a revision."""
+        found = await self.client.feed(ENDPOINT_TABLE, after, wait_s)
+        return found.map(lambda rows: endpoint_changes(rows, whole=False))
+
+
+def operator_changes(rows: WireRows, whole: bool) -> OperatorChanges:
+    """Decode operators' rows. A configuration that cannot be read is told, and changes nothing."""
+    catalog: Catalog | None = None
+    unreadable = ""
+    versions: dict[str, int] = {}
+    for row in rows.rows:
+        text = row.text()
+        if text is None:
+            continue
+        try:
+            if row.key == CONFIG_KEY:
+                catalog = decode_catalog(text)
+            elif row.key.startswith(VERSION_PREFIX):
+                named = msgspec.json.decode(text, type=WireVersion)
+                versions[named.model] = named.version
+        except msgspec.MsgspecError as error:
+            unreadable = f"{row.key}: {error}"
+    return OperatorChanges(rows.ver, whole, catalog, unreadable, versions)
+
+
+def endpoint_changes(rows: WireRows, whole: bool) -> EndpointChanges:
+    """Decode entries of the list; one that cannot be read is left out, so that the others stay known."""
+    present = []
+    gone = []
+    for row in rows.rows:
+        text = row.text()
+        if text is None:
+            gone.append(row.key)
+            continue
+        endpoint = _endpoint(row, text)
+        if endpoint is not None:
+            present.append(endpoint)
+    return EndpointChanges(rows.ver, whole, tuple(present), tuple(gone))
+
+
+def _endpoint(row: WireRow, text: str) -> Endpoint | None:
+    try:
+        entry = msgspec.json.decode(text, type=WireEndpoint)
+    except msgspec.MsgspecError:
+        return None
+    return Endpoint(
+        id=row.key,
+        service=entry.service,
+        address=entry.address,
+        data_hall=entry.zone,
+        slots=entry.slots,
+        leaving=entry.state == STATE_DRAINING,
+        versions_by_model={model.name: model.version for model in entry.models},
+    )
+
+
+def decode_catalog(text: str) -> Catalog:
+    """Decode the configuration; raises msgspec.MsgspecError where it cannot be read."""
+    config = msgspec.json.decode(text, type=WireConfig)
+    workspaces = config.tenants or []
+    return Catalog(
+        version=config.version,
+        routes=tuple(_route(route) for route in config.routes),
+        services_by_id={item.name: _service(item) for item in config.services if not item.kv_store_addr},
+        stores_by_id={item.name: _store(item) for item in config.services if item.kv_store_addr},
+        workspaces_by_key={
+            key: WorkspaceRule(item.name, item.isolated, item.priority)
+            for item in workspaces
+            for key in item.api_keys
+        },
+        keyed=config.tenants is not None,
+        limits=CallerLimits(config.limits.max_body_bytes),
+    )
+
+
+def _route(route: WireRoute) -> Route:
+    splits = tuple(Split(item.service, item.weight) for item in route.traffic_split)
+    return Route(
+        id=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        splits=splits or (Split(route.service, 1.0),),
+        repeatable=route.kind == KIND_REPEATABLE,
+        streamed=route.kind == KIND_STREAM,
+        resumable=route.resumable,
+        timeout_s=route.timeout_ms / 1000,
+        objective_s=route.target_latency_ms / 1000,
+        gap_s=route.gap_aim_ms / 1000,
+        max_attempts=max(1, route.max_attempts),
+        priority=route.priority,
+        public=route.public,
+    )
+
+
+def _service(service: WireService) -> ServiceShape:
+    engine = service.engine
+    if engine is None:
+        return ServiceShape(service.name, service.max_connections)
+    shape = EngineShape(
+        slots=engine.slots,
+        memory_tokens=engine.kv_capacity_tokens,
+        bytes_per_token=int(engine.kv_token_bytes),
+        link_bytes_s=engine.link_mbps * MEGABIT_BYTES,
+        models=tuple(model.name for model in engine.models),
+        max_followers=engine.max_concurrency,
+    )
+    return ServiceShape(service.name, service.max_connections, shape)
+
+
+def _store(service: WireService) -> StoreShape:
+    return StoreShape(
+        id=service.name,
+        address=service.kv_store_addr,
+        data_hall=service.zone,
+        memory_tokens=service.kv_capacity_tokens,
+        link_bytes_s=service.link_mbps * MEGABIT_BYTES,
+        first_s=service.first_ms / 1000,
+        max_followers=service.max_concurrency,
+        managed=service.managed,
+    )
--- /dev/null
+++ b/stairquay/platform/names.py
@@ -0,0 +1,100 @@
+"""Names on the platform's wire: headers, paths and words."""
+
+REQUEST_ID = "Request-Id"
+"""The caller's id of one request; endpoints echo it in their answers."""
+
+TIME_LEFT = "Deadline-Ms"
+"""Milliseconds that are left, not a point in time."""
+
+SIGNATURE = "Response-Signature"
+"""Marks an answer as an endpoint's own; a success without it does not count."""
+
+NOT_RUN = "Not-Executed"
+INSTANCE = "Target-Instance"
+"""The id of the endpoint that a request is meant for; any other refuses it."""
+
+ANSWERED_BY = "Instance-Id"
+WORKSPACE = "Tenant"
+AUTHORIZATION = "Authorization"
+BEARER = "Bearer "
+RETRY_AFTER = "Retry-After"
+LAST_EVENT = "Last-Event-Id"
+MODEL = "Model"
+TOKENS = "Token-Usage"
+"""Tokens of the prompt and most tokens of the answer, with a comma between."""
+
+PARTS = "Prompt-Prefix"
+"""The whole prompt as ID:TOKENS with commas between, in spite of its name."""
+
+PRIORITY = "Priority"
+EXPECT_VERSION = "Expect-Version"
+VERSION = "Versions"
+"""The one version of the weights that an answer was begun on."""
+
+SCOPE = "Cache-Salt"
+FETCH = "Kv-Fetch"
+FETCH_UNTIL = "Kv-Until"
+SAVE = "Kv-Save"
+WAIT = "Wait-Ms"
+
+OURS = frozenset(
+    name.lower()
+    for name in (
+        TIME_LEFT,
+        INSTANCE,
+        WORKSPACE,
+        AUTHORIZATION,
+        PRIORITY,
+        EXPECT_VERSION,
+        SCOPE,
+        FETCH,
+        FETCH_UNTIL,
+        SAVE,
+        LAST_EVENT,
+        "Hold",
+        "Pin-Ms",
+        "Kv-Backup",
+        "Kv-From",
+    )
+)
+"""Request headers that only we may set: whatever a caller puts there goes no further."""
+
+CHANNEL_ONLY = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+        "expect",
+    )
+)
+"""Headers that concern one connection only, and those that the HTTP library writes itself."""
+
+READY_PATH = "/-/readyz"
+REPORT_PATH = "/-/report"
+ORDER_PATH = "/-/order"
+KEPT_EVENTS_PATH = "/-/kv-events"
+KEPT_LIST_PATH = "/-/kv-list"
+FREE_PATH = "/-/kv-free"
+ROWS_PATH = "/-/rows-get"
+FEED_PATH = "/-/rows-feed"
+COMMIT_PATH = "/-/rows-tx"
+
+OPERATOR_TABLE = "op"
+CONFIG_KEY = "config"
+VERSION_PREFIX = "version/"
+ENDPOINT_TABLE = "servers"
+OWN_TABLE = "stairquay"
+
+KIND_REPEATABLE = "idempotent"
+KIND_STREAM = "streaming"
+STATE_DRAINING = "draining"
+
+SETTINGS_VARIABLE = "STAIRQUAY_BOOT"
--- /dev/null
+++ b/stairquay/platform/surroundings.py
@@ -0,0 +1,31 @@
+"""All of the platform's dialect, put together as the ports of the one-process program."""
+
+from stairquay.platform.callers import CallerDialect
+from stairquay.platform.connections import open_session
+from stairquay.platform.endpoints import EndpointClient
+from stairquay.platform.feeds import Feeds
+from stairquay.platform.names import READY_PATH
+from stairquay.platform.peers import PeerClient
+from stairquay.platform.rows import OwnRows, TableClient
+from stairquay.serving.ports import Surroundings
+
+
+def open_surroundings(table_address: str) -> Surroundings:
+    """Open the clients; a loop must be running."""
+    forwarding = open_session()
+    asking = open_session()
+    table = TableClient(table_address, asking)
+
+    async def close() -> None:
+        await forwarding.close()
+        await asking.close()
+
+    return Surroundings(
+        feeds=Feeds(table),
+        own=OwnRows(table),
+        peers=PeerClient(asking),
+        endpoints=EndpointClient(forwarding),
+        callers=CallerDialect(),
+        ready_path=READY_PATH,
+        close=close,
+    )
--- /dev/null
+++ b/stairquay/serving/app.py
@@ -0,0 +1,124 @@
+"""The one-process program: puts the parts of a box together, and stops without losing a request."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from aiohttp import web
+
+from stairquay.adapters.program import Tasks, listen, until_stopped, wait_until
+from stairquay.serving.boxes import BoxList
+from stairquay.serving.decisions import Decision, DecisionLog
+from stairquay.serving.dispatch import Dispatcher
+from stairquay.serving.following import follow_endpoints, follow_operators
+from stairquay.serving.front import Front
+from stairquay.serving.orders import OrderGiver
+from stairquay.serving.ports import Surroundings
+from stairquay.serving.settings import BoxSettings
+from stairquay.serving.state import BoxState
+from stairquay.serving.watching import Watcher
+
+KEEP_ALIVE_S = 120.0
+"""Seconds for which a caller's idle connection stays open: longer than callers rest on one."""
+
+LAME_DUCK_S = 2.6
+"""Seconds of serving on after the stop signal: the balancer asks each second and needs two misses."""
+
+CLOSE_S = 0.6
+"""Seconds left at the end for closing connections."""
+
+MAX_FIELD_BYTES = 32_768
+
+OpenSurroundings = Callable[[], Surroundings]
+
+
+async def run_box(settings: BoxSettings, open_surroundings: OpenSurroundings) -> None:
+    """Run a box until a stop signal, then let every request under way finish."""
+    log = DecisionLog(settings.id)
+    state = BoxState(settings, log)
+    state.boxes = (settings.id,)
+    surroundings = open_surroundings()
+    chance = random.Random()
+    dispatcher = Dispatcher(state, surroundings.endpoints, chance)
+    front = Front(state, surroundings.callers, dispatcher, chance)
+    watcher = Watcher(state, surroundings.peers)
+    orders = OrderGiver(state, surroundings.own, surroundings.peers)
+    boxes = BoxList(state, surroundings.own, chance)
+    tasks = Tasks()
+    for work in (
+        log.run(),
+        follow_operators(state, surroundings.feeds),
+        follow_endpoints(state, surroundings.feeds),
+        watcher.run(),
+        orders.run(),
+        boxes.run(),
+    ):
+        tasks.start(_kept_running(state, work))
+    log.line(Decision.START, front=settings.front, data_hall=settings.data_hall)
+    sites = [await _listen_front(settings, front), await _listen_readiness(state, surroundings.ready_path)]
+    if settings.metrics_port:
+        sites.append(await _listen_metrics(state))
+    await until_stopped(tasks)
+    await _finish(state)
+    for site in sites:
+        await site.cleanup()
+    log.line(Decision.STOP, in_flight=state.in_flight)
+    log.flush()
+    await tasks.cancel()
+    await surroundings.close()
+
+
+async def _kept_running(state: BoxState, work: Coroutine[Any, Any, None]) -> None:
+    """Run a part of the box; its failure is logged and ends the program, which is then started anew."""
+    try:
+        await work
+    except Exception as error:
+        state.log.line(Decision.STOP, outcome="failed", detail=repr(error))
+        state.log.flush()
+        raise
+
+
+async def _listen_front(settings: BoxSettings, front: Front) -> web.AppRunner:
+    app = web.Application(client_max_size=0)
+    app.router.add_route("*", "/{path:.*}", front.handle)
+    return await listen(
+        app,
+        settings.front,
+        handler_cancellation=True,
+        auto_decompress=False,
+        keepalive_timeout=KEEP_ALIVE_S,
+        shutdown_timeout=CLOSE_S,
+        max_field_size=MAX_FIELD_BYTES,
+        max_line_size=MAX_FIELD_BYTES,
+    )
+
+
+async def _listen_readiness(state: BoxState, path: str) -> web.AppRunner:
+    async def ready(_: web.Request) -> web.Response:
+        return web.Response(status=200 if state.ready() else 503)
+
+    app = web.Application()
+    app.router.add_get(path, ready)
+    return await listen(app, state.settings.readiness)
+
+
+async def _listen_metrics(state: BoxState) -> web.AppRunner:
+    async def scrape(_: web.Request) -> web.Response:
+        state.metrics.in_flight.set(state.in_flight)
+        state.metrics.view_age.set(state.view_age())
+        state.metrics.left_out.set(state.log.left_out_total)
+        return web.Response(body=state.metrics.text(), headers={"Content-Type": "text/plain; version=0.0.4"})
+
+    app = web.Application()
+    app.router.add_get("/metrics", scrape)
+    return await listen(app, f"{state.settings.ip}:{state.settings.metrics_port}")
+
+
+async def _finish(state: BoxState) -> None:
+    """Turn unready, serve on until the balancer has seen it, then finish what is under way."""
+    state.stopping = True
+    state.log.line(Decision.STOP, outcome="stopping", in_flight=state.in_flight)
+    await asyncio.sleep(LAME_DUCK_S)
+    left_s = max(0.0, state.settings.stop_s - LAME_DUCK_S - 2 * CLOSE_S)
+    await wait_until(lambda: state.in_flight == 0, left_s)
--- /dev/null
+++ b/stairquay/serving/choosing.py
@@ -0,0 +1,193 @@
+"""Chooses the endpoint of a request from what the box believes."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+from time import monotonic
+
+from stairquay.core.call import PromptShape
+from stairquay.core.catalog import Catalog, EngineShape, ServiceShape, WorkspaceRule
+from stairquay.core.fleet import Endpoint
+from stairquay.core.placement import EngineView, Placement, Source, place
+from stairquay.serving.state import BoxState
+
+CONNECTION_SHARE = 0.85
+"""Share of an endpoint's connections that our boxes use together; it resets those beyond its bound."""
+
+OTHERS_PROMPT_TOKENS = 1_500.0
+"""Prompt tokens that each request queued by another box is taken to need: about a mean prompt after
+reuse on the sites' sheets."""
+
+STORE_VIEW_S = 1.2
+"""Seconds without an answer after which a store box's view is not used any more: it may have started
+anew, and it does not check what it hands out."""
+
+FETCH_S = 2.0
+"""Seconds after which a fetch is thrown away; a move that would wait longer is not begun at all."""
+
+OLD_VERSION_AFTER_S = 1.0
+"""Seconds after a version was named from which running on an older one costs value."""
+
+
+@dataclass(frozen=True)
+class Choice:
+    """Where a request goes. placement is None for plain services."""
+
+    endpoint: Endpoint
+    version: int | None = None
+    scope: str = ""
+    placement: Placement | None = None
+    alternative_s: float | None = None
+    fetch_until_ms: int | None = None
+
+
+def choose(
+    state: BoxState,
+    catalog: Catalog,
+    service: ServiceShape,
+    prompt: PromptShape | None,
+    workspace: WorkspaceRule | None,
+    tried: frozenset[str],
+    random: Random,
+) -> Choice | None:
+    """Return the best endpoint, or None where no endpoint can be used."""
+    now = monotonic()
+    candidates = _candidates(state, service, tried, now)
+    if not candidates:
+        return None
+    if prompt is None or service.engine is None:
+        return Choice(_least_busy(state, candidates, now, random))
+    return _engine(state, catalog, service.engine, prompt, workspace, candidates, now)
+
+
+def context_scope(workspace: WorkspaceRule | None, model: str, version: int) -> str:
+    """Return the name under which context is kept: of one model and version, and of one workspace where
+    that is isolated."""
+    wall = workspace.id if workspace is not None and workspace.isolated else ""
+    return f"{wall}/{model}/{version}"
+
+
+def _candidates(state: BoxState, service: ServiceShape, tried: frozenset[str], now: float) -> list[Endpoint]:
+    """Return usable endpoints; those tried, turning work away or silent only where there are no others."""
+    limit = max(2, int(service.max_connections * CONNECTION_SHARE / max(1, len(state.boxes))))
+    usable = [item for item in state.fleet.usable(service.id, now) if state.of(item).in_flight < limit]
+    fresh = [item for item in usable if item.id not in tried]
+    if tried and not fresh:
+        return []
+    open_ones = [item for item in fresh if state.of(item).refused_until <= now and not _closed(state, item)]
+    heard = [item for item in open_ones if not state.of(item).silent(now)]
+    return heard or open_ones or fresh
+
+
+def _closed(state: BoxState, endpoint: Endpoint) -> bool:
+    report = state.of(endpoint).report
+    return report is not None and report.busy
+
+
+def _least_busy(state: BoxState, candidates: Sequence[Endpoint], now: float, random: Random) -> Endpoint:
+    def cost(endpoint: Endpoint) -> tuple[float, bool, float]:
+        held = state.of(endpoint)
+        waits = (held.in_flight + 1) * held.work_s + held.failing_share(now)
+        return round(waits, 3), endpoint.data_hall != state.settings.data_hall, random.random()
+
+    return min(candidates, key=cost)
+
+
+def _engine(
+    state: BoxState,
+    catalog: Catalog,
+    engine: EngineShape,
+    prompt: PromptShape,
+    workspace: WorkspaceRule | None,
+    candidates: Sequence[Endpoint],
+    now: float,
+) -> Choice:
+    by_id = {item.id: item for item in candidates}
+    versions = {item.address: state.version_of(item, prompt.model) for item in candidates}
+    scopes = {key: context_scope(workspace, prompt.model, version) for key, version in versions.items()}
+    named = state.named_by_model.get(prompt.model, 0)
+    old_after = state.named_at_by_model.get(prompt.model, 0.0) + OLD_VERSION_AFTER_S
+    views = [
+        _view(
+            state, item, prompt, scopes[item.address], versions[item.address] < named and now > old_after, now
+        )
+        for item in candidates
+    ]
+    speeds = _source_speeds(state, catalog, engine, now)
+
+    def source_of(index: int, address: str) -> Source | None:
+        return _best_source(state, speeds, scopes[address], prompt, index, address)
+
+    placements = place(prompt.parts, prompt.tokens, views, source_of, engine.bytes_per_token)
+    best = placements[0]
+    endpoint = by_id[best.engine.id]
+    return Choice(
+        endpoint=endpoint,
+        version=versions[endpoint.address] or None,
+        scope=scopes[endpoint.address],
+        placement=best,
+        alternative_s=placements[1].first_token_s if len(placements) > 1 else None,
+        fetch_until_ms=_fetch_until_ms(state, now),
+    )
+
+
+def _view(
+    state: BoxState, endpoint: Endpoint, prompt: PromptShape, scope: str, outdated: bool, now: float
+) -> EngineView:
+    held = state.of(endpoint)
+    own_waiting = sum(held.unread_tokens_by_request.values())
+    queued = 0 if held.report is None else held.report.queued
+    others = max(0, queued - len(held.unread_tokens_by_request))
+    running = 0 if held.report is None else held.report.running
+    return EngineView(
+        id=endpoint.id,
+        address=endpoint.address,
+        resident=tuple(state.holdings.tokens(endpoint.address, scope, part.id) for part in prompt.parts),
+        waiting_tokens=own_waiting + others * OTHERS_PROMPT_TOKENS,
+        running=max(running, held.in_flight),
+        failing=held.failing_share(now),
+        outdated=outdated,
+        here=endpoint.data_hall == state.settings.data_hall,
+    )
+
+
+def _source_speeds(
+    state: BoxState, catalog: Catalog, engine: EngineShape, now: float
+) -> dict[str, tuple[float, float]]:
+    """Return the link speed and first delay of every address that context can be fetched from now."""
+    speeds: dict[str, tuple[float, float]] = {}
+    for endpoint in state.fleet.live():
+        if not state.of(endpoint).silent(now):
+            speeds[endpoint.address] = (engine.link_bytes_s, 0.0)
+    for store in catalog.stores_by_id.values():
+        holding = state.holdings.by_address.get(store.address)
+        if holding is not None and now - holding.heard_at < STORE_VIEW_S:
+            speeds[store.address] = (store.link_bytes_s, store.first_s)
+    return speeds
+
+
+def _best_source(
+    state: BoxState,
+    speeds: dict[str, tuple[float, float]],
+    scope: str,
+    prompt: PromptShape,
+    index: int,
+    address: str,
+) -> Source | None:
+    part = prompt.parts[index]
+    best: Source | None = None
+    for holder in state.holdings.holders(scope, part.id):
+        speed = speeds.get(holder)
+        if speed is None or holder == address:
+            continue
+        tokens = min(part.tokens, state.holdings.tokens(holder, scope, part.id))
+        source = Source(holder, tokens, *speed)
+        if best is None or (source.tokens, source.bytes_s) > (best.tokens, best.bytes_s):
+            best = source
+    return best
+
+
+def _fetch_until_ms(state: BoxState, now: float) -> int | None:
+    if state.clock_offset_ms is None:
+        return None
+    return int(now * 1000 + state.clock_offset_ms + FETCH_S * 1000)
--- /dev/null
+++ b/stairquay/serving/decisions.py
@@ -0,0 +1,147 @@
+"""Structured logs: one JSON object a line for each decision, bounded in volume, never in the way.
+
+Lines wait in a queue of fixed size and are written when standard output takes them. A reader that stops
+reading delays nothing: what does not fit is left out, counted, and told in a line and a metric.
+"""
+
+import asyncio
+import os
+from collections import Counter as Tally
+from collections import deque
+from collections.abc import Callable
+from enum import Enum
+from time import monotonic, time
+from typing import Any
+
+import msgspec
+
+QUEUE_LINES = 4_000
+"""Lines that wait for the writer: about four seconds of a box's decisions at 1,000 a second."""
+
+LINES_S = 400
+"""Lines of one kind in a second; HSITA's busiest box makes about 100 of the most frequent kind."""
+
+FLUSH_S = 0.2
+"""Seconds between two writes: fewer system calls, and a reader still sees lines at once."""
+
+CHUNK_BYTES = 32_768
+MAX_TEXT = 200
+"""Longest text in a line, in characters."""
+
+
+class Decision(str, Enum):
+    """The closed list of kinds of lines."""
+
+    START = "start"
+    STOP = "stop"
+    CONFIGURATION = "configuration"
+    VERSION_NAMED = "version_named"
+    ENDPOINTS = "endpoints"
+    DEPENDENCY = "dependency"
+    LEASE = "lease"
+    ORDER = "order"
+    EJECTION = "ejection"
+    STORE_VIEW = "store_view"
+    FREED = "freed"
+    REFUSED = "refused"
+    SENT = "sent"
+    ATTEMPT_FAILED = "attempt_failed"
+    ENDED = "ended"
+    LEFT_OUT = "left_out"
+
+
+Write = Callable[[bytes], int]
+"""Writes some of the bytes and returns how many; raises BlockingIOError where it would wait."""
+
+
+def write_standard_output(data: bytes) -> int:
+    """Write to standard output without waiting for its reader."""
+    return os.write(1, data)
+
+
+class DecisionLog:
+    """Takes lines, and writes them from time to time."""
+
+    def __init__(self, box: str, write: Write = write_standard_output) -> None:
+        self.box = box
+        self.write = write
+        self.lines: deque[bytes] = deque()
+        self.unwritten = b""
+        self.second = 0
+        self.lines_by_kind: Tally[Decision] = Tally()
+        self.left_out_by_kind: Tally[Decision] = Tally()
+        self.left_out_total = 0
+        self.closed = False
+
+    def line(self, kind: Decision, request: str = "", **inputs: Any) -> None:
+        """Log one decision. `inputs` are what decided it, with ages in seconds or versions."""
+        if not self._within_rate(kind):
+            self._leave_out(kind)
+            return
+        self._queue(kind, request, inputs)
+
+    async def run(self) -> None:
+        """Write lines until cancelled."""
+        os.set_blocking(1, False)
+        while True:
+            await asyncio.sleep(FLUSH_S)
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what standard output takes now."""
+        self._tell_left_out()
+        while not self.closed and (self.unwritten or self.lines):
+            if not self.unwritten:
+                self.unwritten = self._next_chunk()
+            try:
+                written = self.write(self.unwritten)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody can read the lines any more, and there is nowhere else to say so.
+                self.closed = True
+                return
+            self.unwritten = self.unwritten[written:]
+
+    def _queue(self, kind: Decision, request: str, inputs: dict[str, Any]) -> None:
+        if self.closed or len(self.lines) >= QUEUE_LINES:
+            self._leave_out(kind)
+            return
+        record: dict[str, Any] = {"at": round(time(), 3), "box": self.box, "kind": kind.value}
+        if request:
+            record["request"] = request
+        record.update({key: _plain(value) for key, value in inputs.items()})
+        self.lines.append(msgspec.json.encode(record) + b"\n")
+
+    def _next_chunk(self) -> bytes:
+        chunk = bytearray()
+        while self.lines and len(chunk) < CHUNK_BYTES:
+            chunk += self.lines.popleft()
+        return bytes(chunk)
+
+    def _within_rate(self, kind: Decision) -> bool:
+        second = int(monotonic())
+        if second != self.second:
+            self.second = second
+            self.lines_by_kind.clear()
+        self.lines_by_kind[kind] += 1
+        return self.lines_by_kind[kind] <= LINES_S
+
+    def _leave_out(self, kind: Decision) -> None:
+        self.left_out_by_kind[kind] += 1
+        self.left_out_total += 1
+
+    def _tell_left_out(self) -> None:
+        if not self.left_out_by_kind or len(self.lines) >= QUEUE_LINES:
+            return
+        counts = {kind.value: count for kind, count in self.left_out_by_kind.items()}
+        self.left_out_by_kind.clear()
+        self._queue(Decision.LEFT_OUT, "", {"lines": counts})
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, float):
+        return round(value, 4) if value == value and abs(value) != float("inf") else str(value)
+    if isinstance(value, str):
+        return value[:MAX_TEXT]
+    return value
--- /dev/null
+++ b/stairquay/serving/dispatch.py
@@ -0,0 +1,379 @@
+"""Runs a request: attempts at endpoints, one after the other, as far as truth, time and budget allow."""
+
+from dataclasses import dataclass, field
+from random import Random
+from time import monotonic
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from stairquay.core.attempt import Attempt, drop_attempt, new_attempt, worst
+from stairquay.core.call import Call, Dispatch
+from stairquay.core.catalog import Catalog, Route, ServiceShape, WorkspaceRule
+from stairquay.core.errors import ErrorKind, Ran, Refusal
+from stairquay.serving.choosing import Choice, choose
+from stairquay.serving.decisions import Decision
+from stairquay.serving.ports import BrokenAnswer, Endpoints, Reply, SendFailure
+from stairquay.serving.relay import StreamProgress, cut, read_whole, relay_stream, whole_response
+from stairquay.serving.saving import save_targets
+from stairquay.serving.state import FULL_PAUSE_S, BoxState, EndpointState
+
+MAX_REFUSED = 4
+"""Times that one request may be turned away by endpoints before it is refused."""
+
+SERVER_ERROR = 500
+RETRY_AFTER_S = 0.25
+"""Seconds after which a refused caller should come back: about the time an endpoint needs for a batch."""
+
+WORK_WEIGHT = 0.1
+"""Weight of the newest answer in an endpoint's mean time to answer."""
+
+MIN_LEFT_S = 0.01
+
+
+@dataclass(frozen=True)
+class Job:
+    """A request that is to run. `deadline` is monotonic: the caller's time or the route's limit."""
+
+    call: Call
+    body: bytes
+    catalog: Catalog
+    route: Route
+    service: ServiceShape
+    workspace: WorkspaceRule | None
+    arrived_at: float
+    deadline: float
+
+
+@dataclass
+class Progress:
+    """What became of a job's attempts. runs: attempts that may have run. ran: the worst of all."""
+
+    tried: set[str] = field(default_factory=set)
+    refused: int = 0
+    runs: int = 0
+    ran: Ran = Ran.NOT_RUN
+    stream: StreamProgress = field(default_factory=StreamProgress)
+    last: SendFailure | None = None
+    kept_reply: tuple[Reply, bytes] | None = None
+
+
+@dataclass
+class Begun:
+    """An attempt under way at an endpoint."""
+
+    choice: Choice
+    attempt: Attempt
+    held: EndpointState
+    sent_at: float
+    first_seen: bool = False
+
+
+class Dispatcher:
+    """Sends jobs to endpoints."""
+
+    def __init__(self, state: BoxState, endpoints: Endpoints, random: Random) -> None:
+        self.state = state
+        self.endpoints = endpoints
+        self.random = random
+
+    async def run(self, job: Job, request: web.Request) -> Result[web.StreamResponse, Refusal]:
+        """Run a job to its end, and return the answer that was given or is to be given."""
+        self.state.budget(job.service.id).on_request(monotonic())
+        progress = Progress()
+        while True:
+            refusal = self._may_go_on(job, progress)
+            if refusal is not None:
+                return self._given_up(job, progress, refusal, request)
+            tried = frozenset(progress.tried)
+            choice = choose(
+                self.state, job.catalog, job.service, job.call.prompt, job.workspace, tried, self.random
+            )
+            if choice is None:
+                return self._given_up(job, progress, Refusal(ErrorKind.NO_ENDPOINT), request)
+            response = await self._attempt(job, choice, progress, request)
+            if response is not None:
+                return Ok(response)
+            refusal = self._may_repeat(job, progress)
+            if refusal is not None:
+                return self._given_up(job, progress, refusal, request)
+
+    def _may_go_on(self, job: Job, progress: Progress) -> Refusal | None:
+        """Return why nothing may be sent now, None where it may."""
+        if job.deadline - monotonic() < MIN_LEFT_S:
+            return Refusal(ErrorKind.DEADLINE, progress.ran)
+        if not self._fresh(job):
+            return Refusal(ErrorKind.NOT_READY, progress.ran, "the configuration's view is too old")
+        return None
+
+    def _fresh(self, job: Job) -> bool:
+        return job.workspace is None or self.state.keys_fresh()
+
+    def _may_repeat(self, job: Job, progress: Progress) -> Refusal | None:
+        """Return why a failed job is not sent again, None where it is."""
+        failure = progress.last
+        assert failure is not None
+        refusal = Refusal(failure.kind, progress.ran, failure.detail, retry_after_s=RETRY_AFTER_S)
+        if failure.ran == Ran.NOT_RUN and failure.status == 0:
+            # It never left this box, so that no endpoint saw it twice.
+            return None if progress.refused < MAX_REFUSED else refusal
+        if failure.ran != Ran.NOT_RUN:
+            if not job.route.may_run_again or progress.runs >= job.route.max_attempts:
+                return refusal
+        elif progress.refused >= MAX_REFUSED:
+            return refusal
+        if not self.state.budget(job.service.id).take(monotonic(), len(self.state.boxes)):
+            self._log_failure(job, "the budget for sending again is spent")
+            return refusal
+        self.state.metrics.repeats.labels(job.service.id).inc()
+        return None
+
+    async def _attempt(
+        self, job: Job, choice: Choice, progress: Progress, request: web.Request
+    ) -> web.StreamResponse | None:
+        """Make one attempt. Return the caller's response, or None where it failed (`progress.last`)."""
+        attempt = new_attempt(job.call.id, choice.endpoint.id)
+        held = self.state.of(choice.endpoint)
+        begun = Begun(choice, attempt, held, monotonic())
+        held.in_flight += 1
+        if choice.placement is not None:
+            held.unread_tokens_by_request[job.call.id] = choice.placement.read
+        self._log_sent(job, choice, progress)
+        try:
+            sent = await self._send(job, begun, progress)
+            if isinstance(sent, Err):
+                self._failed(job, begun, progress, sent.err_value)
+                return None
+            return await self._relay(job, begun, progress, sent.ok_value, request)
+        finally:
+            held.in_flight -= 1
+            held.unread_tokens_by_request.pop(job.call.id, None)
+            drop_attempt(attempt)
+
+    async def _send(self, job: Job, begun: Begun, progress: Progress) -> Result[Reply, SendFailure]:
+        left_s = job.deadline - monotonic()
+        after = progress.stream.last_event or job.call.resume_after
+        dispatch = self._dispatch(job, begun.choice, left_s, after)
+
+        def guard() -> bool:
+            return self._fresh(job) and job.deadline > monotonic()
+
+        return await self.endpoints.send(job.call, job.body, dispatch, begun.attempt, guard, left_s)
+
+    def _dispatch(self, job: Job, choice: Choice, left_s: float, resume_after: str | None) -> Dispatch:
+        priority = job.route.priority
+        if job.workspace is not None and job.workspace.priority is not None:
+            priority = job.workspace.priority
+        placement = choice.placement
+        save_to: tuple[str, ...] = ()
+        if placement is not None and job.call.prompt is not None:
+            save_to = save_targets(self.state, job.catalog, job.call.prompt, choice)
+        return Dispatch(
+            endpoint=choice.endpoint.id,
+            address=choice.endpoint.address,
+            time_left_s=left_s,
+            workspace="" if job.workspace is None else job.workspace.id,
+            priority=None if placement is None else priority,
+            context_scope=choice.scope,
+            version=choice.version,
+            fetch_from=() if placement is None else placement.fetch_from,
+            save_to=save_to,
+            fetch_until_ms=choice.fetch_until_ms,
+            resume_after=resume_after,
+        )
+
+    async def _relay(
+        self, job: Job, begun: Begun, progress: Progress, reply: Reply, request: web.Request
+    ) -> web.StreamResponse | None:
+        """Pass an answer on. Return None where it broke off and might be tried elsewhere."""
+        try:
+            if reply.streamed and reply.status < SERVER_ERROR:
+                await relay_stream(
+                    request, reply, progress.stream, job.deadline, lambda: self._on_first(job, begun)
+                )
+                response = progress.stream.response
+                assert response is not None
+            else:
+                body = await read_whole(reply, job.deadline)
+                if reply.status >= SERVER_ERROR and self._error_again(job, begun, progress, reply, body):
+                    return None
+                self._on_first(job, begun)
+                response = whole_response(reply, body)
+        except (BrokenAnswer, TimeoutError) as error:
+            kind = ErrorKind.DEADLINE if isinstance(error, TimeoutError) else ErrorKind.ENDPOINT_FAILED
+            begun.attempt.lose()
+            fault = kind != ErrorKind.DEADLINE
+            detail = f"the answer broke off: {error}"
+            failure = SendFailure(kind, begun.attempt.ran, detail, reply.status, fault=fault)
+            self._failed(job, begun, progress, failure)
+            return None
+        finally:
+            reply.close()
+        begun.attempt.finish()
+        self._ended_well(job, begun, reply, progress)
+        return response
+
+    def _error_again(self, job: Job, begun: Begun, progress: Progress, reply: Reply, body: bytes) -> bool:
+        """Take in an endpoint's own error; tell whether the job is sent again instead of passing it on."""
+        progress.kept_reply = (reply, body)
+        again = job.route.may_run_again and progress.runs + 1 < job.route.max_attempts
+        if not again or progress.stream.response is not None:
+            return False
+        begun.attempt.lose()
+        failure = SendFailure(
+            ErrorKind.ENDPOINT_FAILED, begun.attempt.ran, f"status {reply.status}", reply.status, fault=False
+        )
+        self._failed(job, begun, progress, failure)
+        return True
+
+    def _on_first(self, job: Job, begun: Begun) -> None:
+        if begun.first_seen:
+            return
+        begun.first_seen = True
+        begun.held.unread_tokens_by_request.pop(job.call.id, None)
+        took_s = monotonic() - job.arrived_at
+        workspace = "" if job.workspace is None else job.workspace.id
+        metrics = self.state.metrics
+        metrics.first_byte.labels(metrics.labels.of(workspace), metrics.labels.of(job.route.id)).observe(
+            took_s
+        )
+        placement = begun.choice.placement
+        if placement is None or job.call.prompt is None:
+            return
+        for part in job.call.prompt.parts:
+            self.state.holdings.expect(
+                begun.choice.endpoint.address, begun.choice.scope, part.id, part.tokens
+            )
+        for way, tokens in (
+            ("reused", placement.reused),
+            ("fetched", placement.fetched),
+            ("read", placement.read),
+        ):
+            metrics.prompt_tokens.labels(metrics.labels.of(job.route.id), way).observe(tokens)
+
+    def _failed(self, job: Job, begun: Begun, progress: Progress, failure: SendFailure) -> None:
+        """Take in a failed attempt."""
+        now = monotonic()
+        progress.last = failure
+        progress.ran = worst(progress.ran, failure.ran)
+        progress.tried.add(begun.choice.endpoint.id)
+        if failure.ran == Ran.NOT_RUN:
+            progress.refused += 1
+            begun.held.refused_until = now + FULL_PAUSE_S
+        else:
+            progress.runs += 1
+        if failure.fault and failure.kind != ErrorKind.DEADLINE:
+            begun.held.on_outcome(True, now)
+        self.state.metrics.attempts.labels(job.service.id, failure.kind.value).inc()
+        self.state.log.line(
+            Decision.ATTEMPT_FAILED,
+            job.call.id,
+            endpoint=begun.choice.endpoint.id,
+            outcome=failure.kind.value,
+            ran=failure.ran.value,
+            detail=failure.detail,
+            status=failure.status,
+            took_s=now - begun.sent_at,
+            failing=begun.held.failing_share(now),
+        )
+
+    def _ended_well(self, job: Job, begun: Begun, reply: Reply, progress: Progress) -> None:
+        now = monotonic()
+        begun.held.on_outcome(False, now)
+        begun.held.work_s += WORK_WEIGHT * ((now - begun.sent_at) - begun.held.work_s)
+        if reply.version is not None:
+            begun.held.version = max(begun.held.version, reply.version)
+        self.state.metrics.attempts.labels(job.service.id, "ok").inc()
+        self.state.metrics.ended.labels(self.state.metrics.labels.of(job.route.id), "answered").inc()
+        self.state.metrics.whole.labels(self.state.metrics.labels.of(job.route.id)).observe(
+            now - job.arrived_at
+        )
+        self.state.log.line(
+            Decision.ENDED,
+            job.call.id,
+            outcome="answered",
+            ran=Ran.RAN.value,
+            status=reply.status,
+            endpoint=begun.choice.endpoint.id,
+            version=reply.version,
+            events=progress.stream.events,
+            took_s=now - job.arrived_at,
+        )
+
+    def _given_up(
+        self, job: Job, progress: Progress, refusal: Refusal, request: web.Request
+    ) -> Result[web.StreamResponse, Refusal]:
+        """End a job without success: with the endpoint's own error, a refusal, or a cut stream."""
+        if progress.stream.response is not None:
+            cut(request)
+            self._log_end(job, "cut", progress.ran, refusal)
+            return Ok(progress.stream.response)
+        if progress.kept_reply is not None:
+            reply, body = progress.kept_reply
+            self._log_end(job, "endpoint_error", progress.ran, refusal)
+            return Ok(whole_response(reply, body))
+        return Err(_truthful(refusal, progress.ran))
+
+    def _log_sent(self, job: Job, choice: Choice, progress: Progress) -> None:
+        placement = choice.placement
+        state = self.state
+        inputs: dict[str, object] = {
+            "endpoint": choice.endpoint.id,
+            "address": choice.endpoint.address,
+            "service": job.service.id,
+            "attempt": len(progress.tried) + 1,
+            "left_s": job.deadline - monotonic(),
+            "view_age_s": state.view_age(),
+            "configuration": job.catalog.version,
+            "in_flight": state.of(choice.endpoint).in_flight,
+        }
+        if placement is not None:
+            inputs.update(
+                version=choice.version,
+                first_token_s=placement.first_token_s,
+                alternative_s=choice.alternative_s,
+                reused=placement.reused,
+                fetched=placement.fetched,
+                read=placement.read,
+                report_age_s=monotonic() - state.of(choice.endpoint).reported_at,
+            )
+        state.log.line(Decision.SENT, job.call.id, **inputs)
+
+    def _log_failure(self, job: Job, detail: str) -> None:
+        budget = self.state.budget(job.service.id)
+        self.state.log.line(
+            Decision.ATTEMPT_FAILED,
+            job.call.id,
+            outcome="not_sent_again",
+            detail=detail,
+            repeats=len(budget.repeats),
+            requests=len(budget.requests),
+            boxes=len(self.state.boxes),
+        )
+
+    def _log_end(self, job: Job, outcome: str, ran: Ran, refusal: Refusal) -> None:
+        self.state.metrics.ended.labels(self.state.metrics.labels.of(job.route.id), outcome).inc()
+        self.state.log.line(
+            Decision.ENDED,
+            job.call.id,
+            outcome=outcome,
+            ran=ran.value,
+            cause=refusal.kind.value,
+            detail=refusal.detail,
+            took_s=monotonic() - job.arrived_at,
+        )
+
+
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+"""Statuses that promise that the request has not run."""
+
+
+def _truthful(refusal: Refusal, ran: Ran) -> Refusal:
+    """Return a refusal whose answer does not promise more than is known."""
+    if ran == Ran.NOT_RUN and refusal.kind == ErrorKind.DEADLINE:
+        return Refusal(ErrorKind.OVERLOADED, ran, "the time ran out before it was sent", RETRY_AFTER_S)
+    if ran == Ran.NOT_RUN and refusal.answer.status >= 502 and refusal.answer.status not in NOT_RUN_STATUSES:
+        return Refusal(ErrorKind.ENDPOINT_REFUSED, ran, refusal.detail, RETRY_AFTER_S)
+    if ran != Ran.NOT_RUN and refusal.answer.status in NOT_RUN_STATUSES:
+        return Refusal(ErrorKind.ENDPOINT_FAILED, ran, refusal.detail)
+    return refusal
--- /dev/null
+++ b/stairquay/serving/front.py
@@ -0,0 +1,163 @@
+"""The callers' side: finds the route and the workspace, reads the body, and answers."""
+
+import asyncio
+from random import Random
+from time import monotonic
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from stairquay.core.call import Call
+from stairquay.core.catalog import Catalog, Route, WorkspaceRule, pick_service
+from stairquay.core.errors import ErrorKind, Ran, Refusal
+from stairquay.serving.decisions import Decision
+from stairquay.serving.dispatch import Dispatcher, Job
+from stairquay.serving.ports import Callers
+from stairquay.serving.state import BoxState
+
+BODY_S = 10.0
+"""Seconds that a caller may take to send a body."""
+
+NOT_READY_RETRY_S = 0.5
+"""Seconds after which a caller should come back to a box whose view is too old: the balancer sends it
+elsewhere after two missed questions, a second apart, and others serve meanwhile."""
+
+MIN_LEFT_S = 0.02
+
+
+class Front:
+    """Handles callers' requests."""
+
+    def __init__(self, state: BoxState, callers: Callers, dispatcher: Dispatcher, random: Random) -> None:
+        self.state = state
+        self.callers = callers
+        self.dispatcher = dispatcher
+        self.random = random
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Serve one request."""
+        arrived_at = monotonic()
+        self.state.in_flight += 1
+        try:
+            return await self._handle(request, arrived_at)
+        finally:
+            self.state.in_flight -= 1
+
+    async def _handle(self, request: web.Request, arrived_at: float) -> web.StreamResponse:
+        decoded = self.callers.decode(request)
+        if isinstance(decoded, Err):
+            return self._refuse("", decoded.err_value, arrived_at)
+        call = decoded.ok_value
+        try:
+            outcome = await self._serve(request, call, arrived_at)
+        except asyncio.CancelledError:
+            self.state.log.line(
+                Decision.ENDED, call.id, outcome="caller_left", took_s=monotonic() - arrived_at
+            )
+            raise
+        except ConnectionError as error:
+            self.state.log.line(Decision.ENDED, call.id, outcome="caller_left", detail=type(error).__name__)
+            return web.Response(status=499)
+        if isinstance(outcome, Err):
+            return self._refuse(call.id, outcome.err_value, arrived_at)
+        response = outcome.ok_value
+        if self.state.stopping and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _serve(
+        self, request: web.Request, call: Call, arrived_at: float
+    ) -> Result[web.StreamResponse, Refusal]:
+        catalog = self.state.catalog
+        if catalog is None or not self.state.fleet_known:
+            return Err(self._not_ready("no configuration yet"))
+        found = self._admit(catalog, call)
+        if isinstance(found, Err):
+            return found
+        route, workspace = found.ok_value
+        body = await self._read_body(request, catalog)
+        if isinstance(body, Err):
+            return body
+        job = self._job(call, body.ok_value, catalog, route, workspace, arrived_at)
+        if isinstance(job, Err):
+            return job
+        self._count(job.ok_value)
+        return await self.dispatcher.run(job.ok_value, request)
+
+    def _admit(self, catalog: Catalog, call: Call) -> Result[tuple[Route, WorkspaceRule | None], Refusal]:
+        """Find the route, and the workspace that the key belongs to."""
+        fresh = self.state.keys_fresh()
+        route = catalog.route_for(call.host, call.path)
+        if route is None:
+            return Err(Refusal(ErrorKind.UNKNOWN_PATH) if fresh else self._not_ready("view too old"))
+        if not catalog.needs_key(route):
+            return Ok((route, None))
+        if not fresh:
+            return Err(self._not_ready("view too old for a key"))
+        workspace = None if call.key is None else catalog.workspaces_by_key.get(call.key)
+        if workspace is None:
+            return Err(Refusal(ErrorKind.UNAUTHENTICATED))
+        return Ok((route, workspace))
+
+    def _not_ready(self, detail: str) -> Refusal:
+        return Refusal(ErrorKind.NOT_READY, Ran.NOT_RUN, detail, NOT_READY_RETRY_S)
+
+    async def _read_body(self, request: web.Request, catalog: Catalog) -> Result[bytes, Refusal]:
+        if not request.body_exists:
+            return Ok(b"")
+        limit = catalog.limits.max_body_bytes
+        if request.content_length is not None and request.content_length > limit:
+            return Err(Refusal(ErrorKind.BODY_TOO_LARGE))
+        body = bytearray()
+        try:
+            async with asyncio.timeout(BODY_S):
+                async for chunk in request.content.iter_any():
+                    body += chunk
+                    if len(body) > limit:
+                        return Err(Refusal(ErrorKind.BODY_TOO_LARGE))
+        except TimeoutError:
+            return Err(Refusal(ErrorKind.SLOW_SENDER))
+        except web.RequestPayloadError as error:
+            return Err(Refusal(ErrorKind.BAD_REQUEST, detail=str(error)))
+        return Ok(bytes(body))
+
+    def _job(
+        self,
+        call: Call,
+        body: bytes,
+        catalog: Catalog,
+        route: Route,
+        workspace: WorkspaceRule | None,
+        arrived_at: float,
+    ) -> Result[Job, Refusal]:
+        service = catalog.services_by_id.get(pick_service(route, self.random.random()))
+        if service is None:
+            return Err(Refusal(ErrorKind.NO_ENDPOINT, detail="the route names no known service"))
+        limit_s = route.timeout_s if call.time_left_s is None else min(call.time_left_s, route.timeout_s)
+        deadline = arrived_at + limit_s - MIN_LEFT_S
+        return Ok(Job(call, body, catalog, route, service, workspace, arrived_at, deadline))
+
+    def _count(self, job: Job) -> None:
+        metrics = self.state.metrics
+        workspace = "" if job.workspace is None else job.workspace.id
+        metrics.requests.labels(metrics.labels.of(workspace), metrics.labels.of(job.route.id)).inc()
+
+    def _refuse(self, call_id: str, refusal: Refusal, arrived_at: float) -> web.Response:
+        catalog = self.state.catalog
+        self.state.metrics.refusals.labels(refusal.kind.value, refusal.ran.value).inc()
+        self.state.log.line(
+            Decision.REFUSED,
+            call_id,
+            cause=refusal.kind.value,
+            ran=refusal.ran.value,
+            detail=refusal.detail,
+            status=refusal.answer.status,
+            come_back_s=refusal.come_back_s,
+            view_age_s=self.state.view_age(),
+            configuration=0 if catalog is None else catalog.version,
+            took_s=monotonic() - arrived_at,
+        )
+        response = self.callers.refuse(call_id, refusal)
+        if self.state.stopping:
+            response.force_close()
+        return response
--- /dev/null
+++ b/stairquay/serving/metrics.py
@@ -0,0 +1,60 @@
+"""Counters and histograms of the one-process program."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from stairquay.adapters.metrics import TIME_BUCKETS, TOKEN_BUCKETS, Labels
+
+
+class BoxMetrics:
+    """All metrics of a box. Workspaces and routes beyond a bound share one label."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.labels = Labels()
+        registry = self.registry
+        self.requests = Counter("stairquay_requests", "Requests", ["workspace", "route"], registry=registry)
+        self.ended = Counter(
+            "stairquay_ended", "Requests by outcome", ["route", "outcome"], registry=registry
+        )
+        self.refusals = Counter("stairquay_refusals", "Refusals", ["kind", "ran"], registry=registry)
+        self.attempts = Counter("stairquay_attempts", "Attempts", ["service", "outcome"], registry=registry)
+        self.repeats = Counter("stairquay_repeats", "Requests sent again", ["service"], registry=registry)
+        self.first_byte = Histogram(
+            "stairquay_first_byte_seconds",
+            "Seconds from arrival to the first byte of the answer",
+            ["workspace", "route"],
+            buckets=TIME_BUCKETS,
+            registry=registry,
+        )
+        self.whole = Histogram(
+            "stairquay_answer_seconds",
+            "Seconds from arrival to the end of the answer",
+            ["route"],
+            buckets=TIME_BUCKETS,
+            registry=registry,
+        )
+        self.prompt_tokens = Histogram(
+            "stairquay_prompt_tokens",
+            "Prompt tokens by how the engine was expected to get them",
+            ["route", "way"],
+            buckets=TOKEN_BUCKETS,
+            registry=registry,
+        )
+        self.orders = Counter("stairquay_orders", "Orders by answer", ["answer"], registry=registry)
+        self.freed = Counter("stairquay_freed_parts", "Parts freed at store boxes", registry=registry)
+        self.table_calls = Counter(
+            "stairquay_table_calls", "Calls to the table service", ["call", "outcome"], registry=registry
+        )
+        self.peer_calls = Counter(
+            "stairquay_peer_calls", "Calls to engines and store boxes", ["call", "outcome"], registry=registry
+        )
+        self.in_flight = Gauge("stairquay_in_flight", "Requests under way", registry=registry)
+        self.view_age = Gauge(
+            "stairquay_view_age_seconds", "Age of the configuration's view", registry=registry
+        )
+        self.leading = Gauge("stairquay_leading", "1 while this box holds the lease", registry=registry)
+        self.left_out = Gauge("stairquay_log_lines_left_out", "Log lines left out", registry=registry)
+
+    def text(self) -> bytes:
+        """Return the metrics as Prometheus reads them."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/stairquay/serving/orders.py
@@ -0,0 +1,166 @@
+"""Brings engines to newly named weights: one box at a time, under a lease in the table service.
+
+The lease is taken only when there is something to order, so that nothing is written while all engines run
+what was named. The holder stops by its own clock; a rival waits until the holder must have stopped, and
+then as long again as the endpoints want between two holders.
+"""
+
+import asyncio
+from dataclasses import replace
+from time import monotonic
+
+import msgspec
+from result import Err
+
+from stairquay.adapters.ports import Commit, Committed, Condition, Write
+from stairquay.core.fleet import Endpoint
+from stairquay.core.lease import Held, LeaseRow, Observed, next_row, observe
+from stairquay.core.rollout import EngineState, Order, next_orders, outdated
+from stairquay.serving.decisions import Decision
+from stairquay.serving.ports import OrderAnswer, OwnTable, Peers, VersionOrder
+from stairquay.serving.state import BoxState
+
+LEASE_KEY = "lease/orders"
+STEP_S = 0.15
+"""Seconds between two looks: a version is to be everywhere soon after it was named."""
+
+RENEW_SHARE = 0.3
+"""Share of the lease after which its holder renews it: before half of the time it may act in."""
+
+AGAIN_S = 0.3
+"""Seconds between two reads of a lease that another box holds."""
+
+
+class OrderGiver:
+    """Gives orders while this box holds the lease."""
+
+    def __init__(self, state: BoxState, own: OwnTable, peers: Peers) -> None:
+        self.state = state
+        self.own = own
+        self.peers = peers
+        self.held: Held | None = None
+        self.observed: Observed | None = None
+        self.ordered_at: dict[tuple[str, int], float] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Look for engines that are behind, until cancelled."""
+        while True:
+            await asyncio.sleep(STEP_S)
+            engines = self._engines()
+            if not outdated(engines, self.state.named_by_model) or self.state.stopping:
+                self.state.metrics.leading.set(0)
+                continue
+            if await self._lead():
+                self._give(engines)
+
+    def _engines(self) -> list[EngineState]:
+        """Return the engines that take orders, a state for each model."""
+        catalog = self.state.catalog
+        if catalog is None:
+            return []
+        found = []
+        for endpoint in self.state.fleet.live():
+            service = catalog.services_by_id.get(endpoint.service)
+            if service is None or service.engine is None or endpoint.leaving:
+                continue
+            for model in service.engine.models or tuple(endpoint.versions_by_model):
+                found.append(self._engine(endpoint, model))
+        return found
+
+    def _engine(self, endpoint: Endpoint, model: str) -> EngineState:
+        held = self.state.of(endpoint)
+        report = held.report
+        version = self.state.version_of(endpoint, model)
+        if report is None:
+            return EngineState(endpoint.id, model, version)
+        return EngineState(endpoint.id, model, version, report.busy, report.running, report.sequence)
+
+    async def _lead(self) -> bool:
+        """Hold the lease: renew it, or take it where its holder must have stopped."""
+        now = monotonic()
+        if self.held is not None and now - self.held.sent_at < self.held.row.duration_s * RENEW_SHARE:
+            return self.held.may_act(now)
+        if self.held is not None:
+            return await self._write(self.held.row, self.held.revision)
+        return await self._take()
+
+    async def _take(self) -> bool:
+        found = await self.own.get(LEASE_KEY)
+        if isinstance(found, Err):
+            await asyncio.sleep(AGAIN_S)
+            return False
+        row = found.ok_value
+        if row is None or row.value is None:
+            return await self._write(None, 0)
+        current = msgspec.json.decode(row.value, type=LeaseRow)
+        now = monotonic()
+        self.observed = observe(self.observed, current, row.revision, now)
+        # A box that held it before it was started anew is still the same holder to the endpoints.
+        may_take = current.holder == self.state.settings.id
+        handover_s = self.state.settings.lease.handover_s
+        if may_take or now >= self.observed.first_seen + current.duration_s + handover_s:
+            return await self._write(current, row.revision)
+        await asyncio.sleep(AGAIN_S)
+        return False
+
+    async def _write(self, current: LeaseRow | None, revision: int) -> bool:
+        holder = self.state.settings.id
+        row = next_row(current, holder, self.state.settings.lease.duration_s)
+        if self.held is None and current is not None and current.holder == holder:
+            row = replace(row, token=current.token + 1)
+        sent_at = monotonic()
+        value = msgspec.json.encode(row).decode()
+        commit = Commit("", (Condition(LEASE_KEY, revision),), (Write(LEASE_KEY, value),))
+        answer = await self.own.commit(commit)
+        if not isinstance(answer, Err) and isinstance(answer.ok_value, Committed):
+            if self.held is None:
+                self.state.log.line(Decision.LEASE, outcome="taken", fence=row.token, revision=revision)
+            self.held = Held(row, answer.ok_value.revision, sent_at)
+            self.state.metrics.leading.set(1)
+            return self.held.may_act(monotonic())
+        if self.held is not None:
+            cause = answer.err_value.value if isinstance(answer, Err) else "conflict"
+            self.state.log.line(Decision.LEASE, outcome="lost", fence=self.held.row.token, cause=cause)
+        self.held = None
+        self.state.metrics.leading.set(0)
+        return False
+
+    def _give(self, engines: list[EngineState]) -> None:
+        now = monotonic()
+        for order in next_orders(engines, self.state.named_by_model, self.ordered_at, now):
+            self.ordered_at[order.engine, order.version] = now
+            task = asyncio.create_task(self._order(order))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _order(self, order: Order) -> None:
+        endpoint = self.state.fleet.by_id.get(order.engine)
+        held = self.held
+        if endpoint is None or held is None or not held.may_act(monotonic()):
+            self.ordered_at.pop((order.engine, order.version), None)
+            return
+        answer = await self.peers.order(
+            VersionOrder(
+                endpoint=endpoint.id,
+                address=endpoint.address,
+                model=order.model,
+                version=order.version,
+                holder=held.row.holder,
+                fence=held.row.token,
+                sequence=order.sequence,
+            )
+        )
+        if answer in (OrderAnswer.CONFLICT, OrderAnswer.REFUSED):
+            self.ordered_at.pop((order.engine, order.version), None)
+        self.state.metrics.orders.labels(answer.value).inc()
+        self.state.log.line(
+            Decision.ORDER,
+            endpoint=endpoint.id,
+            model=order.model,
+            version=order.version,
+            fence=held.row.token,
+            sequence=order.sequence,
+            lease_age_s=monotonic() - held.sent_at,
+            outcome=answer.value,
+        )
--- /dev/null
+++ b/stairquay/serving/ports.py
@@ -0,0 +1,233 @@
+"""What the one-process program needs of its surroundings, whatever dialect they speak."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from aiohttp import web
+from result import Result
+
+from stairquay.adapters.ports import Commit, Committed, Conflict, PlatformFault
+from stairquay.core.attempt import Attempt
+from stairquay.core.call import Call, Dispatch
+from stairquay.core.catalog import Catalog
+from stairquay.core.configuration import Row
+from stairquay.core.errors import ErrorKind, Ran, Refusal
+from stairquay.core.fleet import Endpoint
+from stairquay.core.holdings import Key, PartEvent
+
+
+class FeedFault(str, Enum):
+    """Why a feed gave no changes."""
+
+    UNREACHED = "unreached"
+    """The table service did not answer."""
+
+    HISTORY_GONE = "history_gone"
+    """The changes since then are forgotten: everything has to be read anew."""
+
+
+@dataclass(frozen=True)
+class OperatorChanges:
+    """What operators changed. `whole`: everything was read, not only the changes.
+
+    catalog is None where the configuration did not change, or where it cannot be read (`unreadable` says
+    why). versions_by_model holds newly named weights.
+    """
+
+    revision: int
+    whole: bool
+    catalog: Catalog | None = None
+    unreadable: str = ""
+    versions_by_model: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class EndpointChanges:
+    """Changed entries of the list of endpoints, and the ids of removed ones."""
+
+    revision: int
+    whole: bool
+    present: tuple[Endpoint, ...] = ()
+    gone: tuple[str, ...] = ()
+
+
+class Feeds(Protocol):
+    """What is followed in the platform's table service."""
+
+    async def read_operators(self) -> Result[OperatorChanges, FeedFault]:
+        """Read the configuration and the named versions."""
+
+    async def follow_operators(self, after: int, wait_s: float) -> Result[OperatorChanges, FeedFault]:
+        """Wait for changes after a revision."""
+
+    async def read_endpoints(self) -> Result[EndpointChanges, FeedFault]:
+        """Read the list of endpoints."""
+
+    async def follow_endpoints(self, after: int, wait_s: float) -> Result[EndpointChanges, FeedFault]:
+        """Wait for changes of the list after a revision."""
+
+
+class OwnTable(Protocol):
+    """Rows of our own: the lease, and who is there."""
+
+    async def get(self, key: str) -> Result[Row | None, PlatformFault]:
+        """Return a row, or None where there is none."""
+
+    async def under(self, prefix: str) -> Result[tuple[Row, ...], PlatformFault]:
+        """Return all rows whose keys begin so."""
+
+    async def commit(self, commit: Commit) -> Result[Committed | Conflict, PlatformFault]:
+        """Write all rows if all conditions hold."""
+
+
+@dataclass(frozen=True)
+class EngineReport:
+    """What an engine or store box says of its state, some hundred milliseconds old."""
+
+    versions_by_model: dict[str, int] = field(default_factory=dict)
+    busy: bool = False
+    sequence: int | None = None
+    queued: int = 0
+    running: int = 0
+    leaving: bool = False
+    clock_ms: int | None = None
+    life: int | None = None
+    used_tokens: int = 0
+    total_tokens: int = 0
+
+
+@dataclass(frozen=True)
+class Kept:
+    """All that a holder keeps; `partial` counts the parts that broke off on their way in."""
+
+    life: int
+    position: int
+    parts: tuple[tuple[Key, int], ...]
+    partial: tuple[Key, ...] = ()
+
+
+@dataclass(frozen=True)
+class KeptChanges:
+    """A holder's events. `lost`: some are missing, and the list has to be read anew."""
+
+    life: int
+    position: int
+    lost: bool
+    events: tuple[PartEvent, ...]
+    clock_ms: int | None = None
+
+
+class OrderAnswer(str, Enum):
+    """What an engine said to an order."""
+
+    UNDER_WAY = "under_way"
+    IN_FORCE = "in_force"
+    CONFLICT = "conflict"
+    OLD_FENCE = "old_fence"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+@dataclass(frozen=True)
+class VersionOrder:
+    """An order to load weights, under the fencing token of the lease it is given by."""
+
+    endpoint: str
+    address: str
+    model: str
+    version: int
+    holder: str
+    fence: int
+    sequence: int | None = None
+
+
+class Peers(Protocol):
+    """Calls to engines and store boxes besides callers' requests. A silent one gives None."""
+
+    async def report(self, address: str) -> EngineReport | None:
+        """Return an endpoint's state."""
+
+    async def kept_changes(self, address: str, since: int, wait_s: float) -> KeptChanges | None:
+        """Return a holder's events after a position, waiting for some."""
+
+    async def kept(self, address: str) -> Kept | None:
+        """Return all that a holder keeps."""
+
+    async def free(self, address: str, keys: tuple[Key, ...], life: int) -> bool:
+        """Free parts at a store box, unless it has started anew; tell whether it was done."""
+
+    async def order(self, order: VersionOrder) -> OrderAnswer:
+        """Give an order."""
+
+
+@dataclass(frozen=True)
+class SendFailure:
+    """Why an endpoint gave no answer that counts.
+
+    status: the HTTP status it gave, 0 for none. misdirected: another endpoint or version is there now.
+    fault: whether it speaks against the endpoint.
+    """
+
+    kind: ErrorKind
+    ran: Ran
+    detail: str
+    status: int = 0
+    misdirected: bool = False
+    fault: bool = True
+
+
+@dataclass(frozen=True)
+class Reply:
+    """An endpoint's answer whose head was read. `version` is what it ran, where it said so.
+
+    chunks yields the body as it arrives, and raises BrokenAnswer where the body ends early.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    chunks: Callable[[], AsyncIterator[bytes]]
+    close: Callable[[], None]
+    streamed: bool = False
+    version: int | None = None
+
+
+class BrokenAnswer(Exception):
+    """An answer ended before it was whole."""
+
+
+Guard = Callable[[], bool]
+"""Tells, at the last moment before bytes may leave, whether the request may still be sent."""
+
+
+class Endpoints(Protocol):
+    """Callers' requests on their way to endpoints."""
+
+    async def send(
+        self, call: Call, body: bytes, dispatch: Dispatch, attempt: Attempt, guard: Guard, wait_s: float
+    ) -> Result[Reply, SendFailure]:
+        """Send a request, and return the answer's head."""
+
+
+class Callers(Protocol):
+    """The dialect that callers speak."""
+
+    def decode(self, request: web.Request) -> Result[Call, Refusal]:
+        """Return the request in our own types."""
+
+    def refuse(self, call_id: str, refusal: Refusal) -> web.Response:
+        """Return the answer to a request that was given up on."""
+
+
+@dataclass(frozen=True)
+class Surroundings:
+    """All ports of the one-process program."""
+
+    feeds: Feeds
+    own: OwnTable
+    peers: Peers
+    endpoints: Endpoints
+    callers: Callers
+    ready_path: str
+    close: Callable[[], Awaitable[None]]
--- /dev/null
+++ b/stairquay/serving/state.py
@@ -0,0 +1,124 @@
+"""What one box believes: configuration, endpoints, their load, and who keeps which context."""
+
+from dataclasses import dataclass, field
+from time import monotonic
+
+from stairquay.core.budget import WindowBudget
+from stairquay.core.catalog import Catalog
+from stairquay.core.fleet import Endpoint, Fleet
+from stairquay.core.holdings import Holdings
+from stairquay.serving.decisions import DecisionLog
+from stairquay.serving.metrics import BoxMetrics
+from stairquay.serving.ports import EngineReport
+from stairquay.serving.settings import BoxSettings
+
+FAILURE_WEIGHT = 0.2
+"""Weight of the newest outcome in an endpoint's share of failures: about the last five count."""
+
+FAILURE_HALF_LIFE_S = 2.0
+"""Seconds in which a share of failures halves without new outcomes, so that the endpoint is tried again."""
+
+FULL_PAUSE_S = 0.25
+"""Seconds for which an endpoint that turned a request away is chosen last; an engine that loads weights
+does so for about two seconds, and its report tells after 0.2 to 0.5 s."""
+
+SILENT_AFTER_S = 0.9
+"""Seconds without a report after which an engine is chosen last: three polls."""
+
+NEVER = float("-inf")
+
+
+@dataclass
+class EndpointState:
+    """Load and health of one endpoint as this box sees it; times are monotonic seconds."""
+
+    in_flight: int = 0
+    unread_tokens_by_request: dict[str, int] = field(default_factory=dict)
+    report: EngineReport | None = None
+    reported_at: float = NEVER
+    version: int = 0
+    refused_until: float = NEVER
+    failing: float = 0.0
+    failing_at: float = NEVER
+    work_s: float = 0.05
+
+    def on_outcome(self, failed: bool, now: float) -> None:
+        """Count an attempt that ended well or badly."""
+        self.failing = self.failing_share(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * failed
+        self.failing_at = now
+
+    def failing_share(self, now: float) -> float:
+        """Return the share of recent attempts that failed, fading with time."""
+        if self.failing == 0.0:
+            return 0.0
+        return float(self.failing * 0.5 ** ((now - self.failing_at) / FAILURE_HALF_LIFE_S))
+
+    def silent(self, now: float) -> bool:
+        """Tell whether reports that used to come have stopped."""
+        return self.report is not None and now - self.reported_at > SILENT_AFTER_S
+
+
+@dataclass
+class BoxState:
+    """Everything that the parts of the program share; there is one loop, so nothing is locked.
+
+    view_asked_at: when the question was asked that the newest answer about the configuration rests on.
+    boxes: boxes of ours believed alive. clock_offset_ms: the endpoints' clock less this one's.
+    """
+
+    settings: BoxSettings
+    log: DecisionLog
+    metrics: BoxMetrics = field(default_factory=BoxMetrics)
+    catalog: Catalog | None = None
+    view_asked_at: float = NEVER
+    fleet: Fleet = field(default_factory=Fleet)
+    fleet_known: bool = False
+    named_by_model: dict[str, int] = field(default_factory=dict)
+    named_at_by_model: dict[str, float] = field(default_factory=dict)
+    endpoints_by_id: dict[str, EndpointState] = field(default_factory=dict)
+    holdings: Holdings = field(default_factory=Holdings)
+    budgets_by_service: dict[str, WindowBudget] = field(default_factory=dict)
+    boxes: tuple[str, ...] = ()
+    clock_offset_ms: float | None = None
+    in_flight: int = 0
+    stopping: bool = False
+
+    def view_age(self) -> float:
+        """Return the age of the configuration's view in seconds."""
+        return monotonic() - self.view_asked_at
+
+    def keys_fresh(self) -> bool:
+        """Tell whether requests with a key may be sent: the key may have been taken away meanwhile."""
+        return self.view_age() < self.settings.freshness.keyed_s
+
+    def ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        known = self.catalog is not None and self.fleet_known
+        return known and not self.stopping and self.view_age() < self.settings.freshness.ready_s
+
+    def of(self, endpoint: Endpoint) -> EndpointState:
+        """Return the state of an endpoint."""
+        state = self.endpoints_by_id.get(endpoint.id)
+        if state is None:
+            state = self.endpoints_by_id[endpoint.id] = EndpointState()
+        return state
+
+    def version_of(self, endpoint: Endpoint, model: str) -> int:
+        """Return the version of the weights an endpoint runs: no endpoint ever goes back."""
+        state = self.of(endpoint)
+        reported = 0 if state.report is None else state.report.versions_by_model.get(model, 0)
+        return max(endpoint.versions_by_model.get(model, 0), reported, state.version)
+
+    def budget(self, service: str) -> WindowBudget:
+        """Return the budget for sending a service's requests again."""
+        budget = self.budgets_by_service.get(service)
+        if budget is None:
+            budget = self.budgets_by_service[service] = WindowBudget(self.settings.repeats)
+        return budget
+
+    def forget_gone(self) -> None:
+        """Drop the state of endpoints that are no longer known."""
+        for endpoint_id in list(self.endpoints_by_id):
+            state = self.endpoints_by_id[endpoint_id]
+            if endpoint_id not in self.fleet.by_id and state.in_flight == 0:
+                del self.endpoints_by_id[endpoint_id]
--- /dev/null
+++ b/stairquay/serving/watching.py
@@ -0,0 +1,187 @@
+"""Watches engines and store boxes: their load, their weights, and the context they keep."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from functools import partial
+from time import monotonic
+from typing import Any
+
+import xxhash
+
+from stairquay.core.catalog import Catalog
+from stairquay.serving.decisions import Decision
+from stairquay.serving.ports import Peers
+from stairquay.serving.state import BoxState
+
+REPORT_S = 0.3
+"""Seconds between two questions for an engine's state, which is itself 0.2 s old."""
+
+EVENTS_WAIT_S = 0.8
+"""Seconds for which a call waits for events."""
+
+EVENTS_PAUSE_S = 0.15
+"""Seconds between two calls for events: with each answer's events come in batches."""
+
+STORE_WAIT_S = 0.4
+"""Seconds for which a call to a store box waits: its view counts only for a short while."""
+
+AGAIN_S = 0.3
+"""Seconds before a holder that did not answer is asked again."""
+
+LIST_AGAIN_S = 3.0
+"""Seconds between two whole lists of an engine: each holds up its work."""
+
+REVIEW_S = 0.25
+"""Seconds between two looks at which endpoints there are."""
+
+
+FOLLOWER_SHARE = 0.8
+"""Share of a holder's places for followers that our boxes use together."""
+
+Name = tuple[str, str]
+"""What is watched (`report`, `engine` or `store`), and the endpoint's id or the holder's address."""
+
+Work = Callable[[], Coroutine[Any, Any, None]]
+
+
+class Watcher:
+    """Runs a task for each engine's state, and one for each holder's events."""
+
+    def __init__(self, state: BoxState, peers: Peers) -> None:
+        self.state = state
+        self.peers = peers
+        self.tasks_by_name: dict[Name, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Start and end tasks as endpoints come and go, until cancelled."""
+        try:
+            while True:
+                self._review()
+                await asyncio.sleep(REVIEW_S)
+        finally:
+            for task in self.tasks_by_name.values():
+                task.cancel()
+
+    def _review(self) -> None:
+        catalog = self.state.catalog
+        if catalog is None:
+            return
+        wanted = self._wanted(catalog)
+        for name in list(self.tasks_by_name):
+            if name not in wanted:
+                self.tasks_by_name.pop(name).cancel()
+                if name[0] != "report":
+                    self.state.holdings.forget(name[1])
+        for name, work in wanted.items():
+            task = self.tasks_by_name.get(name)
+            if task is None or task.done():
+                self.tasks_by_name[name] = asyncio.create_task(work())
+
+    def _wanted(self, catalog: Catalog) -> dict[Name, Work]:
+        wanted: dict[Name, Work] = {}
+        for endpoint in self.state.fleet.by_id.values():
+            service = catalog.services_by_id.get(endpoint.service)
+            if service is None or service.engine is None:
+                continue
+            wanted["report", endpoint.id] = partial(self._watch_report, endpoint.id, endpoint.address)
+            if self._follows(endpoint.address, service.engine.max_followers):
+                wanted["engine", endpoint.address] = partial(self._watch_engine, endpoint.address)
+        for store in catalog.stores_by_id.values():
+            if self._follows(store.address, store.max_followers):
+                wanted["store", store.address] = partial(self._watch_store, store.address)
+        return wanted
+
+    def _follows(self, address: str, places: int) -> bool:
+        """Tell whether this box is among those that follow a holder: each takes only so many."""
+        boxes = self.state.boxes
+        most = max(1, int(places * FOLLOWER_SHARE))
+        if len(boxes) <= most:
+            return True
+        ranked = sorted(boxes, key=lambda box: xxhash.xxh64_intdigest(f"{address} {box}".encode()))
+        return self.state.settings.id in ranked[:most]
+
+    async def _watch_report(self, endpoint_id: str, address: str) -> None:
+        while True:
+            report = await self.peers.report(address)
+            self._count("report", report is not None)
+            known = self.state.endpoints_by_id.get(endpoint_id)
+            endpoint = self.state.fleet.by_id.get(endpoint_id)
+            if endpoint is not None and known is None:
+                known = self.state.of(endpoint)
+            if report is not None and known is not None:
+                known.report = report
+                known.reported_at = monotonic()
+                self._take_clock(report.clock_ms)
+            await asyncio.sleep(REPORT_S)
+
+    async def _watch_engine(self, address: str) -> None:
+        position = 0
+        life = 0
+        listed_at = float("-inf")
+        while True:
+            asked_at = monotonic()
+            changes = await self.peers.kept_changes(address, position, EVENTS_WAIT_S)
+            self._count("engine_events", changes is not None)
+            if changes is None:
+                await asyncio.sleep(AGAIN_S)
+                continue
+            if changes.life != life:
+                self.state.holdings.forget(address)
+                life = changes.life
+                if position != 0:
+                    position = 0
+                    continue
+            if changes.lost and asked_at - listed_at > LIST_AGAIN_S:
+                listed_at = asked_at
+                await self._list(address, asked_at)
+            self.state.holdings.apply(address, changes.events, changes.position, asked_at)
+            self._take_clock(changes.clock_ms)
+            position = changes.position
+            await asyncio.sleep(EVENTS_PAUSE_S)
+
+    async def _watch_store(self, address: str) -> None:
+        """Follow a store box. Its list is read first, and again whenever anything was missed."""
+        while True:
+            asked_at = monotonic()
+            kept = await self.peers.kept(address)
+            self._count("store_list", kept is not None)
+            if kept is None:
+                await asyncio.sleep(AGAIN_S)
+                continue
+            self.state.holdings.replace(address, kept.life, kept.position, kept.parts, asked_at)
+            self.state.log.line(
+                Decision.STORE_VIEW, store=address, outcome="read", parts=len(kept.parts), life=kept.life
+            )
+            cause = await self._follow_store(address, kept.life, kept.position)
+            self.state.holdings.forget(address)
+            self.state.log.line(Decision.STORE_VIEW, store=address, outcome="dropped", cause=cause)
+
+    async def _follow_store(self, address: str, life: int, position: int) -> str:
+        """Take in a store box's events until its view cannot be trusted any more; return why."""
+        while True:
+            asked_at = monotonic()
+            changes = await self.peers.kept_changes(address, position, STORE_WAIT_S)
+            self._count("store_events", changes is not None)
+            if changes is None:
+                return "silent"
+            if changes.life != life:
+                return "started anew"
+            if changes.lost:
+                return "events lost"
+            self.state.holdings.apply(address, changes.events, changes.position, asked_at)
+            self._take_clock(changes.clock_ms)
+            position = changes.position
+            await asyncio.sleep(EVENTS_PAUSE_S)
+
+    async def _list(self, address: str, asked_at: float) -> None:
+        kept = await self.peers.kept(address)
+        self._count("engine_list", kept is not None)
+        if kept is not None:
+            self.state.holdings.replace(address, kept.life, kept.position, kept.parts, asked_at)
+
+    def _take_clock(self, clock_ms: int | None) -> None:
+        if clock_ms is not None:
+            self.state.clock_offset_ms = clock_ms - monotonic() * 1000
+
+    def _count(self, call: str, answered: bool) -> None:
+        self.state.metrics.peer_calls.labels(call, "ok" if answered else "silent").inc()
