--- a/stairquay/core/holdings.py
+++ b/stairquay/core/holdings.py
@@ -11,6 +11,9 @@
 Key = tuple[str, str]
 """The scope under which context is kept, and a part's id."""
 
+MAX_DROPPED = 2_000
+"""Dropped parts of one holder whose last event's number is remembered: some seconds of events."""
+
 
 @dataclass(frozen=True)
 class PartEvent:
@@ -24,11 +27,12 @@
 
 @dataclass
 class Holding:
-    """What one holder keeps: tokens by key, and the number of the last event about each key."""
+    """What one holder keeps: tokens by key, their total, and the last event's number about each key."""
 
     life: int = 0
     position: int = 0
     heard_at: float = 0.0
+    total: int = 0
     tokens_by_key: dict[Key, int] = field(default_factory=dict)
     number_by_key: dict[Key, int] = field(default_factory=dict)
 
@@ -86,6 +90,7 @@
 
     def _set(self, address: str, holding: Holding, key: Key, tokens: int, number: int) -> None:
         holding.number_by_key[key] = number
+        holding.total += tokens - holding.tokens_by_key.get(key, 0)
         if tokens > 0:
             holding.tokens_by_key[key] = tokens
             self.holders_by_key.setdefault(key, set()).add(address)
@@ -93,6 +98,13 @@
         # The number of a dropped part is kept: an older event about it may still arrive.
         if holding.tokens_by_key.pop(key, None) is not None:
             self._drop_holder(address, key)
+        if len(holding.number_by_key) > len(holding.tokens_by_key) + MAX_DROPPED:
+            self._forget_dropped(holding)
+
+    def _forget_dropped(self, holding: Holding) -> None:
+        dropped = [key for key in holding.number_by_key if key not in holding.tokens_by_key]
+        for key in dropped[: len(dropped) // 2]:
+            del holding.number_by_key[key]
 
     def _drop_holder(self, address: str, key: Key) -> None:
         holders = self.holders_by_key.get(key)
--- a/stairquay/core/placement.py
+++ b/stairquay/core/placement.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from random import Random
 
 from stairquay.core.call import Part
 
@@ -24,6 +25,20 @@
 OLD_VERSION_S = 0.12
 """Seconds that running on replaced weights is worth avoiding: it costs a fifth of a 0.6 s objective."""
 
+RUN_LASTS_S = 2.5
+"""Seconds that a long run holds its memory: 64 events of 38 ms, measured on a standard day."""
+
+FILL_S = 0.06
+"""Seconds that a full memory is worth avoiding against an empty one: memory binds before reading does,
+and reports lag, so that it is balanced before it is full. About the time to read a mean prompt."""
+
+SPREAD_S = 0.015
+"""Engines whose predicted times are this close to the best are drawn by chance: all boxes see the same
+lagging reports, and would all send to the same engine."""
+
+MEMORY_SHARE = 0.95
+"""Share of an engine's memory that is planned with: its report is some hundred milliseconds old."""
+
 FAILING_S = 0.5
 """Seconds lost where an endpoint fails the request: about one objective."""
 
@@ -36,7 +51,8 @@
     """What is known of one engine now.
 
     waiting_tokens: prompt tokens that wait or are being read. failing: share of recent requests it failed.
-    resident: tokens it keeps of each part of the prompt, in order.
+    resident: tokens it keeps of each part of the prompt, in order. used_tokens: memory that running requests
+    hold, of total_tokens; 0 of 0 where that is not known.
     """
 
     id: str
@@ -47,6 +63,8 @@
     failing: float = 0.0
     outdated: bool = False
     here: bool = True
+    used_tokens: float = 0.0
+    total_tokens: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -90,6 +108,12 @@
     return sorted(found, key=lambda placement: placement.first_token_s)
 
 
+def pick(placements: Sequence[Placement], random: Random) -> Placement:
+    """Return one of the placements that are about as quick as the quickest."""
+    limit = placements[0].first_token_s + SPREAD_S
+    return random.choice([item for item in placements if item.first_token_s <= limit])
+
+
 def _on(
     engine: EngineView, parts: Sequence[Part], tokens: int, source_of: SourceOf, bytes_per_token: int
 ) -> Placement:
@@ -113,7 +137,7 @@
     if fetched:
         fetch_s += FETCH_SETUP_S
     read = max(1, tokens - reused - fetched)
-    first_token_s = _wait_s(engine) + max(fetch_s, 0.0) + _read_s(read, tokens)
+    first_token_s = _wait_s(engine) + _memory_s(engine, tokens) + fetch_s + _read_s(read, tokens)
     return Placement(engine, tuple(fetch_from), reused, fetched, read, first_token_s)
 
 
@@ -125,5 +149,14 @@
     return waits if engine.here else waits + STRANGE_HALL_S
 
 
+def _memory_s(engine: EngineView, tokens: int) -> float:
+    """Return how long a prompt waits until enough runs have ended to make room for it."""
+    if engine.total_tokens <= 0:
+        return 0.0
+    over = engine.used_tokens + tokens - engine.total_tokens * MEMORY_SHARE
+    fill = min(1.0, engine.used_tokens / engine.total_tokens)
+    return max(0.0, over) / engine.total_tokens * RUN_LASTS_S + fill * FILL_S
+
+
 def _read_s(read: int, tokens: int) -> float:
     return read / PREFILL_TOKENS_S + read * tokens * PAIR_S
--- a/stairquay/serving/choosing.py
+++ b/stairquay/serving/choosing.py
@@ -6,9 +6,9 @@
 from time import monotonic
 
 from stairquay.core.call import PromptShape
-from stairquay.core.catalog import Catalog, EngineShape, ServiceShape, WorkspaceRule
+from stairquay.core.catalog import Catalog, EngineShape, ServiceShape, StoreShape, WorkspaceRule
 from stairquay.core.fleet import Endpoint
-from stairquay.core.placement import EngineView, Placement, Source, place
+from stairquay.core.placement import EngineView, Placement, Source, pick, place
 from stairquay.serving.state import BoxState
 
 CONNECTION_SHARE = 0.85
@@ -57,7 +57,7 @@
         return None
     if prompt is None or service.engine is None:
         return Choice(_least_busy(state, candidates, now, random))
-    return _engine(state, catalog, service.engine, prompt, workspace, candidates, now)
+    return _engine(state, catalog, service.engine, prompt, workspace, candidates, now, random)
 
 
 def context_scope(workspace: WorkspaceRule | None, model: str, version: int) -> str:
@@ -101,6 +101,7 @@
     workspace: WorkspaceRule | None,
     candidates: Sequence[Endpoint],
     now: float,
+    random: Random,
 ) -> Choice:
     by_id = {item.id: item for item in candidates}
     versions = {item.address: state.version_of(item, prompt.model) for item in candidates}
@@ -119,7 +120,7 @@
         return _best_source(state, speeds, scopes[address], prompt, index, address)
 
     placements = place(prompt.parts, prompt.tokens, views, source_of, engine.bytes_per_token)
-    best = placements[0]
+    best = pick(placements, random)
     endpoint = by_id[best.engine.id]
     return Choice(
         endpoint=endpoint,
@@ -148,9 +149,22 @@
         failing=held.failing_share(now),
         outdated=outdated,
         here=endpoint.data_hall == state.settings.data_hall,
+        used_tokens=held.used_tokens(now) + others * OTHERS_PROMPT_TOKENS,
+        total_tokens=0.0 if held.report is None else held.report.total_tokens,
     )
 
 
+def fresh_stores(state: BoxState, catalog: Catalog) -> list[StoreShape]:
+    """Return the store boxes whose content is known now."""
+    now = monotonic()
+    return [
+        store
+        for store in catalog.stores_by_id.values()
+        if (holding := state.holdings.by_address.get(store.address)) is not None
+        and now - holding.heard_at < STORE_VIEW_S
+    ]
+
+
 def _source_speeds(
     state: BoxState, catalog: Catalog, engine: EngineShape, now: float
 ) -> dict[str, tuple[float, float]]:
@@ -159,10 +173,8 @@
     for endpoint in state.fleet.live():
         if not state.of(endpoint).silent(now):
             speeds[endpoint.address] = (engine.link_bytes_s, 0.0)
-    for store in catalog.stores_by_id.values():
-        holding = state.holdings.by_address.get(store.address)
-        if holding is not None and now - holding.heard_at < STORE_VIEW_S:
-            speeds[store.address] = (store.link_bytes_s, store.first_s)
+    for store in fresh_stores(state, catalog):
+        speeds[store.address] = (store.link_bytes_s, store.first_s)
     return speeds
 
 
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -66,7 +66,7 @@
     attempt: Attempt
     held: EndpointState
     sent_at: float
-    first_seen: bool = False
+    first_at: float | None = None
 
 
 class Dispatcher:
@@ -138,6 +138,7 @@
         held.in_flight += 1
         if choice.placement is not None:
             held.unread_tokens_by_request[job.call.id] = choice.placement.read
+            held.on_sent(choice.placement.read + choice.placement.fetched, begun.sent_at)
         self._log_sent(job, choice, progress)
         try:
             sent = await self._send(job, begun, progress)
@@ -227,11 +228,11 @@
         return True
 
     def _on_first(self, job: Job, begun: Begun) -> None:
-        if begun.first_seen:
+        if begun.first_at is not None:
             return
-        begun.first_seen = True
+        begun.first_at = monotonic()
         begun.held.unread_tokens_by_request.pop(job.call.id, None)
-        took_s = monotonic() - job.arrived_at
+        took_s = begun.first_at - job.arrived_at
         workspace = "" if job.workspace is None else job.workspace.id
         metrics = self.state.metrics
         metrics.first_byte.labels(metrics.labels.of(workspace), metrics.labels.of(job.route.id)).observe(
@@ -297,6 +298,7 @@
             endpoint=begun.choice.endpoint.id,
             version=reply.version,
             events=progress.stream.events,
+            first_s=None if begun.first_at is None else begun.first_at - job.arrived_at,
             took_s=now - job.arrived_at,
         )
 
@@ -336,6 +338,12 @@
                 fetched=placement.fetched,
                 read=placement.read,
                 report_age_s=monotonic() - state.of(choice.endpoint).reported_at,
+                parts=[part.tokens for part in job.call.prompt.parts] if job.call.prompt else [],
+                resident=placement.engine.resident,
+                fetch=placement.fetch_from,
+                used=placement.engine.used_tokens,
+                waiting=placement.engine.waiting_tokens,
+                running=placement.engine.running,
             )
         state.log.line(Decision.SENT, job.call.id, **inputs)
 
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -1,5 +1,6 @@
 """What one box believes: configuration, endpoints, their load, and who keeps which context."""
 
+from collections import deque
 from dataclasses import dataclass, field
 from time import monotonic
 
@@ -25,6 +26,9 @@
 SILENT_AFTER_S = 0.9
 """Seconds without a report after which an engine is chosen last: three polls."""
 
+REPORT_LAG_S = 0.2
+"""Seconds that an engine's report lags behind its state, from the data sheet."""
+
 NEVER = float("-inf")
 
 
@@ -34,6 +38,7 @@
 
     in_flight: int = 0
     unread_tokens_by_request: dict[str, int] = field(default_factory=dict)
+    sent_prompts: deque[tuple[float, int]] = field(default_factory=deque)
     report: EngineReport | None = None
     reported_at: float = NEVER
     version: int = 0
@@ -42,6 +47,19 @@
     failing_at: float = NEVER
     work_s: float = 0.05
 
+    def on_sent(self, tokens: int, now: float) -> None:
+        """Count a prompt that was sent, until a report shows its memory."""
+        self.sent_prompts.append((now, tokens))
+
+    def used_tokens(self, now: float) -> float:
+        """Return the memory that runs hold: as last reported, and what this box sent since."""
+        while self.sent_prompts and self.sent_prompts[0][0] < self.reported_at - REPORT_LAG_S:
+            self.sent_prompts.popleft()
+        while self.sent_prompts and self.sent_prompts[0][0] < now - SILENT_AFTER_S:
+            self.sent_prompts.popleft()
+        reported = 0 if self.report is None else self.report.used_tokens
+        return float(reported + sum(tokens for _, tokens in self.sent_prompts))
+
     def on_outcome(self, failed: bool, now: float) -> None:
         """Count an attempt that ended well or badly."""
         self.failing = self.failing_share(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * failed
