Tell engines a route's rank within its workspace's

Cause: at both sites all workspaces have rank 1, which took the place of the routes' ranks, so that engines saw no difference between a hazmat check and a consist draft; in the overload of a swap all kinds were late. Ruled out: engines not honouring the rank (with it, preemptions fall on the long kind only). Change: the rank told is the workspace's, and within it the route's.

--- a/stairquay/core/catalog.py
+++ b/stairquay/core/catalog.py
@@ -126,6 +126,22 @@
         return self.keyed and not route.public
 
 
+RANKS = 3
+"""Ranks of routes that are told apart within one rank of workspaces: engines know ten in all."""
+
+LEAST_URGENT = 9
+
+
+def urgency(route: Route, workspace: WorkspaceRule | None) -> int:
+    """Return the rank of a request at engines, 0 for the most urgent.
+
+    A workspace's rank goes before its routes'; routes of equally ranked workspaces keep their order.
+    """
+    if workspace is None or workspace.priority is None:
+        return min(LEAST_URGENT, route.priority)
+    return min(LEAST_URGENT, workspace.priority * RANKS + min(route.priority, RANKS - 1))
+
+
 def pick_service(route: Route, draw: float) -> str:
     """Return the service for a draw in [0, 1), by the route's weights."""
     total = sum(split.weight for split in route.splits)
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -9,7 +9,7 @@
 
 from stairquay.core.attempt import Attempt, drop_attempt, new_attempt, worst
 from stairquay.core.call import Call, Dispatch
-from stairquay.core.catalog import Catalog, Route, ServiceShape, WorkspaceRule
+from stairquay.core.catalog import Catalog, Route, ServiceShape, WorkspaceRule, urgency
 from stairquay.core.errors import ErrorKind, Ran, Refusal
 from stairquay.serving.choosing import Choice, choose
 from stairquay.serving.decisions import Decision
@@ -162,9 +162,6 @@
         return await self.endpoints.send(job.call, job.body, dispatch, begun.attempt, guard, left_s)
 
     def _dispatch(self, job: Job, choice: Choice, left_s: float, resume_after: str | None) -> Dispatch:
-        priority = job.route.priority
-        if job.workspace is not None and job.workspace.priority is not None:
-            priority = job.workspace.priority
         placement = choice.placement
         save_to: tuple[str, ...] = ()
         if placement is not None and job.call.prompt is not None:
@@ -174,7 +171,7 @@
             address=choice.endpoint.address,
             time_left_s=left_s,
             workspace="" if job.workspace is None else job.workspace.id,
-            priority=None if placement is None else priority,
+            priority=None if placement is None else urgency(job.route, job.workspace),
             context_scope=choice.scope,
             version=choice.version,
             fetch_from=() if placement is None else placement.fetch_from,
