Refuse what arrives long after the stop signal, and test a box against stand-ins of the platform

Ruled out: the balancer still sending (the box was unready from the signal on). Change: 2.7 s after the signal what arrives is refused, not run, with when to come back; answers from the signal on say that they are the last on their connection, streams too. Stand-ins of the table service, endpoints and store boxes, and 14 tests with the real process.

--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -22,8 +22,9 @@
 KEEP_ALIVE_S = 120.0
 """Seconds for which a caller's idle connection stays open: longer than callers rest on one."""
 
-LAME_DUCK_S = 2.6
-"""Seconds of serving on after the stop signal: the balancer asks each second and needs two misses."""
+LAME_DUCK_S = 2.7
+"""Seconds of serving on after the stop signal: the balancer asks each second and needs two misses.
+Callers keep using open connections, so that without an end to it the last requests would be cut."""
 
 CLOSE_S = 0.6
 """Seconds left at the end for closing connections."""
@@ -120,5 +121,7 @@
     state.stopping = True
     state.log.line(Decision.STOP, outcome="stopping", in_flight=state.in_flight)
     await asyncio.sleep(LAME_DUCK_S)
+    state.refusing = True
+    state.log.line(Decision.STOP, outcome="refusing", in_flight=state.in_flight)
     left_s = max(0.0, state.settings.stop_s - LAME_DUCK_S - 2 * CLOSE_S)
     await wait_until(lambda: state.in_flight == 0, left_s)
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -187,7 +187,12 @@
         try:
             if reply.streamed and reply.status < SERVER_ERROR:
                 await relay_stream(
-                    request, reply, progress.stream, job.deadline, lambda: self._on_first(job, begun)
+                    request,
+                    reply,
+                    progress.stream,
+                    job.deadline,
+                    on_first=lambda: self._on_first(job, begun),
+                    last_on_connection=lambda: self.state.stopping,
                 )
                 response = progress.stream.response
                 assert response is not None
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -22,6 +22,9 @@
 """Seconds after which a caller should come back to a box whose view is too old: the balancer sends it
 elsewhere after two missed questions, a second apart, and others serve meanwhile."""
 
+STOPPING_RETRY_S = 0.05
+"""Seconds after which a caller should come back when this box stops: another box takes it at once."""
+
 MIN_LEFT_S = 0.02
 
 
@@ -68,6 +71,8 @@
     async def _serve(
         self, request: web.Request, call: Call, arrived_at: float
     ) -> Result[web.StreamResponse, Refusal]:
+        if self.state.refusing:
+            return Err(Refusal(ErrorKind.STOPPING, Ran.NOT_RUN, retry_after_s=STOPPING_RETRY_S))
         catalog = self.state.catalog
         if catalog is None or not self.state.fleet_known:
             return Err(self._not_ready("no configuration yet"))
--- a/stairquay/serving/relay.py
+++ b/stairquay/serving/relay.py
@@ -56,6 +56,7 @@
     progress: StreamProgress,
     deadline: float,
     on_first: Callable[[], None],
+    last_on_connection: Callable[[], bool],
 ) -> None:
     """Pass a stream on, whole events only; raises BrokenAnswer or TimeoutError where it ends early.
 
@@ -64,13 +65,13 @@
     async with asyncio.timeout(deadline - monotonic()):
         async for events in _whole_events(reply.chunks()):
             if progress.response is None:
-                progress.response = await _send_head(request, reply)
+                progress.response = await _send_head(request, reply, last_on_connection())
             if progress.events == 0:
                 on_first()
             await progress.response.write(events)
             _advance(progress, events)
         if progress.response is None:
-            progress.response = await _send_head(request, reply)
+            progress.response = await _send_head(request, reply, last_on_connection())
         await progress.response.write_eof()
 
 
@@ -97,10 +98,12 @@
         yield held
 
 
-async def _send_head(request: web.Request, reply: Reply) -> web.StreamResponse:
+async def _send_head(request: web.Request, reply: Reply, last: bool) -> web.StreamResponse:
     response = web.StreamResponse(status=reply.status)
     for name, value in reply.headers:
         response.headers.add(name, value)
+    if last:
+        response.force_close()
     if request.version >= (1, 1):
         response.enable_chunked_encoding()
     await response.prepare(request)
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -81,6 +81,7 @@
     """Everything that the parts of the program share; there is one loop, so nothing is locked.
 
     view_asked_at: when the question was asked that the newest answer about the configuration rests on.
+    stopping: the stop signal came; refusing: what still arrives is refused, since it could not be finished.
     boxes: boxes of ours believed alive. clock_offset_ms: the endpoints' clock less this one's.
     """
 
@@ -100,6 +101,7 @@
     clock_offset_ms: float | None = None
     in_flight: int = 0
     stopping: bool = False
+    refusing: bool = False
 
     def view_age(self) -> float:
         """Return the age of the configuration's view in seconds."""
--- /dev/null
+++ b/tests/site.py
@@ -0,0 +1,266 @@
+"""A box as a real process, between stand-ins of the users' platform that run on the test's loop."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from tests.standins.dialect import Endpoint, StoreBox, TableService
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "svc.example"
+KEY = "key-one"
+READY_S = 20.0
+MODEL = "m"
+SCOPE = "/m/1"
+
+
+@dataclass
+class Answer:
+    """What a caller got. `whole` is false where the connection broke."""
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    whole: bool = False
+    took_s: float = 0.0
+
+    @property
+    def events(self) -> list[int]:
+        lines = self.body.decode().splitlines()
+        return [int(line.removeprefix("id: ")) for line in lines if line.startswith("id: ")]
+
+
+def route(name: str, prefix: str, service: str, **fields: Any) -> dict[str, Any]:
+    base = {"name": name, "host": HOST, "path_prefix": prefix, "service": service, "kind": "idempotent"}
+    base |= {"timeout_ms": 3000, "target_latency_ms": 400, "priority": 1, "max_attempts": 2, "public": False}
+    return base | fields
+
+
+def configuration(version: int, stores: list[StoreBox], **fields: Any) -> dict[str, Any]:
+    engine = {"slots": 8, "kv_capacity_tokens": 100_000, "kv_token_bytes": 100, "link_mbps": 1000.0}
+    engine |= {"max_concurrency": 12, "models": [{"name": MODEL}]}
+    base: dict[str, Any] = {
+        "version": version,
+        "routes": [
+            route("plain", "/plain/", "plain"),
+            route("once", "/once/", "plain", kind="non_idempotent", max_attempts=1),
+            route("open", "/open/", "plain", public=True),
+            route("short", "/short/", "plain", timeout_ms=400),
+            route("llm", "/llm/", "llm", kind="streaming", max_attempts=1, priority=2),
+            route("again", "/again/", "llm", kind="streaming", resumable=True, priority=0),
+        ],
+        "services": [
+            {"name": "plain", "max_connections": 100},
+            {"name": "llm", "max_connections": 100, "engine": engine},
+        ],
+        "limits": {"max_body_bytes": 10_000},
+        "tenants": [
+            {"name": "w1", "api_keys": [KEY], "priority": 1},
+            {"name": "w2", "api_keys": ["key-two"], "priority": 1, "isolated": True},
+        ],
+    }
+    for number, store in enumerate(stores):
+        base["services"].append(
+            {
+                "name": f"store-{number}",
+                "kv_store_addr": store.address,
+                "kv_capacity_tokens": 50_000,
+                "max_concurrency": 12,
+                "managed": True,
+            }
+        )
+    return base | fields
+
+
+@dataclass
+class Site:
+    """The stand-ins, and one box."""
+
+    table: TableService
+    endpoints: list[Endpoint]
+    stores: list[StoreBox]
+    folder: Path
+    front: str = ""
+    readiness: str = ""
+    metrics_port: int = 0
+    box: asyncio.subprocess.Process | None = None
+    log_lines: list[dict[str, Any]] = field(default_factory=list)
+    reader: asyncio.Task[None] | None = None
+    session: ClientSession | None = None
+    bounds: dict[str, float] = field(default_factory=dict)
+
+    async def start(self, ready: bool = True) -> None:
+        for part in (self.table, *self.endpoints, *self.stores):
+            await part.start()
+        self.put_configuration(1)
+        for endpoint in self.endpoints:
+            self.table.put("servers", endpoint.id, endpoint.entry())
+        self.session = ClientSession(timeout=ClientTimeout(total=20), auto_decompress=False)
+        await self.start_box()
+        if ready:
+            await self.until_ready()
+
+    def put_configuration(self, version: int, **fields: Any) -> None:
+        self.table.put("op", "config", configuration(version, self.stores, **fields))
+
+    async def start_box(self) -> None:
+        ports = free_ports(3)
+        self.front, self.readiness = f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[1]}"
+        self.metrics_port = ports[2]
+        path = self.folder / "local.toml"
+        path.write_text(self._settings())
+        command = [sys.executable, "-m", "stairquay", "box", "--metrics-port", str(self.metrics_port)]
+        self.box = await asyncio.create_subprocess_exec(
+            *command,
+            cwd=ROOT,
+            env={**os.environ, "STAIRQUAY_BOOT": str(path)},
+            stdout=asyncio.subprocess.PIPE,
+            limit=2**20,
+        )
+        self.reader = asyncio.create_task(self._read_log(self.box))
+
+    def _settings(self) -> str:
+        bounds = {"grace_s": 8, "drain_ms": 2000, "revoke_ms": 5000, "lease_ms": 300, "budget_slack": 50}
+        lines = "\n".join(f"{key} = {value}" for key, value in (bounds | self.bounds).items())
+        return f"""
+node_name = "box-1"
+ip = "127.0.0.1"
+zone = "hall-a"
+unknown_field = 7
+[listen]
+front = "{self.front}"
+readiness = "{self.readiness}"
+[platform]
+address = "{self.table.address}"
+[bounds]
+strict_revoke = true
+{lines}
+"""
+
+    async def _read_log(self, box: asyncio.subprocess.Process) -> None:
+        assert box.stdout is not None
+        async for line in box.stdout:
+            self.log_lines.append(json.loads(line))
+
+    def logged(self, kind: str, **fields: Any) -> list[dict[str, Any]]:
+        found = [line for line in self.log_lines if line["kind"] == kind]
+        return [line for line in found if all(line.get(key) == value for key, value in fields.items())]
+
+    async def until_ready(self) -> None:
+        await eventually(self.is_ready, READY_S)
+
+    async def is_ready(self) -> bool:
+        assert self.session is not None
+        try:
+            async with self.session.get(f"http://{self.readiness}/-/readyz") as response:
+                return response.status == 200
+        except ClientError:
+            return False
+
+    async def call(
+        self,
+        path: str,
+        method: str = "GET",
+        call_id: str = "call-1",
+        key: str | None = KEY,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+        session: ClientSession | None = None,
+    ) -> Answer:
+        """Send one request to the box, as the platform's callers do."""
+        sent = {"Host": HOST, "Request-Id": call_id, "Deadline-Ms": "5000"}
+        if key is not None:
+            sent["Authorization"] = f"Bearer {key}"
+        started = asyncio.get_running_loop().time()
+        answer = Answer()
+        try:
+            async with (session or self.session).request(  # type: ignore[union-attr]
+                method, f"http://{self.front}{path}", headers=sent | (headers or {}), data=body
+            ) as response:
+                answer.status = response.status
+                answer.headers = dict(response.headers)
+                async for chunk in response.content.iter_any():
+                    answer.body += chunk
+                answer.whole = True
+        except ClientError:
+            answer.whole = False
+        answer.took_s = asyncio.get_running_loop().time() - started
+        return answer
+
+    async def prompt(self, path: str = "/llm/chat", **options: Any) -> Answer:
+        """Send a prompt of three parts."""
+        headers = {"Model": MODEL, "Token-Usage": "900,20", "Prompt-Prefix": "aa:500,bb:300,cc:100"}
+        headers |= options.pop("headers", {})
+        return await self.call(path, "POST", headers=headers, body=b"a prompt", **options)
+
+    def engines(self) -> list[Endpoint]:
+        return [item for item in self.endpoints if item.model]
+
+    def stop_box(self) -> None:
+        assert self.box is not None
+        self.box.send_signal(signal.SIGTERM)
+
+    async def close(self) -> None:
+        if self.box is not None and self.box.returncode is None:
+            self.box.kill()
+            await self.box.wait()
+        if self.reader is not None:
+            await self.reader
+        if self.session is not None:
+            await self.session.close()
+        for part in (*self.endpoints, *self.stores, self.table):
+            if part.runner is not None:
+                await part.runner.cleanup()
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free just now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for held in sockets:
+        held.bind(("127.0.0.1", 0))
+    ports = [held.getsockname()[1] for held in sockets]
+    for held in sockets:
+        held.close()
+    return ports
+
+
+async def eventually(check: Any, limit_s: float = 10.0) -> None:
+    """Wait until a check holds; it may be a plain function or a coroutine function."""
+    end = asyncio.get_running_loop().time() + limit_s
+    while True:
+        held = check()
+        if asyncio.iscoroutine(held):
+            held = await held
+        if held:
+            return
+        assert asyncio.get_running_loop().time() < end, "did not hold in time"
+        await asyncio.sleep(0.03)
+
+
+@asynccontextmanager
+async def site(
+    plain: int = 1, engines: int = 0, stores: int = 0, ready: bool = True, **bounds: float
+) -> AsyncIterator[Site]:
+    """Start stand-ins and a box, and end them."""
+    endpoints = [Endpoint(id=f"p-{number}", service="plain") for number in range(plain)]
+    endpoints += [Endpoint(id=f"e-{number}", service="llm", model=MODEL) for number in range(engines)]
+    with tempfile.TemporaryDirectory() as folder:
+        made = Site(
+            TableService(), endpoints, [StoreBox() for _ in range(stores)], Path(folder), bounds=bounds
+        )
+        try:
+            await made.start(ready)
+            yield made
+        finally:
+            await made.close()
--- /dev/null
+++ b/tests/test_box.py
@@ -0,0 +1,215 @@
+"""A whole box against stand-ins of the users' platform: callers' requests, refusals and streams."""
+
+import asyncio
+
+from aiohttp import ClientSession
+
+from tests.site import KEY, Site, eventually, site
+
+
+def test_a_plain_request_goes_through_unchanged_and_names_its_workspace():
+    async def scenario():
+        async with site() as here:
+            answer = await here.call("/plain/a%2Fb?x=1", "PUT", headers={"Tenant": "forged"}, body=b"body")
+            assert (answer.status, answer.body) == (200, b"answer of p-0")
+            assert answer.headers["Response-Signature"] == "sig-p-0"
+            taken = here.endpoints[0].taken[0]
+            assert (taken.method, taken.target, taken.body) == ("PUT", "/plain/a%2Fb?x=1", b"body")
+            assert taken.headers["Tenant"] == "w1"
+            assert "Authorization" not in taken.headers
+            assert taken.headers["Target-Instance"] == "p-0"
+            assert 0 < int(taken.headers["Deadline-Ms"]) <= 3000
+
+    asyncio.run(scenario())
+
+
+def test_headers_that_only_we_may_set_do_not_pass():
+    forged = dict.fromkeys(("Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch", "Kv-Save"), "7")
+    forged |= {"Cache-Salt": "mine", "Priority": "0", "Expect-Version": "9", "X-Kept": "yes"}
+
+    async def scenario():
+        async with site(engines=1) as here:
+            answer = await here.prompt(headers=forged)
+            assert answer.status == 200
+            headers = here.engines()[0].taken[0].headers
+            assert not any(name in headers for name in forged if name.startswith(("Hold", "Pin", "Kv")))
+            assert headers["Cache-Salt"] == "/m/1" and headers["Expect-Version"] == "1"
+            assert headers["Priority"] == "5" and headers["X-Kept"] == "yes"
+            assert headers["Prompt-Prefix"] == "aa:500,bb:300,cc:100"
+
+    asyncio.run(scenario())
+
+
+def test_unknown_keys_routes_and_malformed_requests_are_refused_and_disturb_nothing():
+    async def scenario():
+        async with site() as here:
+            assert (await here.call("/plain/x", key="wrong")).status == 401
+            assert (await here.call("/plain/x", key=None)).status == 401
+            assert (await here.call("/nowhere/x")).status == 404
+            assert (await here.call("/open/x", key=None)).status == 200
+            assert (await here.call("/plain/x", headers={"Deadline-Ms": "soon"})).status == 400
+            assert (await here.call("/plain/x", call_id="")).status == 400
+            assert (await here.prompt("/plain/x", headers={"Prompt-Prefix": "aa:x"})).status == 400
+            assert (await here.call("/plain/x", "POST", body=b"x" * 20_000)).status == 413
+            assert len(here.endpoints[0].taken) == 1
+            assert (await here.call("/plain/x")).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_a_request_that_may_repeat_is_sent_again_after_an_error_and_one_that_may_not_is_not():
+    async def scenario():
+        async with site(plain=2) as here:
+            for endpoint in here.endpoints:
+                endpoint.errors = 1
+            again = await here.call("/plain/x")
+            assert again.status == 500 and again.body == b"broken"
+            assert again.headers["Response-Signature"].startswith("sig-")
+            assert sum(len(item.taken) for item in here.endpoints) == 2
+            for endpoint in here.endpoints:
+                endpoint.errors = 1
+            assert (await here.call("/once/x", "POST", body=b"x")).status == 500
+            assert sum(len(item.taken) for item in here.endpoints) == 3
+
+    asyncio.run(scenario())
+
+
+def test_an_endpoint_that_turns_a_request_away_has_not_run_it():
+    async def scenario():
+        async with site(plain=2) as here:
+            here.endpoints[0].refuse = here.endpoints[1].refuse = 1
+            refused = await here.call("/once/x", "POST", body=b"x")
+            assert refused.status == 503 and float(refused.headers["Retry-After"]) > 0
+            assert not any(item.taken for item in here.endpoints)
+            here.endpoints[0].refuse = 1
+            assert (await here.call("/once/x", "POST", body=b"x")).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_strange_and_unsigned_answers_are_not_passed_on():
+    async def scenario():
+        async with site() as here:
+            here.endpoints[0].stray = 1
+            assert (await here.call("/once/x", "POST", body=b"x")).status == 502
+            here.endpoints[0].unsigned = 1
+            assert (await here.call("/once/y", "POST", body=b"x")).status == 502
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_without_length_that_is_reset_is_not_taken_for_whole():
+    async def scenario():
+        async with site() as here:
+            here.endpoints[0].unframed_reset = 1
+            answer = await here.call("/once/x", "POST", body=b"x")
+            assert answer.status == 502
+            assert "Response-Signature" not in answer.headers
+
+    asyncio.run(scenario())
+
+
+def test_the_time_of_a_route_ends_a_request_with_a_final_answer():
+    async def scenario():
+        async with site() as here:
+            here.endpoints[0].hold_s = 5.0
+            answer = await here.call("/short/x")
+            assert answer.status == 504 and answer.took_s < 0.8
+            await eventually(lambda: here.endpoints[0].left == 1)
+
+    asyncio.run(scenario())
+
+
+def test_a_caller_that_leaves_ends_the_run():
+    async def scenario():
+        async with site() as here:
+            here.endpoints[0].hold_s = 5.0
+            task = asyncio.create_task(here.call("/plain/x"))
+            await eventually(lambda: here.endpoints[0].taken)
+            task.cancel()
+            await eventually(lambda: here.endpoints[0].left == 1, 0.5)
+
+    asyncio.run(scenario())
+
+
+def test_a_stream_passes_whole_and_a_broken_one_never_looks_complete():
+    async def scenario():
+        async with site(engines=1) as here:
+            answer = await here.prompt()
+            assert answer.whole and answer.events == [1, 2, 3, 4, 5]
+            here.engines()[0].break_after = 2
+            broken = await here.prompt()
+            assert not broken.whole and broken.events == [1, 2]
+
+    asyncio.run(scenario())
+
+
+def test_a_stream_that_may_go_on_does_so_at_another_engine_without_gap_or_repeat():
+    async def scenario():
+        async with site(engines=2) as here:
+            for engine in here.engines():
+                engine.break_after = 3
+            answer = await here.prompt("/again/chat")
+            taken = [item for engine in here.engines() for item in engine.taken]
+            assert len(taken) == 2
+            assert sorted(item.headers.get("Last-Event-Id", "0") for item in taken) == ["0", "3"]
+            assert answer.whole and answer.events == [1, 2, 3, 4, 5]
+
+    asyncio.run(scenario())
+
+
+def test_after_the_stop_signal_nothing_is_cut_and_late_requests_are_told_to_come_back():
+    async def scenario():
+        async with site() as here:
+            async with ClientSession() as kept:
+                assert (await here.call("/plain/x", session=kept)).status == 200
+                here.endpoints[0].hold_s = 1.5
+                under_way = asyncio.create_task(here.call("/plain/y"))
+                await eventually(lambda: len(here.endpoints[0].taken) == 2)
+                here.stop_box()
+                await eventually(lambda: _unready(here))
+                assert (await under_way).status == 200
+                here.endpoints[0].hold_s = 0.0
+                still = await here.call("/plain/z", session=kept)
+                assert still.status == 200 and still.headers["Connection"] == "close"
+                await eventually(lambda: here.logged("stop", outcome="refusing"), 5.0)
+
+            await asyncio.wait_for(here.box.wait(), 8.0)
+            assert here.box.returncode == 0
+
+    async def _unready(here: Site) -> bool:
+        return not await here.is_ready()
+
+    asyncio.run(scenario())
+
+
+def test_a_request_long_after_the_stop_signal_is_refused_at_once_and_not_run():
+    async def scenario():
+        async with site() as here:
+            here.endpoints[0].hold_s = 4.5
+            under_way = asyncio.create_task(here.call("/plain/y", headers={"Deadline-Ms": "9000"}))
+            await eventually(lambda: here.endpoints[0].taken)
+            async with ClientSession() as kept:
+                here.stop_box()
+                await asyncio.sleep(2.6)
+                opened = asyncio.create_task(here.call("/nowhere/x", session=kept))
+                await opened
+                await eventually(lambda: here.logged("stop", outcome="refusing"), 5.0)
+                late = await here.call("/plain/late", session=kept)
+            assert late.status in (0, 503)
+            assert len(here.endpoints[0].taken) == 1
+            await under_way
+
+    asyncio.run(scenario())
+
+
+def test_keys_never_reach_the_log():
+    async def scenario():
+        async with site() as here:
+            await here.call("/plain/x")
+            await here.call("/plain/x", key="a-secret-that-is-wrong")
+            await eventually(lambda: here.logged("refused"))
+            text = str(here.log_lines)
+            assert KEY not in text and "a-secret-that-is-wrong" not in text
+
+    asyncio.run(scenario())
