--- a/stairquay/core/placement.py
+++ b/stairquay/core/placement.py
@@ -121,10 +121,12 @@
     fetch_from = [""] * len(parts)
     for index, part in enumerate(parts):
         resident = engine.resident[index]
+        source = source_of(index, engine.address)
         if resident >= part.tokens:
             reused += part.tokens
+            # The engine may drop the part before the request begins; then it is fetched after all.
+            fetch_from[index] = source.address if source is not None and source.tokens >= part.tokens else ""
             continue
-        source = source_of(index, engine.address)
         if source is None or source.tokens <= resident:
             reused += resident
             break
