Ask less often: the list each 0.6 s, engines each 0.45 s, and keep connections for 12 s

Ruled out: endpoints closing idle connections under us (none of 4,800 arrivals fell over). Change: the three constants, and a box counts an engine as silent after 1.1 s.

--- a/stairquay/platform/connections.py
+++ b/stairquay/platform/connections.py
@@ -15,8 +15,9 @@
 CONNECT_S = 0.4
 """Seconds to open a connection: data halls are a millisecond apart, and a dead box says nothing."""
 
-IDLE_S = 4.0
-"""Seconds for which an idle connection is kept: endpoints close theirs after a time of their own."""
+IDLE_S = 12.0
+"""Seconds for which an idle connection is kept. With 12 no request was lost to an endpoint that closed one
+in that moment on the standard days; with 4, a fifth more connections were opened."""
 
 SILENT_MS = 1_500
 """Milliseconds after which bytes that nobody acknowledged end a connection."""
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -17,9 +17,9 @@
 AGAIN_S = 0.1
 """Seconds before a call that got no answer is made again."""
 
-LIST_PAUSE_S = 0.3
+LIST_PAUSE_S = 0.6
 """Seconds between two reads of the list, which changes with every heartbeat: far below the two seconds
-in which new work for a leaving endpoint must stop."""
+in which new work for a leaving endpoint must stop. Every call is priced."""
 
 
 async def follow_operators(state: BoxState, feeds: Feeds) -> None:
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -23,7 +23,7 @@
 """Seconds for which an endpoint that turned a request away is chosen last; an engine that loads weights
 does so for about two seconds, and its report tells after 0.2 to 0.5 s."""
 
-SILENT_AFTER_S = 0.9
+SILENT_AFTER_S = 1.1
 """Seconds without a report after which an engine is chosen last: three polls."""
 
 REPORT_LAG_S = 0.2
--- a/stairquay/serving/watching.py
+++ b/stairquay/serving/watching.py
@@ -13,7 +13,7 @@
 from stairquay.serving.ports import Peers
 from stairquay.serving.state import BoxState
 
-REPORT_S = 0.3
+REPORT_S = 0.45
 """Seconds between two questions for an engine's state, which is itself 0.2 s old."""
 
 EVENTS_WAIT_S = 0.8
