--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -17,6 +17,7 @@
 from stairquay.serving.ports import Surroundings
 from stairquay.serving.settings import BoxSettings
 from stairquay.serving.state import BoxState
+from stairquay.serving.upkeep import Upkeep
 from stairquay.serving.watching import Watcher
 
 KEEP_ALIVE_S = 120.0
@@ -45,6 +46,7 @@
     front = Front(state, surroundings.callers, dispatcher, chance)
     watcher = Watcher(state, surroundings.peers)
     orders = OrderGiver(state, surroundings.own, surroundings.peers)
+    upkeep = Upkeep(state, surroundings.peers)
     boxes = BoxList(state, surroundings.own, chance)
     tasks = Tasks()
     for work in (
@@ -54,6 +56,7 @@
         watcher.run(),
         orders.run(),
         boxes.run(),
+        upkeep.run(),
     ):
         tasks.start(_kept_running(state, work))
     log.line(Decision.START, front=settings.front, data_hall=settings.data_hall)
--- a/stairquay/serving/choosing.py
+++ b/stairquay/serving/choosing.py
@@ -9,6 +9,7 @@
 from stairquay.core.catalog import Catalog, EngineShape, ServiceShape, StoreShape, WorkspaceRule
 from stairquay.core.fleet import Endpoint
 from stairquay.core.placement import EngineView, Placement, Source, pick, place
+from stairquay.core.scope import Scope
 from stairquay.serving.state import BoxState
 
 CONNECTION_SHARE = 0.85
@@ -64,7 +65,7 @@
     """Return the name under which context is kept: of one model and version, and of one workspace where
     that is isolated."""
     wall = workspace.id if workspace is not None and workspace.isolated else ""
-    return f"{wall}/{model}/{version}"
+    return Scope(wall, model, version).name
 
 
 def _candidates(state: BoxState, service: ServiceShape, tried: frozenset[str], now: float) -> list[Endpoint]:
--- /dev/null
+++ b/stairquay/serving/upkeep.py
@@ -0,0 +1,93 @@
+"""Frees what nobody can use any more at store boxes that free nothing by themselves.
+
+Context of an older version of weights is useless once every engine runs a newer one: no engine takes a
+request for it, so that no fetch of it can begin, and those under way are thrown away after a bounded time.
+"""
+
+import asyncio
+from time import monotonic
+
+from stairquay.core.catalog import Catalog, StoreShape
+from stairquay.core.holdings import Key
+from stairquay.core.scope import parse_scope
+from stairquay.serving.choosing import FETCH_S, fresh_stores
+from stairquay.serving.decisions import Decision
+from stairquay.serving.ports import Peers
+from stairquay.serving.state import BoxState
+
+STEP_S = 1.0
+"""Seconds between two looks: room is needed again soon after a version is everywhere."""
+
+SETTLED_S = FETCH_S + 2.0
+"""Seconds for which all engines must have run a newer version: every fetch begun before is over, and boxes
+that lagged behind know."""
+
+AT_ONCE = 400
+"""Most parts freed with one call: about 20 kB."""
+
+
+class Upkeep:
+    """Frees outdated parts, at one box of ours only."""
+
+    def __init__(self, state: BoxState, peers: Peers) -> None:
+        self.state = state
+        self.peers = peers
+        self.oldest_by_model: dict[str, int] = {}
+        self.since_by_model: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Look from time to time, until cancelled."""
+        while True:
+            await asyncio.sleep(STEP_S)
+            catalog = self.state.catalog
+            if catalog is None:
+                continue
+            self._observe(catalog)
+            if self.state.stopping or min(self.state.boxes) != self.state.settings.id:
+                continue
+            for store in fresh_stores(self.state, catalog):
+                if store.managed:
+                    await self._free(store)
+
+    def _observe(self, catalog: Catalog) -> None:
+        """Note the oldest version that any engine runs, and since when."""
+        oldest: dict[str, int] = {}
+        for endpoint in self.state.fleet.by_id.values():
+            service = catalog.services_by_id.get(endpoint.service)
+            if service is None or service.engine is None:
+                continue
+            for model in service.engine.models or tuple(endpoint.versions_by_model):
+                version = self.state.version_of(endpoint, model)
+                oldest[model] = min(version, oldest.get(model, version))
+        for model, version in oldest.items():
+            if self.oldest_by_model.get(model) != version:
+                self.oldest_by_model[model] = version
+                self.since_by_model[model] = monotonic()
+
+    async def _free(self, store: StoreShape) -> None:
+        holding = self.state.holdings.by_address.get(store.address)
+        if holding is None:
+            return
+        keys = tuple(key for key in holding.tokens_by_key if self._useless(key))[:AT_ONCE]
+        if not keys:
+            return
+        done = await self.peers.free(store.address, keys, holding.life)
+        if done:
+            self.state.metrics.freed.inc(len(keys))
+        self.state.log.line(
+            Decision.FREED,
+            store=store.id,
+            parts=len(keys),
+            life=holding.life,
+            oldest=self.oldest_by_model,
+            outcome="freed" if done else "refused or silent",
+        )
+
+    def _useless(self, key: Key) -> bool:
+        scope = parse_scope(key[0])
+        if scope is None:
+            return False
+        oldest = self.oldest_by_model.get(scope.model)
+        if oldest is None or scope.version >= oldest:
+            return False
+        return monotonic() - self.since_by_model[scope.model] > SETTLED_S
