--- a/stairquay/cli.py
+++ b/stairquay/cli.py
@@ -22,6 +22,7 @@
 SETTINGS = Annotated[Path, Parameter(help="The box's settings: JSON with comments.")]
 BOX_SETTINGS = Annotated[Path | None, Parameter(help="The platform's settings; by default those it names.")]
 METRICS_PORT = Annotated[int, Parameter(help="The port for metrics; 0 for none.")]
+LOGS = Annotated[Path, Parameter(help="Logs of boxes; standard input where none is named.")]
 URL = Annotated[str, Parameter(name="--control", help="A control's URL; also STAIRQUAY_CONTROL.")]
 AS_JSON = Annotated[bool, Parameter(name="--json", negative="", help="Write the answer as JSON.")]
 FILE = Annotated[Path, Parameter(help="Intents as JSON with comments; `-` for standard input.")]
@@ -77,6 +78,7 @@
     app.command(_status(env), name="status")
     app.command(_check_settings(env), name="check-settings")
     app.command(_key(env), name="key")
+    app.command(_explain(env), name="explain")
     return app
 
 
@@ -214,6 +216,22 @@
     return command
 
 
+def _explain(env: Environment) -> Callable[..., ExitStatus]:
+    def command(request: str, *logs: LOGS) -> ExitStatus:
+        """Tell one request's story from the logs of one or more boxes."""
+        from stairquay.explain import read_logs, story
+
+        lines = story(read_logs(logs, env.stdin), request)
+        if not lines:
+            env.complain(f"no line about request {request} in these logs")
+            return ExitStatus.ERROR
+        for line in lines:
+            env.say(line)
+        return ExitStatus.SUCCESS
+
+    return command
+
+
 def _ask(
     env: Environment, control: str, as_json: bool, method: str, path: str, body: bytes | None = None
 ) -> ExitStatus:
--- /dev/null
+++ b/stairquay/explain.py
@@ -0,0 +1,129 @@
+"""Tells one request's story from the logs of several boxes.
+
+A line of the story gives the time since the request was first seen, the box, what was decided, the inputs of
+the decision with their ages, and what the box had come to believe shortly before.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, TextIO
+
+import msgspec
+
+BEFORE_S = 5.0
+"""Seconds before a request's first line whose changes of belief belong to its story: the oldest view that a
+box may decide by."""
+
+AFTER_S = 1.0
+"""Seconds after its last line: clocks of boxes differ a little."""
+
+BELIEFS = frozenset(
+    (
+        "start",
+        "stop",
+        "configuration",
+        "version_named",
+        "endpoints",
+        "dependency",
+        "lease",
+        "order",
+        "ejection",
+        "store_view",
+    )
+)
+"""Kinds of lines that tell what a box believes; each may explain a decision that came after it."""
+
+LEFT_OUT = "left_out"
+HEAD_FIELDS = ("at", "box", "kind", "request")
+
+Line = dict[str, Any]
+
+
+@dataclass
+class Logs:
+    """Lines of several files. `unreadable` counts those that are not ours."""
+
+    lines: list[Line] = field(default_factory=list)
+    unreadable: int = 0
+
+    def read(self, stream: Iterable[str]) -> None:
+        """Take in the lines of one log."""
+        for text in stream:
+            start = text.find("{")
+            if start < 0:
+                self.unreadable += bool(text.strip())
+                continue
+            try:
+                line = msgspec.json.decode(text[start:])
+            except msgspec.DecodeError:
+                self.unreadable += 1
+                continue
+            if isinstance(line, dict) and isinstance(line.get("at"), int | float) and "kind" in line:
+                self.lines.append(line)
+            else:
+                self.unreadable += 1
+
+
+def read_logs(files: Sequence[Path], stdin: TextIO) -> Logs:
+    """Read logs from files, or from standard input where none is named. Raises OSError."""
+    logs = Logs()
+    if not files:
+        logs.read(stdin)
+    for file in files:
+        with file.open(errors="replace") as stream:
+            logs.read(stream)
+    return logs
+
+
+def story(logs: Logs, request: str) -> list[str]:
+    """Return the lines of one request's story, empty where no log knows it."""
+    own = [line for line in logs.lines if line.get("request") == request]
+    if not own:
+        return []
+    first = min(line["at"] for line in own)
+    last = max(line["at"] for line in own)
+    boxes = {line["box"] for line in own}
+    near = [line for line in logs.lines if _explains(line, boxes, first, last)]
+    told = sorted([*own, *near], key=lambda line: line["at"])
+    lines = [f"request {request}, first seen at {first:.3f} by {min(own, key=_at)['box']}"]
+    lines += [_tell(line, first) for line in told]
+    lines += _gaps(logs, boxes, first, last)
+    return lines
+
+
+def _at(line: Line) -> float:
+    return float(line["at"])
+
+
+def _explains(line: Line, boxes: set[str], first: float, last: float) -> bool:
+    """Tell whether a change of belief belongs to the story of a request at these boxes."""
+    return line["kind"] in BELIEFS and _near(line, boxes, first, last)
+
+
+def _near(line: Line, boxes: set[str], first: float, last: float) -> bool:
+    return line.get("box") in boxes and first - BEFORE_S <= line["at"] <= last + AFTER_S
+
+
+def _tell(line: Line, first: float) -> str:
+    mark = ">" if "request" in line else " "
+    inputs = " ".join(f"{key}={_value(value)}" for key, value in line.items() if key not in HEAD_FIELDS)
+    return f"{mark} {line['at'] - first:+9.3f} s  {line['box']}  {line['kind']}  {inputs}"
+
+
+def _value(value: Any) -> str:
+    return "-" if value is None else str(value).replace(" ", "_")
+
+
+def _gaps(logs: Logs, boxes: set[str], first: float, last: float) -> list[str]:
+    """Say where lines of this story may be missing."""
+    found = [
+        f"! {line['at'] - first:+9.3f} s  {line['box']}  lines were left out: {_value(line.get('lines'))}"
+        for line in logs.lines
+        if line["kind"] == LEFT_OUT
+        and line.get("box") in boxes
+        and first - BEFORE_S <= line["at"] <= last + AFTER_S
+    ]
+    if logs.unreadable:
+        found.append(f"! {logs.unreadable} lines of the logs could not be read")
+    return found
--- a/stairquay/serving/decisions.py
+++ b/stairquay/serving/decisions.py
@@ -132,7 +132,7 @@
         self.left_out_total += 1
 
     def _tell_left_out(self) -> None:
-        if not self.left_out_by_kind or len(self.lines) >= QUEUE_LINES:
+        if self.closed or not self.left_out_by_kind or len(self.lines) >= QUEUE_LINES:
             return
         counts = {kind.value: count for kind, count in self.left_out_by_kind.items()}
         self.left_out_by_kind.clear()
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -340,7 +340,6 @@
                 fetched=placement.fetched,
                 read=placement.read,
                 report_age_s=monotonic() - state.of(choice.endpoint).reported_at,
-                parts=[part.tokens for part in job.call.prompt.parts] if job.call.prompt else [],
                 resident=placement.engine.resident,
                 fetch=placement.fetch_from,
                 used=placement.engine.used_tokens,
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,133 @@
+"""Structured logs: bounded, never in the way; and the stories told from them."""
+
+import io
+import json
+
+from stairquay.cli import main
+from stairquay.environment import Environment
+from stairquay.explain import Logs, story
+from stairquay.serving.decisions import LINES_S, QUEUE_LINES, Decision, DecisionLog
+from stairquay.status import ExitStatus
+
+
+class Reader:
+    """Standard output whose reader may stall or go away."""
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.stalled = False
+        self.gone = False
+        self.takes = 10**9
+
+    def write(self, data: bytes) -> int:
+        if self.gone:
+            raise BrokenPipeError
+        if self.stalled:
+            raise BlockingIOError
+        self.data += data[: self.takes]
+        return min(len(data), self.takes)
+
+    def lines(self) -> list[dict]:
+        return [json.loads(line) for line in self.data.splitlines()]
+
+
+def test_a_line_has_its_time_box_kind_request_and_inputs():
+    reader = Reader()
+    log = DecisionLog("box-1", reader.write)
+    log.line(Decision.SENT, "r-1", endpoint="e", view_age_s=0.123456, fetch=["a", ""])
+    log.flush()
+    line = reader.lines()[0]
+    assert line.pop("at") > 0
+    expected = {"box": "box-1", "kind": "sent", "request": "r-1", "endpoint": "e"}
+    assert line == expected | {"view_age_s": 0.1235, "fetch": ["a", ""]}
+
+
+def test_a_stalled_reader_delays_nothing_and_what_is_left_out_is_told():
+    reader = Reader()
+    reader.stalled = True
+    log = DecisionLog("box-1", reader.write)
+    for kind in (Decision.SENT, Decision.ENDED, Decision.REFUSED):
+        for number in range(LINES_S + 50):
+            log.line(kind, f"r-{number}")
+    log.flush()
+    assert len(log.lines) <= QUEUE_LINES
+    reader.stalled = False
+    log.flush()
+    log.flush()
+    lines = reader.lines()
+    left_out = [line for line in lines if line["kind"] == "left_out"]
+    assert sum(sum(line["lines"].values()) for line in left_out) == log.left_out_total >= 150
+    assert sum(line["kind"] == "sent" for line in lines) == LINES_S
+
+
+def test_a_queue_that_is_full_keeps_its_size():
+    reader = Reader()
+    reader.stalled = True
+    log = DecisionLog("box-1", reader.write)
+    for number in range(QUEUE_LINES * 2):
+        log.lines_by_kind.clear()
+        log.line(Decision.SENT, f"r-{number}")
+    assert len(log.lines) == QUEUE_LINES and log.left_out_total == QUEUE_LINES
+
+
+def test_lines_that_are_taken_in_pieces_stay_whole():
+    reader = Reader()
+    reader.takes = 7
+    log = DecisionLog("box-1", reader.write)
+    for number in range(20):
+        log.line(Decision.ENDED, f"r-{number}", outcome="answered")
+    log.flush()
+    assert [line["request"] for line in reader.lines()] == [f"r-{number}" for number in range(20)]
+
+
+def test_a_reader_that_went_away_ends_the_log_and_nothing_else():
+    reader = Reader()
+    reader.gone = True
+    log = DecisionLog("box-1", reader.write)
+    log.line(Decision.START)
+    log.flush()
+    log.line(Decision.STOP)
+    log.flush()
+    assert log.closed and log.left_out_total == 1
+
+
+LOG = """
+{"at": 10.0, "box": "b1", "kind": "dependency", "name": "operators", "outcome": "lost", "view_age_s": 0.8}
+{"at": 12.0, "box": "b2", "kind": "dependency", "name": "operators", "outcome": "lost"}
+{"at": 13.0, "box": "b1", "kind": "sent", "request": "r-1", "endpoint": "e-1", "view_age_s": 3.1}
+not a line of ours
+{"at": 13.4, "box": "b1", "kind": "left_out", "lines": {"sent": 3}}
+{"at": 13.5, "box": "b1", "kind": "refused", "request": "r-1", "cause": "not_ready", "ran": "not run"}
+{"at": 13.6, "box": "b1", "kind": "sent", "request": "r-2", "endpoint": "e-2"}
+"""
+
+
+def test_a_story_has_the_requests_lines_and_what_its_box_believed_and_says_what_is_missing():
+    logs = Logs()
+    logs.read(LOG.splitlines())
+    told = story(logs, "r-1")
+    assert told[0] == "request r-1, first seen at 13.000 by b1"
+    assert "-3.000 s  b1  dependency" in told[1] and "view_age_s=0.8" in told[1]
+    assert told[2].startswith("> ") and "e-1" in told[2]
+    assert "cause=not_ready ran=not_run" in told[3]
+    assert any("left out" in line for line in told) and "1 lines" in told[-1]
+    assert not any("r-2" in line or "b2" in line for line in told)
+    assert story(logs, "r-9") == []
+
+
+def shell(*args: str, stdin: str = "") -> tuple[int, str, str]:
+    env = Environment(io.StringIO(stdin), io.StringIO(), io.StringIO(), {})
+    status = main(args, env)
+    return status, env.stdout.getvalue(), env.stderr.getvalue()
+
+
+def test_explain_reads_files_and_standard_input(tmp_path):
+    file = tmp_path / "b1.log"
+    file.write_text(LOG)
+    status, out, _ = shell("explain", "r-1", str(file))
+    assert status == ExitStatus.SUCCESS and "not_ready" in out
+    assert shell("explain", "r-1", stdin=LOG)[0] == ExitStatus.SUCCESS
+    assert shell("explain", "r-9", str(file))[0] == ExitStatus.ERROR
+    assert shell("explain")[0] == ExitStatus.USAGE
+    status, _, complaint = shell("explain", "r-1", str(tmp_path / "none"))
+    assert status == ExitStatus.ERROR and "none" in complaint
--- /dev/null
+++ b/tests/test_serving_core.py
@@ -0,0 +1,197 @@
+"""The pure parts of the one-process program: catalog, fleet, budget, holdings, placement, rollout."""
+
+from dataclasses import replace
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from stairquay.core.budget import Allowance, WindowBudget
+from stairquay.core.call import Part
+from stairquay.core.catalog import Catalog, Route, Split, WorkspaceRule, pick_service, urgency
+from stairquay.core.fleet import MISSING_GRACE_S, Endpoint, Fleet
+from stairquay.core.holdings import MAX_DROPPED, Holdings, PartEvent
+from stairquay.core.placement import EngineView, Source, pick, place
+from stairquay.core.rollout import ORDER_SETTLES_S, EngineState, next_orders
+from stairquay.core.scope import Scope, parse_scope
+
+
+def make_route(**fields) -> Route:
+    return Route("r", "h", "/", (Split("s", 1.0),), **fields)
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    routes = tuple(
+        Route(name, host, prefix, (Split("s", 1.0),))
+        for name, host, prefix in (("a", "h", "/x/"), ("b", "h", "/x/y/"), ("c", "k", "/x/y/z/"))
+    )
+    catalog = Catalog(1, routes)
+    assert catalog.route_for("h", "/x/y/z/1").id == "b"
+    assert catalog.route_for("h", "/x/q").id == "a"
+    assert catalog.route_for("h", "/x") is None and catalog.route_for("q", "/x/") is None
+
+
+@given(st.lists(st.floats(0.1, 100), min_size=1, max_size=5), st.floats(0, 1, exclude_max=True))
+def test_a_split_always_picks_one_of_its_services(weights, draw):
+    route = replace(make_route(), splits=tuple(Split(f"s{n}", weight) for n, weight in enumerate(weights)))
+    assert pick_service(route, draw) in {split.service for split in route.splits}
+
+
+def test_a_workspaces_rank_goes_before_its_routes_and_routes_keep_their_order_within_it():
+    first, second = WorkspaceRule("a", priority=0), WorkspaceRule("b", priority=1)
+    urgent, calm = make_route(priority=0), make_route(priority=2)
+    ranks = [urgency(route, space) for space in (first, second) for route in (urgent, calm)]
+    assert ranks == sorted(set(ranks))
+    assert urgency(make_route(priority=40), WorkspaceRule("c", priority=9)) == 9
+
+
+def test_a_leaving_endpoint_stays_leaving_whatever_the_list_says_later():
+    fleet = Fleet()
+    endpoint = Endpoint("e", "s", "a:1")
+    fleet.apply([endpoint], [], 0.0)
+    assert fleet.usable("s", 0.0) == [endpoint]
+    fleet.apply([replace(endpoint, leaving=True)], [], 1.0)
+    fleet.apply([endpoint], [], 2.0)
+    assert fleet.usable("s", 2.0) == []
+    fleet.apply([], ["e"], 3.0)
+    assert not fleet.by_id
+
+
+def test_vanished_endpoints_are_a_last_resort_and_only_for_a_short_while():
+    fleet = Fleet()
+    fleet.apply([Endpoint("e", "s", "a:1"), Endpoint("f", "s", "a:2")], [], 0.0)
+    fleet.apply([], ["e"], 1.0)
+    assert [item.id for item in fleet.usable("s", 1.1)] == ["f"]
+    fleet.apply_whole([], 2.0)
+    assert {item.id for item in fleet.usable("s", 2.1)} == {"e", "f"}
+    assert [item.id for item in fleet.usable("s", 1.0 + MISSING_GRACE_S + 0.1)] == ["f"]
+    assert fleet.usable("s", 2.0 + MISSING_GRACE_S + 0.1) == []
+    fleet.apply([Endpoint("e", "s", "a:1")], [], 9.0)
+    assert [item.id for item in fleet.usable("s", 9.0)] == ["e"]
+
+
+@settings(max_examples=60)
+@given(
+    st.integers(1, 9),
+    st.lists(st.tuples(st.floats(0, 0.4), st.booleans(), st.integers(0, 8)), max_size=400),
+)
+def test_all_boxes_together_never_exceed_the_allowance_in_any_window(boxes, steps):
+    allowance = Allowance(ratio=0.2, slack=50, window_s=10.0)
+    budgets = [WindowBudget(allowance) for _ in range(boxes)]
+    now, requests, repeats = 0.0, [], []
+    for pause, repeat, chosen in steps:
+        now += pause
+        budget = budgets[chosen % boxes]
+        if not repeat:
+            budget.on_request(now)
+            requests.append(now)
+        elif budget.take(now, boxes):
+            repeats.append(now)
+        spent = sum(at > now - 10.0 for at in repeats)
+        assert spent <= 0.2 * sum(at >= now - 20.0 for at in requests) + 50
+
+
+def test_an_older_event_never_undoes_a_newer_one():
+    holdings = Holdings()
+    holdings.apply("a", [PartEvent(5, "s", "p", 0)], 5, 0.0)
+    holdings.apply("a", [PartEvent(4, "s", "p", 100)], 5, 0.1)
+    assert holdings.tokens("a", "s", "p") == 0 and not holdings.holders("s", "p")
+    holdings.apply("a", [PartEvent(6, "s", "p", 100)], 6, 0.2)
+    assert holdings.holders("s", "p") == {"a"} and holdings.by_address["a"].total == 100
+
+
+def test_forgetting_a_holder_leaves_nothing_of_it_and_dropped_parts_are_bounded():
+    holdings = Holdings()
+    for number in range(3 * MAX_DROPPED):
+        holdings.apply("a", [PartEvent(2 * number, "s", f"p{number}", 10)], 2 * number, 0.0)
+        holdings.apply("a", [PartEvent(2 * number + 1, "s", f"p{number}", 0)], 2 * number + 1, 0.0)
+    assert len(holdings.by_address["a"].number_by_key) <= MAX_DROPPED + 1
+    assert holdings.by_address["a"].total == 0
+    holdings.expect("a", "s", "q", 7)
+    holdings.forget("a")
+    assert not holdings.by_address and not holdings.holders_by_key
+
+
+PARTS = (Part("a", 500), Part("b", 8_000), Part("c", 2_000))
+
+
+def no_source(index, address):
+    return None
+
+
+def engine(name: str, resident=(0, 0, 0), **fields) -> EngineView:
+    return EngineView(name, f"{name}:1", resident, **fields)
+
+
+def test_an_engine_that_keeps_the_prompt_wins_unless_its_queue_is_longer_than_reading():
+    keeps, idle = engine("keeps", (500, 8_000, 0)), engine("idle")
+    assert place(PARTS, 10_500, [idle, keeps], no_source, 35_000)[0].engine is keeps
+    waits = replace(keeps, waiting_tokens=40_000.0)
+    assert place(PARTS, 10_500, [idle, waits], no_source, 35_000)[0].engine is idle
+
+
+def test_bringing_context_over_a_quick_link_beats_reading_it_anew():
+    def source(index, address):
+        return Source("store:1", PARTS[index].tokens, 16e9, 0.006) if index < 2 else None
+
+    best = place(PARTS, 10_500, [engine("e")], source, 35_000)[0]
+    assert (best.reused, best.fetched, best.read) == (0, 8_500, 2_000)
+    assert best.fetch_from == ("store:1", "store:1", "")
+    without = place(PARTS, 10_500, [engine("e")], no_source, 35_000)[0]
+    assert best.first_token_s < without.first_token_s
+
+
+def test_a_chain_is_of_no_use_beyond_its_first_gap():
+    def only_second(index, address):
+        return Source("store:1", 8_000, 16e9) if index == 1 else None
+
+    best = place(PARTS, 10_500, [engine("e")], only_second, 35_000)[0]
+    assert best.fetched == 0 and best.read == 10_500
+
+
+def test_an_engine_whose_memory_is_full_is_left_for_one_that_has_room():
+    full = engine("full", (500, 8_000, 0), used_tokens=178_000, total_tokens=179_000)
+    roomy = engine("roomy", used_tokens=60_000, total_tokens=179_000)
+    assert place(PARTS, 10_500, [full, roomy], no_source, 35_000)[0].engine is roomy
+
+
+@given(st.integers(0, 10_000))
+def test_only_engines_about_as_quick_as_the_best_are_drawn(seed):
+    views = [engine("a"), engine("b"), engine("slow", waiting_tokens=30_000.0)]
+    drawn = pick(place(PARTS, 10_500, views, no_source, 35_000), Random(seed))
+    assert drawn.engine.id in ("a", "b")
+
+
+ENGINES = [EngineState(f"e{number}", "m", 1, sequence=0) for number in range(10)]
+
+
+def test_a_fifth_of_the_engines_load_at_once_and_the_least_busy_go_first():
+    engines = [replace(item, running=10 - number) for number, item in enumerate(ENGINES)]
+    orders = next_orders(engines, {"m": 2}, {}, 0.0)
+    assert [order.engine for order in orders] == ["e9", "e8"]
+    busy = [replace(engines[0], busy=True), *engines[1:]]
+    assert len(next_orders(busy, {"m": 2}, {}, 0.0)) == 1
+
+
+def test_an_order_that_shows_no_effect_is_given_again_and_a_newer_version_overtakes_it():
+    one = [ENGINES[0]]
+    given_at = {("e0", 2): 100.0}
+    assert not next_orders(one, {"m": 2}, given_at, 100.0 + ORDER_SETTLES_S - 0.1)
+    assert next_orders(one, {"m": 2}, given_at, 100.0 + ORDER_SETTLES_S + 0.1)
+    assert next_orders(one, {"m": 3}, given_at, 100.1)[0].version == 3
+    assert not next_orders([replace(one[0], version=2)], {"m": 2}, {}, 0.0)
+    assert not next_orders([replace(one[0], sequence=None)], {"m": 2}, {}, 0.0)
+
+
+@given(
+    st.text(st.characters(exclude_characters="/"), max_size=8),
+    st.text(min_size=1, max_size=8),
+    st.integers(0, 99),
+)
+def test_a_scopes_name_is_read_back(wall, model, version):
+    scope = Scope(wall, model, version)
+    assert parse_scope(scope.name) == scope
+
+
+def test_scopes_of_others_are_not_ours():
+    assert parse_scope("s1") is None and parse_scope("") is None and parse_scope("a/b/c") is None
