Read the settings anew on a hangup signal, and when they change without one

Ruled out: the new settings themselves (they were the same). Change: a reload reads the file; changed bounds are in force at once, unreadable ones change nothing and are told. Three tests, all failing first.

--- a/stairquay/cli.py
+++ b/stairquay/cli.py
@@ -130,7 +130,13 @@
             return ExitStatus.BAD_SETTINGS
         _start_logs()
         table_address = boot.ok_value.table_address
-        asyncio.run(run_box(boot.ok_value.settings, lambda: open_surroundings(table_address)))
+        asyncio.run(
+            run_box(
+                boot.ok_value.settings,
+                lambda: load_boot(path, metrics_port).map(lambda again: again.settings),
+                lambda: open_surroundings(table_address),
+            )
+        )
         return ExitStatus.SUCCESS
 
     return command
--- a/stairquay/explain.py
+++ b/stairquay/explain.py
@@ -22,6 +22,7 @@
     (
         "start",
         "stop",
+        "reload",
         "configuration",
         "version_named",
         "endpoints",
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import random
+import signal
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 from aiohttp import web
+from result import Err, Result
 
 from stairquay.adapters.program import Tasks, listen, until_stopped, wait_until
+from stairquay.core.decode import Mistake
 from stairquay.serving.boxes import BoxList
 from stairquay.serving.decisions import Decision, DecisionLog
 from stairquay.serving.dispatch import Dispatcher
@@ -32,11 +35,18 @@
 
 MAX_FIELD_BYTES = 32_768
 
+REREAD_S = 4.0
+"""Seconds between two readings of the settings: they may change without a signal."""
+
+LoadSettings = Callable[[], Result[BoxSettings, list[Mistake]]]
 OpenSurroundings = Callable[[], Surroundings]
 
 
-async def run_box(settings: BoxSettings, open_surroundings: OpenSurroundings) -> None:
-    """Run a box until a stop signal, then let every request under way finish."""
+async def run_box(settings: BoxSettings, load: LoadSettings, open_surroundings: OpenSurroundings) -> None:
+    """Run a box until a stop signal, then let every request under way finish.
+
+    `load` reads the settings anew, on a hangup signal and from time to time.
+    """
     log = DecisionLog(settings.id)
     state = BoxState(settings, log)
     state.boxes = (settings.id,)
@@ -57,6 +67,7 @@
         orders.run(),
         boxes.run(),
         upkeep.run(),
+        _reload(state, load),
     ):
         tasks.start(_kept_running(state, work))
     log.line(Decision.START, front=settings.front, data_hall=settings.data_hall)
@@ -73,6 +84,39 @@
     await surroundings.close()
 
 
+async def _reload(state: BoxState, load: LoadSettings) -> None:
+    """Put changed settings in force; those that cannot be read change nothing."""
+    hangup = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, hangup.set)
+    complained = False
+    while True:
+        asked = await _happens(hangup, REREAD_S)
+        hangup.clear()
+        loaded = load()
+        if isinstance(loaded, Err):
+            if asked or not complained:
+                mistakes = [str(mistake) for mistake in loaded.err_value]
+                state.log.line(Decision.RELOAD, outcome="kept", mistakes=mistakes)
+            complained = True
+            continue
+        complained = False
+        changed = loaded.ok_value != state.settings
+        if changed:
+            state.use_settings(loaded.ok_value)
+        if changed or asked:
+            state.log.line(Decision.RELOAD, outcome="in_force" if changed else "unchanged", asked=asked)
+
+
+async def _happens(event: asyncio.Event, limit_s: float) -> bool:
+    """Wait for an event; tell whether it came within the limit."""
+    try:
+        async with asyncio.timeout(limit_s):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
 async def _kept_running(state: BoxState, work: Coroutine[Any, Any, None]) -> None:
     """Run a part of the box; its failure is logged and ends the program, which is then started anew."""
     try:
--- a/stairquay/serving/decisions.py
+++ b/stairquay/serving/decisions.py
@@ -34,6 +34,7 @@
 
     START = "start"
     STOP = "stop"
+    RELOAD = "reload"
     CONFIGURATION = "configuration"
     VERSION_NAMED = "version_named"
     ENDPOINTS = "endpoints"
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -103,6 +103,12 @@
     stopping: bool = False
     refusing: bool = False
 
+    def use_settings(self, settings: BoxSettings) -> None:
+        """Put changed settings in force; addresses keep until the next start."""
+        self.settings = settings
+        for budget in self.budgets_by_service.values():
+            budget.allowance = settings.repeats
+
     def view_age(self) -> float:
         """Return the age of the configuration's view in seconds."""
         return monotonic() - self.view_asked_at
--- a/tests/site.py
+++ b/tests/site.py
@@ -118,8 +118,7 @@
         ports = free_ports(3)
         self.front, self.readiness = f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[1]}"
         self.metrics_port = ports[2]
-        path = self.folder / "local.toml"
-        path.write_text(self._settings())
+        path = self.write_settings()
         command = [sys.executable, "-m", "stairquay", "box", "--metrics-port", str(self.metrics_port)]
         self.box = await asyncio.create_subprocess_exec(
             *command,
@@ -130,6 +129,11 @@
         )
         self.reader = asyncio.create_task(self._read_log(self.box))
 
+    def write_settings(self) -> Path:
+        path = self.folder / "local.toml"
+        path.write_text(self._settings())
+        return path
+
     def _settings(self) -> str:
         bounds = {"grace_s": 8, "drain_ms": 2000, "revoke_ms": 5000, "lease_ms": 300, "budget_slack": 50}
         lines = "\n".join(f"{key} = {value}" for key, value in (bounds | self.bounds).items())
--- a/tests/test_box_state.py
+++ b/tests/test_box_state.py
@@ -1,6 +1,7 @@
 """A whole box against stand-ins of the platform: configuration, endpoints, outages, orders, kept context."""
 
 import asyncio
+import signal
 
 from tests.site import KEY, MODEL, SCOPE, Site, configuration, eventually, route, site
 
@@ -286,3 +287,42 @@
             await eventually(lambda: here.logged("attempt_failed", status=421))
 
     asyncio.run(scenario())
+
+
+def test_a_hangup_signal_reads_the_settings_anew_and_cuts_nothing():
+    async def scenario():
+        async with site() as here:
+            here.endpoints[0].hold_s = 1.0
+            under_way = asyncio.create_task(here.call("/plain/x"))
+            await eventually(lambda: here.endpoints[0].taken)
+            here.bounds["revoke_ms"] = 1000
+            here.write_settings()
+            here.box.send_signal(signal.SIGHUP)
+            assert (await under_way).status == 200
+            await eventually(lambda: here.logged("reload", outcome="in_force"))
+            here.table.down = True
+            await asyncio.sleep(1.5)
+            assert (await here.call("/plain/y")).status == 503
+
+    asyncio.run(scenario())
+
+
+def test_settings_that_cannot_be_read_leave_the_last_ones_in_force():
+    async def scenario():
+        async with site() as here:
+            (here.folder / "local.toml").write_text("ip = 7")
+            here.box.send_signal(signal.SIGHUP)
+            await eventually(lambda: here.logged("reload", outcome="kept"))
+            assert (await here.call("/plain/x")).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_changed_settings_are_found_without_a_signal():
+    async def scenario():
+        async with site() as here:
+            here.bounds["revoke_ms"] = 1000
+            here.write_settings()
+            await eventually(lambda: here.logged("reload", outcome="in_force"), 9.0)
+
+    asyncio.run(scenario())
