Send callers of a box without a fresh view to another box at once

Ruled out: serving on with an old view (a key may have been taken away). Change: from the moment that a box is unready its answers end their connections, and its refusals ask to come back after 0.05 s.

--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -192,7 +192,7 @@
                     progress.stream,
                     job.deadline,
                     on_first=lambda: self._on_first(job, begun),
-                    last_on_connection=lambda: self.state.stopping,
+                    last_on_connection=self.state.turns_away,
                 )
                 response = progress.stream.response
                 assert response is not None
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -18,9 +18,9 @@
 BODY_S = 10.0
 """Seconds that a caller may take to send a body."""
 
-NOT_READY_RETRY_S = 0.5
-"""Seconds after which a caller should come back to a box whose view is too old: the balancer sends it
-elsewhere after two missed questions, a second apart, and others serve meanwhile."""
+NOT_READY_RETRY_S = 0.05
+"""Seconds after which a caller should come back when this box's view is too old: its answer also ends the
+connection, so that the caller comes to another box, which can serve it at once."""
 
 STOPPING_RETRY_S = 0.05
 """Seconds after which a caller should come back when this box stops: another box takes it at once."""
@@ -64,7 +64,7 @@
         if isinstance(outcome, Err):
             return self._refuse(call.id, outcome.err_value, arrived_at)
         response = outcome.ok_value
-        if self.state.stopping and not response.prepared:
+        if self.state.turns_away() and not response.prepared:
             response.force_close()
         return response
 
@@ -163,6 +163,6 @@
             took_s=monotonic() - arrived_at,
         )
         response = self.callers.refuse(call_id, refusal)
-        if self.state.stopping:
+        if self.state.turns_away():
             response.force_close()
         return response
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -122,6 +122,10 @@
         known = self.catalog is not None and self.fleet_known
         return known and not self.stopping and self.view_age() < self.settings.freshness.ready_s
 
+    def turns_away(self) -> bool:
+        """Tell whether callers should use another box from now on: this one stops, or its view is old."""
+        return self.stopping or self.view_age() >= self.settings.freshness.ready_s
+
     def of(self, endpoint: Endpoint) -> EndpointState:
         """Return the state of an endpoint."""
         state = self.endpoints_by_id.get(endpoint.id)
--- a/tests/test_box_state.py
+++ b/tests/test_box_state.py
@@ -54,7 +54,8 @@
             assert (await here.call("/plain/x")).status == 200
             await eventually(lambda: _refused(here), 4.0)
             refused = await here.call("/plain/x")
-            assert refused.status == 503 and "Retry-After" in refused.headers
+            assert refused.status == 503 and float(refused.headers["Retry-After"]) < 0.1
+            assert refused.headers["Connection"] == "close"
             assert (await here.call("/open/x", key=None)).status == 200
             assert not await here.is_ready()
             here.table.down = False
