Read the list and operators' rows whole from time to time, and while entries are missing

Ruled out: our grace for missing entries (they never came through the feed), unreadable rows (a new start read them all). Change: both feeds go through one loop that reads everything each 4 s (list) or 8 s (operators), and at each step while entries are missing. Two tests that failed first.

--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -1,15 +1,20 @@
 """Follows the configuration and the list of endpoints in the table service."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from time import monotonic
+from typing import Generic, TypeVar
 
-from result import Err
+from result import Err, Result
 
 from stairquay.core.catalog import Catalog
 from stairquay.serving.decisions import Decision
 from stairquay.serving.ports import EndpointChanges, FeedFault, Feeds, OperatorChanges
 from stairquay.serving.state import BoxState
 
+Changes = TypeVar("Changes", OperatorChanges, EndpointChanges)
+
 WAIT_S = 0.7
 """Seconds for which a call waits for changes: the view's age stays below it while the service answers,
 and one lost answer does not make the view too old."""
@@ -17,6 +22,11 @@
 AGAIN_S = 0.1
 """Seconds before a call that got no answer is made again."""
 
+LIST_WHOLE_S = 4.0
+OPERATORS_WHOLE_S = 8.0
+"""Seconds between two whole reads. Entries of endpoints that lapsed during an outage came back without a
+change in the feed, and only whole reads find them; while some are missing, each read is whole."""
+
 LIST_PAUSE_S = 0.6
 """Seconds between two reads of the list, which changes with every heartbeat: far below the two seconds
 in which new work for a leaving endpoint must stop. Every call is priced."""
@@ -24,48 +34,84 @@
 
 async def follow_operators(state: BoxState, feeds: Feeds) -> None:
     """Keep the configuration and the named versions up to date."""
-    revision: int | None = None
-    lost = False
-    while True:
-        asked_at = monotonic()
-        if revision is None:
-            answer = await feeds.read_operators()
-        else:
-            answer = await feeds.follow_operators(revision, WAIT_S)
-        state.metrics.table_calls.labels("operators", "err" if isinstance(answer, Err) else "ok").inc()
-        if isinstance(answer, Err):
-            if answer.err_value == FeedFault.HISTORY_GONE:
-                revision = None
-                continue
-            lost = _lost(state, "operators", lost)
-            await asyncio.sleep(AGAIN_S)
-            continue
-        lost = _regained(state, "operators", lost)
-        apply_operators(state, answer.ok_value, asked_at)
-        revision = answer.ok_value.revision
+
+    def apply(changes: OperatorChanges, asked_at: float) -> None:
+        apply_operators(state, changes, asked_at)
+
+    await _follow(
+        state,
+        Followed(
+            name="operators",
+            read=feeds.read_operators,
+            follow=feeds.follow_operators,
+            apply=apply,
+            whole_now=lambda: False,
+            whole_s=OPERATORS_WHOLE_S,
+            pause_s=0.0,
+        ),
+    )
 
 
 async def follow_endpoints(state: BoxState, feeds: Feeds) -> None:
     """Keep the list of endpoints up to date."""
+
+    def apply(changes: EndpointChanges, _: float) -> None:
+        apply_endpoints(state, changes)
+
+    await _follow(
+        state,
+        Followed(
+            name="endpoints",
+            read=feeds.read_endpoints,
+            follow=feeds.follow_endpoints,
+            apply=apply,
+            whole_now=lambda: bool(state.fleet.missing_since_by_id),
+            whole_s=LIST_WHOLE_S,
+            pause_s=LIST_PAUSE_S,
+        ),
+    )
+
+
+@dataclass(frozen=True)
+class Followed(Generic[Changes]):
+    """One thing that is followed in the table service.
+
+    apply takes the changes and when their question was asked. whole_now tells whether everything has to be
+    read; whole_s is the longest time between two such reads, pause_s the pause after each answer.
+    """
+
+    name: str
+    read: Callable[[], Awaitable[Result[Changes, FeedFault]]]
+    follow: Callable[[int, float], Awaitable[Result[Changes, FeedFault]]]
+    apply: Callable[[Changes, float], None]
+    whole_now: Callable[[], bool]
+    whole_s: float
+    pause_s: float
+
+
+async def _follow(state: BoxState, followed: Followed[Changes]) -> None:
+    """Read everything, then follow its changes; read everything again from time to time."""
     revision: int | None = None
+    read_at = float("-inf")
     lost = False
     while True:
-        if revision is None:
-            answer = await feeds.read_endpoints()
-        else:
-            answer = await feeds.follow_endpoints(revision, WAIT_S)
-        state.metrics.table_calls.labels("endpoints", "err" if isinstance(answer, Err) else "ok").inc()
+        asked_at = monotonic()
+        whole = revision is None or followed.whole_now() or asked_at - read_at > followed.whole_s
+        answer = await (followed.read() if whole or revision is None else followed.follow(revision, WAIT_S))
+        outcome = answer.err_value.value if isinstance(answer, Err) else "ok"
+        state.metrics.table_calls.labels(followed.name, outcome).inc()
         if isinstance(answer, Err):
             if answer.err_value == FeedFault.HISTORY_GONE:
                 revision = None
                 continue
-            lost = _lost(state, "endpoints", lost)
+            lost = _lost(state, followed.name, lost)
             await asyncio.sleep(AGAIN_S)
             continue
-        lost = _regained(state, "endpoints", lost)
-        apply_endpoints(state, answer.ok_value)
+        lost = _regained(state, followed.name, lost)
+        followed.apply(answer.ok_value, asked_at)
         revision = answer.ok_value.revision
-        await asyncio.sleep(LIST_PAUSE_S)
+        read_at = asked_at if whole else read_at
+        await asyncio.sleep(followed.pause_s)
 
 
 def apply_operators(state: BoxState, changes: OperatorChanges, asked_at: float) -> None:
--- a/tests/test_box_state.py
+++ b/tests/test_box_state.py
@@ -327,3 +327,28 @@
             await eventually(lambda: here.logged("reload", outcome="in_force"), 9.0)
 
     asyncio.run(scenario())
+
+
+def test_entries_that_come_back_without_a_change_in_the_feed_are_found():
+    async def scenario():
+        async with site() as here:
+            row = here.table.rows_by_key[("servers", "p-0")]
+            here.table.remove("servers", "p-0")
+            await eventually(lambda: here.logged("endpoints", endpoint="p-0", standing="gone"), 5.0)
+            here.table.rows_by_key["servers", "p-0"] = row
+            await eventually(lambda: _served(here), 6.0)
+
+    async def _served(here: Site) -> bool:
+        return (await here.call("/plain/x")).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_a_named_version_that_the_feed_did_not_tell_is_found():
+    async def scenario():
+        async with site(plain=0, engines=1) as here:
+            here.table.put("op", f"version/{MODEL}", {"model": MODEL, "version": 2})
+            here.table.history.pop()
+            await eventually(lambda: here.engines()[0].version == 2, 12.0)
+
+    asyncio.run(scenario())
