Refuse the least urgent in overload, and bring versions everywhere before their time is over

Ruled out: the lease (held by one box throughout); memory balance (all engines were full). Change: an order without answer holds up no other engine and is given again after 2.5 s; past 0.55 of the time all engines load at once; nothing is sent to weights replaced too long ago; the least urgent kind is refused at once, with when to come back, where every engine is more than 0.75 objectives behind; waiting prompts count towards memory.

--- a/stairquay/core/catalog.py
+++ b/stairquay/core/catalog.py
@@ -121,6 +121,18 @@
                 return route
         return None
 
+    @cached_property
+    def _least_urgent_by_service(self) -> dict[str, int]:
+        ranks: dict[str, int] = {}
+        for route in self.routes:
+            for split in route.splits:
+                ranks[split.service] = max(route.priority, ranks.get(split.service, 0))
+        return ranks
+
+    def least_urgent(self, route: Route, service: str) -> bool:
+        """Tell whether no route of a service is less urgent than this one."""
+        return route.priority >= self._least_urgent_by_service.get(service, 0)
+
     def needs_key(self, route: Route) -> bool:
         """Tell whether requests on a route must carry a workspace's key."""
         return self.keyed and not route.public
--- a/stairquay/core/placement.py
+++ b/stairquay/core/placement.py
@@ -109,6 +109,11 @@
     return sorted(found, key=lambda placement: placement.first_token_s)
 
 
+def backlog_s(engine: EngineView) -> float:
+    """Return how long any further prompt waits at an engine, whatever its size."""
+    return _queue_s(engine) + _memory_s(engine, 0)
+
+
 def pick(placements: Sequence[Placement], random: Random) -> Placement:
     """Return one of the placements that are about as quick as the quickest."""
     limit = placements[0].first_token_s + SPREAD_S
@@ -144,10 +149,13 @@
     return Placement(engine, tuple(fetch_from), reused, fetched, read, first_token_s)
 
 
+def _queue_s(engine: EngineView) -> float:
+    over = max(0, engine.running + 1 - engine.slots)
+    return engine.waiting_tokens / PREFILL_TOKENS_S + over / engine.slots * RUN_LASTS_S
+
+
 def _wait_s(engine: EngineView) -> float:
-    waits = engine.waiting_tokens / PREFILL_TOKENS_S + engine.running * RUN_S
-    waits += engine.failing * FAILING_S
-    waits += max(0, engine.running + 1 - engine.slots) / engine.slots * RUN_LASTS_S
+    waits = _queue_s(engine) + engine.running * RUN_S + engine.failing * FAILING_S
     if engine.outdated:
         waits += OLD_VERSION_S
     return waits if engine.here else waits + STRANGE_HALL_S
--- a/stairquay/core/rollout.py
+++ b/stairquay/core/rollout.py
@@ -8,8 +8,16 @@
 runs, about 0.6 of it on a standard day; and all are to be through in less than twelve seconds, at a second
 and a half each."""
 
+HURRY_SHARE = 0.55
+"""Share of the time in which a version is to be everywhere after which all engines load at once: slower
+loads cost less than requests on replaced weights."""
+
 ORDER_SETTLES_S = 6.0
-"""Seconds for which an order without a visible effect counts as under way; it may be taken late."""
+"""Seconds for which an order that was taken counts as under way without a visible effect."""
+
+SILENT_SETTLES_S = 2.5
+"""Seconds after which an order that got no answer is given again: it may be carried out later, and its
+count of orders then no longer fits."""
 
 
 @dataclass(frozen=True)
@@ -24,6 +32,18 @@
     sequence: int | None = None
 
 
+@dataclass(frozen=True)
+class Given:
+    """An order that was given, by monotonic time. `answered`: the engine said that it took it."""
+
+    at: float
+    answered: bool = True
+
+    def settles(self, now: float) -> bool:
+        """Tell whether the order may still show its effect."""
+        return now - self.at < (ORDER_SETTLES_S if self.answered else SILENT_SETTLES_S)
+
+
 @dataclass(frozen=True)
 class Order:
     """Tell an engine to load a version, if it has taken `sequence` orders so far."""
@@ -42,25 +62,39 @@
 def next_orders(
     engines: Iterable[EngineState],
     named: Mapping[str, int],
-    ordered_at: Mapping[tuple[str, int], float],
+    given: Mapping[tuple[str, int], Given],
     now: float,
+    hurry: bool = False,
 ) -> list[Order]:
     """Return the orders to give now, the least busy engines first.
 
-    An engine whose count of orders is not known gets none: one carried out late could not be told from a
-    newer one. `ordered_at` has the monotonic time of orders already given, by engine and version. An engine
-    that is loading counts towards the limit; one whose order seems lost is told again after a while.
+    `given` has the orders already given, by engine and version. An engine whose count of orders is not known
+    gets none: one carried out late could not be told from a newer one. An engine that is loading counts
+    towards the limit; one that did not answer does not, since it may never load. In a hurry all load at once.
     """
     known = list(engines)
-    behind = outdated(known, named)
-    settling = [
+    settling = {
+        engine.id: sent for engine in known if (sent := _settling(engine, named, given, now)) is not None
+    }
+    loading = {engine.id for engine in known if engine.busy}
+    loading |= {key for key, sent in settling.items() if sent.answered}
+    ready = [
         engine
-        for engine in behind
-        if now - ordered_at.get((engine.id, named[engine.model]), float("-inf")) < ORDER_SETTLES_S
+        for engine in outdated(known, named)
+        if engine.id not in loading and engine.id not in settling and engine.sequence is not None
     ]
-    loading = {engine.id for engine in known if engine.busy} | {engine.id for engine in settling}
-    ready = [engine for engine in behind if engine.id not in loading and engine.sequence is not None]
     waiting = sorted(ready, key=lambda engine: (engine.running, engine.id))
-    at_once = max(1, int(len(known) * AT_ONCE_SHARE))
+    at_once = len(known) if hurry else max(1, int(len(known) * AT_ONCE_SHARE))
     free = max(0, at_once - len(loading))
     return [Order(item.id, item.model, named[item.model], item.sequence) for item in waiting[:free]]
+
+
+def _settling(
+    engine: EngineState, named: Mapping[str, int], given: Mapping[tuple[str, int], Given], now: float
+) -> Given | None:
+    """Return the order that an engine that is behind may still be carrying out."""
+    version = named.get(engine.model, 0)
+    sent = given.get((engine.id, version))
+    if engine.version >= version or sent is None or not sent.settles(now):
+        return None
+    return sent
--- a/stairquay/platform/peers.py
+++ b/stairquay/platform/peers.py
@@ -44,7 +44,10 @@
 
 
 class WireReport(msgspec.Struct):
-    """State of an engine or store box. `sequence` counts orders taken, `boot_epoch` names its life."""
+    """State of an engine or store box. `sequence` counts orders taken, `boot_epoch` names its life.
+
+    next_page_token is, here, the tokens of the first waiting prompt.
+    """
 
     models: list[WireModel] = []
     busy: bool = False
@@ -54,6 +57,7 @@
     state: str = ""
     clock_ms: float | None = None
     boot_epoch: int | None = None
+    next_page_token: int = 0
     kv_used: int = 0
     kv_total: int = 0
 
@@ -96,6 +100,7 @@
             busy=found.busy,
             sequence=found.sequence,
             queued=found.queued,
+            next_tokens=found.next_page_token,
             running=found.running,
             leaving=found.state == STATE_DRAINING,
             clock_ms=None if found.clock_ms is None else int(found.clock_ms),
--- a/stairquay/serving/choosing.py
+++ b/stairquay/serving/choosing.py
@@ -8,8 +8,9 @@
 from stairquay.core.call import PromptShape
 from stairquay.core.catalog import Catalog, EngineShape, ServiceShape, StoreShape, WorkspaceRule
 from stairquay.core.fleet import Endpoint
-from stairquay.core.placement import EngineView, Placement, Source, pick, place
+from stairquay.core.placement import EngineView, Placement, Source, backlog_s, pick, place
 from stairquay.core.scope import Scope
+from stairquay.serving.ports import EngineReport
 from stairquay.serving.state import BoxState
 
 CONNECTION_SHARE = 0.85
@@ -39,6 +40,7 @@
     scope: str = ""
     placement: Placement | None = None
     alternative_s: float | None = None
+    backlog_s: float = 0.0
     fetch_until_ms: int | None = None
 
 
@@ -54,6 +56,8 @@
     """Return the best endpoint, or None where no endpoint can be used."""
     now = monotonic()
     candidates = _candidates(state, service, tried, now)
+    if prompt is not None:
+        candidates = [item for item in candidates if not state.too_old(item, prompt.model)]
     if not candidates:
         return None
     if prompt is None or service.engine is None:
@@ -134,6 +138,7 @@
         version=versions[endpoint.address] or None,
         scope=scopes[endpoint.address],
         placement=best,
+        backlog_s=min(backlog_s(view) for view in views),
         alternative_s=placements[1].first_token_s if len(placements) > 1 else None,
         fetch_until_ms=_fetch_until_ms(state, now),
     )
@@ -162,12 +167,17 @@
         failing=held.failing_share(now),
         outdated=outdated,
         here=endpoint.data_hall == state.settings.data_hall,
-        used_tokens=held.used_tokens(now) + others * OTHERS_PROMPT_TOKENS,
+        used_tokens=held.used_tokens(now) + _waiting_memory(held.report),
         slots=slots,
         total_tokens=0.0 if held.report is None else held.report.total_tokens,
     )
 
 
+def _waiting_memory(report: EngineReport | None) -> float:
+    """Return the memory that requests waiting at an engine will take once they are let in."""
+    return 0.0 if report is None else float(report.queued * report.next_tokens)
+
+
 def fresh_stores(state: BoxState, catalog: Catalog) -> list[StoreShape]:
     """Return the store boxes whose content is known now."""
     now = monotonic()
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -25,6 +25,12 @@
 RETRY_AFTER_S = 0.25
 """Seconds after which a refused caller should come back: about the time an endpoint needs for a batch."""
 
+SHED_AT = 0.75
+"""Backlog, in objectives, from which the least urgent requests are refused: reading takes the rest."""
+
+SHED_RETRY_S = 0.3
+"""Seconds after which a caller refused for overload should come back: half an objective."""
+
 WORK_WEIGHT = 0.1
 """Weight of the newest answer in an endpoint's mean time to answer."""
 
@@ -91,6 +97,8 @@
             )
             if choice is None:
                 return self._given_up(job, progress, Refusal(ErrorKind.NO_ENDPOINT), request)
+            if self._sheds(job, choice, progress):
+                return self._given_up(job, progress, _overloaded(choice), request)
             response = await self._attempt(job, choice, progress, request)
             if response is not None:
                 return Ok(response)
@@ -106,6 +114,20 @@
             return Refusal(ErrorKind.NOT_READY, progress.ran, "the configuration's view is too old")
         return None
 
+    def _sheds(self, job: Job, choice: Choice, progress: Progress) -> bool:
+        """Tell whether a request is refused at once, because every engine has more work than it does in time.
+
+        Only the least urgent kind is: the others are let in before it. Those that are let in are in time,
+        where otherwise all of them would be late.
+        """
+        if (
+            progress.tried
+            or choice.placement is None
+            or not job.catalog.least_urgent(job.route, job.service.id)
+        ):
+            return False
+        return choice.backlog_s > job.route.objective_s * SHED_AT
+
     def _fresh(self, job: Job) -> bool:
         return job.workspace is None or self.state.keys_fresh()
 
@@ -373,6 +395,11 @@
         )
 
 
+def _overloaded(choice: Choice) -> Refusal:
+    detail = f"engines are {choice.backlog_s:.2f} s behind"
+    return Refusal(ErrorKind.OVERLOADED, Ran.NOT_RUN, detail, SHED_RETRY_S)
+
+
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that promise that the request has not run."""
 
--- a/stairquay/serving/orders.py
+++ b/stairquay/serving/orders.py
@@ -16,7 +16,7 @@
 from stairquay.adapters.ports import Commit, Committed, Condition, Write
 from stairquay.core.fleet import Endpoint
 from stairquay.core.lease import Held, LeaseRow, Observed, next_row, observe
-from stairquay.core.rollout import EngineState, Order, next_orders, outdated
+from stairquay.core.rollout import HURRY_SHARE, EngineState, Given, Order, next_orders, outdated
 from stairquay.serving.decisions import Decision
 from stairquay.serving.ports import OrderAnswer, OwnTable, Peers, VersionOrder
 from stairquay.serving.state import BoxState
@@ -38,7 +38,7 @@
         self.peers = peers
         self.held: Held | None = None
         self.observed: Observed | None = None
-        self.ordered_at: dict[tuple[str, int], float] = {}
+        self.given: dict[tuple[str, int], Given] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -53,10 +53,17 @@
             if self.held is None and not await self._may_take():
                 continue
             await self._look_again(engines)
-            orders = next_orders(self._engines(), self.state.named_by_model, self.ordered_at, monotonic())
+            orders = next_orders(
+                self._engines(), self.state.named_by_model, self.given, monotonic(), self._hurry(behind)
+            )
             if orders and await self._lead():
                 self._give(orders)
 
+    def _hurry(self, behind: list[EngineState]) -> bool:
+        """Tell whether little is left of the time in which a version is to be everywhere."""
+        limit_s = self.state.settings.versions_within_s * HURRY_SHARE
+        return any(self.state.named_for_s(engine.model) > limit_s for engine in behind)
+
     async def _look_again(self, engines: list[EngineState]) -> None:
         """Ask engines that are loading for their state: the next one waits for them."""
         for engine in engines:
@@ -147,7 +154,7 @@
 
     def _give(self, orders: list[Order]) -> None:
         for order in orders:
-            self.ordered_at[order.engine, order.version] = monotonic()
+            self.given[order.engine, order.version] = Given(monotonic())
             task = asyncio.create_task(self._order(order))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
@@ -156,7 +163,7 @@
         endpoint = self.state.fleet.by_id.get(order.engine)
         held = self.held
         if endpoint is None or held is None or not held.may_act(monotonic()):
-            self.ordered_at.pop((order.engine, order.version), None)
+            self.given.pop((order.engine, order.version), None)
             return
         answer = await self.peers.order(
             VersionOrder(
@@ -170,7 +177,9 @@
             )
         )
         if answer in (OrderAnswer.CONFLICT, OrderAnswer.REFUSED):
-            self.ordered_at.pop((order.engine, order.version), None)
+            self.given.pop((order.engine, order.version), None)
+        if answer == OrderAnswer.SILENT:
+            self.given[order.engine, order.version] = Given(monotonic(), answered=False)
         self.state.metrics.orders.labels(answer.value).inc()
         self.state.log.line(
             Decision.ORDER,
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -84,12 +84,16 @@
 
 @dataclass(frozen=True)
 class EngineReport:
-    """What an engine or store box says of its state, some hundred milliseconds old."""
+    """What an engine or store box says of its state, some hundred milliseconds old.
+
+    next_tokens: the prompt of the first request that waits.
+    """
 
     versions_by_model: dict[str, int] = field(default_factory=dict)
     busy: bool = False
     sequence: int | None = None
     queued: int = 0
+    next_tokens: int = 0
     running: int = 0
     leaving: bool = False
     clock_ms: int | None = None
--- a/stairquay/serving/settings.py
+++ b/stairquay/serving/settings.py
@@ -35,6 +35,7 @@
     """One box. Addresses are `IP:port`; times are seconds.
 
     front: for callers. readiness: for the balancer. metrics_port: for scraping, 0 for none.
+    versions_within_s: within this time of being named, a version of weights is to be everywhere.
     stop_s: time from the stop signal until the process is killed.
     """
 
@@ -46,6 +47,7 @@
     metrics_port: int = 0
     stop_s: float = 8.0
     drain_s: float = 2.0
+    versions_within_s: float = 12.0
     memory_mb: int = 0
     max_descriptors: int = 1024
     freshness: FreshnessSettings = field(default_factory=FreshnessSettings)
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -35,6 +35,10 @@
 REPORT_LAG_S = 0.2
 """Seconds that an engine's report lags behind its state, from the data sheet."""
 
+TOO_OLD_SHARE = 0.95
+"""Share of the time in which a version is to be everywhere after which no request is sent to older ones:
+the rest is for the request's way and its wait for a slot."""
+
 NEVER = float("-inf")
 
 
@@ -146,6 +150,15 @@
         reported = 0 if state.report is None else state.report.versions_by_model.get(model, 0)
         return max(endpoint.versions_by_model.get(model, 0), reported, state.version)
 
+    def named_for_s(self, model: str) -> float:
+        """Return for how long the newest version of a model has been named, in seconds."""
+        return monotonic() - self.named_at_by_model.get(model, monotonic())
+
+    def too_old(self, endpoint: Endpoint, model: str) -> bool:
+        """Tell whether an endpoint's weights were replaced so long ago that nothing may begin on them."""
+        behind = self.version_of(endpoint, model) < self.named_by_model.get(model, 0)
+        return behind and self.named_for_s(model) > self.settings.versions_within_s * TOO_OLD_SHARE
+
     def budget(self, service: str) -> WindowBudget:
         """Return the budget for sending a service's requests again."""
         budget = self.budgets_by_service.get(service)
--- a/tests/test_serving_core.py
+++ b/tests/test_serving_core.py
@@ -12,7 +12,7 @@
 from stairquay.core.fleet import MISSING_GRACE_S, Endpoint, Fleet
 from stairquay.core.holdings import MAX_DROPPED, Holdings, PartEvent
 from stairquay.core.placement import EngineView, Source, pick, place
-from stairquay.core.rollout import ORDER_SETTLES_S, EngineState, next_orders
+from stairquay.core.rollout import ORDER_SETTLES_S, SILENT_SETTLES_S, EngineState, Given, next_orders
 from stairquay.core.scope import Scope, parse_scope
 
 
@@ -175,10 +175,10 @@
 
 def test_an_order_that_shows_no_effect_is_given_again_and_a_newer_version_overtakes_it():
     one = [ENGINES[0]]
-    given_at = {("e0", 2): 100.0}
-    assert not next_orders(one, {"m": 2}, given_at, 100.0 + ORDER_SETTLES_S - 0.1)
-    assert next_orders(one, {"m": 2}, given_at, 100.0 + ORDER_SETTLES_S + 0.1)
-    assert next_orders(one, {"m": 3}, given_at, 100.1)[0].version == 3
+    given_before = {("e0", 2): Given(100.0)}
+    assert not next_orders(one, {"m": 2}, given_before, 100.0 + ORDER_SETTLES_S - 0.1)
+    assert next_orders(one, {"m": 2}, given_before, 100.0 + ORDER_SETTLES_S + 0.1)
+    assert next_orders(one, {"m": 3}, given_before, 100.1)[0].version == 3
     assert not next_orders([replace(one[0], version=2)], {"m": 2}, {}, 0.0)
     assert not next_orders([replace(one[0], sequence=None)], {"m": 2}, {}, 0.0)
 
@@ -201,3 +201,16 @@
     full = engine("full", (500, 8_000, 0), running=12, slots=12)
     free = engine("free", running=3, slots=12)
     assert place(PARTS, 10_500, [full, free], no_source, 35_000)[0].engine is free
+
+
+def test_an_order_without_answer_holds_up_no_other_engine_and_is_given_again_sooner():
+    given_before = {("e0", 2): Given(100.0, answered=False), ("e1", 2): Given(100.0)}
+    orders = next_orders(ENGINES, {"m": 2}, given_before, 101.0)
+    assert [order.engine for order in orders] == ["e2"]
+    again = next_orders(ENGINES[:1], {"m": 2}, given_before, 100.0 + SILENT_SETTLES_S + 0.1)
+    assert [order.engine for order in again] == ["e0"]
+
+
+def test_in_a_hurry_all_engines_that_are_behind_load_at_once():
+    orders = next_orders(ENGINES, {"m": 2}, {}, 0.0, hurry=True)
+    assert len(orders) == len(ENGINES)
