--- a/tests/standins/dialect.py
+++ b/tests/standins/dialect.py
@@ -242,6 +242,7 @@
     keep_alive: str = ""
     lose_orders: int = 0
     load_s: float = 0.1
+    queued: int = 0
     busy: bool = False
     sequence: int = 0
     taken: list[Taken] = field(default_factory=list)
@@ -281,7 +282,8 @@
     def _report(self) -> web.Response:
         models = [{"name": self.model, "version": self.version, "adapters": []}]
         report = {"stage": "both", "models": models, "busy": self.busy, "sequence": self.sequence}
-        report |= {"queued": 0, "running": 0, "kv_used": 0, "kv_total": 100_000, "clock_ms": self.clock_ms}
+        report |= {"queued": self.queued, "next_page_token": 9_000, "running": 0, "kv_used": 0}
+        report |= {"kv_total": 100_000, "clock_ms": self.clock_ms}
         return web.json_response(report)
 
     async def _order(self, request: web.Request) -> web.Response:
--- a/tests/test_box_state.py
+++ b/tests/test_box_state.py
@@ -352,3 +352,30 @@
             await eventually(lambda: here.engines()[0].version == 2, 12.0)
 
     asyncio.run(scenario())
+
+
+def test_nothing_begins_on_weights_that_were_replaced_too_long_ago():
+    async def scenario():
+        async with site(plain=0, engines=1, version_ms=1500) as here:
+            here.engines()[0].load_s = 60.0
+            here.table.put("op", f"version/{MODEL}", {"model": MODEL, "version": 2})
+            await eventually(lambda: here.logged("version_named", version=2))
+            await asyncio.sleep(1.6)
+            answer = await here.prompt()
+            assert answer.status == 503 and not here.engines()[0].taken
+
+    asyncio.run(scenario())
+
+
+def test_the_least_urgent_requests_are_refused_when_every_engine_is_far_behind():
+    async def scenario():
+        async with site(plain=0, engines=1) as here:
+            here.engines()[0].queued = 40
+            await asyncio.sleep(1.2)
+            refused = await here.prompt("/llm/chat")
+            assert refused.status == 503 and float(refused.headers["Retry-After"]) > 0
+            assert not here.engines()[0].taken
+            assert (await here.prompt("/again/chat", call_id="call-2")).status == 200
+            await eventually(lambda: here.logged("refused", cause="overloaded"))
+
+    asyncio.run(scenario())
