Bound the requests and bodies that a box holds

Cause: a process must never end by itself, memory and descriptors included; both were bounded by what callers sent only. Change: more requests than 0.35 of the descriptors, or bodies beyond a quarter of the memory, are refused, not run.

--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -25,6 +25,12 @@
 STOPPING_RETRY_S = 0.05
 """Seconds after which a caller should come back when this box stops: another box takes it at once."""
 
+DESCRIPTOR_SHARE = 0.35
+"""Requests under way for each descriptor: one has a connection on both sides, and idle ones stay open."""
+
+BODY_MEMORY_SHARE = 0.25
+"""Share of the box's memory that callers' bodies may take; the process itself takes 46 MB."""
+
 MIN_LEFT_S = 0.02
 
 
@@ -76,6 +82,8 @@
         catalog = self.state.catalog
         if catalog is None or not self.state.fleet_known:
             return Err(self._not_ready("no configuration yet"))
+        if self._crowded(request):
+            return Err(Refusal(ErrorKind.OVERLOADED, detail="this box has as many requests as it can hold"))
         found = self._admit(catalog, call)
         if isinstance(found, Err):
             return found
@@ -87,7 +95,11 @@
         if isinstance(job, Err):
             return job
         self._count(job.ok_value)
-        return await self.dispatcher.run(job.ok_value, request)
+        self.state.body_bytes += len(body.ok_value)
+        try:
+            return await self.dispatcher.run(job.ok_value, request)
+        finally:
+            self.state.body_bytes -= len(body.ok_value)
 
     def _admit(self, catalog: Catalog, call: Call) -> Result[tuple[Route, WorkspaceRule | None], Refusal]:
         """Find the route, and the workspace that the key belongs to."""
@@ -104,6 +116,14 @@
             return Err(Refusal(ErrorKind.UNAUTHENTICATED))
         return Ok((route, workspace))
 
+    def _crowded(self, request: web.Request) -> bool:
+        """Tell whether one more request might cost the box its memory or its descriptors."""
+        settings = self.state.settings
+        if self.state.in_flight > settings.max_descriptors * DESCRIPTOR_SHARE:
+            return True
+        room = settings.memory_mb * 1_000_000 * BODY_MEMORY_SHARE
+        return room > 0 and self.state.body_bytes + (request.content_length or 0) > room
+
     def _not_ready(self, detail: str) -> Refusal:
         return Refusal(ErrorKind.NOT_READY, Ran.NOT_RUN, detail, NOT_READY_RETRY_S)
 
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -111,6 +111,7 @@
     clock_offset_ms: float | None = None
     report_s: float = REPORT_S
     in_flight: int = 0
+    body_bytes: int = 0
     stopping: bool = False
     refusing: bool = False
 
--- a/tests/site.py
+++ b/tests/site.py
@@ -99,6 +99,7 @@
     reader: asyncio.Task[None] | None = None
     session: ClientSession | None = None
     bounds: dict[str, float] = field(default_factory=dict)
+    limits: dict[str, int] = field(default_factory=dict)
 
     async def start(self, ready: bool = True) -> None:
         for part in (self.table, *self.endpoints, *self.stores):
@@ -137,6 +138,7 @@
     def _settings(self) -> str:
         bounds = {"grace_s": 8, "drain_ms": 2000, "revoke_ms": 5000, "lease_ms": 300, "budget_slack": 50}
         lines = "\n".join(f"{key} = {value}" for key, value in (bounds | self.bounds).items())
+        limits = "\n".join(f"{key} = {value}" for key, value in self.limits.items())
         return f"""
 node_name = "box-1"
 ip = "127.0.0.1"
@@ -147,6 +149,8 @@
 readiness = "{self.readiness}"
 [platform]
 address = "{self.table.address}"
+[limits]
+{limits}
 [bounds]
 strict_revoke = true
 {lines}
@@ -254,15 +258,19 @@
 
 @asynccontextmanager
 async def site(
-    plain: int = 1, engines: int = 0, stores: int = 0, ready: bool = True, **bounds: float
+    plain: int = 1,
+    engines: int = 0,
+    stores: int = 0,
+    ready: bool = True,
+    limits: dict[str, int] | None = None,
+    **bounds: float,
 ) -> AsyncIterator[Site]:
     """Start stand-ins and a box, and end them."""
     endpoints = [Endpoint(id=f"p-{number}", service="plain") for number in range(plain)]
     endpoints += [Endpoint(id=f"e-{number}", service="llm", model=MODEL) for number in range(engines)]
     with tempfile.TemporaryDirectory() as folder:
-        made = Site(
-            TableService(), endpoints, [StoreBox() for _ in range(stores)], Path(folder), bounds=bounds
-        )
+        boxes = [StoreBox() for _ in range(stores)]
+        made = Site(TableService(), endpoints, boxes, Path(folder), bounds=bounds, limits=limits or {})
         try:
             await made.start(ready)
             yield made
--- a/tests/test_box.py
+++ b/tests/test_box.py
@@ -226,3 +226,16 @@
             assert endpoint.ports[0] == endpoint.ports[1] != endpoint.ports[2]
 
     asyncio.run(scenario())
+
+
+def test_a_box_takes_no_more_requests_than_it_can_hold():
+    async def scenario():
+        async with site(limits={"max_fds": 9, "memory_mb": 100}) as here:
+            here.endpoints[0].hold_s = 1.0
+            calls = [here.call("/plain/x", call_id=f"call-{number}") for number in range(6)]
+            statuses = sorted(answer.status for answer in await asyncio.gather(*calls))
+            assert statuses == [200, 200, 200, 503, 503, 503]
+            here.endpoints[0].hold_s = 0.0
+            assert (await here.call("/plain/x")).status == 200
+
+    asyncio.run(scenario())
