Write a box's settings in tests in one step

Cause: of 271 checks one failed once, beside load: the settings file that the launcher writes anew for each program of a box was read by the router and the entry while it was empty ('Empty strings are not legal JSON5'). Ruled out: a full disk (79 GB free), the product (it named the mistake and ended with its status). Change: the file is written beside its place and then moved there.

--- a/tests/launcher.py
+++ b/tests/launcher.py
@@ -287,7 +287,10 @@
                 place = place.setdefault(parent, {})
             place[last] = item
         path = self.folder / f"{box}.json"
-        path.write_text(json.dumps(value, indent=2))
+        # Programs of this box that are just starting must never read half a file.
+        whole = path.with_suffix(".new")
+        whole.write_text(json.dumps(value, indent=2))
+        whole.replace(path)
         return path
 
     def platform_address(self, box: str) -> str:
