--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -19,8 +19,8 @@
 """Seconds for which a call waits for changes: the view's age stays below it while the service answers,
 and one lost answer does not make the view too old."""
 
-AGAIN_S = 0.1
-"""Seconds before a call that got no answer is made again."""
+AGAIN_S = 0.25
+"""Seconds before a call that got no answer is made again: calls to a service that is down are priced, too."""
 
 LIST_WHOLE_S = 4.0
 OPERATORS_WHOLE_S = 8.0
