Split the running of requests into steps of their own

Change: what a job is moved to jobs.py, log lines and metrics to records.py, truthful refusals to refusals.py. No line, field or answer changed. Tests: test_serving_core, test_decisions, test_platform, test_box passed.

--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -1,79 +1,47 @@
 """Runs a request: attempts at endpoints, one after the other, as far as truth, time and budget allow."""
 
-from dataclasses import dataclass, field
 from random import Random
 from time import monotonic
 
 from aiohttp import web
 from result import Err, Ok, Result
 
-from stairquay.core.attempt import Attempt, drop_attempt, new_attempt, worst
-from stairquay.core.call import Call, Dispatch
-from stairquay.core.catalog import Catalog, Route, ServiceShape, WorkspaceRule, urgency
+from stairquay.core.attempt import drop_attempt, new_attempt, worst
+from stairquay.core.call import Dispatch
+from stairquay.core.catalog import urgency
 from stairquay.core.errors import ErrorKind, Ran, Refusal
 from stairquay.serving.choosing import Choice, choose
-from stairquay.serving.decisions import Decision
+from stairquay.serving.jobs import Begun, Job, Progress
 from stairquay.serving.ports import BrokenAnswer, Endpoints, Reply, SendFailure
-from stairquay.serving.relay import StreamProgress, cut, read_whole, relay_stream, whole_response
+from stairquay.serving.records import (
+    record_answered,
+    record_failed,
+    record_first,
+    record_given_up,
+    record_not_repeated,
+    record_prompt,
+    record_sent,
+)
+from stairquay.serving.refusals import RETRY_AFTER_S, overloaded, truthful
+from stairquay.serving.relay import cut, read_whole, relay_stream, whole_response
 from stairquay.serving.saving import save_targets
-from stairquay.serving.state import FULL_PAUSE_S, BoxState, EndpointState
+from stairquay.serving.state import FULL_PAUSE_S, BoxState
 
 MAX_REFUSED = 4
 """Times that one request may be turned away by endpoints before it is refused."""
 
 SERVER_ERROR = 500
-RETRY_AFTER_S = 0.25
-"""Seconds after which a refused caller should come back: about the time an endpoint needs for a batch."""
+"""HTTP status from which an answer is an endpoint's own error."""
 
 SHED_AT = 0.15
 """Backlog, in objectives, from which the least urgent requests are refused. Reports lag and all boxes send at
 once, so that the backlog grows beyond it: of 0.05, 0.15, 0.35 and 0.75 it served best on standard days."""
 
-SHED_RETRY_S = 0.3
-"""Seconds after which a caller refused for overload should come back: half an objective."""
-
 WORK_WEIGHT = 0.1
 """Weight of the newest answer in an endpoint's mean time to answer."""
 
 MIN_LEFT_S = 0.01
-
-
-@dataclass(frozen=True)
-class Job:
-    """A request that is to run. `deadline` is monotonic: the caller's time or the route's limit."""
-
-    call: Call
-    body: bytes
-    catalog: Catalog
-    route: Route
-    service: ServiceShape
-    workspace: WorkspaceRule | None
-    arrived_at: float
-    deadline: float
-
-
-@dataclass
-class Progress:
-    """What became of a job's attempts. runs: attempts that may have run. ran: the worst of all."""
-
-    tried: set[str] = field(default_factory=set)
-    refused: int = 0
-    runs: int = 0
-    ran: Ran = Ran.NOT_RUN
-    stream: StreamProgress = field(default_factory=StreamProgress)
-    last: SendFailure | None = None
-    kept_reply: tuple[Reply, bytes] | None = None
-
-
-@dataclass
-class Begun:
-    """An attempt under way at an endpoint."""
-
-    choice: Choice
-    attempt: Attempt
-    held: EndpointState
-    sent_at: float
-    first_at: float | None = None
+"""Seconds left below which no attempt is begun."""
 
 
 class Dispatcher:
@@ -99,7 +67,7 @@
             if choice is None:
                 return self._given_up(job, progress, Refusal(ErrorKind.NO_ENDPOINT), request)
             if self._sheds(job, choice, progress):
-                return self._given_up(job, progress, _overloaded(choice), request)
+                return self._given_up(job, progress, overloaded(choice), request)
             response = await self._attempt(job, choice, progress, request)
             if response is not None:
                 return Ok(response)
@@ -146,7 +114,7 @@
         elif progress.refused >= MAX_REFUSED:
             return refusal
         if not self.state.budget(job.service.id).take(monotonic(), len(self.state.boxes)):
-            self._log_failure(job, "the budget for sending again is spent")
+            record_not_repeated(self.state, job)
             return refusal
         self.state.metrics.repeats.labels(job.service.id).inc()
         return None
@@ -162,7 +130,7 @@
         if choice.placement is not None:
             held.unread_tokens_by_request[job.call.id] = choice.placement.read
             held.on_sent(choice.placement.read + choice.placement.fetched, begun.sent_at)
-        self._log_sent(job, choice, progress)
+        record_sent(self.state, job, choice, progress)
         try:
             sent = await self._send(job, begun, progress)
             if isinstance(sent, Err):
@@ -193,7 +161,7 @@
             endpoint=choice.endpoint.id,
             address=choice.endpoint.address,
             time_left_s=left_s,
-            workspace="" if job.workspace is None else job.workspace.id,
+            workspace=job.workspace_id,
             priority=None if placement is None else urgency(job.route, job.workspace),
             context_scope=choice.scope,
             version=choice.version,
@@ -257,12 +225,7 @@
             return
         begun.first_at = monotonic()
         begun.held.unread_tokens_by_request.pop(job.call.id, None)
-        took_s = begun.first_at - job.arrived_at
-        workspace = "" if job.workspace is None else job.workspace.id
-        metrics = self.state.metrics
-        metrics.first_byte.labels(metrics.labels.of(workspace), metrics.labels.of(job.route.id)).observe(
-            took_s
-        )
+        record_first(self.state, job, begun.first_at)
         placement = begun.choice.placement
         if placement is None or job.call.prompt is None:
             return
@@ -270,12 +233,7 @@
             self.state.holdings.expect(
                 begun.choice.endpoint.address, begun.choice.scope, part.id, part.tokens
             )
-        for way, tokens in (
-            ("reused", placement.reused),
-            ("fetched", placement.fetched),
-            ("read", placement.read),
-        ):
-            metrics.prompt_tokens.labels(metrics.labels.of(job.route.id), way).observe(tokens)
+        record_prompt(self.state, job, placement)
 
     def _failed(self, job: Job, begun: Begun, progress: Progress, failure: SendFailure) -> None:
         """Take in a failed attempt."""
@@ -290,18 +248,7 @@
             progress.runs += 1
         if failure.fault and failure.kind != ErrorKind.DEADLINE:
             begun.held.on_outcome(True, now)
-        self.state.metrics.attempts.labels(job.service.id, failure.kind.value).inc()
-        self.state.log.line(
-            Decision.ATTEMPT_FAILED,
-            job.call.id,
-            endpoint=begun.choice.endpoint.id,
-            outcome=failure.kind.value,
-            ran=failure.ran.value,
-            detail=failure.detail,
-            status=failure.status,
-            took_s=now - begun.sent_at,
-            failing=begun.held.failing_share(now),
-        )
+        record_failed(self.state, job, begun, failure, now)
 
     def _ended_well(self, job: Job, begun: Begun, reply: Reply, progress: Progress) -> None:
         now = monotonic()
@@ -309,23 +256,7 @@
         begun.held.work_s += WORK_WEIGHT * ((now - begun.sent_at) - begun.held.work_s)
         if reply.version is not None:
             begun.held.version = max(begun.held.version, reply.version)
-        self.state.metrics.attempts.labels(job.service.id, "ok").inc()
-        self.state.metrics.ended.labels(self.state.metrics.labels.of(job.route.id), "answered").inc()
-        self.state.metrics.whole.labels(self.state.metrics.labels.of(job.route.id)).observe(
-            now - job.arrived_at
-        )
-        self.state.log.line(
-            Decision.ENDED,
-            job.call.id,
-            outcome="answered",
-            ran=Ran.RAN.value,
-            status=reply.status,
-            endpoint=begun.choice.endpoint.id,
-            version=reply.version,
-            events=progress.stream.events,
-            first_s=None if begun.first_at is None else begun.first_at - job.arrived_at,
-            took_s=now - job.arrived_at,
-        )
+        record_answered(self.state, job, begun, reply, progress, now)
 
     def _given_up(
         self, job: Job, progress: Progress, refusal: Refusal, request: web.Request
@@ -333,84 +264,10 @@
         """End a job without success: with the endpoint's own error, a refusal, or a cut stream."""
         if progress.stream.response is not None:
             cut(request)
-            self._log_end(job, "cut", progress.ran, refusal)
+            record_given_up(self.state, job, "cut", progress.ran, refusal)
             return Ok(progress.stream.response)
         if progress.kept_reply is not None:
             reply, body = progress.kept_reply
-            self._log_end(job, "endpoint_error", progress.ran, refusal)
+            record_given_up(self.state, job, "endpoint_error", progress.ran, refusal)
             return Ok(whole_response(reply, body))
-        return Err(_truthful(refusal, progress.ran))
-
-    def _log_sent(self, job: Job, choice: Choice, progress: Progress) -> None:
-        placement = choice.placement
-        state = self.state
-        inputs: dict[str, object] = {
-            "endpoint": choice.endpoint.id,
-            "address": choice.endpoint.address,
-            "service": job.service.id,
-            "attempt": len(progress.tried) + 1,
-            "left_s": job.deadline - monotonic(),
-            "view_age_s": state.view_age(),
-            "configuration": job.catalog.version,
-            "in_flight": state.of(choice.endpoint).in_flight,
-        }
-        if placement is not None:
-            inputs.update(
-                version=choice.version,
-                first_token_s=placement.first_token_s,
-                alternative_s=choice.alternative_s,
-                reused=placement.reused,
-                fetched=placement.fetched,
-                read=placement.read,
-                report_age_s=monotonic() - state.of(choice.endpoint).reported_at,
-                resident=placement.engine.resident,
-                fetch=placement.fetch_from,
-                used=placement.engine.used_tokens,
-                waiting=placement.engine.waiting_tokens,
-                running=placement.engine.running,
-            )
-        state.log.line(Decision.SENT, job.call.id, **inputs)
-
-    def _log_failure(self, job: Job, detail: str) -> None:
-        budget = self.state.budget(job.service.id)
-        self.state.log.line(
-            Decision.ATTEMPT_FAILED,
-            job.call.id,
-            outcome="not_sent_again",
-            detail=detail,
-            repeats=len(budget.repeats),
-            requests=len(budget.requests),
-            boxes=len(self.state.boxes),
-        )
-
-    def _log_end(self, job: Job, outcome: str, ran: Ran, refusal: Refusal) -> None:
-        self.state.metrics.ended.labels(self.state.metrics.labels.of(job.route.id), outcome).inc()
-        self.state.log.line(
-            Decision.ENDED,
-            job.call.id,
-            outcome=outcome,
-            ran=ran.value,
-            cause=refusal.kind.value,
-            detail=refusal.detail,
-            took_s=monotonic() - job.arrived_at,
-        )
-
-
-def _overloaded(choice: Choice) -> Refusal:
-    detail = f"engines are {choice.backlog_s:.2f} s behind"
-    return Refusal(ErrorKind.OVERLOADED, Ran.NOT_RUN, detail, SHED_RETRY_S)
-
-
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-"""Statuses that promise that the request has not run."""
-
-
-def _truthful(refusal: Refusal, ran: Ran) -> Refusal:
-    """Return a refusal whose answer does not promise more than is known."""
-    if ran == Ran.NOT_RUN and refusal.kind == ErrorKind.DEADLINE:
-        return Refusal(ErrorKind.OVERLOADED, ran, "the time ran out before it was sent", RETRY_AFTER_S)
-    if ran == Ran.NOT_RUN and refusal.answer.status >= 502 and refusal.answer.status not in NOT_RUN_STATUSES:
-        return Refusal(ErrorKind.ENDPOINT_REFUSED, ran, refusal.detail, RETRY_AFTER_S)
-    if ran != Ran.NOT_RUN and refusal.answer.status in NOT_RUN_STATUSES:
-        return Refusal(ErrorKind.ENDPOINT_FAILED, ran, refusal.detail)
-    return refusal
+        return Err(truthful(refusal, progress.ran))
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -11,7 +11,8 @@
 from stairquay.core.catalog import Catalog, Route, WorkspaceRule, pick_service
 from stairquay.core.errors import ErrorKind, Ran, Refusal
 from stairquay.serving.decisions import Decision
-from stairquay.serving.dispatch import Dispatcher, Job
+from stairquay.serving.dispatch import Dispatcher
+from stairquay.serving.jobs import Job
 from stairquay.serving.ports import Callers
 from stairquay.serving.state import BoxState
 
@@ -164,8 +165,7 @@
 
     def _count(self, job: Job) -> None:
         metrics = self.state.metrics
-        workspace = "" if job.workspace is None else job.workspace.id
-        metrics.requests.labels(metrics.labels.of(workspace), metrics.labels.of(job.route.id)).inc()
+        metrics.requests.labels(metrics.labels.of(job.workspace_id), metrics.labels.of(job.route.id)).inc()
 
     def _refuse(self, call_id: str, refusal: Refusal, arrived_at: float) -> web.Response:
         catalog = self.state.catalog
--- /dev/null
+++ b/stairquay/serving/jobs.py
@@ -0,0 +1,55 @@
+"""A request that is to run, and what became of its attempts so far."""
+
+from dataclasses import dataclass, field
+
+from stairquay.core.attempt import Attempt
+from stairquay.core.call import Call
+from stairquay.core.catalog import Catalog, Route, ServiceShape, WorkspaceRule
+from stairquay.core.errors import Ran
+from stairquay.serving.choosing import Choice
+from stairquay.serving.ports import Reply, SendFailure
+from stairquay.serving.relay import StreamProgress
+from stairquay.serving.state import EndpointState
+
+
+@dataclass(frozen=True)
+class Job:
+    """A request that is to run. `deadline` is monotonic: the caller's time or the route's limit."""
+
+    call: Call
+    body: bytes
+    catalog: Catalog
+    route: Route
+    service: ServiceShape
+    workspace: WorkspaceRule | None
+    arrived_at: float
+    deadline: float
+
+    @property
+    def workspace_id(self) -> str:
+        """Return the workspace's id, empty where the route needs no key."""
+        return "" if self.workspace is None else self.workspace.id
+
+
+@dataclass
+class Progress:
+    """What became of a job's attempts. runs: attempts that may have run. ran: the worst of all."""
+
+    tried: set[str] = field(default_factory=set)
+    refused: int = 0
+    runs: int = 0
+    ran: Ran = Ran.NOT_RUN
+    stream: StreamProgress = field(default_factory=StreamProgress)
+    last: SendFailure | None = None
+    kept_reply: tuple[Reply, bytes] | None = None
+
+
+@dataclass
+class Begun:
+    """An attempt under way at an endpoint."""
+
+    choice: Choice
+    attempt: Attempt
+    held: EndpointState
+    sent_at: float
+    first_at: float | None = None
--- /dev/null
+++ b/stairquay/serving/records.py
@@ -0,0 +1,130 @@
+"""Log lines and metrics of a job's attempts and of its end."""
+
+from time import monotonic
+
+from stairquay.core.errors import Ran, Refusal
+from stairquay.core.placement import Placement
+from stairquay.serving.choosing import Choice
+from stairquay.serving.decisions import Decision
+from stairquay.serving.jobs import Begun, Job, Progress
+from stairquay.serving.ports import Reply, SendFailure
+from stairquay.serving.state import BoxState
+
+
+def record_sent(state: BoxState, job: Job, choice: Choice, progress: Progress) -> None:
+    """Log where an attempt goes, and by which inputs that was decided."""
+    inputs: dict[str, object] = {
+        "endpoint": choice.endpoint.id,
+        "address": choice.endpoint.address,
+        "service": job.service.id,
+        "attempt": len(progress.tried) + 1,
+        "left_s": job.deadline - monotonic(),
+        "view_age_s": state.view_age(),
+        "configuration": job.catalog.version,
+        "in_flight": state.of(choice.endpoint).in_flight,
+    }
+    if choice.placement is not None:
+        inputs.update(_placement_inputs(state, choice, choice.placement))
+    state.log.line(Decision.SENT, job.call.id, **inputs)
+
+
+def _placement_inputs(state: BoxState, choice: Choice, placement: Placement) -> dict[str, object]:
+    return {
+        "version": choice.version,
+        "first_token_s": placement.first_token_s,
+        "alternative_s": choice.alternative_s,
+        "reused": placement.reused,
+        "fetched": placement.fetched,
+        "read": placement.read,
+        "report_age_s": monotonic() - state.of(choice.endpoint).reported_at,
+        "resident": placement.engine.resident,
+        "fetch": placement.fetch_from,
+        "used": placement.engine.used_tokens,
+        "waiting": placement.engine.waiting_tokens,
+        "running": placement.engine.running,
+    }
+
+
+def record_first(state: BoxState, job: Job, first_at: float) -> None:
+    """Measure the time until the first byte of the answer."""
+    metrics = state.metrics
+    labels = metrics.labels.of(job.workspace_id), metrics.labels.of(job.route.id)
+    metrics.first_byte.labels(*labels).observe(first_at - job.arrived_at)
+
+
+def record_prompt(state: BoxState, job: Job, placement: Placement) -> None:
+    """Measure how the engine was expected to get the prompt."""
+    metrics = state.metrics
+    for way, tokens in (
+        ("reused", placement.reused),
+        ("fetched", placement.fetched),
+        ("read", placement.read),
+    ):
+        metrics.prompt_tokens.labels(metrics.labels.of(job.route.id), way).observe(tokens)
+
+
+def record_failed(state: BoxState, job: Job, begun: Begun, failure: SendFailure, now: float) -> None:
+    """Log and count a failed attempt."""
+    state.metrics.attempts.labels(job.service.id, failure.kind.value).inc()
+    state.log.line(
+        Decision.ATTEMPT_FAILED,
+        job.call.id,
+        endpoint=begun.choice.endpoint.id,
+        outcome=failure.kind.value,
+        ran=failure.ran.value,
+        detail=failure.detail,
+        status=failure.status,
+        took_s=now - begun.sent_at,
+        failing=begun.held.failing_share(now),
+    )
+
+
+def record_not_repeated(state: BoxState, job: Job) -> None:
+    """Log that a failed job is not sent again because the budget for that is spent."""
+    budget = state.budget(job.service.id)
+    state.log.line(
+        Decision.ATTEMPT_FAILED,
+        job.call.id,
+        outcome="not_sent_again",
+        detail="the budget for sending again is spent",
+        repeats=len(budget.repeats),
+        requests=len(budget.requests),
+        boxes=len(state.boxes),
+    )
+
+
+def record_answered(
+    state: BoxState, job: Job, begun: Begun, reply: Reply, progress: Progress, now: float
+) -> None:
+    """Log and count a job whose answer was passed on whole."""
+    metrics = state.metrics
+    route = metrics.labels.of(job.route.id)
+    metrics.attempts.labels(job.service.id, "ok").inc()
+    metrics.ended.labels(route, "answered").inc()
+    metrics.whole.labels(route).observe(now - job.arrived_at)
+    state.log.line(
+        Decision.ENDED,
+        job.call.id,
+        outcome="answered",
+        ran=Ran.RAN.value,
+        status=reply.status,
+        endpoint=begun.choice.endpoint.id,
+        version=reply.version,
+        events=progress.stream.events,
+        first_s=None if begun.first_at is None else begun.first_at - job.arrived_at,
+        took_s=now - job.arrived_at,
+    )
+
+
+def record_given_up(state: BoxState, job: Job, outcome: str, ran: Ran, refusal: Refusal) -> None:
+    """Log and count a job that ended with an endpoint's error or a cut stream."""
+    state.metrics.ended.labels(state.metrics.labels.of(job.route.id), outcome).inc()
+    state.log.line(
+        Decision.ENDED,
+        job.call.id,
+        outcome=outcome,
+        ran=ran.value,
+        cause=refusal.kind.value,
+        detail=refusal.detail,
+        took_s=monotonic() - job.arrived_at,
+    )
