Remove names that nothing uses, and a test of nearness written twice

Cause: a kind of log line that no box writes, a header and a status that nothing reads were left over. Change: they are gone; the story of a request tells in one place which lines are near it; a bare 503 is named.

--- a/stairquay/explain.py
+++ b/stairquay/explain.py
@@ -29,7 +29,6 @@
         "dependency",
         "lease",
         "order",
-        "ejection",
         "store_view",
     )
 )
@@ -121,9 +120,7 @@
     found = [
         f"! {line['at'] - first:+9.3f} s  {line['box']}  lines were left out: {_value(line.get('lines'))}"
         for line in logs.lines
-        if line["kind"] == LEFT_OUT
-        and line.get("box") in boxes
-        and first - BEFORE_S <= line["at"] <= last + AFTER_S
+        if line["kind"] == LEFT_OUT and _near(line, boxes, first, last)
     ]
     if logs.unreadable:
         found.append(f"! {logs.unreadable} lines of the logs could not be read")
--- a/stairquay/platform/names.py
+++ b/stairquay/platform/names.py
@@ -13,7 +13,6 @@
 INSTANCE = "Target-Instance"
 """The id of the endpoint that a request is meant for; any other refuses it."""
 
-ANSWERED_BY = "Instance-Id"
 WORKSPACE = "Tenant"
 AUTHORIZATION = "Authorization"
 BEARER = "Bearer "
--- a/stairquay/platform/rows.py
+++ b/stairquay/platform/rows.py
@@ -24,8 +24,8 @@
 HTTP_OK = 200
 HTTP_CONFLICT = 412
 HTTP_GONE = 410
-HTTP_SERVER_ERROR = 500
 HTTP_TOO_MANY = 429
+HTTP_UNAVAILABLE = 503
 
 
 class WireRow(msgspec.Struct):
@@ -105,7 +105,7 @@
         if response.status == HTTP_CONFLICT:
             rows = msgspec.json.decode(content, type=WireRows).rows
             return Ok(Conflict(tuple(own_row(row) for row in rows)))
-        refused = response.status in (HTTP_TOO_MANY, 503)
+        refused = response.status in (HTTP_TOO_MANY, HTTP_UNAVAILABLE)
         return Err(PlatformFault.UNREACHED if refused else PlatformFault.UNKNOWN)
 
     async def _get(self, path: str, query: Mapping[str, str], limit_s: float) -> Result[WireRows, FeedFault]:
--- a/stairquay/serving/decisions.py
+++ b/stairquay/serving/decisions.py
@@ -41,7 +41,6 @@
     DEPENDENCY = "dependency"
     LEASE = "lease"
     ORDER = "order"
-    EJECTION = "ejection"
     STORE_VIEW = "store_view"
     FREED = "freed"
     REFUSED = "refused"
