Define a wire's models and the taking in of a report once

Cause: models were defined twice for the platform's wire, and two parts of a box each set a report's fields. Change: weights.py holds the wire's models, EndpointState.on_report takes a report in; constants that shared a docstring have one each.

--- a/stairquay/platform/feeds.py
+++ b/stairquay/platform/feeds.py
@@ -24,9 +24,11 @@
     VERSION_PREFIX,
 )
 from stairquay.platform.rows import TableClient, WireRow, WireRows
+from stairquay.platform.weights import WireModel, versions_by_model
 from stairquay.serving.ports import EndpointChanges, FeedFault, OperatorChanges
 
 MEGABIT_BYTES = 125_000.0
+"""Bytes in a million bits."""
 
 
 class WireSplit(msgspec.Struct):
@@ -54,13 +56,6 @@
     resumable: bool = False
 
 
-class WireModel(msgspec.Struct):
-    """A model by name; `version` is missing in the configuration."""
-
-    name: str
-    version: int = 0
-
-
 class WireEngine(msgspec.Struct):
     """The engines of a service. `max_concurrency` bounds the callers that follow events."""
 
@@ -208,7 +203,7 @@
         data_hall=entry.zone,
         slots=entry.slots,
         leaving=entry.state == STATE_DRAINING,
-        versions_by_model={model.name: model.version for model in entry.models},
+        versions_by_model=versions_by_model(entry.models),
     )
 
 
--- a/stairquay/platform/peers.py
+++ b/stairquay/platform/peers.py
@@ -18,6 +18,7 @@
     STATE_DRAINING,
     WAIT,
 )
+from stairquay.platform.weights import WireModel, versions_by_model
 from stairquay.serving.ports import EngineReport, Kept, KeptChanges, OrderAnswer, VersionOrder
 
 ANSWER_S = 0.5
@@ -25,8 +26,9 @@
 
 HTTP_OK = 200
 METHOD_RETAIN = "retain"
-"""Runs under way go on after the change. Waiting for them to end (`wait`) kept an engine out of work for
-three to six seconds instead of one and a half; cutting them off (`truncate`) would lose their answers."""
+"""How an engine changes its weights: runs under way go on after the change. Waiting for them to end (`wait`)
+kept an engine out of work for three to six seconds instead of one and a half; cutting them off (`truncate`)
+would lose their answers."""
 
 ORDER_ANSWERS = {
     200: OrderAnswer.IN_FORCE,
@@ -36,13 +38,6 @@
 }
 
 
-class WireModel(msgspec.Struct):
-    """A model and the version of its weights that an engine runs."""
-
-    name: str
-    version: int = 0
-
-
 class WireReport(msgspec.Struct):
     """State of an engine or store box. `sequence` counts orders taken, `boot_epoch` names its life.
 
@@ -96,7 +91,7 @@
         if found is None:
             return None
         return EngineReport(
-            versions_by_model={model.name: model.version for model in found.models},
+            versions_by_model=versions_by_model(found.models),
             busy=found.busy,
             sequence=found.sequence,
             queued=found.queued,
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -23,9 +23,11 @@
 """Seconds before a call that got no answer is made again: calls to a service that is down are priced, too."""
 
 LIST_WHOLE_S = 4.0
+"""Seconds between two whole reads of the list of endpoints. Entries that lapsed during an outage came back
+without a change in the feed, and only whole reads find them; while some are missing, each read is whole."""
+
 OPERATORS_WHOLE_S = 8.0
-"""Seconds between two whole reads. Entries of endpoints that lapsed during an outage came back without a
-change in the feed, and only whole reads find them; while some are missing, each read is whole."""
+"""Seconds between two whole reads of operators' rows, twice LIST_WHOLE_S: every call is priced."""
 
 LIST_PAUSE_S = 0.6
 """Seconds between two reads of the list, which changes with every heartbeat: far below the two seconds
--- a/stairquay/serving/orders.py
+++ b/stairquay/serving/orders.py
@@ -72,9 +72,7 @@
                 continue
             report = await self.peers.report(endpoint.address)
             if report is not None:
-                held = self.state.of(endpoint)
-                held.report = report
-                held.reported_at = monotonic()
+                self.state.of(endpoint).on_report(report, monotonic())
 
     def _engines(self) -> list[EngineState]:
         """Return the engines that take orders, a state for each model."""
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -57,6 +57,11 @@
     failing_at: float = NEVER
     work_s: float = 0.05
 
+    def on_report(self, report: EngineReport, now: float) -> None:
+        """Take in what the engine said about itself."""
+        self.report = report
+        self.reported_at = now
+
     def on_sent(self, tokens: int, now: float) -> None:
         """Count a prompt that was sent, until a report shows its memory."""
         self.sent_prompts.append((now, tokens))
--- a/stairquay/serving/watching.py
+++ b/stairquay/serving/watching.py
@@ -35,7 +35,6 @@
 REVIEW_S = 0.25
 """Seconds between two looks at which endpoints there are."""
 
-
 FOLLOWER_SHARE = 0.8
 """Share of a holder's places for followers that our boxes use together."""
 
@@ -115,8 +114,7 @@
             if endpoint is not None and known is None:
                 known = self.state.of(endpoint)
             if report is not None and known is not None:
-                known.report = report
-                known.reported_at = monotonic()
+                known.on_report(report, monotonic())
                 self._take_clock(report.clock_ms)
             await asyncio.sleep(self.state.report_s)
 
