Ask in one place which engines a service has

Change: Catalog.engine_of, choosing._outdated and _choose_engine; the margin of a job's deadline is named so. Tests: test_serving_core, test_decisions, test_platform, test_box passed.

--- a/stairquay/core/catalog.py
+++ b/stairquay/core/catalog.py
@@ -114,6 +114,11 @@
             for host, routes in grouped.items()
         }
 
+    def engine_of(self, service: str) -> EngineShape | None:
+        """Return the shape of a service's engines, None for plain services and unknown ones."""
+        shape = self.services_by_id.get(service)
+        return None if shape is None else shape.engine
+
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route of a host whose prefix begins the path and is longest."""
         for route in self._routes_by_host.get(host, ()):
--- a/stairquay/serving/choosing.py
+++ b/stairquay/serving/choosing.py
@@ -62,7 +62,7 @@
         return None
     if prompt is None or service.engine is None:
         return Choice(_least_busy(state, candidates, now, random))
-    return _engine(state, catalog, service.engine, prompt, workspace, candidates, now, random)
+    return _choose_engine(state, catalog, service.engine, prompt, workspace, candidates, now, random)
 
 
 def context_scope(workspace: WorkspaceRule | None, model: str, version: int) -> str:
@@ -98,7 +98,7 @@
     return min(candidates, key=cost)
 
 
-def _engine(
+def _choose_engine(
     state: BoxState,
     catalog: Catalog,
     engine: EngineShape,
@@ -108,23 +108,14 @@
     now: float,
     random: Random,
 ) -> Choice:
-    by_id = {item.id: item for item in candidates}
     versions = {item.address: state.version_of(item, prompt.model) for item in candidates}
     scopes = {key: context_scope(workspace, prompt.model, version) for key, version in versions.items()}
-    named = state.named_by_model.get(prompt.model, 0)
-    old_after = state.named_at_by_model.get(prompt.model, 0.0) + OLD_VERSION_AFTER_S
-    views = [
-        _view(
-            state,
-            item,
-            prompt,
-            scopes[item.address],
-            engine.slots,
-            versions[item.address] < named and now > old_after,
-            now,
-        )
-        for item in candidates
-    ]
+
+    def view_of(item: Endpoint) -> EngineView:
+        outdated = _outdated(state, prompt.model, versions[item.address], now)
+        return _view(state, item, prompt, scopes[item.address], engine.slots, outdated, now)
+
+    views = [view_of(item) for item in candidates]
     speeds = _source_speeds(state, catalog, engine, now)
 
     def source_of(index: int, address: str) -> Source | None:
@@ -132,7 +123,7 @@
 
     placements = place(prompt.parts, prompt.tokens, views, source_of, engine.bytes_per_token)
     best = pick(placements, random)
-    endpoint = by_id[best.engine.id]
+    endpoint = next(item for item in candidates if item.id == best.engine.id)
     return Choice(
         endpoint=endpoint,
         version=versions[endpoint.address] or None,
@@ -144,6 +135,12 @@
     )
 
 
+def _outdated(state: BoxState, model: str, version: int, now: float) -> bool:
+    """Tell whether running on a version costs value, because a newer one was named long enough ago."""
+    old_after = state.named_at_by_model.get(model, 0.0) + OLD_VERSION_AFTER_S
+    return version < state.named_by_model.get(model, 0) and now > old_after
+
+
 def _view(
     state: BoxState,
     endpoint: Endpoint,
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -32,7 +32,8 @@
 BODY_MEMORY_SHARE = 0.25
 """Share of the box's memory that callers' bodies may take; the process itself takes 46 MB."""
 
-MIN_LEFT_S = 0.02
+ANSWER_MARGIN_S = 0.02
+"""Seconds by which a job's deadline lies before the caller's."""
 
 
 class Front:
@@ -160,7 +161,7 @@
         if service is None:
             return Err(Refusal(ErrorKind.NO_ENDPOINT, detail="the route names no known service"))
         limit_s = route.timeout_s if call.time_left_s is None else min(call.time_left_s, route.timeout_s)
-        deadline = arrived_at + limit_s - MIN_LEFT_S
+        deadline = arrived_at + limit_s - ANSWER_MARGIN_S
         return Ok(Job(call, body, catalog, route, service, workspace, arrived_at, deadline))
 
     def _count(self, job: Job) -> None:
--- a/stairquay/serving/orders.py
+++ b/stairquay/serving/orders.py
@@ -81,10 +81,10 @@
             return []
         found = []
         for endpoint in self.state.fleet.live():
-            service = catalog.services_by_id.get(endpoint.service)
-            if service is None or service.engine is None or endpoint.leaving:
+            engine = catalog.engine_of(endpoint.service)
+            if engine is None or endpoint.leaving:
                 continue
-            for model in service.engine.models or tuple(endpoint.versions_by_model):
+            for model in engine.models or tuple(endpoint.versions_by_model):
                 found.append(self._engine(endpoint, model))
         return found
 
--- a/stairquay/serving/upkeep.py
+++ b/stairquay/serving/upkeep.py
@@ -53,10 +53,10 @@
         """Note the oldest version that any engine runs, and since when."""
         oldest: dict[str, int] = {}
         for endpoint in self.state.fleet.by_id.values():
-            service = catalog.services_by_id.get(endpoint.service)
-            if service is None or service.engine is None:
+            engine = catalog.engine_of(endpoint.service)
+            if engine is None:
                 continue
-            for model in service.engine.models or tuple(endpoint.versions_by_model):
+            for model in engine.models or tuple(endpoint.versions_by_model):
                 version = self.state.version_of(endpoint, model)
                 oldest[model] = min(version, oldest.get(model, version))
         for model, version in oldest.items():
--- a/stairquay/serving/watching.py
+++ b/stairquay/serving/watching.py
@@ -85,11 +85,11 @@
     def _wanted(self, catalog: Catalog) -> dict[Name, Work]:
         wanted: dict[Name, Work] = {}
         for endpoint in self.state.fleet.by_id.values():
-            service = catalog.services_by_id.get(endpoint.service)
-            if service is None or service.engine is None:
+            engine = catalog.engine_of(endpoint.service)
+            if engine is None:
                 continue
             wanted["report", endpoint.id] = partial(self._watch_report, endpoint.id, endpoint.address)
-            if self._follows(endpoint.address, service.engine.max_followers):
+            if self._follows(endpoint.address, engine.max_followers):
                 wanted["engine", endpoint.address] = partial(self._watch_engine, endpoint.address)
         for store in catalog.stores_by_id.values():
             if self._follows(store.address, store.max_followers):
