Start a box in steps, and say what bare constants count

Cause: run_box listed every part between its other steps, and some constants had no word on their unit. Change: _parts and _listen_all are steps of their own; the constants have docstrings, their values are the same. Tests: test_serving_core, test_decisions, test_platform, test_box passed.

--- a/stairquay/core/catalog.py
+++ b/stairquay/core/catalog.py
@@ -147,6 +147,7 @@
 """Ranks of routes that are told apart within one rank of workspaces: engines know ten in all."""
 
 LEAST_URGENT = 9
+"""The last of the ten ranks."""
 
 
 def urgency(route: Route, workspace: WorkspaceRule | None) -> int:
--- a/stairquay/platform/callers.py
+++ b/stairquay/platform/callers.py
@@ -23,7 +23,10 @@
 """Longest id of a request or part, in characters; the platform's own have 8 to 16."""
 
 MAX_PARTS = 64
+"""Most parts of a prompt that are read."""
+
 MAX_TOKENS = 10_000_000
+"""Largest count of tokens that is read."""
 
 
 class CallerDialect:
--- a/stairquay/platform/connections.py
+++ b/stairquay/platform/connections.py
@@ -29,12 +29,16 @@
 """Milliseconds after which bytes that nobody acknowledged end a connection."""
 
 PROBE_AFTER_S = 1
+"""Seconds without bytes after which a connection is probed, and between two probes."""
+
 PROBES = 2
+"""Probes without an answer after which a connection ends."""
 
 KEEP_ALIVE = re.compile(r"(?:timeout=|^\s*)(\d{1,6})")
 """The header's whole seconds, with or without the name that HTTP gives them."""
 
 MAX_FIELD_BYTES = 32_768
+"""Longest header field and first line of an endpoint's answer."""
 
 
 class SendRefused(ClientError):
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -34,12 +34,14 @@
 """Seconds left at the end for closing connections."""
 
 MAX_FIELD_BYTES = 32_768
+"""Longest header field and first line of a caller's request."""
 
 REREAD_S = 4.0
 """Seconds between two readings of the settings: they may change without a signal."""
 
 LoadSettings = Callable[[], Result[BoxSettings, list[Mistake]]]
 OpenSurroundings = Callable[[], Surroundings]
+Work = Coroutine[Any, Any, None]
 
 
 async def run_box(settings: BoxSettings, load: LoadSettings, open_surroundings: OpenSurroundings) -> None:
@@ -52,28 +54,12 @@
     state.boxes = (settings.id,)
     surroundings = open_surroundings()
     chance = random.Random()
-    dispatcher = Dispatcher(state, surroundings.endpoints, chance)
-    front = Front(state, surroundings.callers, dispatcher, chance)
-    watcher = Watcher(state, surroundings.peers)
-    orders = OrderGiver(state, surroundings.own, surroundings.peers)
-    upkeep = Upkeep(state, surroundings.peers)
-    boxes = BoxList(state, surroundings.own, chance)
+    front = Front(state, surroundings.callers, Dispatcher(state, surroundings.endpoints, chance), chance)
     tasks = Tasks()
-    for work in (
-        log.run(),
-        follow_operators(state, surroundings.feeds),
-        follow_endpoints(state, surroundings.feeds),
-        watcher.run(),
-        orders.run(),
-        boxes.run(),
-        upkeep.run(),
-        _reload(state, load),
-    ):
+    for work in (*_parts(state, surroundings, chance), _reload(state, load)):
         tasks.start(_kept_running(state, work))
     log.line(Decision.START, front=settings.front, data_hall=settings.data_hall)
-    sites = [await _listen_front(settings, front), await _listen_readiness(state, surroundings.ready_path)]
-    if settings.metrics_port:
-        sites.append(await _listen_metrics(state))
+    sites = await _listen_all(state, front, surroundings.ready_path)
     await until_stopped(tasks)
     await _finish(state)
     for site in sites:
@@ -84,6 +70,19 @@
     await surroundings.close()
 
 
+def _parts(state: BoxState, surroundings: Surroundings, chance: random.Random) -> tuple[Work, ...]:
+    """Return the work of the parts that run besides callers' requests, each until cancelled."""
+    return (
+        state.log.run(),
+        follow_operators(state, surroundings.feeds),
+        follow_endpoints(state, surroundings.feeds),
+        Watcher(state, surroundings.peers).run(),
+        OrderGiver(state, surroundings.own, surroundings.peers).run(),
+        BoxList(state, surroundings.own, chance).run(),
+        Upkeep(state, surroundings.peers).run(),
+    )
+
+
 async def _reload(state: BoxState, load: LoadSettings) -> None:
     """Put changed settings in force; those that cannot be read change nothing."""
     hangup = asyncio.Event()
@@ -117,7 +116,7 @@
     return True
 
 
-async def _kept_running(state: BoxState, work: Coroutine[Any, Any, None]) -> None:
+async def _kept_running(state: BoxState, work: Work) -> None:
     """Run a part of the box; its failure is logged and ends the program, which is then started anew."""
     try:
         await work
@@ -127,6 +126,13 @@
         raise
 
 
+async def _listen_all(state: BoxState, front: Front, ready_path: str) -> list[web.AppRunner]:
+    sites = [await _listen_front(state.settings, front), await _listen_readiness(state, ready_path)]
+    if state.settings.metrics_port:
+        sites.append(await _listen_metrics(state))
+    return sites
+
+
 async def _listen_front(settings: BoxSettings, front: Front) -> web.AppRunner:
     app = web.Application(client_max_size=0)
     app.router.add_route("*", "/{path:.*}", front.handle)
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -20,6 +20,7 @@
 """Seconds without a change after which a box counts as gone: three heartbeats."""
 
 JITTER = 0.2
+"""Share of WRITE_S by which the pause between heartbeats varies, so that boxes do not write together."""
 
 
 class BoxHeartbeat(msgspec.Struct, frozen=True):
--- a/stairquay/serving/decisions.py
+++ b/stairquay/serving/decisions.py
@@ -25,6 +25,8 @@
 """Seconds between two writes: fewer system calls, and a reader still sees lines at once."""
 
 CHUNK_BYTES = 32_768
+"""Bytes from which lines are handed to one write."""
+
 MAX_TEXT = 200
 """Longest text in a line, in characters."""
 
--- a/stairquay/serving/relay.py
+++ b/stairquay/serving/relay.py
@@ -19,6 +19,7 @@
 """Longest event that is held back until it is whole: far above the sites' 360 bytes."""
 
 MAX_ANSWER_BYTES = 16_000_000
+"""Longest answer that is held whole before it is passed on."""
 
 
 @dataclass
