--- a/tests/launcher.py
+++ b/tests/launcher.py
@@ -3,7 +3,6 @@
 import hashlib
 import json
 import os
-import random
 import signal
 import socket
 import ssl
@@ -13,60 +12,19 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Iterator
 from dataclasses import dataclass, field
-from functools import cache
-from itertools import cycle
 from pathlib import Path
 from typing import Any
 
 from stairquay.core.decode import encode
 from stairquay.core.models import Box, BoxKind, BoxState
+from tests.ports import free_port
 
 ROOT = Path(__file__).resolve().parent.parent
 START_LIMIT_S = 30.0
 OPERATOR_KEY = "operator-key"
 
 
-FIRST_PORT, LAST_PORT, SLOT_PORTS = 15_000, 32_000, 500
-"""Below the range from which the system takes ports for outgoing connections."""
-
-
-@dataclass
-class PortSlot:
-    """A range of ports that this process alone takes, as long as it holds the socket at its start."""
-
-    held: socket.socket
-    ports: Iterator[int]
-
-
-@cache
-def port_slot() -> PortSlot:
-    bases = list(range(FIRST_PORT, LAST_PORT, SLOT_PORTS))
-    random.shuffle(bases)
-    for base in bases:
-        held = socket.socket()
-        try:
-            held.bind(("127.0.0.1", base))
-        except OSError:
-            held.close()
-            continue
-        return PortSlot(held, cycle(range(base + 1, base + SLOT_PORTS)))
-    raise RuntimeError("no range of ports is free")
-
-
-def free_port() -> int:
-    for port in port_slot().ports:
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-    raise RuntimeError("no port is free")
-
-
 def hash_key(key: str) -> str:
     return hashlib.sha256(key.encode()).hexdigest()
 
--- /dev/null
+++ b/tests/ports.py
@@ -0,0 +1,46 @@
+"""Ports of the loopback for processes that are started, from a range that this process alone takes."""
+
+import random
+import socket
+from collections.abc import Iterator
+from dataclasses import dataclass
+from functools import cache
+from itertools import cycle
+
+FIRST_PORT, LAST_PORT, SLOT_PORTS = 15_000, 32_000, 500
+"""Below the range from which the system takes ports for outgoing connections."""
+
+
+@dataclass
+class PortSlot:
+    """A range of ports that this process alone takes, as long as it holds the socket at its start."""
+
+    held: socket.socket
+    ports: Iterator[int]
+
+
+@cache
+def port_slot() -> PortSlot:
+    bases = list(range(FIRST_PORT, LAST_PORT, SLOT_PORTS))
+    random.shuffle(bases)
+    for base in bases:
+        held = socket.socket()
+        try:
+            held.bind(("127.0.0.1", base))
+        except OSError:
+            held.close()
+            continue
+        return PortSlot(held, cycle(range(base + 1, base + SLOT_PORTS)))
+    raise RuntimeError("no range of ports is free")
+
+
+def free_port() -> int:
+    for port in port_slot().ports:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError("no port is free")
--- a/tests/test_box_state.py
+++ b/tests/test_box_state.py
@@ -61,7 +61,8 @@
             here.table.down = False
             await here.until_ready()
             assert (await here.call("/plain/x")).status == 200
-            assert here.logged("dependency", outcome="lost") and here.logged("dependency", outcome="regained")
+            await eventually(lambda: here.logged("dependency", outcome="regained"))
+            assert here.logged("dependency", outcome="lost")
 
     async def _refused(here: Site) -> bool:
         return (await here.call("/plain/x")).status == 503
