Start a part of the box again when it fails

Cause: an error that nobody foresaw in one part (a lease row that cannot be read, in the test) ended the process, and would have ended each that followed. Ruled out: handling only that row: any part may meet what nobody foresaw. Change: the part is started again after half a second, with a line that names part, error and place.

--- a/stairquay/explain.py
+++ b/stairquay/explain.py
@@ -30,6 +30,7 @@
         "lease",
         "order",
         "store_view",
+        "part_failed",
     )
 )
 """Kinds of lines that tell what a box believes; each may explain a decision that came after it."""
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -4,6 +4,8 @@
 import random
 import signal
 from collections.abc import Callable, Coroutine
+from functools import partial
+from traceback import extract_tb
 from typing import Any
 
 from aiohttp import web
@@ -30,6 +32,9 @@
 """Seconds of serving on after the stop signal: the balancer asks each second and needs two misses.
 Callers keep using open connections, so that without an end to it the last requests would be cut."""
 
+PART_AGAIN_S = 0.5
+"""Seconds before a part of the box that failed is started again."""
+
 CLOSE_S = 0.6
 """Seconds left at the end for closing connections."""
 
@@ -41,7 +46,7 @@
 
 LoadSettings = Callable[[], Result[BoxSettings, list[Mistake]]]
 OpenSurroundings = Callable[[], Surroundings]
-Work = Coroutine[Any, Any, None]
+Work = Callable[[], Coroutine[Any, Any, None]]
 
 
 async def run_box(settings: BoxSettings, load: LoadSettings, open_surroundings: OpenSurroundings) -> None:
@@ -56,8 +61,9 @@
     chance = random.Random()
     front = Front(state, surroundings.callers, Dispatcher(state, surroundings.endpoints, chance), chance)
     tasks = Tasks()
-    for work in (*_parts(state, surroundings, chance), _reload(state, load)):
-        tasks.start(_kept_running(state, work))
+    parts_by_name = _parts(state, surroundings, chance) | {"reload": partial(_reload, state, load)}
+    for name, work in parts_by_name.items():
+        tasks.start(_kept_running(state, name, work))
     log.line(Decision.START, front=settings.front, data_hall=settings.data_hall)
     sites = await _listen_all(state, front, surroundings.ready_path)
     await until_stopped(tasks)
@@ -70,17 +76,17 @@
     await surroundings.close()
 
 
-def _parts(state: BoxState, surroundings: Surroundings, chance: random.Random) -> tuple[Work, ...]:
-    """Return the work of the parts that run besides callers' requests, each until cancelled."""
-    return (
-        state.log.run(),
-        follow_operators(state, surroundings.feeds),
-        follow_endpoints(state, surroundings.feeds),
-        Watcher(state, surroundings.peers).run(),
-        OrderGiver(state, surroundings.own, surroundings.peers).run(),
-        BoxList(state, surroundings.own, chance).run(),
-        Upkeep(state, surroundings.peers).run(),
-    )
+def _parts(state: BoxState, surroundings: Surroundings, chance: random.Random) -> dict[str, Work]:
+    """Return by name what runs besides callers' requests, each until cancelled."""
+    return {
+        "log": state.log.run,
+        "operators": partial(follow_operators, state, surroundings.feeds),
+        "endpoints": partial(follow_endpoints, state, surroundings.feeds),
+        "watching": Watcher(state, surroundings.peers).run,
+        "orders": OrderGiver(state, surroundings.own, surroundings.peers).run,
+        "boxes": BoxList(state, surroundings.own, chance).run,
+        "upkeep": Upkeep(state, surroundings.peers).run,
+    }
 
 
 async def _reload(state: BoxState, load: LoadSettings) -> None:
@@ -116,14 +122,16 @@
     return True
 
 
-async def _kept_running(state: BoxState, work: Work) -> None:
-    """Run a part of the box; its failure is logged and ends the program, which is then started anew."""
-    try:
-        await work
-    except Exception as error:
-        state.log.line(Decision.STOP, outcome="failed", detail=repr(error))
-        state.log.flush()
-        raise
+async def _kept_running(state: BoxState, name: str, work: Work) -> None:
+    """Run a part of the box. One that fails is told, and started again: a box never ends by itself."""
+    while True:
+        try:
+            await work()
+        except Exception as error:
+            frame = extract_tb(error.__traceback__)[-1]
+            where = f"{frame.filename.rpartition('/')[2]}:{frame.lineno}"
+            state.log.line(Decision.PART_FAILED, part=name, detail=repr(error), where=where)
+        await asyncio.sleep(PART_AGAIN_S)
 
 
 async def _listen_all(state: BoxState, front: Front, ready_path: str) -> list[web.AppRunner]:
--- a/stairquay/serving/decisions.py
+++ b/stairquay/serving/decisions.py
@@ -49,6 +49,7 @@
     SENT = "sent"
     ATTEMPT_FAILED = "attempt_failed"
     ENDED = "ended"
+    PART_FAILED = "part_failed"
     LEFT_OUT = "left_out"
 
 
--- a/tests/test_box_state.py
+++ b/tests/test_box_state.py
@@ -380,3 +380,18 @@
             await eventually(lambda: here.logged("refused", cause="overloaded"))
 
     asyncio.run(scenario())
+
+
+def test_a_part_that_fails_is_started_again_and_the_box_serves_on():
+    async def scenario():
+        async with site(engines=1) as here:
+            here.table.put("stairquay", "lease/orders", {"no": "lease"})
+            here.table.put("op", f"version/{MODEL}", {"model": MODEL, "version": 2})
+            await eventually(lambda: here.logged("part_failed"))
+            assert (await here.call("/plain/x")).status == 200
+            lease = {"holder": "box-1@127.0.0.1", "token": 7, "duration_s": 0.8, "renewal": 3}
+            here.table.put("stairquay", "lease/orders", lease)
+            await eventually(lambda: here.engines()[0].version == 2, 8.0)
+            assert here.box.returncode is None
+
+    asyncio.run(scenario())
