--- a/stairquay/serving/saving.py
+++ b/stairquay/serving/saving.py
@@ -1,4 +1,4 @@
-"""Which store box keeps which part of a prompt, and what is freed there."""
+"""Which store box keeps which part of a prompt."""
 
 import xxhash
 
