Take the ports of boxes in tests from the range that the test process holds

Cause: three of 274 checks failed once, beside load: the box ended before it was ready (its output was closed, and the readiness call refused for 20 s). Its ports came from the range for outgoing connections, where any connection may take one before the box does; a box whose port is taken ends at once, which a run with a taken port shows. Ruled out: slowness (a slow box would have gone on), the three tests' own subjects (none had begun). Change: the ports come from tests/ports.py as the other tests' do, and a box that ended is told at once.

--- a/tests/site.py
+++ b/tests/site.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import tempfile
 from collections.abc import AsyncIterator
@@ -15,6 +14,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from tests.ports import free_port
 from tests.standins.dialect import Endpoint, StoreBox, TableService
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -116,9 +116,8 @@
         self.table.put("op", "config", configuration(version, self.stores, **fields))
 
     async def start_box(self) -> None:
-        ports = free_ports(3)
-        self.front, self.readiness = f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[1]}"
-        self.metrics_port = ports[2]
+        self.front, self.readiness = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
+        self.metrics_port = free_port()
         path = self.write_settings()
         command = [sys.executable, "-m", "stairquay", "box", "--metrics-port", str(self.metrics_port)]
         self.box = await asyncio.create_subprocess_exec(
@@ -169,7 +168,8 @@
         await eventually(self.is_ready, READY_S)
 
     async def is_ready(self) -> bool:
-        assert self.session is not None
+        assert self.session is not None and self.box is not None
+        assert self.box.returncode is None, "the box ended"
         try:
             async with self.session.get(f"http://{self.readiness}/-/readyz") as response:
                 return response.status == 200
@@ -232,17 +232,6 @@
                 await part.runner.cleanup()
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that were free just now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for held in sockets:
-        held.bind(("127.0.0.1", 0))
-    ports = [held.getsockname()[1] for held in sockets]
-    for held in sockets:
-        held.close()
-    return ports
-
-
 async def eventually(check: Any, limit_s: float = 10.0) -> None:
     """Wait until a check holds; it may be a plain function or a coroutine function."""
     end = asyncio.get_running_loop().time() + limit_s
