--- a/tests/test_box_state.py
+++ b/tests/test_box_state.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 
+from stairquay.serving.decisions import Decision
 from tests.site import KEY, MODEL, SCOPE, Site, configuration, eventually, route, site
 
 
@@ -395,3 +396,45 @@
             assert here.box.returncode is None
 
     asyncio.run(scenario())
+
+
+ELSEWHERE = {"dependency", "freed", "reload", "part_failed", "left_out"}
+"""Kinds of lines that other tests provoke: outages, replaced weights, settings, failing parts, floods."""
+
+INPUTS_BY_KIND = {
+    "start": {"front"},
+    "configuration": {"outcome", "version", "before"},
+    "version_named": {"model", "version"},
+    "endpoints": {"endpoint", "standing", "revision"},
+    "store_view": {"store", "outcome", "parts"},
+    "lease": {"outcome", "fence", "revision"},
+    "order": {"endpoint", "version", "fence", "sequence", "lease_age_s", "outcome"},
+    "sent": {"request", "endpoint", "attempt", "left_s", "view_age_s", "configuration", "first_token_s"},
+    "ended": {"request", "outcome", "ran", "endpoint", "took_s"},
+    "refused": {"request", "cause", "ran", "view_age_s", "configuration", "come_back_s"},
+    "attempt_failed": {"request", "endpoint", "outcome", "ran", "detail", "took_s"},
+    "stop": {"outcome", "in_flight"},
+}
+
+
+def test_each_kind_of_decision_leaves_its_line_with_what_decided_it():
+    async def scenario():
+        async with site(engines=1, stores=1) as here:
+            await eventually(lambda: here.logged("store_view"))
+            assert (await here.prompt(call_id="prompt-1")).status == 200
+            here.endpoints[0].errors = 1
+            await here.call("/plain/x", call_id="again-1")
+            await here.call("/nowhere/x", call_id="lost-1")
+            here.table.put("op", f"version/{MODEL}", {"model": MODEL, "version": 2})
+            await eventually(lambda: here.engines()[0].version == 2, 8.0)
+            here.stop_box()
+            await asyncio.wait_for(here.box.wait(), 8.0)
+            await here.reader
+            for kind, inputs in INPUTS_BY_KIND.items():
+                assert any(inputs <= line.keys() for line in here.logged(kind)), kind
+            assert here.logged("sent", request="prompt-1") and here.logged("ended", request="prompt-1")
+            assert here.logged("refused", request="lost-1", cause="unknown_path")
+            assert here.logged("attempt_failed", request="again-1")
+
+    assert {kind.value for kind in Decision} == INPUTS_BY_KIND.keys() | ELSEWHERE
+    asyncio.run(scenario())
