Never put an endpoint's error into a stream that has begun

Cause: found in reading the change: a stream that goes on at another endpoint, which answers with an error of its own, got that answer as a second head inside its body; the test's caller hung on it. Ruled out: refusing before (the head of the stream is out by then). Change: any answer but a stream counts as a broken one there, so that the caller's connection is cut; the check for it in the error's way is gone, since it can no longer be reached.

--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -187,6 +187,9 @@
                 )
                 response = progress.stream.response
                 assert response is not None
+            elif progress.stream.response is not None:
+                # The caller already has the head of a stream: no other answer may follow it.
+                raise BrokenAnswer(f"status {reply.status} in place of the rest of a stream")
             else:
                 body = await read_whole(reply, job.deadline)
                 if reply.status >= SERVER_ERROR and self._error_again(job, begun, progress, reply, body):
@@ -211,7 +214,7 @@
         """Take in an endpoint's own error; tell whether the job is sent again instead of passing it on."""
         progress.kept_reply = (reply, body)
         again = job.route.may_run_again and progress.runs + 1 < job.route.max_attempts
-        if not again or progress.stream.response is not None:
+        if not again:
             return False
         begun.attempt.lose()
         failure = SendFailure(
--- a/tests/test_box.py
+++ b/tests/test_box.py
@@ -239,3 +239,20 @@
             assert (await here.call("/plain/x")).status == 200
 
     asyncio.run(scenario())
+
+
+def test_an_error_in_place_of_the_rest_of_a_stream_never_gets_into_it():
+    async def scenario():
+        async with site(engines=2) as here:
+            for engine in here.engines():
+                engine.break_after, engine.event_s = 3, 0.1
+            call = asyncio.create_task(here.prompt("/again/chat"))
+            await eventually(lambda: any(engine.taken for engine in here.engines()))
+            other = next(engine for engine in here.engines() if not engine.taken)
+            other.errors = 1
+            answer = await call
+            assert len(other.taken) == 1
+            assert not answer.whole and answer.events == [1, 2, 3]
+            assert b"broken" not in answer.body and b"HTTP/" not in answer.body
+
+    asyncio.run(scenario())
