--- a/stairquay/core/placement.py
+++ b/stairquay/core/placement.py
@@ -56,8 +56,8 @@
 
     waiting_tokens: prompt tokens that wait or are being read. failing: share of recent requests it failed.
     resident: tokens it keeps of each part of the prompt, in order. familiar: the sender often sends there.
-    used_tokens: memory that running requests hold, of total_tokens; 0 of 0 where that is not known. slots: runs
-    that it makes at once.
+    used_tokens: memory that running requests hold, of total_tokens; 0 of 0 where that is not known.
+    slots: runs that it makes at once.
     """
 
     id: str
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -49,7 +49,7 @@
             apply=apply,
             whole_now=lambda: False,
             whole_s=OPERATORS_WHOLE_S,
-            pause_s=0.0,
+            pause_s=lambda: 0.0,
         ),
     )
 
@@ -70,7 +70,8 @@
             apply=apply,
             whole_now=lambda: bool(state.fleet.missing_since_by_id),
             whole_s=LIST_WHOLE_S,
-            pause_s=LIST_PAUSE_S,
+            # A router answers when something changed, and otherwise after a while: asking it needs no pause.
+            pause_s=lambda: 0.0 if state.list_passed_on else LIST_PAUSE_S,
         ),
     )
 
@@ -80,7 +81,7 @@
     """One thing that is followed in the table service.
 
     apply takes the changes and when their question was asked. whole_now tells whether everything has to be
-    read; whole_s is the longest time between two such reads, pause_s the pause after each answer.
+    read; whole_s is the longest time between two such reads, pause_s returns the pause after an answer.
     """
 
     name: str
@@ -89,7 +90,7 @@
     apply: Callable[[Changes, float], None]
     whole_now: Callable[[], bool]
     whole_s: float
-    pause_s: float
+    pause_s: Callable[[], float]
 
 
 async def _follow(state: BoxState, followed: Followed[Changes]) -> None:
@@ -114,7 +115,7 @@
         followed.apply(answer.ok_value, asked_at)
         revision = answer.ok_value.revision
         read_at = asked_at if whole else read_at
-        await asyncio.sleep(followed.pause_s)
+        await asyncio.sleep(followed.pause_s())
 
 
 def apply_operators(state: BoxState, changes: OperatorChanges, asked_at: float) -> None:
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -183,17 +183,20 @@
             changes = OperatorChanges(revision, True, state.catalog, "", dict(state.named_by_model))
         else:
             changes = OperatorChanges(revision, False)
-        now = monotonic()
-        return OperatorsReply(changes, now - state.view_asked_at, now - began_at)
+        return OperatorsReply(changes, state.view_age(), monotonic() - began_at)
 
     async def _on_endpoints(self, asked: EndpointsRequest) -> EndpointsReply:
         state = self.state
-        await _until(lambda: state.list_changed > asked.after, asked.wait_s)
+
+        def answerable() -> bool:
+            return state.list_changed > asked.after or state.list_too_old(state.list_age())
+
+        await _until(answerable, asked.wait_s)
         if state.list_changed > asked.after:
             changes = EndpointChanges(state.list_revision, True, tuple(state.fleet.live()))
         else:
             changes = EndpointChanges(state.list_revision, False)
-        return EndpointsReply(changes, monotonic() - state.list_asked_at)
+        return EndpointsReply(changes, state.list_age())
 
 
 async def _until(condition: Callable[[], bool], limit_s: float) -> None:
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -16,7 +16,8 @@
 """Seconds for a router's answer besides the time it was asked to wait."""
 
 OLD_VIEW_S = 1.6
-"""Age of a router's view from which it is not used: twice what it has while the table service answers."""
+"""Age of a router's view of operators' rows from which it is not used: twice what it has while the table
+service answers."""
 
 
 class SharedFeeds:
@@ -40,11 +41,13 @@
     async def read_endpoints(self) -> Result[EndpointChanges, FeedFault]:
         """Read the list of endpoints."""
         passed = await self._endpoints(self.state.list_revision, 0.0)
+        self.state.list_passed_on = passed is not None
         return Ok(passed) if passed is not None else await self.feeds.read_endpoints()
 
     async def follow_endpoints(self, after: int, wait_s: float) -> Result[EndpointChanges, FeedFault]:
         """Wait for changes of the list after a revision."""
         passed = await self._endpoints(after, wait_s)
+        self.state.list_passed_on = passed is not None
         return Ok(passed) if passed is not None else await self.feeds.follow_endpoints(after, wait_s)
 
     async def _operators(self, after: int, wait_s: float) -> OperatorChanges | None:
@@ -77,7 +80,7 @@
         if reply is None:
             self.links.suspect(router, "no answer about the list of endpoints")
             return None
-        return None if reply.age_s > OLD_VIEW_S else reply.changes
+        return None if self.state.list_too_old(reply.age_s) else reply.changes
 
     def _router(self) -> Member | None:
         if self.state.routes:
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -40,6 +40,10 @@
 """Share of the time in which a version is to be everywhere after which no request is sent to older ones:
 the rest is for the request's way and its wait for a slot."""
 
+OLD_LIST_SHARE = 0.8
+"""Share of the time in which new work for a leaving endpoint must stop after which a box does not use a
+router's list of endpoints any more, and reads it itself: that takes some milliseconds."""
+
 NEVER = float("-inf")
 
 
@@ -110,7 +114,7 @@
     clock less this one's.
     operators_revision, list_revision: the table service's revision that our view is complete up to;
     operators_changed, list_changed: the revision at which it last changed. list_asked_at: like
-    view_asked_at, for the list of endpoints.
+    view_asked_at, for the list of endpoints; list_passed_on: a router passed its newest answer on.
     routers: boxes that route prompts for all, none where each box routes by itself. routed_engines: the
     engines that this box routes for. suspected_until_by_id: boxes that lately did not answer.
     """
@@ -132,6 +136,7 @@
     operators_revision: int = 0
     operators_changed: int = 0
     list_asked_at: float = NEVER
+    list_passed_on: bool = False
     list_revision: int = 0
     list_changed: int = 0
     routers: tuple[Member, ...] = ()
@@ -174,6 +179,14 @@
         """Return the boxes that follow engines and store boxes."""
         return tuple(router.id for router in self.routers) or self.boxes
 
+    def list_age(self) -> float:
+        """Return the age of the list of endpoints in seconds."""
+        return monotonic() - self.list_asked_at
+
+    def list_too_old(self, age_s: float) -> bool:
+        """Tell whether a list of that age is too old to pass on: leaving endpoints must be known in time."""
+        return age_s > self.settings.drain_s * OLD_LIST_SHARE
+
     def view_age(self) -> float:
         """Return the age of the configuration's view in seconds."""
         return monotonic() - self.view_asked_at
--- a/tests/test_many_boxes.py
+++ b/tests/test_many_boxes.py
@@ -202,6 +202,17 @@
     asyncio.run(scenario())
 
 
+def test_a_box_reads_the_list_itself_where_its_routers_list_is_old():
+    async def scenario():
+        async with routed(plain=2, drain_ms=1000) as (here, router):
+            router.view_age_s = 0.9
+            leaving = here.endpoints[0]
+            here.table.put("servers", leaving.id, leaving.entry("draining"))
+            await eventually(lambda: here.logged("endpoints", endpoint="p-0", standing="leaving"), 1.5)
+
+    asyncio.run(scenario())
+
+
 def question(ticket: str, **fields) -> PlaceRequest:
     parts = (PartShape("aa", 500), PartShape("bb", 300), PartShape("cc", 100))
     base = {"service": "llm", "model": MODEL, "parts": parts, "tokens": 900, "max_output": 20}
@@ -272,6 +283,18 @@
     asyncio.run(scenario())
 
 
+def test_a_router_whose_list_grows_old_says_so_without_waiting_longer():
+    async def scenario():
+        async with routing(drain_ms=2000) as (here, link):
+            listed = await link.endpoints(EndpointsRequest(0, 0.0), 1.0)
+            here.table.down = True
+            began = asyncio.get_running_loop().time()
+            old = await link.endpoints(EndpointsRequest(listed.changes.revision, 10.0), 1.0)
+            assert old.age_s > 1.6 and asyncio.get_running_loop().time() - began < 3.0
+
+    asyncio.run(scenario())
+
+
 def test_a_router_that_stops_closes_its_channels():
     async def scenario():
         async with routing(engines=1) as (here, link):
