--- a/stairquay/serving/asking.py
+++ b/stairquay/serving/asking.py
@@ -7,6 +7,7 @@
 import asyncio
 from random import Random
 from time import monotonic
+from typing import TypeVar
 
 from stairquay.core.call import PromptShape
 from stairquay.core.catalog import WorkspaceRule
@@ -48,6 +49,8 @@
 MAX_NOTICES = 2_000
 """Most ended prompts that wait for one router: some seconds of a box's prompts."""
 
+Answer = TypeVar("Answer")
+
 
 class Links:
     """Open channels to routers, and which of them lately did not answer."""
@@ -55,6 +58,7 @@
     def __init__(self, state: BoxState) -> None:
         self.state = state
         self.links_by_address: dict[str, Link] = {}
+        self.lost: set[str] = set()
 
     def to(self, router: Member) -> Link:
         """Return the channel to a router."""
@@ -63,14 +67,23 @@
             link = self.links_by_address[router.address] = Link(router.address)
         return link
 
-    def suspect(self, router: Member, cause: str) -> None:
-        """Pass over a router for a while."""
-        now = monotonic()
-        known = self.state.suspected_until_by_id.get(router.id, 0.0) > now
-        self.state.suspected_until_by_id[router.id] = now + SUSPECT_S
+    def heard(self, router: Member, answer: Answer | None, question: str) -> Answer | None:
+        """Note whether a router answered, and return its answer. One that did not is passed over for a while."""
+        if answer is not None:
+            if router.id in self.lost:
+                self.lost.remove(router.id)
+                self._log(router, "regained", question)
+            return answer
+        self.state.suspected_until_by_id[router.id] = monotonic() + SUSPECT_S
         self.state.metrics.silent_routers.inc()
-        if not known:
-            self.state.log.line(Decision.DEPENDENCY, name=f"router {router.id}", outcome="lost", cause=cause)
+        if router.id not in self.lost:
+            self.lost.add(router.id)
+            self._log(router, "lost", question)
+        return None
+
+    def _log(self, router: Member, outcome: str, question: str) -> None:
+        name = f"router {router.id}"
+        self.state.log.line(Decision.DEPENDENCY, name=name, outcome=outcome, question=question)
 
     async def keep_only(self, routers: tuple[Member, ...]) -> None:
         """Close the channels to boxes that are routers no longer."""
@@ -80,6 +93,7 @@
         ids = {router.id for router in routers}
         for known in set(self.state.suspected_until_by_id) - ids:
             del self.state.suspected_until_by_id[known]
+        self.lost &= ids
 
 
 class Chooser:
@@ -162,15 +176,14 @@
 
     async def _tell(self, router: Member, tickets: tuple[str, ...]) -> None:
         answer = await self.links.to(router).finished(FinishedNotice(tickets), NOTICE_ANSWER_S)
-        if answer is None:
-            self.links.suspect(router, "no answer to a notice")
+        self.links.heard(router, answer, "what has ended")
 
     async def _ask(self, router: Member, asked: PlaceRequest) -> PlaceReply | None:
         if router.id == self.state.settings.id:
             return self.part.place(asked)
-        reply = await self.links.to(router).place(asked, ASK_S)
+        answer = await self.links.to(router).place(asked, ASK_S)
+        reply = self.links.heard(router, answer, "where a prompt runs")
         if reply is None:
-            self.links.suspect(router, "no answer to a question")
             # It may have placed the prompt all the same.
             self._ended(router, asked.ticket)
         return reply
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -55,11 +55,9 @@
         if router is None:
             return None
         question = OperatorsRequest(after, wait_s)
-        reply = await self.links.to(router).operators(question, VIEW_S)
-        if reply is None:
-            self.links.suspect(router, "no answer about operators' rows")
-            return None
-        if reply.age_s > OLD_VIEW_S:
+        answer = await self.links.to(router).operators(question, VIEW_S)
+        reply = self.links.heard(router, answer, "operators' rows")
+        if reply is None or reply.age_s > OLD_VIEW_S:
             return None
         changes = reply.changes
         # The answer was made `held_s` after the question came in, which was after it was asked.
@@ -76,11 +74,11 @@
         router = self._router()
         if router is None:
             return None
-        reply = await self.links.to(router).endpoints(EndpointsRequest(after, wait_s), VIEW_S)
-        if reply is None:
-            self.links.suspect(router, "no answer about the list of endpoints")
+        answer = await self.links.to(router).endpoints(EndpointsRequest(after, wait_s), VIEW_S)
+        reply = self.links.heard(router, answer, "the list of endpoints")
+        if reply is None or self.state.list_too_old(reply.age_s):
             return None
-        return None if self.state.list_too_old(reply.age_s) else reply.changes
+        return reply.changes
 
     def _router(self) -> Member | None:
         if self.state.routes:
--- a/tests/test_many_boxes.py
+++ b/tests/test_many_boxes.py
@@ -162,6 +162,7 @@
             assert all(here.logged("dependency", name=f"router {name}", outcome="lost") for name in ROUTERS)
             router.silent = False
             await eventually(lambda: _asked_again(here, router), 4.0)
+            await eventually(lambda: here.logged("dependency", outcome="regained"))
 
     async def _asked_again(here: Site, router: Router) -> bool:
         assert (await here.prompt(call_id="call-9")).status == 200
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -44,6 +44,17 @@
     assert parse_boot(given, 0).unwrap().settings.freshness.keyed_s == float("inf")
 
 
+def test_other_boxes_reach_a_box_at_the_last_of_its_free_ports():
+    given = GIVEN | {"internal_ports": [7700, 7715], "limits": {"cpu_share": 0.7, "cpu_cores": 3}}
+    settings = parse_boot(given, 0).unwrap().settings
+    assert settings.peer_address == f"{settings.ip}:7715"
+    assert round(settings.cores, 3) == 2.1 and settings.link_mbps == 1_000.0
+    assert parse_boot(GIVEN, 0).unwrap().settings.peer_address == ""
+    for wrong in ([7700], "7700", [7700, 0], [7700, "x"], [True, 7715]):
+        mistakes = parse_boot(GIVEN | {"internal_ports": wrong}, 0).unwrap_err()
+        assert [mistake.path for mistake in mistakes] == ["$.internal_ports"]
+
+
 def test_every_mistake_in_the_settings_is_named_at_once():
     given = {
         "node_name": "",
