--- a/stairquay/serving/asking.py
+++ b/stairquay/serving/asking.py
@@ -18,7 +18,7 @@
 from stairquay.serving.decisions import Decision
 from stairquay.serving.jobs import Job, Progress
 from stairquay.serving.links import Link
-from stairquay.serving.messages import FinishedNotice, PartShape, PlaceReply, PlaceRequest
+from stairquay.serving.messages import Ended, FinishedNotice, Outcome, PartShape, PlaceReply, PlaceRequest
 from stairquay.serving.routing import RouterPart
 from stairquay.serving.saving import save_targets
 from stairquay.serving.state import BoxState
@@ -68,7 +68,7 @@
         return link
 
     def heard(self, router: Member, answer: Answer | None, question: str) -> Answer | None:
-        """Note whether a router answered, and return its answer. One that did not is passed over for a while."""
+        """Note whether a router answered, and return its answer. One that did not is passed over a while."""
         if answer is not None:
             if router.id in self.lost:
                 self.lost.remove(router.id)
@@ -104,7 +104,8 @@
         self.links = links
         self.part = part
         self.random = random
-        self.ended_by_router: dict[Member, list[str]] = {}
+        self.ended_by_router: dict[Member, list[Ended]] = {}
+        self.telling: dict[Member, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
         """Tell routers which prompts have ended, until cancelled."""
@@ -115,9 +116,18 @@
             if monotonic() - pinged_at > PING_S:
                 pinged_at = monotonic()
                 self._ping()
-            ended, self.ended_by_router = self.ended_by_router, {}
-            told = [self._tell(router, tuple(tickets)) for router, tickets in ended.items()]
-            await asyncio.gather(*told)
+            self._tell_all()
+
+    def _tell_all(self) -> None:
+        """Send each router its notice, one at a time for each; those not heard lately wait."""
+        self.telling = {router: task for router, task in self.telling.items() if not task.done()}
+        live = set(self.state.live_routers())
+        for router in list(self.ended_by_router):
+            if router not in self.state.routers:
+                del self.ended_by_router[router]
+            elif router in live and router not in self.telling:
+                ended = tuple(self.ended_by_router.pop(router))
+                self.telling[router] = asyncio.create_task(self._tell(router, ended))
 
     async def choose(self, job: Job, progress: Progress) -> Choice | None:
         """Return where a job goes, None where no endpoint can take it."""
@@ -133,11 +143,11 @@
                 return best
         return best or self._choose_here(job, progress)
 
-    def finished(self, choice: Choice) -> None:
-        """Take in that a request has left the endpoint it was placed on."""
+    def finished(self, choice: Choice, outcome: Outcome = Outcome.DONE) -> None:
+        """Take in that a request has left the endpoint it was placed on, and how."""
         router = next((item for item in self.state.routers if item.id == choice.router), None)
         if router is not None:
-            self._ended(router, choice.ticket)
+            self._ended(router, Ended(choice.ticket, outcome))
 
     async def _place(self, router: Member, asked: PlaceRequest, prompt: PromptShape) -> Choice | None:
         """Return a router's choice, None where there is none that this box may use."""
@@ -146,7 +156,7 @@
             return None
         endpoint = self._usable(reply, prompt)
         if endpoint is None:
-            self._ended(router, asked.ticket)
+            self._ended(router, Ended(asked.ticket))
             return None
         return _choice(endpoint, reply, router.id, asked.ticket)
 
@@ -158,13 +168,13 @@
         self.finished(worse)
         return better
 
-    def _ended(self, router: Member, ticket: str) -> None:
+    def _ended(self, router: Member, ended: Ended) -> None:
         if router.id == self.state.settings.id:
-            self.part.finished(ticket)
+            self.part.finished(ended)
             return
         waiting = self.ended_by_router.setdefault(router, [])
         if len(waiting) < MAX_NOTICES:
-            waiting.append(ticket)
+            waiting.append(ended)
 
     def _ping(self) -> None:
         """As a router, have a notice sent to every other one, even where nothing has ended."""
@@ -174,8 +184,8 @@
             if router.id != self.state.settings.id:
                 self.ended_by_router.setdefault(router, [])
 
-    async def _tell(self, router: Member, tickets: tuple[str, ...]) -> None:
-        answer = await self.links.to(router).finished(FinishedNotice(tickets), NOTICE_ANSWER_S)
+    async def _tell(self, router: Member, ended: tuple[Ended, ...]) -> None:
+        answer = await self.links.to(router).finished(FinishedNotice(ended), NOTICE_ANSWER_S)
         self.links.heard(router, answer, "what has ended")
 
     async def _ask(self, router: Member, asked: PlaceRequest) -> PlaceReply | None:
@@ -185,7 +195,7 @@
         reply = self.links.heard(router, answer, "where a prompt runs")
         if reply is None:
             # It may have placed the prompt all the same.
-            self._ended(router, asked.ticket)
+            self._ended(router, Ended(asked.ticket))
         return reply
 
     def _usable(self, reply: PlaceReply, prompt: PromptShape) -> Endpoint | None:
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -12,6 +12,7 @@
 from stairquay.serving.asking import Chooser
 from stairquay.serving.choosing import Choice
 from stairquay.serving.jobs import Begun, Job, Progress
+from stairquay.serving.messages import Outcome
 from stairquay.serving.ports import BrokenAnswer, Endpoints, Reply, SendFailure
 from stairquay.serving.records import (
     record_answered,
@@ -63,12 +64,14 @@
             choice = await self.chooser.choose(job, progress)
             if choice is None:
                 return self._given_up(job, progress, Refusal(ErrorKind.NO_ENDPOINT), request)
+            outcome = Outcome.DONE
             try:
                 if self._sheds(job, choice, progress):
                     return self._given_up(job, progress, overloaded(choice), request)
                 response = await self._attempt(job, choice, progress, request)
+                outcome = _outcome(response, progress)
             finally:
-                self.chooser.finished(choice)
+                self.chooser.finished(choice, outcome)
             if response is not None:
                 return Ok(response)
             refusal = self._may_repeat(job, progress)
@@ -276,3 +279,13 @@
             record_given_up(self.state, job, "endpoint_error", progress.ran, refusal)
             return Ok(whole_response(reply, body))
         return Err(truthful(refusal, progress.ran))
+
+
+def _outcome(response: web.StreamResponse | None, progress: Progress) -> Outcome:
+    """Return what an attempt that has just ended says of its endpoint."""
+    failure = progress.last
+    if response is not None or failure is None:
+        return Outcome.DONE
+    if failure.ran == Ran.NOT_RUN:
+        return Outcome.TURNED_AWAY
+    return Outcome.FAILED if failure.fault and failure.kind != ErrorKind.DEADLINE else Outcome.DONE
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -1,5 +1,7 @@
 """What boxes say to each other where some of them route for all."""
 
+from enum import Enum
+
 import msgspec
 
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
@@ -50,10 +52,30 @@
     backlog_s: float = 0.0
 
 
+class Outcome(str, Enum):
+    """How an attempt ended, as far as it tells something about its endpoint."""
+
+    DONE = "done"
+    """Nothing speaks against the endpoint."""
+
+    FAILED = "failed"
+    """The endpoint failed it."""
+
+    TURNED_AWAY = "turned_away"
+    """The endpoint did not take it."""
+
+
+class Ended(msgspec.Struct, frozen=True, array_like=True):
+    """An attempt that has left the endpoint it was placed on."""
+
+    ticket: str
+    outcome: Outcome = Outcome.DONE
+
+
 class FinishedNotice(msgspec.Struct, frozen=True, array_like=True):
-    """Names attempts that have left the engines they were placed on."""
+    """Names attempts that have ended; none where a router only asks whether another is there."""
 
-    tickets: tuple[str, ...]
+    ended: tuple[Ended, ...]
 
 
 class OperatorsRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -20,18 +20,20 @@
 from stairquay.serving.decisions import Decision
 from stairquay.serving.links import Answers, serve
 from stairquay.serving.messages import (
+    Ended,
     EndpointsReply,
     EndpointsRequest,
     FinishedNotice,
     Nothing,
     OperatorsReply,
     OperatorsRequest,
+    Outcome,
     PlaceReply,
     PlaceRequest,
 )
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
 from stairquay.serving.saving import save_targets
-from stairquay.serving.state import BoxState
+from stairquay.serving.state import FULL_PAUSE_S, BoxState
 
 REVIEW_S = 0.25
 """Seconds between two looks at whether this box is a router, and of which engines."""
@@ -91,12 +93,17 @@
             backlog_s=choice.backlog_s,
         )
 
-    def finished(self, ticket: str) -> None:
-        """Take in that a prompt has left its engine."""
-        _, endpoint = self.placed.by_ticket.pop(ticket, (0.0, ""))
+    def finished(self, ended: Ended) -> None:
+        """Take in that a prompt has left its engine, and how."""
+        _, endpoint = self.placed.by_ticket.pop(ended.ticket, (0.0, ""))
         held = self.state.endpoints_by_id.get(endpoint)
-        if held is not None:
-            held.in_flight = max(0, held.in_flight - 1)
+        if held is None:
+            return
+        now = monotonic()
+        held.in_flight = max(0, held.in_flight - 1)
+        held.on_outcome(ended.outcome == Outcome.FAILED, now)
+        if ended.outcome == Outcome.TURNED_AWAY:
+            held.refused_until = now + FULL_PAUSE_S
 
     def _choose(self, asked: PlaceRequest) -> Choice | None:
         catalog = self.state.catalog
@@ -113,7 +120,7 @@
         now = monotonic()
         placement = choice.placement
         assert placement is not None
-        self.finished(asked.ticket)
+        self.finished(Ended(asked.ticket))
         self.placed.by_ticket[asked.ticket] = (now, choice.endpoint.id)
         held = self.state.of(choice.endpoint)
         held.in_flight += 1
@@ -147,7 +154,7 @@
         for ticket, (at, _) in list(self.placed.by_ticket.items()):
             if now - at < PLACED_S:
                 break
-            self.finished(ticket)
+            self.finished(Ended(ticket))
 
     async def _open(self) -> None:
         address = self.state.settings.peer_address
@@ -170,8 +177,8 @@
         return self.place(asked)
 
     async def _on_finished(self, notice: FinishedNotice) -> Nothing:
-        for ticket in notice.tickets:
-            self.finished(ticket)
+        for ended in notice.ended:
+            self.finished(ended)
         return Nothing()
 
     async def _on_operators(self, asked: OperatorsRequest) -> OperatorsReply:
--- a/tests/test_many_boxes.py
+++ b/tests/test_many_boxes.py
@@ -7,12 +7,14 @@
 
 from stairquay.serving.links import Answers, Link, serve
 from stairquay.serving.messages import (
+    Ended,
     EndpointsReply,
     EndpointsRequest,
     FinishedNotice,
     Nothing,
     OperatorsReply,
     OperatorsRequest,
+    Outcome,
     PartShape,
     PlaceReply,
     PlaceRequest,
@@ -41,7 +43,7 @@
     silent: bool = False
     view_age_s: float | None = None
     asked: list[PlaceRequest] = field(default_factory=list)
-    ended: list[str] = field(default_factory=list)
+    ended: list[Ended] = field(default_factory=list)
 
     def answers(self) -> Answers:
         return Answers(self.place, self.finished, self.operators, self.endpoints)
@@ -52,7 +54,7 @@
         return self.reply
 
     async def finished(self, notice: FinishedNotice) -> Nothing:
-        self.ended += notice.tickets
+        self.ended += notice.ended
         await self.wait()
         return Nothing()
 
@@ -119,13 +121,27 @@
             asked = next(item for item in router.asked if item.ticket == "call-7 0")
             assert (asked.model, asked.tokens, asked.wall) == (MODEL, 900, "")
             assert asked.parts == (PartShape("aa", 500), PartShape("bb", 300), PartShape("cc", 100))
-            await eventually(lambda: "call-7 0" in router.ended)
+            await eventually(lambda: Ended("call-7 0") in router.ended)
             await eventually(lambda: here.logged("sent", request="call-7"))
             assert here.logged("sent", request="call-7")[0]["router"] in ROUTERS
 
     asyncio.run(scenario())
 
 
+def test_a_router_hears_how_attempts_end():
+    async def scenario():
+        async with routed(engines=1) as (here, router):
+            router.reply = reply_for("e-0")
+            here.engines()[0].break_after = 1
+            await here.prompt(call_id="call-1")
+            await eventually(lambda: Ended("call-1 0", Outcome.FAILED) in router.ended)
+            here.engines()[0].break_after, here.engines()[0].refuse = None, 1
+            await here.prompt(call_id="call-2")
+            await eventually(lambda: Ended("call-2 0", Outcome.TURNED_AWAY) in router.ended)
+
+    asyncio.run(scenario())
+
+
 def test_an_isolated_workspace_is_named_to_the_router():
     async def scenario():
         async with routed(engines=1) as (here, router):
@@ -242,7 +258,7 @@
             first = [await link.place(question(f"r{n}"), 1.0) for n in range(3 * SLOTS)]
             counts = [[reply.endpoint for reply in first].count(engine.id) for engine in here.engines()]
             assert counts == [SLOTS] * 3
-            ended = tuple(f"r{n}" for n, reply in enumerate(first) if reply.endpoint == "e-1")
+            ended = tuple(Ended(f"r{n}") for n, reply in enumerate(first) if reply.endpoint == "e-1")
             await link.finished(FinishedNotice(ended), 1.0)
             again = [(await link.place(question(f"q{n}"), 1.0)).endpoint for n in range(SLOTS)]
             assert again == ["e-1"] * SLOTS
@@ -250,6 +266,20 @@
     asyncio.run(scenario())
 
 
+def test_a_router_avoids_an_engine_that_fails_what_is_sent_there():
+    async def scenario():
+        async with routing(engines=2) as (here, link):
+            await eventually(lambda: all(engine.asked_report for engine in here.engines()))
+            for number in range(4):
+                reply = await link.place(question(f"r{number}", tried=("e-1",)), 1.0)
+                assert reply.endpoint == "e-0"
+                await link.finished(FinishedNotice((Ended(f"r{number}", Outcome.FAILED),)), 1.0)
+            placed = [(await link.place(question(f"q{n}"), 1.0)).endpoint for n in range(4)]
+            assert placed == ["e-1"] * 4
+
+    asyncio.run(scenario())
+
+
 def test_a_router_names_the_scope_of_a_walled_workspace_and_leaves_out_tried_engines():
     async def scenario():
         async with routing(engines=2) as (_, link):
