--- a/stairquay/serving/asking.py
+++ b/stairquay/serving/asking.py
@@ -129,12 +129,15 @@
                 ended = tuple(self.ended_by_router.pop(router))
                 self.telling[router] = asyncio.create_task(self._tell(router, ended))
 
-    async def choose(self, job: Job, progress: Progress) -> Choice | None:
-        """Return where a job goes, None where no endpoint can take it."""
+    async def choose(self, job: Job, progress: Progress, most_backlog_s: float | None) -> Choice | None:
+        """Return where a job goes, None where no endpoint can take it.
+
+        most_backlog_s: a longer wait than that makes the sender give it up; None where it does not.
+        """
         prompt = job.call.prompt
         if not self.state.routers or prompt is None or job.service.engine is None:
             return self._choose_here(job, progress)
-        asked = _question(self.state.settings.id, job, prompt, progress)
+        asked = _question(self.state.settings.id, job, prompt, progress, most_backlog_s)
         best: Choice | None = None
         for router in routers_for(self.state.member, self.state.live_routers())[:ROUTERS_ASKED]:
             choice = await self._place(router, asked, prompt)
@@ -156,7 +159,7 @@
             return None
         endpoint = self._usable(reply, prompt)
         if endpoint is None:
-            self._ended(router, Ended(asked.ticket))
+            self._ended(router, Ended(asked.ticket, Outcome.NOT_SENT))
             return None
         return _choice(endpoint, reply, router.id, asked.ticket)
 
@@ -165,7 +168,7 @@
         if first is None or second is None:
             return first or second
         better, worse = (first, second) if first.backlog_s <= second.backlog_s else (second, first)
-        self.finished(worse)
+        self.finished(worse, Outcome.NOT_SENT)
         return better
 
     def _ended(self, router: Member, ended: Ended) -> None:
@@ -186,7 +189,10 @@
 
     async def _tell(self, router: Member, ended: tuple[Ended, ...]) -> None:
         answer = await self.links.to(router).finished(FinishedNotice(ended), NOTICE_ANSWER_S)
-        self.links.heard(router, answer, "what has ended")
+        if self.links.heard(router, answer, "what has ended") is None:
+            # Told again once it is asked again: hearing the same twice changes nothing.
+            for item in ended:
+                self._ended(router, item)
 
     async def _ask(self, router: Member, asked: PlaceRequest) -> PlaceReply | None:
         if router.id == self.state.settings.id:
@@ -195,7 +201,7 @@
         reply = self.links.heard(router, answer, "where a prompt runs")
         if reply is None:
             # It may have placed the prompt all the same.
-            self._ended(router, Ended(asked.ticket))
+            self._ended(router, Ended(asked.ticket, Outcome.NOT_SENT))
         return reply
 
     def _usable(self, reply: PlaceReply, prompt: PromptShape) -> Endpoint | None:
@@ -218,7 +224,9 @@
         )
 
 
-def _question(box: str, job: Job, prompt: PromptShape, progress: Progress) -> PlaceRequest:
+def _question(
+    box: str, job: Job, prompt: PromptShape, progress: Progress, most_backlog_s: float | None
+) -> PlaceRequest:
     workspace: WorkspaceRule | None = job.workspace
     return PlaceRequest(
         ticket=f"{job.call.id} {len(progress.tried)}",
@@ -230,6 +238,7 @@
         max_output=prompt.max_output,
         wall=workspace.id if workspace is not None and workspace.isolated else "",
         tried=tuple(progress.tried),
+        most_backlog_s=most_backlog_s,
     )
 
 
--- a/stairquay/serving/choosing.py
+++ b/stairquay/serving/choosing.py
@@ -221,23 +221,36 @@
     now: float,
 ) -> EngineView:
     held = state.of(endpoint)
-    running = 0 if held.report is None else held.report.running
+    used_tokens = held.used_tokens(now) + _waiting_memory(held.report)
     return EngineView(
         id=endpoint.id,
         address=endpoint.address,
         resident=tuple(state.holdings.tokens(endpoint.address, scope, part.id) for part in prompt.parts),
         waiting_tokens=_waiting_tokens(state, endpoint, held, now),
-        running=max(running, held.in_flight),
+        running=_running(state, endpoint, held),
         failing=held.failing_share(now),
         outdated=outdated,
         here=endpoint.data_hall == state.settings.data_hall,
         familiar=familiar is None or endpoint.id in familiar,
-        used_tokens=held.used_tokens(now) + _waiting_memory(held.report),
+        used_tokens=used_tokens,
         slots=slots,
         total_tokens=0.0 if held.report is None else held.report.total_tokens,
     )
 
 
+def _running(state: BoxState, endpoint: Endpoint, held: EndpointState) -> int:
+    """Return the runs believed to be under way at an engine.
+
+    A router's count may be too high where a sender could not tell that a run ended: no more can be there than
+    the engine said, and were sent since.
+    """
+    if held.report is None:
+        return held.in_flight
+    if endpoint.id in state.routed_engines:
+        return min(held.in_flight, held.report.running + held.report.queued + len(held.sent_prompts))
+    return max(held.report.running, held.in_flight)
+
+
 def _waiting_tokens(state: BoxState, endpoint: Endpoint, held: EndpointState, now: float) -> float:
     """Return the prompt tokens that an engine has yet to read."""
     if endpoint.id in state.routed_engines:
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -61,12 +61,13 @@
             refusal = self._may_go_on(job, progress)
             if refusal is not None:
                 return self._given_up(job, progress, refusal, request)
-            choice = await self.chooser.choose(job, progress)
+            most_backlog_s = _most_backlog_s(job, progress)
+            choice = await self.chooser.choose(job, progress, most_backlog_s)
             if choice is None:
                 return self._given_up(job, progress, Refusal(ErrorKind.NO_ENDPOINT), request)
-            outcome = Outcome.DONE
+            outcome = Outcome.NOT_SENT
             try:
-                if self._sheds(job, choice, progress):
+                if most_backlog_s is not None and choice.backlog_s > most_backlog_s:
                     return self._given_up(job, progress, overloaded(choice), request)
                 response = await self._attempt(job, choice, progress, request)
                 outcome = _outcome(response, progress)
@@ -86,20 +87,6 @@
             return Refusal(ErrorKind.NOT_READY, progress.ran, "the configuration's view is too old")
         return None
 
-    def _sheds(self, job: Job, choice: Choice, progress: Progress) -> bool:
-        """Tell whether a request is refused at once, because every engine has more work than it does in time.
-
-        Only the least urgent kind is: the others are let in before it. Those that are let in are in time,
-        where otherwise all of them would be late.
-        """
-        if (
-            progress.tried
-            or choice.placement is None
-            or not job.catalog.least_urgent(job.route, job.service.id)
-        ):
-            return False
-        return choice.backlog_s > job.route.objective_s * SHED_AT
-
     def _fresh(self, job: Job) -> bool:
         return job.workspace is None or self.state.keys_fresh()
 
@@ -289,3 +276,15 @@
     if failure.ran == Ran.NOT_RUN:
         return Outcome.TURNED_AWAY
     return Outcome.FAILED if failure.fault and failure.kind != ErrorKind.DEADLINE else Outcome.DONE
+
+
+def _most_backlog_s(job: Job, progress: Progress) -> float | None:
+    """Return the wait from which a request is refused at once, because every engine has more work than it
+    does in time; None for requests that are never refused for that.
+
+    Only the least urgent kind is: the others are let in before it. Those that are let in are in time,
+    where otherwise all of them would be late.
+    """
+    if progress.tried or not job.catalog.least_urgent(job.route, job.service.id):
+        return None
+    return job.route.objective_s * SHED_AT
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -19,6 +19,7 @@
 
     ticket: names this attempt until it has ended. box: who asks, and will send it. wall: the workspace that
     shares no kept context, empty for the others. tried: endpoints that must not be chosen again.
+    most_backlog_s: the sender gives the prompt up where it would wait longer; None where it does not.
     """
 
     ticket: str
@@ -30,6 +31,7 @@
     max_output: int
     wall: str
     tried: tuple[str, ...]
+    most_backlog_s: float | None = None
 
 
 class PlaceReply(msgspec.Struct, frozen=True, array_like=True):
@@ -64,6 +66,9 @@
     TURNED_AWAY = "turned_away"
     """The endpoint did not take it."""
 
+    NOT_SENT = "not_sent"
+    """It never left its box."""
+
 
 class Ended(msgspec.Struct, frozen=True, array_like=True):
     """An attempt that has left the endpoint it was placed on."""
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 from time import monotonic
 
@@ -46,11 +46,14 @@
 sites' routes, for boxes that ended before they could tell."""
 
 
-@dataclass
+@dataclass(frozen=True)
 class Placed:
-    """Prompts placed by this router that have not ended, oldest first: when, and on which endpoint."""
+    """A prompt placed on an endpoint: when, and how much of it the endpoint has to read."""
 
-    by_ticket: dict[str, tuple[float, str]] = field(default_factory=dict)
+    at: float
+    endpoint: str
+    reading_s: float
+    tokens: int
 
 
 class RouterPart:
@@ -59,7 +62,7 @@
     def __init__(self, state: BoxState, random: Random) -> None:
         self.state = state
         self.random = random
-        self.placed = Placed()
+        self.placed_by_ticket: dict[str, Placed] = {}
         self.server: grpc.aio.Server | None = None
 
     async def run(self) -> None:
@@ -76,7 +79,9 @@
         choice = self._choose(asked)
         if choice is None or choice.placement is None:
             return PlaceReply()
-        self._count(asked, choice)
+        given_up = asked.most_backlog_s is not None and choice.backlog_s > asked.most_backlog_s
+        if not given_up:
+            self._count(asked, choice)
         placement = choice.placement
         return PlaceReply(
             endpoint=choice.endpoint.id,
@@ -95,15 +100,18 @@
 
     def finished(self, ended: Ended) -> None:
         """Take in that a prompt has left its engine, and how."""
-        _, endpoint = self.placed.by_ticket.pop(ended.ticket, (0.0, ""))
-        held = self.state.endpoints_by_id.get(endpoint)
-        if held is None:
+        placed = self.placed_by_ticket.pop(ended.ticket, None)
+        held = None if placed is None else self.state.endpoints_by_id.get(placed.endpoint)
+        if placed is None or held is None:
             return
         now = monotonic()
         held.in_flight = max(0, held.in_flight - 1)
-        held.on_outcome(ended.outcome == Outcome.FAILED, now)
+        if ended.outcome in (Outcome.NOT_SENT, Outcome.TURNED_AWAY):
+            held.take_back(placed.reading_s, placed.tokens, placed.at)
         if ended.outcome == Outcome.TURNED_AWAY:
             held.refused_until = now + FULL_PAUSE_S
+        if ended.outcome in (Outcome.DONE, Outcome.FAILED):
+            held.on_outcome(ended.outcome == Outcome.FAILED, now)
 
     def _choose(self, asked: PlaceRequest) -> Choice | None:
         catalog = self.state.catalog
@@ -120,12 +128,14 @@
         now = monotonic()
         placement = choice.placement
         assert placement is not None
-        self.finished(Ended(asked.ticket))
-        self.placed.by_ticket[asked.ticket] = (now, choice.endpoint.id)
+        self.finished(Ended(asked.ticket, Outcome.NOT_SENT))
+        tokens = placement.read + placement.fetched
+        placed = Placed(now, choice.endpoint.id, read_s(placement.read, asked.tokens), tokens)
+        self.placed_by_ticket[asked.ticket] = placed
         held = self.state.of(choice.endpoint)
         held.in_flight += 1
-        held.on_placed(read_s(placement.read, asked.tokens), now)
-        held.on_sent(placement.read + placement.fetched, now)
+        held.on_placed(placed.reading_s, now)
+        held.on_sent(tokens, now)
 
     async def _review(self) -> None:
         state = self.state
@@ -151,8 +161,8 @@
 
     def _expire(self, now: float) -> None:
         """Stop counting prompts that nobody said a word about for long."""
-        for ticket, (at, _) in list(self.placed.by_ticket.items()):
-            if now - at < PLACED_S:
+        for ticket, placed in list(self.placed_by_ticket.items()):
+            if now - placed.at < PLACED_S:
                 break
             self.finished(Ended(ticket))
 
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -1,6 +1,7 @@
 """What one box believes: configuration, endpoints, their load, and who keeps which context."""
 
 from collections import deque
+from contextlib import suppress
 from dataclasses import dataclass, field
 from time import monotonic
 
@@ -75,6 +76,13 @@
         """As its router, count the time that an engine takes to read a prompt after those before it."""
         self.read_until = max(self.read_until, now) + reading_s
 
+    def take_back(self, reading_s: float, tokens: int, sent_at: float) -> None:
+        """Stop counting a prompt that the engine never read."""
+        self.read_until -= reading_s
+        with suppress(ValueError):
+            # A report may have come since, which does not count the prompt any more.
+            self.sent_prompts.remove((sent_at, tokens))
+
     def on_sent(self, tokens: int, now: float) -> None:
         """Count a prompt that was sent, until a report shows its memory."""
         self.sent_prompts.append((now, tokens))
--- /dev/null
+++ b/tests/test_choosing.py
@@ -0,0 +1,86 @@
+"""What a box believes of an engine when it chooses one."""
+
+from random import Random
+from time import monotonic
+
+from stairquay.core.call import Part, PromptShape
+from stairquay.core.catalog import Catalog, EngineShape, ServiceShape
+from stairquay.core.fleet import Endpoint
+from stairquay.core.routers import Member
+from stairquay.serving.choosing import Choice, choose
+from stairquay.serving.decisions import DecisionLog
+from stairquay.serving.ports import EngineReport
+from stairquay.serving.saving import save_targets
+from stairquay.serving.settings import BoxSettings
+from stairquay.serving.state import BoxState
+
+PROMPT = PromptShape("m", (Part("aa", 500), Part("bb", 300)), 800, 20)
+CATALOG = Catalog(1, services_by_id={"llm": ServiceShape("llm", 100, EngineShape(8, 100_000, 100, 1e9))})
+
+
+CHANCE = Random(1)
+
+
+def router_state(engines: int = 1) -> BoxState:
+    """The state of a router that has all engines, each with a young report."""
+    state = BoxState(BoxSettings("b-1", "10.0.0.1", "hall-a", "a:1", "a:2"), DecisionLog("b-1"))
+    listed = [Endpoint(f"e-{n}", "llm", f"10.0.1.{n}:1", "hall-a", 8) for n in range(engines)]
+    state.catalog = CATALOG
+    state.fleet.apply(listed, [], 0.0)
+    state.boxes_known, state.routers = True, (Member("b-1"),)
+    state.routed_engines = frozenset(item.id for item in listed)
+    for item in listed:
+        state.of(item).on_report(EngineReport(running=1, total_tokens=100_000), monotonic())
+    return state
+
+
+def chosen(state: BoxState, sender: str = "b-2") -> Choice:
+    service = CATALOG.services_by_id["llm"]
+    choice = choose(state, CATALOG, service, PROMPT, None, frozenset(), CHANCE, save_targets, sender)
+    assert choice is not None
+    return choice
+
+
+def test_runs_whose_end_a_router_was_never_told_do_not_fill_an_engine():
+    state = router_state()
+    state.endpoints_by_id["e-0"].in_flight = 40
+    assert chosen(state).backlog_s == 0.0
+
+
+def test_runs_that_a_router_placed_since_the_report_do():
+    state = router_state()
+    held = state.endpoints_by_id["e-0"]
+    held.in_flight = 12
+    for _ in range(12):
+        held.on_sent(10, monotonic())
+    assert chosen(state).backlog_s > 1.0
+
+
+def test_a_router_knows_how_long_an_engine_reads_what_it_placed():
+    state = router_state(2)
+    state.endpoints_by_id["e-0"].on_placed(0.5, monotonic())
+    assert all(chosen(state).endpoint.id == "e-1" for _ in range(5))
+    state.endpoints_by_id["e-1"].on_placed(0.8, monotonic())
+    choice = chosen(state)
+    assert choice.endpoint.id == "e-0" and 0.4 < choice.backlog_s <= 0.5
+
+
+def test_each_box_has_engines_of_its_own_among_equals_and_leaves_them_where_they_are_busy():
+    state = router_state(8)
+    own = {chosen(state, "b-7").endpoint.id for _ in range(40)}
+    assert len(own) == 2
+    for name in own:
+        state.endpoints_by_id[name].on_placed(0.1, monotonic())
+    assert chosen(state, "b-7").endpoint.id not in own
+
+
+def test_a_box_without_a_router_chooses_between_two_engines_by_chance():
+    state = router_state(8)
+    state.routed_engines = frozenset()
+    random = Random(3)
+    service = CATALOG.services_by_id["llm"]
+    found = {
+        choose(state, CATALOG, service, PROMPT, None, frozenset(), random, save_targets).endpoint.id
+        for _ in range(60)
+    }
+    assert len(found) == 8
--- a/tests/test_many_boxes.py
+++ b/tests/test_many_boxes.py
@@ -280,6 +280,21 @@
     asyncio.run(scenario())
 
 
+def test_a_prompt_that_is_given_up_does_not_count_as_work_of_its_engine():
+    async def scenario():
+        async with routing(engines=1) as (here, link):
+            await eventually(lambda: here.engines()[0].asked_report)
+            busy = await link.place(question("r0", tokens=90_000), 1.0)
+            assert busy.endpoint == "e-0"
+            waits = [await link.place(question(f"q{n}", most_backlog_s=0.05), 1.0) for n in range(20)]
+            assert all(reply.backlog_s > 0.05 for reply in waits)
+            assert waits[-1].backlog_s <= waits[0].backlog_s
+            await link.finished(FinishedNotice((Ended("r0", Outcome.NOT_SENT),)), 1.0)
+            assert (await link.place(question("r1", most_backlog_s=0.05), 1.0)).backlog_s < 0.05
+
+    asyncio.run(scenario())
+
+
 def test_a_router_names_the_scope_of_a_walled_workspace_and_leaves_out_tried_engines():
     async def scenario():
         async with routing(engines=2) as (_, link):
