--- a/stairquay/serving/orders.py
+++ b/stairquay/serving/orders.py
@@ -25,6 +25,10 @@
 STEP_S = 0.15
 """Seconds between two looks: a version is to be everywhere soon after it was named."""
 
+YOUNG_S = 0.3
+"""Age of an engine's report up to which it is not asked for another one while weights are replaced: reports
+lag by 0.2 s themselves. A router asks other routers' engines each two seconds only."""
+
 AGAIN_S = 0.4
 """Seconds between two reads of a lease that another box holds."""
 
@@ -69,16 +73,17 @@
         return any(self.state.named_for_s(engine.model) > limit_s for engine in behind)
 
     async def _look_again(self, engines: list[EngineState]) -> None:
-        """Ask engines that are loading, or were told to, for their state: the next ones wait for them."""
-        told = {key[0] for key, given in self.given.items() if given.settles(monotonic())}
-        named = self.state.named_by_model
-        loading = [
-            endpoint
-            for engine in engines
-            if (engine.busy or (engine.id in told and engine.version < named.get(engine.model, 0)))
-            and (endpoint := self.state.fleet.by_id.get(engine.id)) is not None
-        ]
-        await asyncio.gather(*(self._ask(endpoint) for endpoint in loading))
+        """Ask engines for their state that are loading, since the next ones wait for them; and those behind
+        whose report is old, since an order that names an old count of orders does nothing."""
+        loading = [engine.id for engine in engines if engine.busy]
+        behind = [engine.id for engine in outdated(engines, self.state.named_by_model)]
+        old = [name for name in behind if self._report_age_s(name) > YOUNG_S]
+        known = [self.state.fleet.by_id.get(name) for name in dict.fromkeys(loading + old)]
+        await asyncio.gather(*(self._ask(endpoint) for endpoint in known if endpoint is not None))
+
+    def _report_age_s(self, engine: str) -> float:
+        held = self.state.endpoints_by_id.get(engine)
+        return float("inf") if held is None else monotonic() - held.reported_at
 
     async def _ask(self, endpoint: Endpoint) -> None:
         report = await self.peers.report(endpoint.address)
