--- a/stairquay/serving/asking.py
+++ b/stairquay/serving/asking.py
@@ -154,7 +154,12 @@
 
     async def _place(self, router: Member, asked: PlaceRequest, prompt: PromptShape) -> Choice | None:
         """Return a router's choice, None where there is none that this box may use."""
-        reply = await self._ask(router, asked)
+        try:
+            reply = await self._ask(router, asked)
+        except asyncio.CancelledError:
+            # The caller left meanwhile.
+            self._ended(router, Ended(asked.ticket, Outcome.NOT_SENT))
+            raise
         if reply is None or not reply.endpoint:
             return None
         endpoint = self._usable(reply, prompt)
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True)
 class Placed:
-    """A prompt placed on an endpoint: when, and how much of it the endpoint has to read."""
+    """A prompt placed on an endpoint: when, how long the endpoint reads it, and how many tokens it holds."""
 
     at: float
     endpoint: str
@@ -129,13 +129,13 @@
         placement = choice.placement
         assert placement is not None
         self.finished(Ended(asked.ticket, Outcome.NOT_SENT))
-        tokens = placement.read + placement.fetched
-        placed = Placed(now, choice.endpoint.id, read_s(placement.read, asked.tokens), tokens)
+        placed = Placed(now, choice.endpoint.id, read_s(placement.read, asked.tokens), asked.tokens)
         self.placed_by_ticket[asked.ticket] = placed
         held = self.state.of(choice.endpoint)
         held.in_flight += 1
         held.on_placed(placed.reading_s, now)
-        held.on_sent(tokens, now)
+        # Kept parts count, too: while the prompt runs they cannot give way to others.
+        held.on_sent(asked.tokens, now)
 
     async def _review(self) -> None:
         state = self.state
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -9,7 +9,9 @@
 from stairquay.core.routers import Member
 from stairquay.serving.choosing import Choice, choose
 from stairquay.serving.decisions import DecisionLog
+from stairquay.serving.messages import Ended, Outcome, PartShape, PlaceRequest
 from stairquay.serving.ports import EngineReport
+from stairquay.serving.routing import RouterPart
 from stairquay.serving.saving import save_targets
 from stairquay.serving.settings import BoxSettings
 from stairquay.serving.state import BoxState
@@ -84,3 +86,16 @@
         for _ in range(60)
     }
     assert len(found) == 8
+
+
+def test_a_placed_prompt_holds_memory_for_the_parts_that_its_engine_keeps_already():
+    state = router_state(2)
+    state.holdings.expect("10.0.1.0:1", "/m/0", "aa", 500)
+    state.holdings.expect("10.0.1.0:1", "/m/0", "bb", 300)
+    part = RouterPart(state, CHANCE)
+    parts = (PartShape("aa", 500), PartShape("bb", 300))
+    for number in range(3):
+        part.place(PlaceRequest(f"t{number}", "b-2", "llm", "m", parts, 800, 20, "", ("e-1",)))
+    assert state.endpoints_by_id["e-0"].used_tokens(monotonic()) == 2_400
+    part.finished(Ended("t0", Outcome.TURNED_AWAY))
+    assert state.endpoints_by_id["e-0"].used_tokens(monotonic()) == 1_600
