--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -70,7 +70,7 @@
     parts_by_name = _parts(state, surroundings, links, chance)
     parts_by_name |= {"router": router.run, "asking": chooser.run, "reload": partial(_reload, state, load)}
     for name, work in parts_by_name.items():
-        tasks.start(_kept_running(state, name, work))
+        tasks.start(kept_running(state, name, work))
     log.line(Decision.START, front=settings.front, data_hall=settings.data_hall)
     sites = await _listen_all(state, front, surroundings.ready_path)
     await until_stopped(tasks)
@@ -133,11 +133,17 @@
     return True
 
 
-async def _kept_running(state: BoxState, name: str, work: Work) -> None:
+async def kept_running(state: BoxState, name: str, work: Work) -> None:
     """Run a part of the box. One that fails is told, and started again: a box never ends by itself."""
     while True:
         try:
             await work()
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is None or task.cancelling() > 0:
+                raise
+            # Something inside was cancelled, not this part.
+            state.log.line(Decision.PART_FAILED, part=name, detail="cancelled from inside")
         except Exception as error:
             frame = extract_tb(error.__traceback__)[-1]
             where = f"{frame.filename.rpartition('/')[2]}:{frame.lineno}"
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -19,6 +19,9 @@
 """Seconds for which a call waits for changes: the view's age stays below it while the service answers,
 and one lost answer does not make the view too old."""
 
+ROUTER_WAIT_S = 0.35
+"""The same for a router, whose view others rest on: it is half as old."""
+
 AGAIN_S = 0.25
 """Seconds before a call that got no answer is made again: calls to a service that is down are priced, too."""
 
@@ -33,6 +36,9 @@
 """Seconds between two reads of the list, which changes with every heartbeat: far below the two seconds
 in which new work for a leaving endpoint must stop. Every call is priced."""
 
+ROUTER_LIST_PAUSE_S = 0.2
+"""Seconds between a router's two reads of the list."""
+
 
 async def follow_operators(state: BoxState, feeds: Feeds) -> None:
     """Keep the configuration and the named versions up to date."""
@@ -70,8 +76,7 @@
             apply=apply,
             whole_now=lambda: bool(state.fleet.missing_since_by_id),
             whole_s=LIST_WHOLE_S,
-            # A router answers when something changed, and otherwise after a while: asking it needs no pause.
-            pause_s=lambda: 0.0 if state.list_passed_on else LIST_PAUSE_S,
+            pause_s=lambda: _list_pause_s(state),
         ),
     )
 
@@ -101,7 +106,8 @@
     while True:
         asked_at = monotonic()
         whole = revision is None or followed.whole_now() or asked_at - read_at > followed.whole_s
-        answer = await (followed.read() if whole or revision is None else followed.follow(revision, WAIT_S))
+        wait_s = ROUTER_WAIT_S if state.routes_for_others else WAIT_S
+        answer = await (followed.read() if whole or revision is None else followed.follow(revision, wait_s))
         outcome = answer.err_value.value if isinstance(answer, Err) else "ok"
         state.metrics.table_calls.labels(followed.name, outcome).inc()
         if isinstance(answer, Err):
@@ -118,6 +124,13 @@
         await asyncio.sleep(followed.pause_s())
 
 
+def _list_pause_s(state: BoxState) -> float:
+    """Return the pause before the list is asked for again. A router that is asked holds the question."""
+    if state.list_passed_on:
+        return 0.0
+    return ROUTER_LIST_PAUSE_S if state.routes_for_others else LIST_PAUSE_S
+
+
 def apply_operators(state: BoxState, changes: OperatorChanges, asked_at: float) -> None:
     """Put a newer configuration in force, and note newly named versions."""
     if changes.unreadable:
--- a/stairquay/serving/links.py
+++ b/stairquay/serving/links.py
@@ -3,6 +3,7 @@
 Messages are typed structs in MessagePack, so that there is no code to generate.
 """
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -119,6 +120,16 @@
     except grpc.aio.AioRpcError:
         # The caller counts it and asks another box.
         return None
+    except asyncio.CancelledError:
+        # The library cancels calls under way when their channel is closed; only our own task's end goes on.
+        if _ending():
+            raise
+        return None
+
+
+def _ending() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
 
 
 def _handler(answer: Callable[[Request], Awaitable[Reply]], kind: type[Request]) -> Any:
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -139,7 +139,7 @@
 
     async def _review(self) -> None:
         state = self.state
-        mine = any(router.id == state.settings.id for router in state.routers)
+        mine = state.routes_for_others
         if mine and self.server is None and not state.stopping:
             await self._open()
         if self.server is not None and (not mine or state.stopping):
@@ -194,7 +194,11 @@
     async def _on_operators(self, asked: OperatorsRequest) -> OperatorsReply:
         state = self.state
         began_at = monotonic()
-        await _until(lambda: state.operators_changed > asked.after, asked.wait_s)
+
+        def answerable() -> bool:
+            return state.operators_changed > asked.after or state.view_too_old(state.view_age())
+
+        await _until(answerable, asked.wait_s)
         revision = state.operators_revision
         if state.operators_changed > asked.after:
             changes = OperatorChanges(revision, True, state.catalog, "", dict(state.named_by_model))
--- a/stairquay/serving/settings.py
+++ b/stairquay/serving/settings.py
@@ -35,9 +35,11 @@
     """One box. Addresses are `IP:port`; times are seconds.
 
     front: for callers. readiness: for the balancer. metrics_port: for scraping, 0 for none.
-    versions_within_s: within this time of being named, a version of weights is to be everywhere.
-    stop_s: time from the stop signal until the process is killed. peer_address: for other boxes of ours,
-    empty where they cannot reach this one. cores and link_mbps: what the box has.
+    apply_s: within this time of being written, a configuration is in force. drain_s: within this time a
+    leaving endpoint gets no new work. versions_within_s: within this time of being named, a version of
+    weights is to be everywhere. stop_s: time from the stop signal until the process is killed.
+    peer_address: for other boxes of ours, empty where they cannot reach this one. cores, link_mbps: what the
+    box has.
     """
 
     id: str
@@ -51,6 +53,7 @@
     link_mbps: float = 1_000.0
     stop_s: float = 8.0
     drain_s: float = 2.0
+    apply_s: float = 2.0
     versions_within_s: float = 12.0
     memory_mb: int = 0
     max_descriptors: int = 1024
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -12,12 +12,12 @@
 from stairquay.serving.ports import EndpointChanges, FeedFault, Feeds, OperatorChanges
 from stairquay.serving.state import BoxState
 
-VIEW_S = 0.4
-"""Seconds for a router's answer besides the time it was asked to wait."""
+HELD_SHARE = 0.2
+"""Share of the time in which a change must be known for which a router holds a question."""
 
-OLD_VIEW_S = 1.6
-"""Age of a router's view of operators' rows from which it is not used: twice what it has while the table
-service answers."""
+ANSWER_SHARE = 0.2
+"""Share of that time after which a router that does not answer a question besides is taken for silent. With
+the age up to which a router's view is used, 0.45 or 0.5 of it, a change is known after 0.9 of it."""
 
 
 class SharedFeeds:
@@ -54,10 +54,11 @@
         router = self._router()
         if router is None:
             return None
-        question = OperatorsRequest(after, wait_s)
-        answer = await self.links.to(router).operators(question, VIEW_S)
+        known_in_s = self.state.settings.apply_s
+        question = OperatorsRequest(after, min(wait_s, known_in_s * HELD_SHARE))
+        answer = await self.links.to(router).operators(question, known_in_s * ANSWER_SHARE)
         reply = self.links.heard(router, answer, "operators' rows")
-        if reply is None or reply.age_s > OLD_VIEW_S:
+        if reply is None or self.state.view_too_old(reply.age_s):
             return None
         changes = reply.changes
         # The answer was made `held_s` after the question came in, which was after it was asked.
@@ -74,7 +75,9 @@
         router = self._router()
         if router is None:
             return None
-        answer = await self.links.to(router).endpoints(EndpointsRequest(after, wait_s), VIEW_S)
+        known_in_s = self.state.settings.drain_s
+        question = EndpointsRequest(after, min(wait_s, known_in_s * HELD_SHARE))
+        answer = await self.links.to(router).endpoints(question, known_in_s * ANSWER_SHARE)
         reply = self.links.heard(router, answer, "the list of endpoints")
         if reply is None or self.state.list_too_old(reply.age_s):
             return None
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -41,9 +41,12 @@
 """Share of the time in which a version is to be everywhere after which no request is sent to older ones:
 the rest is for the request's way and its wait for a slot."""
 
-OLD_LIST_SHARE = 0.8
-"""Share of the time in which new work for a leaving endpoint must stop after which a box does not use a
-router's list of endpoints any more, and reads it itself: that takes some milliseconds."""
+OLD_VIEW_SHARE = 0.45
+"""Share of the time in which a configuration must be in force up to whose age a router's view is used. A box
+whose router then falls silent waits for 0.4 of it before it asks the table service itself."""
+
+OLD_LIST_SHARE = 0.5
+"""The same for the list of endpoints, of the time in which new work for a leaving endpoint must stop."""
 
 NEVER = float("-inf")
 
@@ -168,6 +171,11 @@
         """Tell whether this box decides by its own view of engines and store boxes."""
         return self.boxes_known and self._is_router()
 
+    @property
+    def routes_for_others(self) -> bool:
+        """Tell whether this box is one of those that route for all."""
+        return bool(self.routers) and self._is_router()
+
     def _is_router(self) -> bool:
         return not self.routers or any(router.id == self.settings.id for router in self.routers)
 
@@ -195,6 +203,10 @@
         """Tell whether a list of that age is too old to pass on: leaving endpoints must be known in time."""
         return age_s > self.settings.drain_s * OLD_LIST_SHARE
 
+    def view_too_old(self, age_s: float) -> bool:
+        """Tell whether a view of operators' rows of that age is too old to pass on."""
+        return age_s > self.settings.apply_s * OLD_VIEW_SHARE
+
     def view_age(self) -> float:
         """Return the age of the configuration's view in seconds."""
         return monotonic() - self.view_asked_at
--- a/tests/test_box_state.py
+++ b/tests/test_box_state.py
@@ -3,7 +3,10 @@
 import asyncio
 import signal
 
-from stairquay.serving.decisions import Decision
+from stairquay.serving.app import kept_running
+from stairquay.serving.decisions import Decision, DecisionLog
+from stairquay.serving.settings import BoxSettings
+from stairquay.serving.state import BoxState
 from tests.site import MODEL, Site, configuration, eventually, route, site
 
 
@@ -215,6 +218,26 @@
     asyncio.run(scenario())
 
 
+def test_a_part_in_which_something_is_cancelled_goes_on_and_one_that_is_cancelled_itself_ends():
+    async def scenario():
+        runs: list[int] = []
+
+        async def work() -> None:
+            runs.append(1)
+            if len(runs) == 1:
+                raise asyncio.CancelledError
+            await asyncio.sleep(30)
+
+        state = BoxState(BoxSettings("b-1", "10.0.0.1", "hall-a", "a:1", "a:2"), DecisionLog("b-1"))
+        part = asyncio.create_task(kept_running(state, "work", work))
+        await eventually(lambda: len(runs) == 2, 3.0)
+        part.cancel()
+        await asyncio.wait([part], timeout=1.0)
+        assert part.cancelled()
+
+    asyncio.run(scenario())
+
+
 ELSEWHERE = {"dependency", "freed", "reload", "part_failed", "left_out", "router"}
 """Kinds of lines that other tests provoke: outages, replaced weights, settings, failing parts, floods, many
 boxes."""
