--- a/stairquay/core/routers.py
+++ b/stairquay/core/routers.py
@@ -23,6 +23,10 @@
 """Boxes of a data hall for which one routes. 85 boxes in three halls have three routers, each with 185
 prompts a second and 19 engines."""
 
+ENGINES_PER_ROUTER = 8
+"""Fewest engines for which one routes: with fewer, the other routers stand by. A router of one or two engines
+could not choose, and its boxes would ask a second one for most prompts."""
+
 MIN_ROUTERS = 2
 """Fewest routers: where one is gone, another is there."""
 
@@ -70,6 +74,11 @@
     return tuple(sorted(picked, key=lambda member: member.id))
 
 
+def placing(routers: Sequence[Member], engines: int) -> list[Member]:
+    """Return the routers among which so many engines are shared out; the others stand by."""
+    return list(routers[: max(1, engines // ENGINES_PER_ROUTER)])
+
+
 def routers_for(box: Member, routers: Iterable[Member]) -> list[Member]:
     """Return the routers in the order in which a box asks them: those of its own data hall first."""
     by_id = {router.id: router for router in routers}
--- a/stairquay/serving/asking.py
+++ b/stairquay/serving/asking.py
@@ -139,7 +139,7 @@
             return self._choose_here(job, progress)
         asked = _question(self.state.settings.id, job, prompt, progress, most_backlog_s)
         best: Choice | None = None
-        for router in routers_for(self.state.member, self.state.live_routers())[:ROUTERS_ASKED]:
+        for router in routers_for(self.state.member, self.state.placing_routers())[:ROUTERS_ASKED]:
             choice = await self._place(router, asked, prompt)
             best = self._better(best, choice)
             if best is not None and best.backlog_s <= SPILL_AT * job.route.objective_s:
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -157,7 +157,7 @@
             for item in self.state.fleet.by_id.values()
             if catalog.engine_of(item.service) is not None and not item.leaving
         ]
-        return engines_of(self.state.settings.id, engines, self.state.live_routers())
+        return engines_of(self.state.settings.id, engines, self.state.placing_routers())
 
     def _expire(self, now: float) -> None:
         """Stop counting prompts that nobody said a word about for long."""
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -9,7 +9,7 @@
 from stairquay.core.catalog import Catalog
 from stairquay.core.fleet import Endpoint, Fleet
 from stairquay.core.holdings import Holdings
-from stairquay.core.routers import Member, capacity
+from stairquay.core.routers import Member, capacity, placing
 from stairquay.serving.decisions import DecisionLog
 from stairquay.serving.metrics import BoxMetrics
 from stairquay.serving.ports import EngineReport
@@ -191,6 +191,14 @@
         now = monotonic()
         return [item for item in self.routers if self.suspected_until_by_id.get(item.id, NEVER) <= now]
 
+    def placing_routers(self) -> list[Member]:
+        """Return the routers that place prompts now: not suspected, and as far as there are engines."""
+        catalog = self.catalog
+        if catalog is None:
+            return []
+        engines = sum(catalog.engine_of(item.service) is not None for item in self.fleet.live())
+        return placing(self.live_routers(), engines)
+
     def watchers(self) -> tuple[str, ...]:
         """Return the boxes that follow engines and store boxes."""
         return tuple(router.id for router in self.routers) or self.boxes
--- a/tests/test_routers.py
+++ b/tests/test_routers.py
@@ -8,12 +8,14 @@
 
 from stairquay.core.routers import (
     BOXES_PER_ROUTER,
+    ENGINES_PER_ROUTER,
     SELF_ROUTING_BOXES,
     Engine,
     Member,
     capacity,
     engines_of,
     pick_routers,
+    placing,
     routers_for,
 )
 
@@ -75,6 +77,14 @@
             assert not inside or sum(map(len, inside)) >= of_hall
 
 
+def test_where_engines_are_few_only_some_routers_place_and_the_next_takes_over():
+    routers = pick_routers(boxes(30))
+    assert len(routers) == 3
+    assert placing(routers, 5) == [routers[0]] and placing(routers[1:], 5) == [routers[1]]
+    assert placing(routers, 2 * ENGINES_PER_ROUTER) == list(routers[:2])
+    assert placing(routers, 56) == list(routers) and placing([], 5) == []
+
+
 def test_the_engines_of_a_router_that_is_gone_are_shared_out():
     routers = boxes(3)
     known = [Engine(f"e{n}", HALLS[n % 3]) for n in range(30)]
