--- /dev/null
+++ b/tests/standins/batch.py
@@ -0,0 +1,241 @@
+"""The batch of the stand-in engine: continuous batching in pieces, a prefix cache with its events, answers.
+
+It is free of HTTP: the engine adds runs to it, and reads their output, its events and its reports.
+"""
+
+import asyncio
+import time
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import msgspec
+
+from stairquay.adapters.engine import CacheEvent, EventKind
+
+BLOCK_TOKENS = 256
+"""Tokens in a block of KV cache."""
+
+
+@dataclass
+class Parameters:
+    port: int
+    id: str
+    version: str = "v1"
+    platform: str = ""
+    checks_orders: bool = True
+    prefill_tokens_s: float = 10_000.0
+    decode_step_s: float = 0.01
+    piece_tokens: int = 2_000
+    slots: int = 16
+    cache_tokens: int = 400_000
+    event_lag_s: float = 0.1
+    event_loss: float = 0.0
+    load_lag_s: float = 0.2
+    keep_blocks_over_versions: bool = True
+
+
+@dataclass
+class Run:
+    id: str
+    version: str
+    digest: str
+    tag: str
+    prompt_tokens: int
+    max_tokens: int
+    ids: tuple[str, ...]
+    stream: bool
+    chat: bool
+    usage: bool
+    model: str
+    number: int = 0
+    priority: int = 0
+    cached: int = 0
+    to_prefill: int = -1
+    made: int = 0
+    started_at: float = 0.0
+    state: str = "queued"
+    output: bytearray = field(default_factory=bytearray)
+    done: bool = False
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def grow(self, piece: bytes, done: bool = False) -> None:
+        self.output += piece
+        self.done = self.done or done
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class Batch:
+    """Makes runs in steps: each reads one piece of one prompt, and one token of every run that decodes."""
+
+    def __init__(self, parameters: Parameters) -> None:
+        self.parameters = parameters
+        self.numbered = 0
+        self.queue: list[Run] = []
+        self.running: list[Run] = []
+        self.piece: tuple[Run, int] | None = None
+        self.wake = asyncio.Event()
+        self.cache: OrderedDict[str, str] = OrderedDict()
+        self.events: list[tuple[float, CacheEvent]] = []
+        self.reports: list[tuple[float, int, int]] = [(0.0, 0, 0)]
+        self.violations: list[str] = []
+
+    def add(self, run: Run) -> None:
+        """Let a run wait for its turn."""
+        self.numbered += 1
+        run.number = self.numbered
+        self.queue.append(run)
+        self.wake.set()
+
+    async def work(self) -> None:
+        at = time.monotonic()
+        while True:
+            self.report()
+            if not self.queue and not self.running:
+                self.wake.clear()
+                await self.wake.wait()
+                at = time.monotonic()
+            at += self.plan_step()
+            await asyncio.sleep(max(0.0, at - time.monotonic()))
+            self.finish_step()
+
+    def plan_step(self) -> float:
+        """Choose what the next step does, and return the seconds that it takes."""
+        self.running = [run for run in self.running if not run.done]
+        self.queue = [run for run in self.queue if not run.done]
+        self.queue.sort(key=lambda run: (-run.priority, run.number))
+        while self.queue and len(self.running) < self.parameters.slots:
+            self.running.append(self.queue.pop(0))
+        prefilling = [run for run in self.running if run.state in ("queued", "prefill")]
+        prefilling.sort(key=lambda run: (-run.priority, run.number))
+        self.piece = None
+        spent = self.parameters.decode_step_s if len(prefilling) < len(self.running) else 0.0
+        if prefilling:
+            run = prefilling[0]
+            if run.state == "queued":
+                self.begin(run)
+            tokens = min(self.parameters.piece_tokens, run.to_prefill)
+            self.piece = (run, tokens)
+            spent += tokens / self.parameters.prefill_tokens_s
+        return max(spent, 0.0005)
+
+    def begin(self, run: Run) -> None:
+        """Look up the run's prefix in the cache."""
+        run.state = "prefill"
+        held = 0
+        for block in run.ids:
+            if block not in self.cache:
+                break
+            if self.cache[block] != run.version:
+                self.violations.append(f"run {run.id} used a block of version {self.cache[block]}")
+            self.cache.move_to_end(block)
+            held += 1
+        run.cached = min(held * BLOCK_TOKENS, run.prompt_tokens - 1)
+        run.to_prefill = run.prompt_tokens - run.cached
+
+    def finish_step(self) -> None:
+        decoding = [run for run in self.running if run.state == "decode" and not run.done]
+        if self.piece is not None:
+            run, tokens = self.piece
+            run.to_prefill -= tokens
+            if run.to_prefill <= 0 and not run.done:
+                self.store(run.ids, run.version)
+                run.state = "decode"
+                decoding.append(run)
+        for run in decoding:
+            self.emit(run)
+
+    def emit(self, run: Run) -> None:
+        text = word(run, run.made)
+        run.made += 1
+        last = run.made >= run.max_tokens
+        if run.stream:
+            piece = sse(chunk(run, text, None))
+            if last:
+                piece += sse(chunk(run, "", "stop"))
+                piece += (
+                    sse({**chunk(run, "", None), "choices": [], "usage": usage(run)}) if run.usage else b""
+                )
+                piece += b"data: [DONE]\n\n"
+        else:
+            piece = whole(run) if last else b""
+        if last:
+            run.state = "finished"
+        run.grow(piece, done=last)
+
+    def store(self, ids: tuple[str, ...], version: str) -> None:
+        fresh = tuple(block for block in ids if block not in self.cache)
+        for block in ids:
+            self.cache[block] = version
+            self.cache.move_to_end(block)
+        gone = []
+        while len(self.cache) * BLOCK_TOKENS > self.parameters.cache_tokens:
+            gone.append(self.cache.popitem(last=False)[0])
+        self.publish(EventKind.STORED, fresh)
+        self.publish(EventKind.REMOVED, tuple(gone))
+
+    def publish(self, kind: EventKind, ids: tuple[str, ...]) -> None:
+        if not ids:
+            return
+        number = (self.events[-1][1].number if self.events else 0) + 1
+        self.events.append((time.monotonic(), CacheEvent(number, kind, ids)))
+        del self.events[:-5_000]
+
+    def report(self) -> None:
+        queued = sum(run.prompt_tokens for run in self.queue)
+        queued += sum(max(0, run.to_prefill) for run in self.running if run.state == "prefill")
+        running = len(self.running) + len(self.queue)
+        self.reports.append((time.monotonic(), queued, running))
+        del self.reports[:-5_000]
+
+
+def word(run: Run, number: int) -> str:
+    """Return one token of an answer; the first says who asked and under which weights it runs."""
+    return f"{run.digest}@{run.version}" if number == 0 else f" w{number}"
+
+
+def sse(value: dict) -> bytes:
+    return b"data: " + msgspec.json.encode(value) + b"\n\n"
+
+
+def chunk(run: Run, text: str, finish: str | None) -> dict:
+    choice = {"index": 0, "finish_reason": finish}
+    if run.chat:
+        choice["delta"] = {"role": "assistant", "content": text} if run.made == 1 else {"content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": run.id,
+        "object": "chat.completion.chunk" if run.chat else "text_completion",
+        "created": 0,
+        "model": run.model,
+        "choices": [choice],
+    }
+
+
+def usage(run: Run) -> dict:
+    return {
+        "prompt_tokens": run.prompt_tokens,
+        "completion_tokens": run.made,
+        "total_tokens": run.prompt_tokens + run.made,
+        "prompt_tokens_details": {"cached_tokens": run.cached},
+    }
+
+
+def whole(run: Run) -> bytes:
+    text = "".join(word(run, number) for number in range(max(1, run.max_tokens)))
+    choice = {"index": 0, "finish_reason": "stop"}
+    if run.chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return msgspec.json.encode(
+        {
+            "id": run.id,
+            "object": "chat.completion" if run.chat else "text_completion",
+            "created": 0,
+            "model": run.model,
+            "choices": [choice],
+            "usage": usage(run),
+        }
+    )
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -1,6 +1,6 @@
-"""Stand-in for a model engine: continuous batching in pieces, a prefix cache, events, fenced orders.
+"""Stand-in for a model engine: its HTTP side, with reports, fenced orders, kept context and faults.
 
-It takes time as a real one would, by its parameters, and records what it was asked to do. Answers
+Its batch takes time as a real one would, by its parameters; it records what it was asked to do. Answers
 are derived from the prompt, so that an answer given to the wrong caller shows.
 """
 
@@ -11,44 +11,24 @@
 import secrets
 import time
 from collections import OrderedDict
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass
 
 import msgspec
 from aiohttp import ClientError, ClientSession, web
 
 from stairquay.adapters.engine import (
-    CacheEvent,
     EngineState,
-    EventKind,
     Exported,
     ExportOrder,
     Imported,
     ImportOrder,
     Order,
 )
+from tests.standins.batch import Batch, Parameters, Run
 from tests.standins.serving import fault_route, parameters, reply, serve
 from tests.standins.store import BLOCK_PAYLOAD
 
 KEEP_RUNS = 20_000
-MAX_WHOLE = 4_000_000
-
-
-@dataclass
-class Parameters:
-    port: int
-    id: str
-    version: str = "v1"
-    platform: str = ""
-    checks_orders: bool = True
-    prefill_tokens_s: float = 10_000.0
-    decode_step_s: float = 0.01
-    piece_tokens: int = 2_000
-    slots: int = 16
-    cache_tokens: int = 400_000
-    event_lag_s: float = 0.1
-    event_loss: float = 0.0
-    load_lag_s: float = 0.2
-    keep_blocks_over_versions: bool = True
 
 
 @dataclass
@@ -71,42 +51,6 @@
     stale_version: str = ""
 
 
-@dataclass
-class Run:
-    id: str
-    version: str
-    digest: str
-    tag: str
-    prompt_tokens: int
-    max_tokens: int
-    ids: tuple[str, ...]
-    stream: bool
-    chat: bool
-    usage: bool
-    model: str
-    number: int = 0
-    priority: int = 0
-    cached: int = 0
-    to_prefill: int = -1
-    made: int = 0
-    started_at: float = 0.0
-    state: str = "queued"
-    output: bytearray = field(default_factory=bytearray)
-    done: bool = False
-    changed: asyncio.Event = field(default_factory=asyncio.Event)
-
-    def grow(self, piece: bytes, done: bool = False) -> None:
-        self.output += piece
-        self.done = self.done or done
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-
-def words(digest: str, version: str, count: int) -> list[str]:
-    """Return the answer's words: who asked, under which weights, then one word a token."""
-    return [f"{digest}@{version}"] + [f" w{number}" for number in range(1, count)]
-
-
 def payload_of(block: str, version: str) -> bytes:
     return hashlib.blake2b(f"{block}/{version}".encode(), digest_size=BLOCK_PAYLOAD).digest()
 
@@ -118,21 +62,14 @@
 class Engine:
     def __init__(self, parameters: Parameters) -> None:
         self.parameters = parameters
+        self.batch = Batch(parameters)
         self.faults = Faults()
         self.incarnation = secrets.token_hex(4)
         self.version = parameters.version
         self.loading = ""
         self.fence = 0
-        self.cache: OrderedDict[str, str] = OrderedDict()
-        self.events: list[tuple[float, CacheEvent]] = []
-        self.numbered = 0
         self.runs_by_id: OrderedDict[str, Run] = OrderedDict()
-        self.queue: list[Run] = []
-        self.batch: list[Run] = []
-        self.wake = asyncio.Event()
-        self.reports: list[tuple[float, int, int]] = [(0.0, 0, 0)]
         self.orders: list[dict] = []
-        self.violations: list[str] = []
         self.turned_away = 0
         self.imports = {"orders": 0, "blocks": 0, "refused": 0}
         self.random = random.Random(parameters.id)
@@ -159,7 +96,7 @@
 
     async def start(self, app: web.Application) -> None:
         self.session = ClientSession()
-        app["work"] = asyncio.create_task(self.work())
+        app["work"] = asyncio.create_task(self.batch.work())
 
     # Runs
 
@@ -222,14 +159,11 @@
             started_at=time.monotonic(),
         )
         if run_id in self.runs_by_id:
-            self.violations.append(f"run {run_id} came twice")
-        self.numbered += 1
-        run.number = self.numbered
+            self.batch.violations.append(f"run {run_id} came twice")
         self.runs_by_id[run_id] = run
         while len(self.runs_by_id) > KEEP_RUNS:
             self.runs_by_id.popitem(last=False)
-        self.queue.append(run)
-        self.wake.set()
+        self.batch.add(run)
         return run
 
     async def answer(self, request: web.Request, run: Run, offset: int) -> web.StreamResponse:
@@ -279,120 +213,14 @@
             run.grow(b"", done=True)
         return web.Response(text="ok")
 
-    # The batch
-
-    async def work(self) -> None:
-        at = time.monotonic()
-        while True:
-            self.report()
-            if not self.queue and not self.batch:
-                self.wake.clear()
-                await self.wake.wait()
-                at = time.monotonic()
-            at += self.plan_step()
-            await asyncio.sleep(max(0.0, at - time.monotonic()))
-            self.finish_step()
-
-    def plan_step(self) -> float:
-        """Choose what the next step does, and return the seconds that it takes."""
-        self.batch = [run for run in self.batch if not run.done]
-        self.queue = [run for run in self.queue if not run.done]
-        self.queue.sort(key=lambda run: (-run.priority, run.number))
-        while self.queue and len(self.batch) < self.parameters.slots:
-            self.batch.append(self.queue.pop(0))
-        prefilling = [run for run in self.batch if run.state in ("queued", "prefill")]
-        prefilling.sort(key=lambda run: (-run.priority, run.number))
-        self.piece = None
-        spent = self.parameters.decode_step_s if len(prefilling) < len(self.batch) else 0.0
-        if prefilling:
-            run = prefilling[0]
-            if run.state == "queued":
-                self.begin(run)
-            tokens = min(self.parameters.piece_tokens, run.to_prefill)
-            self.piece = (run, tokens)
-            spent += tokens / self.parameters.prefill_tokens_s
-        return max(spent, 0.0005)
-
-    def begin(self, run: Run) -> None:
-        """Look up the run's prefix in the cache."""
-        run.state = "prefill"
-        held = 0
-        for block in run.ids:
-            if block not in self.cache:
-                break
-            if self.cache[block] != run.version:
-                self.violations.append(f"run {run.id} used a block of version {self.cache[block]}")
-            self.cache.move_to_end(block)
-            held += 1
-        run.cached = min(held * 256, run.prompt_tokens - 1)
-        run.to_prefill = run.prompt_tokens - run.cached
-
-    def finish_step(self) -> None:
-        decoding = [run for run in self.batch if run.state == "decode" and not run.done]
-        if self.piece is not None:
-            run, tokens = self.piece
-            run.to_prefill -= tokens
-            if run.to_prefill <= 0 and not run.done:
-                self.store(run.ids, run.version)
-                run.state = "decode"
-                decoding.append(run)
-        for run in decoding:
-            self.emit(run)
-
-    def emit(self, run: Run) -> None:
-        word = self.word(run)
-        run.made += 1
-        last = run.made >= run.max_tokens
-        if run.stream:
-            piece = sse(chunk(run, word, None))
-            if last:
-                piece += sse(chunk(run, "", "stop"))
-                piece += (
-                    sse({**chunk(run, "", None), "choices": [], "usage": usage(run)}) if run.usage else b""
-                )
-                piece += b"data: [DONE]\n\n"
-        else:
-            piece = whole(run) if last else b""
-        if last:
-            run.state = "finished"
-        run.grow(piece, done=last)
-
-    def word(self, run: Run) -> str:
-        return f"{run.digest}@{run.version}" if run.made == 0 else f" w{run.made}"
-
-    def store(self, ids: tuple[str, ...], version: str) -> None:
-        fresh = tuple(block for block in ids if block not in self.cache)
-        for block in ids:
-            self.cache[block] = version
-            self.cache.move_to_end(block)
-        gone = []
-        while len(self.cache) * 256 > self.parameters.cache_tokens:
-            gone.append(self.cache.popitem(last=False)[0])
-        self.publish(EventKind.STORED, fresh)
-        self.publish(EventKind.REMOVED, tuple(gone))
-
-    def publish(self, kind: EventKind, ids: tuple[str, ...]) -> None:
-        if not ids:
-            return
-        number = (self.events[-1][1].number if self.events else 0) + 1
-        self.events.append((time.monotonic(), CacheEvent(number, kind, ids)))
-        del self.events[:-5_000]
-
-    def report(self) -> None:
-        queued = sum(run.prompt_tokens for run in self.queue)
-        queued += sum(max(0, run.to_prefill) for run in self.batch if run.state == "prefill")
-        running = len(self.batch) + len(self.queue)
-        self.reports.append((time.monotonic(), queued, running))
-        del self.reports[:-5_000]
-
     # Reports and orders
 
     async def state(self, request: web.Request) -> web.Response:
         now = time.monotonic()
         after = int(request.query["after"])
-        old = [item for item in self.reports if item[0] <= now - self.parameters.load_lag_s]
+        old = [item for item in self.batch.reports if item[0] <= now - self.parameters.load_lag_s]
         at, queued, running = old[-1] if old else (now, 0, 0)
-        ready = [event for made, event in self.events if made <= now - self.parameters.event_lag_s]
+        ready = [event for made, event in self.batch.events if made <= now - self.parameters.event_lag_s]
         sent = [event for event in ready if event.number > after] if after >= 0 else []
         kept = tuple(item for item in sent if self.random.random() >= self.parameters.event_loss)
         return reply(
@@ -418,7 +246,7 @@
         if fenced or late:
             return reply({"error": "fenced" if fenced else "late"}, 409)
         if order.fence < self.fence:
-            self.violations.append(f"order of fence {order.fence} followed after {self.fence}")
+            self.batch.violations.append(f"order of fence {order.fence} followed after {self.fence}")
         self.fence = max(self.fence, order.fence)
         if order.version not in (self.version, self.loading):
             self.loading = order.version
@@ -432,7 +260,7 @@
             self.version = version
             self.loading = ""
             if not self.parameters.keep_blocks_over_versions:
-                self.cache.clear()
+                self.batch.cache.clear()
 
     # Kept context
 
@@ -473,15 +301,15 @@
             self.imports["refused"] += 1
             return False
         if payload != payload_of(block.id, version):
-            self.violations.append(f"block {block.id} was taken in with foreign bytes")
-        self.store((block.id,), version)
+            self.batch.violations.append(f"block {block.id} was taken in with foreign bytes")
+        self.batch.store((block.id,), version)
         return True
 
     async def export_blocks(self, request: web.Request) -> web.Response:
         order = msgspec.json.decode(await request.read(), type=ExportOrder)
         ids = []
         for block in order.ids:
-            if self.cache.get(block) != order.version:
+            if self.batch.cache.get(block) != order.version:
                 break
             ids.append(block)
         payloads = [payload_of(block, order.version) for block in ids]
@@ -516,63 +344,16 @@
             {
                 "runs": runs,
                 "orders": self.orders,
-                "violations": self.violations,
+                "violations": self.batch.violations,
                 "turned_away": self.turned_away,
                 "imports": self.imports,
                 "version": self.version,
-                "cache": list(self.cache),
+                "cache": list(self.batch.cache),
                 "loading": self.loading,
             }
         )
 
 
-def sse(value: dict) -> bytes:
-    return b"data: " + msgspec.json.encode(value) + b"\n\n"
-
-
-def chunk(run: Run, word: str, finish: str | None) -> dict:
-    choice = {"index": 0, "finish_reason": finish}
-    if run.chat:
-        choice["delta"] = {"role": "assistant", "content": word} if run.made == 1 else {"content": word}
-    else:
-        choice["text"] = word
-    return {
-        "id": run.id,
-        "object": "chat.completion.chunk" if run.chat else "text_completion",
-        "created": 0,
-        "model": run.model,
-        "choices": [choice],
-    }
-
-
-def usage(run: Run) -> dict:
-    return {
-        "prompt_tokens": run.prompt_tokens,
-        "completion_tokens": run.made,
-        "total_tokens": run.prompt_tokens + run.made,
-        "prompt_tokens_details": {"cached_tokens": run.cached},
-    }
-
-
-def whole(run: Run) -> bytes:
-    text = "".join(words(run.digest, run.version, run.max_tokens))
-    choice = {"index": 0, "finish_reason": "stop"}
-    if run.chat:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    return msgspec.json.encode(
-        {
-            "id": run.id,
-            "object": "chat.completion" if run.chat else "text_completion",
-            "created": 0,
-            "model": run.model,
-            "choices": [choice],
-            "usage": usage(run),
-        }
-    )
-
-
 if __name__ == "__main__":
     given = parameters(Parameters)
     serve(given.port, lambda: Engine(given).application())
