--- /dev/null
+++ b/tests/many_boxes.py
@@ -0,0 +1,113 @@
+"""Sites of many boxes: one box that asks routers, stand-ins for them, and one that routes for others."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from stairquay.serving.links import Answers, Link, serve
+from stairquay.serving.messages import (
+    Ended,
+    EndpointsReply,
+    EndpointsRequest,
+    FinishedNotice,
+    Nothing,
+    OperatorsReply,
+    OperatorsRequest,
+    PlaceReply,
+    PlaceRequest,
+)
+from stairquay.serving.ports import EndpointChanges, OperatorChanges
+from tests.ports import free_port
+from tests.site import Site, eventually, site
+
+OTHERS = 11
+"""Other boxes in the table: with this one more than route by themselves."""
+
+ROUTERS = ["router-1", "router-2"]
+"""Both have the one address at which a test answers."""
+
+
+@dataclass
+class Router:
+    """A router that says what the test wants. `silent`: it answers no question at all."""
+
+    address: str = ""
+    reply: PlaceReply = field(default_factory=PlaceReply)
+    silent: bool = False
+    view_age_s: float | None = None
+    asked: list[PlaceRequest] = field(default_factory=list)
+    ended: list[Ended] = field(default_factory=list)
+
+    def answers(self) -> Answers:
+        return Answers(self.place, self.finished, self.operators, self.endpoints)
+
+    async def place(self, asked: PlaceRequest) -> PlaceReply:
+        self.asked.append(asked)
+        await self.wait()
+        return self.reply
+
+    async def finished(self, notice: FinishedNotice) -> Nothing:
+        self.ended += notice.ended
+        await self.wait()
+        return Nothing()
+
+    async def operators(self, asked: OperatorsRequest) -> OperatorsReply:
+        await self.wait()
+        await asyncio.sleep(asked.wait_s)
+        return OperatorsReply(OperatorChanges(asked.after, False), self.age(), asked.wait_s)
+
+    async def endpoints(self, asked: EndpointsRequest) -> EndpointsReply:
+        await self.wait()
+        await asyncio.sleep(asked.wait_s)
+        return EndpointsReply(EndpointChanges(asked.after, False), self.age())
+
+    async def wait(self) -> None:
+        if self.silent:
+            await asyncio.sleep(30)
+
+    def age(self) -> float:
+        return 1e9 if self.view_age_s is None else self.view_age_s
+
+
+def add_boxes(here: Site, router: str = "") -> None:
+    """Have other boxes in the table, two of them routers where an address is given."""
+    for number in range(OTHERS):
+        here.table.put("stairquay", f"box/other-{number}", {"beat": 1})
+    if router:
+        row = {"beat": 1, "address": router, "capacity": 2.0, "data_hall": "hall-a"}
+        for name in ROUTERS:
+            here.table.put("stairquay", f"box/{name}", row)
+
+
+@asynccontextmanager
+async def routed(**options) -> AsyncIterator[tuple[Site, Router]]:
+    """A box that has routers to ask. They know nothing of the table service."""
+    router = Router(f"127.0.0.1:{free_port()}")
+    server = await serve(router.address, router.answers())
+    try:
+        async with site(ready=False, limits={"cpu_share": 0}, **options) as here:
+            add_boxes(here, router.address)
+            await here.until_ready()
+            await eventually(lambda: asks(here))
+            yield here, router
+    finally:
+        await server.stop(None)
+
+
+def asks(here: Site) -> bool:
+    return any(line["routers"] == ROUTERS for line in here.logged("router", outcome="picked"))
+
+
+@asynccontextmanager
+async def routing(**options) -> AsyncIterator[tuple[Site, Link]]:
+    """A box that is a router, and a channel to it."""
+    async with site(ready=False, **options) as here:
+        add_boxes(here)
+        await here.until_ready()
+        await eventually(lambda: here.logged("router", outcome="serving"))
+        link = Link(here.peer_address)
+        try:
+            yield here, link
+        finally:
+            await link.close()
