--- a/tests/site.py
+++ b/tests/site.py
@@ -91,6 +91,7 @@
     endpoints: list[Endpoint]
     stores: list[StoreBox]
     folder: Path
+    name: str = "box-1"
     front: str = ""
     readiness: str = ""
     metrics_port: int = 0
@@ -141,7 +142,7 @@
         lines = "\n".join(f"{key} = {value}" for key, value in (bounds | self.bounds).items())
         limits = "\n".join(f"{key} = {value}" for key, value in self.limits.items())
         return f"""
-node_name = "box-1"
+node_name = "{self.name}"
 ip = "127.0.0.1"
 zone = "hall-a"
 unknown_field = 7
--- /dev/null
+++ b/tests/test_two_boxes.py
@@ -0,0 +1,78 @@
+"""Two boxes as real processes, among others that only have rows: one routes for both."""
+
+import asyncio
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from aiohttp import ClientSession, ClientTimeout
+
+from tests.site import Site, eventually, site
+
+OTHERS = 10
+"""Other boxes in the table that nobody can reach: with these two, more than route by themselves."""
+
+FIRST, SECOND = "box-1@127.0.0.1", "box-2@127.0.0.1"
+
+
+@asynccontextmanager
+async def two_boxes(**options) -> AsyncIterator[tuple[Site, Site]]:
+    async with site(ready=False, **options) as first:
+        for number in range(OTHERS):
+            first.table.put("stairquay", f"box/other-{number}", {"beat": 1})
+        with tempfile.TemporaryDirectory() as folder:
+            second = Site(first.table, first.endpoints, first.stores, Path(folder), name="box-2")
+            second.session = ClientSession(timeout=ClientTimeout(total=20), auto_decompress=False)
+            try:
+                await second.start_box()
+                await first.until_ready()
+                await second.until_ready()
+                await eventually(lambda: both_know(first) and both_know(second))
+                yield first, second
+            finally:
+                second.endpoints, second.stores = [], []
+                await second.close()
+
+
+def both_know(here: Site) -> bool:
+    return any(line["routers"] == [FIRST, SECOND] for line in here.logged("router", outcome="picked"))
+
+
+def routed_by(here: Site, call_id: str) -> str:
+    return here.logged("sent", request=call_id)[0]["router"]
+
+
+def test_one_box_places_the_prompts_of_both_and_the_other_takes_over_when_it_is_killed():
+    async def scenario():
+        async with two_boxes(engines=2) as (first, second):
+            await eventually(lambda: first.logged("router", outcome="serving"))
+            await asyncio.sleep(0.5)
+            assert (await second.prompt(call_id="call-1")).status == 200
+            assert (await first.prompt(call_id="call-2")).status == 200
+            await eventually(lambda: second.logged("sent", request="call-1"))
+            await eventually(lambda: first.logged("sent", request="call-2"))
+            assert routed_by(second, "call-1") == routed_by(first, "call-2") == FIRST
+            first.box.kill()
+            await first.box.wait()
+            for number in range(4):
+                assert (await second.prompt(call_id=f"after-{number}")).status == 200
+            await eventually(lambda: second.logged("sent", request="after-3"))
+            assert routed_by(second, "after-3") == SECOND
+            assert second.logged("dependency", name=f"router {FIRST}", outcome="lost")
+
+    asyncio.run(scenario())
+
+
+def test_a_box_takes_up_a_change_through_the_other_and_goes_on_without_it():
+    async def scenario():
+        async with two_boxes() as (first, second):
+            first.put_configuration(2)
+            for here in (first, second):
+                await eventually(lambda here=here: here.logged("configuration", version=2), 2.0)
+            first.box.kill()
+            await first.box.wait()
+            first.put_configuration(3)
+            await eventually(lambda: second.logged("configuration", version=3), 2.0)
+
+    asyncio.run(scenario())
