--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -25,6 +25,9 @@
 AGAIN_S = 0.25
 """Seconds before a call that got no answer is made again: calls to a service that is down are priced, too."""
 
+ROUTED_AGAIN_S = 1.0
+"""The same for a box that asks routers: they ask again sooner, and it asks them first each time."""
+
 LIST_WHOLE_S = 4.0
 """Seconds between two whole reads of the list of endpoints. Entries that lapsed during an outage came back
 without a change in the feed, and only whole reads find them; while some are missing, each read is whole."""
@@ -115,7 +118,7 @@
                 revision = None
                 continue
             lost = _lost(state, followed.name, lost)
-            await asyncio.sleep(AGAIN_S)
+            await asyncio.sleep(again_s(state))
             continue
         lost = _regained(state, followed.name, lost)
         followed.apply(answer.ok_value, asked_at)
@@ -124,6 +127,11 @@
         await asyncio.sleep(followed.pause_s())
 
 
+def again_s(state: BoxState) -> float:
+    """Return the pause before a call to the table service that got no answer is made again."""
+    return ROUTED_AGAIN_S if state.routers and not state.routes_for_others else AGAIN_S
+
+
 def _list_pause_s(state: BoxState) -> float:
     """Return the pause before the list is asked for again. A router that is asked holds the question."""
     if state.list_passed_on:
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -9,6 +9,7 @@
 from stairquay.core.routers import Member
 from stairquay.serving.choosing import Choice, choose
 from stairquay.serving.decisions import DecisionLog
+from stairquay.serving.following import AGAIN_S, ROUTED_AGAIN_S, again_s
 from stairquay.serving.messages import Ended, Outcome, PartShape, PlaceRequest
 from stairquay.serving.ports import EngineReport
 from stairquay.serving.routing import RouterPart
@@ -99,3 +100,12 @@
     assert state.endpoints_by_id["e-0"].used_tokens(monotonic()) == 2_400
     part.finished(Ended("t0", Outcome.TURNED_AWAY))
     assert state.endpoints_by_id["e-0"].used_tokens(monotonic()) == 1_600
+
+
+def test_boxes_beside_routers_ask_a_table_service_that_is_down_less_often():
+    state = router_state()
+    assert again_s(state) == AGAIN_S
+    state.routers = (Member("b-9"),)
+    assert again_s(state) == ROUTED_AGAIN_S > AGAIN_S
+    state.routers = ()
+    assert again_s(state) == AGAIN_S
