--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -13,12 +13,14 @@
 
 from stairquay.adapters.program import Tasks, listen, until_stopped, wait_until
 from stairquay.core.decode import Mistake
-from stairquay.serving.asking import Chooser, Links
+from stairquay.serving.asking import Chooser
 from stairquay.serving.boxes import BoxList
 from stairquay.serving.decisions import Decision, DecisionLog
 from stairquay.serving.dispatch import Dispatcher
 from stairquay.serving.following import follow_endpoints, follow_operators
 from stairquay.serving.front import Front
+from stairquay.serving.links import Links
+from stairquay.serving.notices import Notices
 from stairquay.serving.orders import OrderGiver
 from stairquay.serving.ports import Surroundings
 from stairquay.serving.routing import RouterPart
@@ -64,11 +66,12 @@
     chance = random.Random()
     links = Links(state)
     router = RouterPart(state, chance)
-    chooser = Chooser(state, links, router, chance)
+    notices = Notices(state, links, router)
+    chooser = Chooser(state, links, router, notices, chance)
     front = Front(state, surroundings.callers, Dispatcher(state, surroundings.endpoints, chooser), chance)
     tasks = Tasks()
     parts_by_name = _parts(state, surroundings, links, chance)
-    parts_by_name |= {"router": router.run, "asking": chooser.run, "reload": partial(_reload, state, load)}
+    parts_by_name |= {"router": router.run, "asking": notices.run, "reload": partial(_reload, state, load)}
     for name, work in parts_by_name.items():
         tasks.start(kept_running(state, name, work))
     log.line(Decision.START, front=settings.front, data_hall=settings.data_hall)
--- a/stairquay/serving/links.py
+++ b/stairquay/serving/links.py
@@ -1,4 +1,4 @@
-"""gRPC between boxes of ours: a server on boxes that route, and channels to them.
+"""gRPC between boxes of ours: a server on boxes that route, channels to them, and which of them are silent.
 
 Messages are typed structs in MessagePack, so that there is no code to generate.
 """
@@ -6,12 +6,15 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from time import monotonic
 from typing import Any, TypeVar
 
 import grpc
 import msgspec
 
 from stairquay.adapters.channels import CHANNEL_OPTIONS
+from stairquay.core.routers import Member
+from stairquay.serving.decisions import Decision
 from stairquay.serving.messages import (
     EndpointsReply,
     EndpointsRequest,
@@ -22,6 +25,7 @@
     PlaceReply,
     PlaceRequest,
 )
+from stairquay.serving.state import BoxState
 
 SERVICE = "stairquay.Boxes"
 
@@ -31,6 +35,9 @@
 PROBE_ANSWER_MS = 500
 """Milliseconds after which an unanswered probe ends a channel: a box without power says nothing."""
 
+SUSPECT_S = 1.0
+"""Seconds for which a router that did not answer is passed over."""
+
 LINK_OPTIONS: list[tuple[str, Any]] = [
     *CHANNEL_OPTIONS,
     ("grpc.keepalive_time_ms", PROBE_MS),
@@ -114,6 +121,50 @@
         return call
 
 
+class Links:
+    """Open channels to routers, and which of them lately did not answer."""
+
+    def __init__(self, state: BoxState) -> None:
+        self.state = state
+        self.links_by_address: dict[str, Link] = {}
+        self.lost: set[str] = set()
+
+    def to(self, router: Member) -> Link:
+        """Return the channel to a router."""
+        link = self.links_by_address.get(router.address)
+        if link is None:
+            link = self.links_by_address[router.address] = Link(router.address)
+        return link
+
+    def heard(self, router: Member, answer: Reply | None, question: str) -> Reply | None:
+        """Note whether a router answered, and return its answer. One that did not is passed over a while."""
+        if answer is not None:
+            if router.id in self.lost:
+                self.lost.remove(router.id)
+                self._log(router, "regained", question)
+            return answer
+        self.state.suspected_until_by_id[router.id] = monotonic() + SUSPECT_S
+        self.state.metrics.silent_routers.inc()
+        if router.id not in self.lost:
+            self.lost.add(router.id)
+            self._log(router, "lost", question)
+        return None
+
+    def _log(self, router: Member, outcome: str, question: str) -> None:
+        name = f"router {router.id}"
+        self.state.log.line(Decision.DEPENDENCY, name=name, outcome=outcome, question=question)
+
+    async def keep_only(self, routers: tuple[Member, ...]) -> None:
+        """Close the channels to boxes that are routers no longer."""
+        wanted = {router.address for router in routers}
+        for address in set(self.links_by_address) - wanted:
+            await self.links_by_address.pop(address).close()
+        ids = {router.id for router in routers}
+        for known in set(self.state.suspected_until_by_id) - ids:
+            del self.state.suspected_until_by_id[known]
+        self.lost &= ids
+
+
 async def _answered(call: Awaitable[Reply]) -> Reply | None:
     try:
         return await call
--- /dev/null
+++ b/stairquay/serving/notices.py
@@ -0,0 +1,85 @@
+"""Tells routers which prompts have left their engines; routers find by their notices that another is gone.
+
+Each router gets one notice at a time, and a silent one holds up no other's.
+"""
+
+import asyncio
+from time import monotonic
+
+from stairquay.core.routers import Member
+from stairquay.serving.links import Links
+from stairquay.serving.messages import Ended, FinishedNotice
+from stairquay.serving.routing import RouterPart
+from stairquay.serving.state import BoxState
+
+PING_S = 0.4
+"""Seconds between two notices that a router sends to the others, so that they share out the engines of one
+that is gone."""
+
+NOTICE_S = 0.05
+"""Seconds for which ended prompts are gathered before their routers are told."""
+
+NOTICE_ANSWER_S = 0.5
+"""Seconds for the answer to a notice; one that is lost is made up for by PLACED_S."""
+
+MAX_NOTICES = 2_000
+"""Most ended prompts that wait for one router: some seconds of a box's prompts."""
+
+
+class Notices:
+    """What routers have yet to be told."""
+
+    def __init__(self, state: BoxState, links: Links, part: RouterPart) -> None:
+        self.state = state
+        self.links = links
+        self.part = part
+        self.ended_by_router: dict[Member, list[Ended]] = {}
+        self.telling_by_router: dict[Member, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Tell routers which prompts have ended, until cancelled."""
+        pinged_at = monotonic()
+        while True:
+            await asyncio.sleep(NOTICE_S)
+            await self.links.keep_only(self.state.routers)
+            if monotonic() - pinged_at > PING_S:
+                pinged_at = monotonic()
+                self._ping()
+            self._tell_all()
+
+    def add(self, router: Member, ended: Ended) -> None:
+        """Have a router told that a prompt has left its engine; this box's own part hears it at once."""
+        if router.id == self.state.settings.id:
+            self.part.finished(ended)
+            return
+        waiting = self.ended_by_router.setdefault(router, [])
+        if len(waiting) < MAX_NOTICES:
+            waiting.append(ended)
+
+    def _tell_all(self) -> None:
+        """Send each router its notice, one at a time for each; those not heard lately wait."""
+        self.telling_by_router = {
+            router: task for router, task in self.telling_by_router.items() if not task.done()
+        }
+        live = set(self.state.live_routers())
+        for router in list(self.ended_by_router):
+            if router not in self.state.routers:
+                del self.ended_by_router[router]
+            elif router in live and router not in self.telling_by_router:
+                ended = tuple(self.ended_by_router.pop(router))
+                self.telling_by_router[router] = asyncio.create_task(self._tell(router, ended))
+
+    def _ping(self) -> None:
+        """As a router, have a notice sent to every other one, even where nothing has ended."""
+        if not self.state.routes:
+            return
+        for router in self.state.live_routers():
+            if router.id != self.state.settings.id:
+                self.ended_by_router.setdefault(router, [])
+
+    async def _tell(self, router: Member, ended: tuple[Ended, ...]) -> None:
+        answer = await self.links.to(router).finished(FinishedNotice(ended), NOTICE_ANSWER_S)
+        if self.links.heard(router, answer, "what has ended") is None:
+            # Told again once it is asked again: hearing the same twice changes nothing.
+            for item in ended:
+                self.add(router, item)
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -4,10 +4,12 @@
 no router answers, or its own view is old, the box asks the table service itself.
 """
 
+from dataclasses import replace
+
 from result import Ok, Result
 
 from stairquay.core.routers import Member, routers_for
-from stairquay.serving.asking import Links
+from stairquay.serving.links import Links
 from stairquay.serving.messages import EndpointsRequest, OperatorsRequest
 from stairquay.serving.ports import EndpointChanges, FeedFault, Feeds, OperatorChanges
 from stairquay.serving.state import BoxState
@@ -60,16 +62,8 @@
         reply = self.links.heard(router, answer, "operators' rows")
         if reply is None or self.state.view_too_old(reply.age_s):
             return None
-        changes = reply.changes
         # The answer was made `held_s` after the question came in, which was after it was asked.
-        return OperatorChanges(
-            changes.revision,
-            changes.whole,
-            changes.catalog,
-            changes.unreadable,
-            changes.versions_by_model,
-            behind_s=reply.age_s - reply.held_s,
-        )
+        return replace(reply.changes, behind_s=reply.age_s - reply.held_s)
 
     async def _endpoints(self, after: int, wait_s: float) -> EndpointChanges | None:
         router = self._router()
