--- a/stairquay/serving/choosing.py
+++ b/stairquay/serving/choosing.py
@@ -2,17 +2,15 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
-from heapq import nlargest
 from math import ceil
 from random import Random
 from time import monotonic
 
-from stairquay.core.call import Part, PromptShape
-from stairquay.core.catalog import Catalog, EngineShape, ServiceShape, StoreShape, WorkspaceRule
+from stairquay.core.call import PromptShape
+from stairquay.core.catalog import Catalog, EngineShape, ServiceShape, WorkspaceRule
 from stairquay.core.fleet import Endpoint
 from stairquay.core.ownership import ranked
 from stairquay.core.placement import (
-    PREFILL_TOKENS_S,
     SPREAD_S,
     EngineView,
     Placement,
@@ -22,20 +20,12 @@
     place,
 )
 from stairquay.core.scope import Scope
-from stairquay.serving.ports import EngineReport
-from stairquay.serving.state import BoxState, EndpointState
+from stairquay.serving.state import BoxState
+from stairquay.serving.weighing import best_sources, engine_view, source_speeds
 
 CONNECTION_SHARE = 0.85
 """Share of an endpoint's connections that our boxes use together; it resets those beyond its bound."""
 
-OTHERS_PROMPT_TOKENS = 1_500.0
-"""Prompt tokens that each request queued by another box is taken to need: about a mean prompt after
-reuse on the sites' sheets."""
-
-STORE_VIEW_S = 1.2
-"""Seconds without an answer after which a store box's view is not used any more: it may have started
-anew, and it does not check what it hands out."""
-
 FETCH_S = 2.0
 """Seconds after which a fetch is thrown away; a move that would wait longer is not begun at all."""
 
@@ -175,10 +165,10 @@
 
     def view_of(item: Endpoint) -> EngineView:
         outdated = _outdated(state, prompt.model, versions[item.address], now)
-        return _view(state, item, prompt, scopes[item.address], engine.slots, outdated, familiar, now)
+        return engine_view(state, item, prompt, scopes[item.address], engine.slots, outdated, familiar, now)
 
     views = [view_of(item) for item in candidates]
-    speeds = _source_speeds(state, catalog, engine, now)
+    speeds = source_speeds(state, catalog, engine, now)
 
     best_by_part: dict[tuple[int, str], list[Source]] = {}
 
@@ -186,7 +176,7 @@
         scope = scopes[address]
         best = best_by_part.get((index, scope))
         if best is None:
-            best = best_by_part[index, scope] = _best_sources(state, speeds, scope, prompt.parts[index])
+            best = best_by_part[index, scope] = best_sources(state, speeds, scope, prompt.parts[index])
         return next((source for source in best if source.address != address), None)
 
     placements = place(prompt.parts, prompt.tokens, views, source_of, engine.bytes_per_token)
@@ -210,99 +200,6 @@
     return version < state.named_by_model.get(model, 0) and now > old_after
 
 
-def _view(
-    state: BoxState,
-    endpoint: Endpoint,
-    prompt: PromptShape,
-    scope: str,
-    slots: int,
-    outdated: bool,
-    familiar: frozenset[str] | None,
-    now: float,
-) -> EngineView:
-    held = state.of(endpoint)
-    used_tokens = held.used_tokens(now) + _waiting_memory(held.report)
-    return EngineView(
-        id=endpoint.id,
-        address=endpoint.address,
-        resident=tuple(state.holdings.tokens(endpoint.address, scope, part.id) for part in prompt.parts),
-        waiting_tokens=_waiting_tokens(state, endpoint, held, now),
-        running=_running(state, endpoint, held),
-        failing=held.failing_share(now),
-        outdated=outdated,
-        here=endpoint.data_hall == state.settings.data_hall,
-        familiar=familiar is None or endpoint.id in familiar,
-        used_tokens=used_tokens,
-        slots=slots,
-        total_tokens=0.0 if held.report is None else held.report.total_tokens,
-    )
-
-
-def _running(state: BoxState, endpoint: Endpoint, held: EndpointState) -> int:
-    """Return the runs believed to be under way at an engine.
-
-    A router's count may be too high where a sender could not tell that a run ended: no more can be there than
-    the engine said, and were sent since.
-    """
-    if held.report is None:
-        return held.in_flight
-    if endpoint.id in state.routed_engines:
-        return min(held.in_flight, held.report.running + held.report.queued + len(held.sent_prompts))
-    return max(held.report.running, held.in_flight)
-
-
-def _waiting_tokens(state: BoxState, endpoint: Endpoint, held: EndpointState, now: float) -> float:
-    """Return the prompt tokens that an engine has yet to read."""
-    if endpoint.id in state.routed_engines:
-        return max(0.0, held.read_until - now) * PREFILL_TOKENS_S
-    own = sum(held.unread_tokens_by_request.values())
-    queued = 0 if held.report is None else held.report.queued
-    others = max(0, queued - len(held.unread_tokens_by_request))
-    return own + others * OTHERS_PROMPT_TOKENS
-
-
-def _waiting_memory(report: EngineReport | None) -> float:
-    """Return the memory that requests waiting at an engine will take once they are let in."""
-    return 0.0 if report is None else float(report.queued * report.next_tokens)
-
-
-def fresh_stores(state: BoxState, catalog: Catalog) -> list[StoreShape]:
-    """Return the store boxes whose content is known now."""
-    now = monotonic()
-    return [
-        store
-        for store in catalog.stores_by_id.values()
-        if (holding := state.holdings.by_address.get(store.address)) is not None
-        and now - holding.heard_at < STORE_VIEW_S
-    ]
-
-
-def _source_speeds(
-    state: BoxState, catalog: Catalog, engine: EngineShape, now: float
-) -> dict[str, tuple[float, float]]:
-    """Return the link speed and first delay of every address that context can be fetched from now."""
-    speeds: dict[str, tuple[float, float]] = {}
-    for endpoint in state.fleet.live():
-        if not state.of(endpoint).silent(now, state.report_s):
-            speeds[endpoint.address] = (engine.link_bytes_s, 0.0)
-    for store in fresh_stores(state, catalog):
-        speeds[store.address] = (store.link_bytes_s, store.first_s)
-    return speeds
-
-
-def _best_sources(
-    state: BoxState, speeds: dict[str, tuple[float, float]], scope: str, part: Part
-) -> list[Source]:
-    """Return the best source of a part, and the one for an engine that is the best source itself."""
-    found = []
-    for holder in state.holdings.holders(scope, part.id):
-        speed = speeds.get(holder)
-        if speed is not None:
-            tokens = min(part.tokens, state.holdings.tokens(holder, scope, part.id))
-            found.append(Source(holder, tokens, *speed))
-    return nlargest(2, found, key=lambda source: (source.tokens, source.bytes_s))
-
-
 def _fetch_until_ms(state: BoxState, now: float) -> int | None:
     if state.clock_offset_ms is None:
         return None
--- a/stairquay/serving/saving.py
+++ b/stairquay/serving/saving.py
@@ -4,8 +4,9 @@
 
 from stairquay.core.call import Part, PromptShape
 from stairquay.core.catalog import Catalog, StoreShape
-from stairquay.serving.choosing import Choice, fresh_stores
+from stairquay.serving.choosing import Choice
 from stairquay.serving.state import BoxState
+from stairquay.serving.weighing import fresh_stores
 
 FULL_SHARE = 0.95
 """Share of a store box's room that is used: what others save at the same time is not yet known."""
--- a/stairquay/serving/upkeep.py
+++ b/stairquay/serving/upkeep.py
@@ -10,10 +10,11 @@
 from stairquay.core.catalog import Catalog, StoreShape
 from stairquay.core.holdings import Key
 from stairquay.core.scope import parse_scope
-from stairquay.serving.choosing import FETCH_S, fresh_stores
+from stairquay.serving.choosing import FETCH_S
 from stairquay.serving.decisions import Decision
 from stairquay.serving.ports import Peers
 from stairquay.serving.state import BoxState
+from stairquay.serving.weighing import fresh_stores
 
 STEP_S = 1.0
 """Seconds between two looks: room is needed again soon after a version is everywhere."""
