--- a/stairquay/core/rollout.py
+++ b/stairquay/core/rollout.py
@@ -5,9 +5,8 @@
 
 AT_ONCE_SHARE = 0.3
 """Share of the engines that load at the same time, one at least: one of 5, 16 of 56, where two and 22 load at
-full speed. The others must hold the memory of all
-runs, about 0.6 of it on a standard day; and all are to be through in less than twelve seconds, at a second
-and a half each."""
+full speed. The others must hold the memory of all runs, about 0.6 of it on a standard day; and all are to be
+through in less than twelve seconds, at a second and a half each."""
 
 HURRY_SHARE = 0.55
 """Share of the time in which a version is to be everywhere after which all engines load at once: slower
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -241,7 +241,7 @@
             begun.held.refused_until = now + FULL_PAUSE_S
         else:
             progress.runs += 1
-        if failure.fault and failure.kind != ErrorKind.DEADLINE:
+        if _speaks_against(failure):
             begun.held.on_outcome(True, now)
         record_failed(self.state, job, begun, failure, now)
 
@@ -275,7 +275,12 @@
         return Outcome.DONE
     if failure.ran == Ran.NOT_RUN:
         return Outcome.TURNED_AWAY
-    return Outcome.FAILED if failure.fault and failure.kind != ErrorKind.DEADLINE else Outcome.DONE
+    return Outcome.FAILED if _speaks_against(failure) else Outcome.DONE
+
+
+def _speaks_against(failure: SendFailure) -> bool:
+    """Tell whether a failed attempt counts as its endpoint's failure."""
+    return failure.fault and failure.kind != ErrorKind.DEADLINE
 
 
 def _most_backlog_s(job: Job, progress: Progress) -> float | None:
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -20,7 +20,6 @@
 PROMPT = PromptShape("m", (Part("aa", 500), Part("bb", 300)), 800, 20)
 CATALOG = Catalog(1, services_by_id={"llm": ServiceShape("llm", 100, EngineShape(8, 100_000, 100, 1e9))})
 
-
 CHANCE = Random(1)
 
 
