--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -11,7 +11,7 @@
 from stairquay.core.attempt import Attempt, AttemptState
 from stairquay.core.call import Call, Dispatch
 from stairquay.core.errors import ErrorKind
-from stairquay.platform.connections import SENDING, CheckedProtocol, Sending
+from stairquay.platform.connections import SENDING, CheckedProtocol, Sending, SendRefused
 from stairquay.platform.names import (
     CHANNEL_ONLY,
     EXPECT_VERSION,
@@ -70,7 +70,8 @@
             return Err(SendFailure(ErrorKind.DEADLINE, attempt.ran, "no answer in time"))
         except (ClientError, OSError, ValueError) as error:
             attempt.lose()
-            return Err(SendFailure(ErrorKind.ENDPOINT_FAILED, attempt.ran, type(error).__name__))
+            fault = not isinstance(error, SendRefused)
+            return Err(SendFailure(ErrorKind.ENDPOINT_FAILED, attempt.ran, type(error).__name__, fault=fault))
         finally:
             SENDING.reset(token)
         if sending.protocol is not None:
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -35,8 +35,8 @@
 
 SHED_AT = 0.1
 """Backlog, in objectives, from which the least urgent requests are refused. Reports lag and all boxes send at
-once, so that the backlog grows beyond it: of 0.05, 0.15, 0.35 and 0.75, 0.15 served best on standard days,
-when 0.05 of it stood for memory in use that nobody waits for."""
+once, so that the backlog grows beyond it. Of 0.05, 0.15, 0.35 and 0.75, 0.15 served best on standard days;
+about 0.05 of that stood for memory in use that nobody waits for, and is not counted any more."""
 
 WORK_WEIGHT = 0.1
 """Weight of the newest answer in an endpoint's mean time to answer."""
@@ -69,6 +69,8 @@
             try:
                 if most_backlog_s is not None and choice.backlog_s > most_backlog_s:
                     return self._given_up(job, progress, overloaded(choice), request)
+                # Where the caller leaves, the engine may have read the prompt.
+                outcome = Outcome.DONE
                 response = await self._attempt(job, choice, progress, request)
                 outcome = _outcome(response, progress)
             finally:
@@ -273,8 +275,10 @@
     failure = progress.last
     if response is not None or failure is None:
         return Outcome.DONE
-    if failure.ran == Ran.NOT_RUN:
+    if failure.ran == Ran.NOT_RUN and failure.status:
         return Outcome.TURNED_AWAY
+    if failure.ran == Ran.NOT_RUN:
+        return Outcome.UNREACHED if _speaks_against(failure) else Outcome.NOT_SENT
     return Outcome.FAILED if _speaks_against(failure) else Outcome.DONE
 
 
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -28,6 +28,9 @@
 ROUTED_AGAIN_S = 1.0
 """The same for a box that asks routers: they ask again sooner, and it asks them first each time."""
 
+SINGLE_MISSES = 2
+"""Calls without an answer after which that longer pause is made: with fewer, a change could be known too late."""
+
 LIST_WHOLE_S = 4.0
 """Seconds between two whole reads of the list of endpoints. Entries that lapsed during an outage came back
 without a change in the feed, and only whole reads find them; while some are missing, each read is whole."""
@@ -68,7 +71,7 @@
 
     def apply(changes: EndpointChanges, asked_at: float) -> None:
         apply_endpoints(state, changes)
-        state.list_asked_at = asked_at
+        state.list_asked_at = asked_at - changes.behind_s
 
     await _follow(
         state,
@@ -106,6 +109,7 @@
     revision: int | None = None
     read_at = float("-inf")
     lost = False
+    missed = 0
     while True:
         asked_at = monotonic()
         whole = revision is None or followed.whole_now() or asked_at - read_at > followed.whole_s
@@ -118,8 +122,10 @@
                 revision = None
                 continue
             lost = _lost(state, followed.name, lost)
-            await asyncio.sleep(again_s(state))
+            missed += 1
+            await asyncio.sleep(again_s(state, missed))
             continue
+        missed = 0
         lost = _regained(state, followed.name, lost)
         followed.apply(answer.ok_value, asked_at)
         revision = answer.ok_value.revision
@@ -127,9 +133,10 @@
         await asyncio.sleep(followed.pause_s())
 
 
-def again_s(state: BoxState) -> float:
-    """Return the pause before a call to the table service that got no answer is made again."""
-    return ROUTED_AGAIN_S if state.routers and not state.routes_for_others else AGAIN_S
+def again_s(state: BoxState, missed: int) -> float:
+    """Return the pause before a call to the table service is made again after so many without an answer."""
+    beside_routers = bool(state.routers) and not state.routes_for_others
+    return ROUTED_AGAIN_S if beside_routers and missed > SINGLE_MISSES else AGAIN_S
 
 
 def _list_pause_s(state: BoxState) -> float:
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -66,6 +66,9 @@
     TURNED_AWAY = "turned_away"
     """The endpoint did not take it."""
 
+    UNREACHED = "unreached"
+    """The endpoint took no connection."""
+
     NOT_SENT = "not_sent"
     """It never left its box."""
 
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -47,12 +47,13 @@
 
 @dataclass(frozen=True)
 class EndpointChanges:
-    """Changed entries of the list of endpoints, and the ids of removed ones."""
+    """Changed entries of the list of endpoints, and the ids of removed ones. behind_s: as for OperatorChanges."""
 
     revision: int
     whole: bool
     present: tuple[Endpoint, ...] = ()
     gone: tuple[str, ...] = ()
+    behind_s: float = 0.0
 
 
 class Feeds(Protocol):
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -106,12 +106,12 @@
             return
         now = monotonic()
         held.in_flight = max(0, held.in_flight - 1)
-        if ended.outcome in (Outcome.NOT_SENT, Outcome.TURNED_AWAY):
+        if ended.outcome in (Outcome.NOT_SENT, Outcome.TURNED_AWAY, Outcome.UNREACHED):
             held.take_back(placed.reading_s, placed.tokens, placed.at)
         if ended.outcome == Outcome.TURNED_AWAY:
             held.refused_until = now + FULL_PAUSE_S
-        if ended.outcome in (Outcome.DONE, Outcome.FAILED):
-            held.on_outcome(ended.outcome == Outcome.FAILED, now)
+        if ended.outcome in (Outcome.DONE, Outcome.FAILED, Outcome.UNREACHED):
+            held.on_outcome(ended.outcome != Outcome.DONE, now)
 
     def _choose(self, asked: PlaceRequest) -> Choice | None:
         catalog = self.state.catalog
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -75,7 +75,7 @@
         reply = self.links.heard(router, answer, "the list of endpoints")
         if reply is None or self.state.list_too_old(reply.age_s):
             return None
-        return reply.changes
+        return replace(reply.changes, behind_s=reply.age_s)
 
     def _router(self) -> Member | None:
         if self.state.routes:
