--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -29,7 +29,7 @@
 """The same for a box that asks routers: they ask again sooner, and it asks them first each time."""
 
 SINGLE_MISSES = 2
-"""Calls without an answer after which that longer pause is made: with fewer, a change could be known too late."""
+"""Calls without an answer after which that longer pause is made; sooner, a change could be known too late."""
 
 LIST_WHOLE_S = 4.0
 """Seconds between two whole reads of the list of endpoints. Entries that lapsed during an outage came back
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -47,7 +47,10 @@
 
 @dataclass(frozen=True)
 class EndpointChanges:
-    """Changed entries of the list of endpoints, and the ids of removed ones. behind_s: as for OperatorChanges."""
+    """Changed entries of the list of endpoints, and the ids of removed ones.
+
+    behind_s: as for OperatorChanges.
+    """
 
     revision: int
     whole: bool
