--- a/stairquay/serving/orders.py
+++ b/stairquay/serving/orders.py
@@ -73,14 +73,17 @@
         return any(self.state.named_for_s(engine.model) > limit_s for engine in behind)
 
     async def _look_again(self, engines: list[EngineState]) -> None:
-        """Ask engines for their state that are loading, since the next ones wait for them; and those behind
-        whose report is old, since an order that names an old count of orders does nothing."""
+        """Ask engines for their state that are loading, since the next ones wait for them; and, as a router,
+        those behind whose report is old, since an order that names an old count of orders does nothing."""
         loading = [engine.id for engine in engines if engine.busy]
-        behind = [engine.id for engine in outdated(engines, self.state.named_by_model)]
+        behind = self._behind(engines) if self.state.routers else []
         old = [name for name in behind if self._report_age_s(name) > YOUNG_S]
         known = [self.state.fleet.by_id.get(name) for name in dict.fromkeys(loading + old)]
         await asyncio.gather(*(self._ask(endpoint) for endpoint in known if endpoint is not None))
 
+    def _behind(self, engines: list[EngineState]) -> list[str]:
+        return [engine.id for engine in outdated(engines, self.state.named_by_model)]
+
     def _report_age_s(self, engine: str) -> float:
         held = self.state.endpoints_by_id.get(engine)
         return float("inf") if held is None else monotonic() - held.reported_at
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -1,16 +1,19 @@
 """What a box believes of an engine when it chooses one."""
 
+import asyncio
 from random import Random
 from time import monotonic
 
 from stairquay.core.call import Part, PromptShape
 from stairquay.core.catalog import Catalog, EngineShape, ServiceShape
 from stairquay.core.fleet import Endpoint
+from stairquay.core.rollout import EngineState
 from stairquay.core.routers import Member
 from stairquay.serving.choosing import Choice, choose
 from stairquay.serving.decisions import DecisionLog
 from stairquay.serving.following import AGAIN_S, ROUTED_AGAIN_S, SINGLE_MISSES, again_s
 from stairquay.serving.messages import Ended, Outcome, PartShape, PlaceRequest
+from stairquay.serving.orders import OrderGiver
 from stairquay.serving.ports import EngineReport
 from stairquay.serving.routing import RouterPart
 from stairquay.serving.saving import save_targets
@@ -101,6 +104,29 @@
     assert state.endpoints_by_id["e-0"].used_tokens(monotonic()) == 1_600
 
 
+def test_only_routers_ask_engines_that_are_behind_for_their_state_before_an_order():
+    """Where each box asks all engines often, orders that follow each other sooner leave engines no time to
+    make up for the one that loads."""
+
+    class Peers:
+        asked: list[str] = []
+
+        async def report(self, address: str) -> None:
+            self.asked.append(address)
+
+    state = router_state()
+    state.named_by_model["m"] = 2
+    state.endpoints_by_id["e-0"].reported_at = monotonic() - 1.0
+    giver = OrderGiver(state, None, Peers())
+    asyncio.run(giver._look_again([EngineState("e-0", "m", 1)]))
+    assert Peers.asked == ["10.0.1.0:1"]
+    state.routers = ()
+    asyncio.run(giver._look_again([EngineState("e-0", "m", 1)]))
+    assert len(Peers.asked) == 1
+    asyncio.run(giver._look_again([EngineState("e-0", "m", 1, busy=True)]))
+    assert len(Peers.asked) == 2
+
+
 def test_boxes_beside_routers_ask_a_table_service_that_is_down_less_often():
     state = router_state()
     assert again_s(state, 9) == AGAIN_S
