Let a few boxes route for all at any number of boxes

Cause: up to nine boxes each chose engines by itself, on reports half a second old and without counting what the others sent. Change: routers are picked at any number of boxes, and a lone box is its own router: one path for every size. What only boxes without routers used is removed: the pause between reports that grew with boxes, the guess at what others queued, drawing among engines 15 ms apart. A box that no router answers chooses between two engines by chance. Tests: two expected a box of few to route by itself; they now expect routers at every number. One counted on the draw among near-equal engines; it now changes the engine that is sure to be chosen, and checks which one refused.

--- a/stairquay/core/placement.py
+++ b/stairquay/core/placement.py
@@ -32,10 +32,6 @@
 """Seconds that a full memory is worth avoiding against an empty one: memory binds before reading does,
 and reports lag, so that it is balanced before it is full. About the time to read a mean prompt."""
 
-SPREAD_S = 0.015
-"""Engines whose predicted times are this close to the best are drawn by chance: all boxes see the same
-lagging reports, and would all send to the same engine."""
-
 MEMORY_SHARE = 0.95
 """Share of an engine's memory that is planned with: its report is some hundred milliseconds old."""
 
@@ -125,10 +121,10 @@
     return read / PREFILL_TOKENS_S + read * tokens * PAIR_S
 
 
-def pick(placements: Sequence[Placement], random: Random, spread_s: float = SPREAD_S) -> Placement:
-    """Return one of the placements that are about as quick as the quickest, `spread_s` at most behind it."""
-    limit = placements[0].first_token_s + spread_s
-    return random.choice([item for item in placements if item.first_token_s <= limit])
+def pick(placements: Sequence[Placement], random: Random) -> Placement:
+    """Return one of the placements that are as quick as the quickest, which stands first."""
+    quickest = placements[0].first_token_s
+    return random.choice([item for item in placements if item.first_token_s <= quickest])
 
 
 def _on(
--- a/stairquay/core/routers.py
+++ b/stairquay/core/routers.py
@@ -1,10 +1,10 @@
 """Which boxes route prompts for all, which engines each of them routes for, and whom a box asks.
 
-Few boxes each know everything and route by themselves. Many cannot: every engine answers only so many
-questions, and choices made on reports that are half a second old send everyone to the same engine. There
-some boxes of each data hall route for all. Each engine has one router, which counts exactly what it sends
-there; each box asks a router of its own data hall, so that its requests stay there and use few connections.
-Boxes that disagree about who routes lose time, never truth.
+Boxes that each chose by themselves would all send to the same engine, since reports are half a second old,
+and every engine would have to answer the questions of all. So a few boxes route for all. Each engine has one
+router, which counts exactly what it sends there; each box asks a router of its own data hall where there is
+one, so that its requests stay there and use few connections. A lone box is its own router. Boxes that
+disagree about who routes lose time, never truth.
 """
 
 from collections.abc import Iterable, Sequence
@@ -15,10 +15,6 @@
 
 from stairquay.core.ownership import ranked
 
-SELF_ROUTING_BOXES = 9
-"""Boxes up to which each routes by itself: engines and store boxes take 12 followers of their events, and a
-fifth of the places stays free for boxes that are replaced."""
-
 BOXES_PER_ROUTER = 40
 """Boxes of a data hall for which one routes. 85 boxes in three halls have three routers, each with 185
 prompts a second and 19 engines."""
@@ -60,9 +56,7 @@
 
 
 def pick_routers(members: Sequence[Member]) -> tuple[Member, ...]:
-    """Return the boxes that route for all, by id; none where each routes by itself."""
-    if len(members) <= SELF_ROUTING_BOXES:
-        return ()
+    """Return the boxes that route for all, by id; none where no box can be reached by others."""
     members_by_hall: dict[str, list[Member]] = {}
     for member in members:
         members_by_hall.setdefault(member.data_hall, []).append(member)
--- a/stairquay/serving/asking.py
+++ b/stairquay/serving/asking.py
@@ -1,4 +1,4 @@
-"""Chooses the endpoint of each request: where some boxes route for all, by asking one of them.
+"""Chooses the endpoint of each prompt by asking one of the boxes that route for all.
 
 A router that does not answer in time is not asked for a while, and the next one is. Where none answers, the
 box decides by itself: between two engines drawn by chance, since its own view of them is poor.
@@ -50,7 +50,7 @@
         most_backlog_s: a longer wait than that makes the sender give it up; None where it does not.
         """
         prompt = job.call.prompt
-        if not self.state.routers or prompt is None or job.service.engine is None:
+        if prompt is None or job.service.engine is None:
             return self._choose_here(job, progress)
         asked = _question(self.state.settings.id, job, prompt, progress, most_backlog_s)
         best: Choice | None = None
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -89,8 +89,7 @@
         self.revision = next((row.revision for row in rows if row.key == own), 0)
         members = [_member(row) for row in alive] + [self.state.member]
         self.state.boxes = tuple(sorted(member.id for member in members))
-        self.state.boxes_known = True
-        self._use_routers(pick_routers(members))
+        self._use_routers(pick_routers(members) or (self.state.member,))
         self._learn_named(rows)
 
     def _use_routers(self, routers: tuple[Member, ...]) -> None:
--- a/stairquay/serving/choosing.py
+++ b/stairquay/serving/choosing.py
@@ -11,7 +11,6 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.ownership import ranked
 from stairquay.core.placement import (
-    SPREAD_S,
     EngineView,
     Placement,
     Source,
@@ -105,27 +104,29 @@
 
 def _candidates(state: BoxState, service: ServiceShape, tried: frozenset[str], now: float) -> list[Endpoint]:
     """Return usable endpoints; those tried, turning work away or silent only where there are no others."""
-    # A router counts what all boxes have under way, the others only what they have themselves.
-    boxes = 1 if state.routed_engines else max(1, len(state.boxes))
-    limit = max(2, int(service.max_connections * CONNECTION_SHARE / boxes))
-    usable = [item for item in state.fleet.usable(service.id, now) if state.of(item).in_flight < limit]
+    most = service.max_connections * CONNECTION_SHARE
+
+    def has_connection(item: Endpoint) -> bool:
+        # A router counts what all boxes have under way at its engines, else a box counts its own.
+        boxes = 1 if item.id in state.routed_engines else max(1, len(state.boxes))
+        return state.of(item).in_flight < max(2, int(most / boxes))
+
+    usable = [item for item in state.fleet.usable(service.id, now) if has_connection(item)]
     fresh = [item for item in usable if item.id not in tried]
     if tried and not fresh:
         return []
     open_ones = [item for item in fresh if state.of(item).refused_until <= now and not _closed(state, item)]
-    heard = [item for item in open_ones if not state.of(item).silent(now, state.report_s)]
+    heard = [item for item in open_ones if not state.of(item).silent(now)]
     return heard or open_ones or fresh
 
 
 def _routed(state: BoxState, candidates: list[Endpoint], random: Random) -> list[Endpoint]:
-    """Return the engines to choose from: a router's own, and for boxes without a router two by chance.
+    """Return the engines to choose from: a router's own, and for boxes that no router answers two by chance.
 
     Choosing the best of all by an old view sends everyone to the same engine: in a simulation of 56 engines
     with reports 0.2 to 0.95 s old, 3% of the prompts waited over 0.1 s with the better of two, 6% with one
     by chance, 59% with the best of all, and none where one router counts what it sends.
     """
-    if not state.routers:
-        return candidates
     own = [item for item in candidates if item.id in state.routed_engines]
     return own or random.sample(candidates, min(BLIND_CANDIDATES, len(candidates)))
 
@@ -186,8 +187,7 @@
         return next((source for source in best if source.address != address), None)
 
     placements = place(prompt.parts, prompt.tokens, views, source_of, engine.bytes_per_token)
-    # A router knows what it sent: nobody else sends to the same engine by the same report.
-    best = pick(placements, random, 0.0 if state.routed_engines else SPREAD_S)
+    best = pick(placements, random)
     endpoint = next(item for item in candidates if item.id == best.engine.id)
     return Choice(
         endpoint=endpoint,
--- a/stairquay/serving/orders.py
+++ b/stairquay/serving/orders.py
@@ -73,11 +73,10 @@
         return any(engine.replaced_s > limit_s for engine in behind)
 
     async def _look_again(self, engines: list[EngineState]) -> None:
-        """Ask engines for their state that are loading, since the next ones wait for them; and, as a router,
-        those behind whose report is old, since an order that names an old count of orders does nothing."""
+        """Ask engines for their state that are loading, since the next ones wait for them; and those behind
+        whose report is old, since an order that names an old count of orders does nothing."""
         loading = [engine.id for engine in engines if engine.busy]
-        behind = self._behind(engines) if self.state.routers else []
-        old = [name for name in behind if self._report_age_s(name) > YOUNG_S]
+        old = [name for name in self._behind(engines) if self._report_age_s(name) > YOUNG_S]
         known = [self.state.fleet.by_id.get(name) for name in dict.fromkeys(loading + old)]
         await asyncio.gather(*(self._ask(endpoint) for endpoint in known if endpoint is not None))
 
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -139,7 +139,7 @@
 
     async def _review(self) -> None:
         state = self.state
-        mine = state.routes_for_others
+        mine = state.routes
         if mine and self.server is None and not state.stopping:
             await self._open()
         if self.server is not None and (not mine or state.stopping):
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -111,9 +111,9 @@
             return 0.0
         return float(self.failing * 0.5 ** ((now - self.failing_at) / FAILURE_HALF_LIFE_S))
 
-    def silent(self, now: float, report_s: float) -> bool:
-        """Tell whether reports that used to come have stopped; `report_s` lies between two."""
-        return self.report is not None and now - self.reported_at > SILENT_AFTER * report_s
+    def silent(self, now: float) -> bool:
+        """Tell whether reports that used to come have stopped."""
+        return self.report is not None and now - self.reported_at > SILENT_AFTER * REPORT_S
 
 
 @dataclass
@@ -122,13 +122,13 @@
 
     view_asked_at: when the question was asked that the newest answer about the configuration rests on.
     stopping: the stop signal came; refusing: what still arrives is refused, since it could not be finished.
-    boxes: boxes of ours believed alive; boxes_known: they were read once. clock_offset_ms: the endpoints'
+    boxes: boxes of ours believed alive. clock_offset_ms: the endpoints'
     clock less this one's.
     operators_revision, list_revision: the table service's revision that our view is complete up to;
     operators_changed, list_changed: the revision at which it last changed. list_asked_at: like
     view_asked_at, for the list of endpoints; list_passed_on: a router passed its newest answer on.
-    routers: boxes that route prompts for all, none where each box routes by itself. routed_engines: the
-    engines that this box routes for. suspected_until_by_id: boxes that lately did not answer.
+    routers: boxes that route prompts for all, none before the boxes were read. routed_engines: the engines
+    that this box routes for. suspected_until_by_id: boxes that lately did not answer.
     """
 
     settings: BoxSettings
@@ -144,7 +144,6 @@
     holdings: Holdings = field(default_factory=Holdings)
     budgets_by_service: dict[str, WindowBudget] = field(default_factory=dict)
     boxes: tuple[str, ...] = ()
-    boxes_known: bool = False
     operators_revision: int = 0
     operators_changed: int = 0
     list_asked_at: float = NEVER
@@ -155,7 +154,6 @@
     routed_engines: frozenset[str] = frozenset()
     suspected_until_by_id: dict[str, float] = field(default_factory=dict)
     clock_offset_ms: float | None = None
-    report_s: float = REPORT_S
     in_flight: int = 0
     body_bytes: int = 0
     stopping: bool = False
@@ -169,16 +167,8 @@
 
     @property
     def routes(self) -> bool:
-        """Tell whether this box decides by its own view of engines and store boxes."""
-        return self.boxes_known and self._is_router()
-
-    @property
-    def routes_for_others(self) -> bool:
-        """Tell whether this box is one of those that route for all."""
-        return bool(self.routers) and self._is_router()
-
-    def _is_router(self) -> bool:
-        return not self.routers or any(router.id == self.settings.id for router in self.routers)
+        """Tell whether this box is one of those that route for all, by their own view of engines."""
+        return any(router.id == self.settings.id for router in self.routers)
 
     @property
     def member(self) -> Member:
@@ -200,10 +190,6 @@
         engines = sum(catalog.engine_of(item.service) is not None for item in self.fleet.live())
         return placing(self.live_routers(), engines)
 
-    def watchers(self) -> tuple[str, ...]:
-        """Return the boxes that follow engines and store boxes."""
-        return tuple(router.id for router in self.routers) or self.boxes
-
     def list_age(self) -> float:
         """Return the age of the list of endpoints in seconds."""
         return monotonic() - self.list_asked_at
--- a/stairquay/serving/upkeep.py
+++ b/stairquay/serving/upkeep.py
@@ -45,12 +45,15 @@
             if catalog is None:
                 continue
             self._observe(catalog)
-            if self.state.stopping or min(self.state.watchers()) != self.state.settings.id:
+            if self.state.stopping or not self._is_first_router():
                 continue
             for store in fresh_stores(self.state, catalog):
                 if store.managed:
                     await self._free(store)
 
+    def _is_first_router(self) -> bool:
+        return bool(self.state.routers) and self.state.routers[0].id == self.state.settings.id
+
     def _observe(self, catalog: Catalog) -> None:
         """Note the oldest version that any engine runs, and since when."""
         oldest: dict[str, int] = {}
--- a/stairquay/serving/watching.py
+++ b/stairquay/serving/watching.py
@@ -13,10 +13,6 @@
 from stairquay.serving.ports import Peers
 from stairquay.serving.state import REPORT_S, BoxState
 
-REPORTS_S = 100.0
-"""Questions for engines' states in a second that all boxes may ask together: each is priced. The sites' 6
-or 7 boxes and 5 engines stay below it at REPORT_S; 85 boxes and 56 engines would ask 10,000."""
-
 FOREIGN_REPORT_S = 2.0
 """Seconds between a router's questions for the state of other routers' engines: orders need their count of
 orders, and a router's engines are shared out when it is gone."""
@@ -76,18 +72,11 @@
                 self.tasks_by_name.pop(name).cancel()
                 if name[0] != "report":
                     self.state.holdings.forget(name[1])
-        self._pace(sum(name[0] == "report" for name in wanted))
         for name, work in wanted.items():
             task = self.tasks_by_name.get(name)
             if task is None or task.done():
                 self.tasks_by_name[name] = asyncio.create_task(work())
 
-    def _pace(self, engines: int) -> None:
-        """Ask each engine less often where many boxes ask many engines. A router's own engines are asked
-        by no one else as often."""
-        asking = 1 if self.state.routers else len(self.state.boxes)
-        self.state.report_s = max(REPORT_S, engines * asking / REPORTS_S)
-
     def _wanted(self, catalog: Catalog) -> dict[Name, Work]:
         wanted: dict[Name, Work] = {}
         if not self.state.routes:
@@ -97,7 +86,7 @@
             if engine is None:
                 continue
             wanted["report", endpoint.id] = partial(self._watch_report, endpoint.id, endpoint.address)
-            if self.state.routers and endpoint.id not in self.state.routed_engines:
+            if endpoint.id not in self.state.routed_engines:
                 continue
             if self._follows(endpoint.address, engine.max_followers):
                 wanted["engine", endpoint.address] = partial(self._watch_engine, endpoint.address)
@@ -107,8 +96,8 @@
         return wanted
 
     def _follows(self, address: str, places: int) -> bool:
-        """Tell whether this box is among those that follow a holder: each takes only so many."""
-        boxes = self.state.watchers()
+        """Tell whether this router is among those that follow a holder: each takes only so many."""
+        boxes = [router.id for router in self.state.routers]
         most = max(1, int(places * FOLLOWER_SHARE))
         if len(boxes) <= most:
             return True
@@ -129,9 +118,7 @@
             await asyncio.sleep(self._report_pause_s(endpoint_id))
 
     def _report_pause_s(self, endpoint_id: str) -> float:
-        if self.state.routers and endpoint_id not in self.state.routed_engines:
-            return max(FOREIGN_REPORT_S, self.state.report_s)
-        return self.state.report_s
+        return REPORT_S if endpoint_id in self.state.routed_engines else FOREIGN_REPORT_S
 
     async def _watch_engine(self, address: str) -> None:
         position = 0
--- a/stairquay/serving/weighing.py
+++ b/stairquay/serving/weighing.py
@@ -10,10 +10,6 @@
 from stairquay.serving.ports import EngineReport
 from stairquay.serving.state import BoxState, EndpointState
 
-OTHERS_PROMPT_TOKENS = 1_500.0
-"""Prompt tokens that each request queued by another box is taken to need: about a mean prompt after
-reuse on the sites' sheets."""
-
 STORE_VIEW_S = 1.2
 """Seconds without an answer after which a store box's view is not used any more: it may have started
 anew, and it does not check what it hands out."""
@@ -68,10 +64,7 @@
     """Return the prompt tokens that an engine has yet to read."""
     if endpoint.id in state.routed_engines:
         return max(0.0, held.read_until - now) * PREFILL_TOKENS_S
-    own = sum(held.unread_tokens_by_request.values())
-    queued = 0 if held.report is None else held.report.queued
-    others = max(0, queued - len(held.unread_tokens_by_request))
-    return own + others * OTHERS_PROMPT_TOKENS
+    return sum(held.unread_tokens_by_request.values())
 
 
 def _waiting_memory(report: EngineReport | None) -> float:
@@ -96,7 +89,7 @@
     """Return the link speed and first delay of every address that context can be fetched from now."""
     speeds: dict[str, tuple[float, float]] = {}
     for endpoint in state.fleet.live():
-        if not state.of(endpoint).silent(now, state.report_s):
+        if not state.of(endpoint).silent(now):
             speeds[endpoint.address] = (engine.link_bytes_s, 0.0)
     for store in fresh_stores(state, catalog):
         speeds[store.address] = (store.link_bytes_s, store.first_s)
--- a/tests/test_box_weights.py
+++ b/tests/test_box_weights.py
@@ -155,12 +155,15 @@
     async def scenario():
         async with site(plain=0, engines=2) as here:
             await asyncio.sleep(0.8)
+            assert (await here.prompt(call_id="first")).status == 200
             for engine in here.engines():
                 engine.silent = True
-            here.engines()[0].version = 3
+            # The engine that keeps the prompt is chosen again.
+            keeps = next(engine for engine in here.engines() if engine.taken)
+            keeps.version = 3
             for number in range(6):
                 assert (await here.prompt(call_id=f"call-{number}")).status == 200
-            await eventually(lambda: here.logged("attempt_failed", status=421))
+            await eventually(lambda: here.logged("attempt_failed", status=421, endpoint=keeps.id))
 
     asyncio.run(scenario())
 
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -32,7 +32,7 @@
     listed = [Endpoint(f"e-{n}", "llm", f"10.0.1.{n}:1", "hall-a", 8) for n in range(engines)]
     state.catalog = CATALOG
     state.fleet.apply(listed, [], 0.0)
-    state.boxes_known, state.routers = True, (Member("b-1"),)
+    state.routers = (Member("b-1"),)
     state.routed_engines = frozenset(item.id for item in listed)
     for item in listed:
         state.of(item).on_report(EngineReport(running=1, total_tokens=100_000), monotonic())
@@ -104,9 +104,7 @@
     assert state.endpoints_by_id["e-0"].used_tokens(monotonic()) == 1_600
 
 
-def test_only_routers_ask_engines_that_are_behind_for_their_state_before_an_order():
-    """Where each box asks all engines often, orders that follow each other sooner leave engines no time to
-    make up for the one that loads."""
+def test_engines_that_are_behind_or_loading_are_asked_for_their_state_before_an_order():
 
     class Peers:
         asked: list[str] = []
@@ -120,7 +118,7 @@
     giver = OrderGiver(state, None, Peers())
     asyncio.run(giver._look_again([EngineState("e-0", "m", 1)]))
     assert Peers.asked == ["10.0.1.0:1"]
-    state.routers = ()
+    state.endpoints_by_id["e-0"].reported_at = monotonic()
     asyncio.run(giver._look_again([EngineState("e-0", "m", 1)]))
     assert len(Peers.asked) == 1
     asyncio.run(giver._look_again([EngineState("e-0", "m", 1, busy=True)]))
--- a/tests/test_routers.py
+++ b/tests/test_routers.py
@@ -9,7 +9,6 @@
 from stairquay.core.routers import (
     BOXES_PER_ROUTER,
     ENGINES_PER_ROUTER,
-    SELF_ROUTING_BOXES,
     Engine,
     Member,
     capacity,
@@ -26,9 +25,11 @@
     return [Member(f"b{n}", f"10.0.0.{n}:1", room, halls[n % len(halls)]) for n in range(count)]
 
 
-def test_few_boxes_route_by_themselves():
-    assert pick_routers(boxes(SELF_ROUTING_BOXES)) == ()
-    assert pick_routers(boxes(SELF_ROUTING_BOXES + 1)) != ()
+def test_a_lone_box_routes_for_itself_and_of_a_few_two_at_least_do():
+    assert pick_routers(boxes(1)) == tuple(boxes(1))
+    assert pick_routers(boxes(2, ("hall-a",))) == tuple(boxes(2, ("hall-a",)))
+    for count in range(3, 10):
+        assert len(pick_routers(boxes(count, ("hall-a",)))) == 2
 
 
 def test_each_hall_has_a_router_and_large_boxes_go_first():
