Have prompts with the same shared parts read them once

Prompts come in bursts; an engine tells what it keeps only after it has read it. Change: a router knows who reads a part. A prompt that would read much of the same (2,000 tokens) asks again 50 ms later, up to 0.35 objectives after its arrival; boxes tell routers when an engine has read a prompt. Tests: tests/test_reading_once.py, new with the mechanism.

--- a/stairquay/serving/asking.py
+++ b/stairquay/serving/asking.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from random import Random
+from time import monotonic
 
 from stairquay.core.call import PromptShape
 from stairquay.core.catalog import WorkspaceRule
@@ -28,6 +29,10 @@
 ROUTERS_ASKED = 2
 """Routers asked for one prompt before the box decides by itself."""
 
+WAIT_SHARE = 0.35
+"""Share of the objective up to which a prompt waits for a part that an engine is reading for another one. It
+then reads its own part alone, and begins no later than if it had read all of it beside the other one."""
+
 SPILL_AT = 0.1
 """Backlog, in objectives, from which a second router is asked: its data hall may be less busy."""
 
@@ -52,14 +57,31 @@
         prompt = job.call.prompt
         if prompt is None or job.service.engine is None:
             return self._choose_here(job, progress)
-        asked = _question(self.state.settings.id, job, prompt, progress, most_backlog_s)
+        wait_until = job.arrived_at + job.route.objective_s * WAIT_SHARE
+        while True:
+            may_wait = not progress.tried and monotonic() < wait_until
+            asked = _question(self.state.settings.id, job, prompt, progress, most_backlog_s, may_wait)
+            best = await self._ask_routers(job, prompt, asked)
+            if best is None:
+                return self._choose_here(job, progress)
+            if not best.again_s:
+                return best
+            await asyncio.sleep(best.again_s)
+
+    async def _ask_routers(self, job: Job, prompt: PromptShape, asked: PlaceRequest) -> Choice | None:
         best: Choice | None = None
         for router in routers_for(self.state.member, self.state.placing_routers())[:ROUTERS_ASKED]:
             choice = await self._place(router, asked, prompt)
             best = self._better(best, choice)
             if best is not None and best.backlog_s <= SPILL_AT * job.route.objective_s:
                 return best
-        return best or self._choose_here(job, progress)
+        return best
+
+    def was_read(self, choice: Choice) -> None:
+        """Take in that an engine has read a prompt: its answer begins."""
+        router = next((item for item in self.state.routers if item.id == choice.router), None)
+        if router is not None:
+            self.notices.add_read(router, choice.ticket)
 
     def finished(self, choice: Choice, outcome: Outcome = Outcome.DONE) -> None:
         """Take in that a request has left the endpoint it was placed on, and how."""
@@ -122,7 +144,12 @@
 
 
 def _question(
-    box: str, job: Job, prompt: PromptShape, progress: Progress, most_backlog_s: float | None
+    box: str,
+    job: Job,
+    prompt: PromptShape,
+    progress: Progress,
+    most_backlog_s: float | None,
+    may_wait: bool,
 ) -> PlaceRequest:
     workspace: WorkspaceRule | None = job.workspace
     return PlaceRequest(
@@ -136,6 +163,7 @@
         wall=workspace.id if workspace is not None and workspace.isolated else "",
         tried=tuple(progress.tried),
         most_backlog_s=most_backlog_s,
+        may_wait=may_wait,
     )
 
 
@@ -155,4 +183,5 @@
         save_to=reply.save_to,
         router=router,
         ticket=ticket,
+        again_s=reply.again_s,
     )
--- a/stairquay/serving/choosing.py
+++ b/stairquay/serving/choosing.py
@@ -44,7 +44,7 @@
     """Where a request goes. placement is None for plain services.
 
     save_to: the store box that should keep each part of the prompt. router: the box that decided, empty
-    where this one did; ticket: the name under which it counts the prompt.
+    where this one did; ticket: the name under which it counts the prompt. again_s: ask again after so long.
     """
 
     endpoint: Endpoint
@@ -57,6 +57,7 @@
     save_to: tuple[str, ...] = ()
     router: str = ""
     ticket: str = ""
+    again_s: float = 0.0
 
 
 SaveTargets = Callable[[BoxState, Catalog, PromptShape, Choice], tuple[str, ...]]
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -231,6 +231,7 @@
         if placement is None or job.call.prompt is None:
             return
         record_prompt(self.state, job, placement)
+        self.chooser.was_read(begun.choice)
         if not self.state.routes:
             # Only routers hear what engines drop again.
             return
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -20,6 +20,7 @@
     ticket: names this attempt until it has ended. box: who asks, and will send it. wall: the workspace that
     shares no kept context, empty for the others. tried: endpoints that must not be chosen again.
     most_backlog_s: the sender gives the prompt up where it would wait longer; None where it does not.
+    may_wait: the sender can ask again a little later.
     """
 
     ticket: str
@@ -32,11 +33,14 @@
     wall: str
     tried: tuple[str, ...]
     most_backlog_s: float | None = None
+    may_wait: bool = False
 
 
 class PlaceReply(msgspec.Struct, frozen=True, array_like=True):
     """Where a prompt should run; `endpoint` is empty where no endpoint can take it.
 
+    again_s: seconds after which the sender should ask again, 0 where this reply is the answer.
+
     The fields are those of serving.choosing.Choice and core.placement.Placement.
     """
 
@@ -52,6 +56,7 @@
     first_token_s: float = 0.0
     alternative_s: float | None = None
     backlog_s: float = 0.0
+    again_s: float = 0.0
 
 
 class Outcome(str, Enum):
@@ -81,9 +86,11 @@
 
 
 class FinishedNotice(msgspec.Struct, frozen=True, array_like=True):
-    """Names attempts that have ended; none where a router only asks whether another is there."""
+    """Names attempts that have ended, and the tickets of those whose prompts have been read; none where a
+    router only asks whether another is there."""
 
     ended: tuple[Ended, ...]
+    read: tuple[str, ...] = ()
 
 
 class OperatorsRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/notices.py
+++ b/stairquay/serving/notices.py
@@ -34,6 +34,7 @@
         self.links = links
         self.part = part
         self.ended_by_router: dict[Member, list[Ended]] = {}
+        self.read_by_router: dict[Member, list[str]] = {}
         self.telling_by_router: dict[Member, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
@@ -56,6 +57,14 @@
         if len(waiting) < MAX_NOTICES:
             waiting.append(ended)
 
+    def add_read(self, router: Member, ticket: str) -> None:
+        """Have a router told that a prompt has been read; one that is not told in time hears it no more."""
+        if router.id == self.state.settings.id:
+            self.part.was_read(ticket)
+            return
+        self.ended_by_router.setdefault(router, [])
+        self.read_by_router.setdefault(router, []).append(ticket)
+
     def _tell_all(self) -> None:
         """Send each router its notice, one at a time for each; those not heard lately wait."""
         self.telling_by_router = {
@@ -65,9 +74,14 @@
         for router in list(self.ended_by_router):
             if router not in self.state.routers:
                 del self.ended_by_router[router]
+                self.read_by_router.pop(router, None)
             elif router in live and router not in self.telling_by_router:
-                ended = tuple(self.ended_by_router.pop(router))
-                self.telling_by_router[router] = asyncio.create_task(self._tell(router, ended))
+                notice = FinishedNotice(
+                    tuple(self.ended_by_router.pop(router)), tuple(self.read_by_router.pop(router, ()))
+                )
+                self.telling_by_router[router] = asyncio.create_task(self._tell(router, notice))
+            else:
+                self.read_by_router.pop(router, None)
 
     def _ping(self) -> None:
         """As a router, have a notice sent to every other one, even where nothing has ended."""
@@ -77,9 +91,9 @@
             if router.id != self.state.settings.id:
                 self.ended_by_router.setdefault(router, [])
 
-    async def _tell(self, router: Member, ended: tuple[Ended, ...]) -> None:
-        answer = await self.links.to(router).finished(FinishedNotice(ended), NOTICE_ANSWER_S)
+    async def _tell(self, router: Member, notice: FinishedNotice) -> None:
+        answer = await self.links.to(router).finished(notice, NOTICE_ANSWER_S)
         if self.links.heard(router, answer, "what has ended") is None:
             # Told again once it is asked again: hearing the same twice changes nothing.
-            for item in ended:
+            for item in notice.ended:
                 self.add(router, item)
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -14,6 +14,7 @@
 
 from stairquay.core.call import Part, PromptShape
 from stairquay.core.catalog import WorkspaceRule
+from stairquay.core.holdings import Key
 from stairquay.core.placement import read_s
 from stairquay.core.routers import Engine, engines_of
 from stairquay.serving.choosing import Choice, choose
@@ -45,15 +46,29 @@
 """Seconds after which a placed prompt counts as ended without a notice: above every time limit of the
 sites' routes, for boxes that ended before they could tell."""
 
+READ_AGAIN_S = 0.05
+"""Seconds after which a sender asks again whether a part has been read that its prompt needs."""
+
+READING_S = 1.0
+"""Seconds for which an engine is believed to be reading a prompt: later, something has gone wrong with it."""
+
+WORTH_WAITING_TOKENS = 2_000
+"""Fewest tokens being read for another prompt that a prompt waits for."""
+
 
 @dataclass(frozen=True)
 class Placed:
-    """A prompt placed on an endpoint: when, how long the endpoint reads it, and how many tokens it holds."""
+    """A prompt placed on an endpoint: when, how long the endpoint reads it, and how many tokens it holds.
+
+    shared: the parts that other prompts may share, with their tokens; the endpoint's address will keep them.
+    """
 
     at: float
     endpoint: str
     reading_s: float
     tokens: int
+    address: str = ""
+    shared: tuple[tuple[Key, int], ...] = ()
 
 
 class RouterPart:
@@ -63,6 +78,7 @@
         self.state = state
         self.random = random
         self.placed_by_ticket: dict[str, Placed] = {}
+        self.reader_by_key: dict[Key, str] = {}
         self.server: grpc.aio.Server | None = None
 
     async def run(self) -> None:
@@ -79,6 +95,8 @@
         choice = self._choose(asked)
         if choice is None or choice.placement is None:
             return PlaceReply()
+        if asked.may_wait and self._read_soon(choice, asked):
+            return PlaceReply(endpoint=choice.endpoint.id, version=choice.version, again_s=READ_AGAIN_S)
         given_up = asked.most_backlog_s is not None and choice.backlog_s > asked.most_backlog_s
         if not given_up:
             self._count(asked, choice)
@@ -98,9 +116,39 @@
             backlog_s=choice.backlog_s,
         )
 
+    def was_read(self, ticket: str) -> None:
+        """Take in that an engine has read a prompt, and so keeps its parts."""
+        placed = self.placed_by_ticket.get(ticket)
+        if placed is None:
+            return
+        self._forget_reader(ticket, placed)
+        for (scope, part), tokens in placed.shared:
+            self.state.holdings.expect(placed.address, scope, part, tokens)
+
+    def _read_soon(self, choice: Choice, asked: PlaceRequest) -> bool:
+        """Tell whether much of what a prompt would have to read is being read for another one."""
+        placement = choice.placement
+        assert placement is not None
+        now = monotonic()
+        soon = 0
+        for index, part in enumerate(asked.parts[:-1]):
+            if placement.engine.resident[index] >= part.tokens or placement.fetch_from[index]:
+                continue
+            reader = self.placed_by_ticket.get(self.reader_by_key.get((choice.scope, part.id), ""))
+            if reader is not None and now - reader.at < READING_S:
+                soon += part.tokens
+        return soon >= WORTH_WAITING_TOKENS
+
+    def _forget_reader(self, ticket: str, placed: Placed) -> None:
+        for key, _ in placed.shared:
+            if self.reader_by_key.get(key) == ticket:
+                del self.reader_by_key[key]
+
     def finished(self, ended: Ended) -> None:
         """Take in that a prompt has left its engine, and how."""
         placed = self.placed_by_ticket.pop(ended.ticket, None)
+        if placed is not None:
+            self._forget_reader(ended.ticket, placed)
         held = None if placed is None else self.state.endpoints_by_id.get(placed.endpoint)
         if placed is None or held is None:
             return
@@ -129,8 +177,13 @@
         placement = choice.placement
         assert placement is not None
         self.finished(Ended(asked.ticket, Outcome.NOT_SENT))
-        placed = Placed(now, choice.endpoint.id, read_s(placement.read, asked.tokens), asked.tokens)
+        reading_s = read_s(placement.read, asked.tokens)
+        address = choice.endpoint.address
+        shared = tuple(((choice.scope, part.id), part.tokens) for part in asked.parts[:-1])
+        placed = Placed(now, choice.endpoint.id, reading_s, asked.tokens, address, shared)
         self.placed_by_ticket[asked.ticket] = placed
+        for key, _ in shared:
+            self.reader_by_key.setdefault(key, asked.ticket)
         held = self.state.of(choice.endpoint)
         held.in_flight += 1
         held.on_placed(placed.reading_s, now)
@@ -187,6 +240,8 @@
         return self.place(asked)
 
     async def _on_finished(self, notice: FinishedNotice) -> Nothing:
+        for ticket in notice.read:
+            self.was_read(ticket)
         for ended in notice.ended:
             self.finished(ended)
         return Nothing()
--- a/tests/many_boxes.py
+++ b/tests/many_boxes.py
@@ -33,15 +33,18 @@
 
 @dataclass
 class Router:
-    """A router that says what the test wants. `silent`: it answers no question at all."""
+    """A router that says what the test wants. `silent`: it answers no question at all. `again`: answers that
+    tell to ask again."""
 
     address: str = ""
     reply: PlaceReply = field(default_factory=PlaceReply)
     silent: bool = False
     view_age_s: float | None = None
     followed: int = 0
+    again: int = 0
     asked: list[PlaceRequest] = field(default_factory=list)
     ended: list[Ended] = field(default_factory=list)
+    read: list[str] = field(default_factory=list)
 
     def answers(self) -> Answers:
         return Answers(self.place, self.finished, self.operators, self.endpoints)
@@ -49,10 +52,14 @@
     async def place(self, asked: PlaceRequest) -> PlaceReply:
         self.asked.append(asked)
         await self.wait()
+        if self.again and asked.may_wait:
+            self.again -= 1
+            return PlaceReply(endpoint="e-0", version=1, again_s=0.02)
         return self.reply
 
     async def finished(self, notice: FinishedNotice) -> Nothing:
         self.ended += notice.ended
+        self.read += notice.read
         await self.wait()
         return Nothing()
 
--- /dev/null
+++ b/tests/test_reading_once.py
@@ -0,0 +1,91 @@
+"""Prompts with the same shared parts that arrive in a burst: they are read once."""
+
+import asyncio
+from random import Random
+
+from stairquay.serving.messages import (
+    Ended,
+    FinishedNotice,
+    Outcome,
+    PartShape,
+    PlaceReply,
+    PlaceRequest,
+)
+from stairquay.serving.routing import READING_S, RouterPart
+from tests.many_boxes import routed, routing
+from tests.site import SCOPE, eventually
+from tests.test_choosing import router_state
+
+PARTS = (PartShape("aa", 8_000), PartShape("bb", 300), PartShape("own", 100))
+
+
+def question(ticket: str, **fields) -> PlaceRequest:
+    base = {"service": "llm", "model": "m", "parts": PARTS, "tokens": 8_400, "max_output": 20}
+    return PlaceRequest(**(base | {"ticket": ticket, "box": "b-2", "wall": "", "tried": ()} | fields))
+
+
+def test_a_prompt_waits_for_a_part_that_is_being_read_and_then_reads_its_own_part_alone():
+    part = RouterPart(router_state(4), Random(1))
+    first = part.place(question("t0", may_wait=True))
+    assert first.again_s == 0 and first.read == 8_400
+    assert part.place(question("t1", may_wait=True)).again_s > 0
+    part.was_read("t0")
+    later = part.place(question("t1", may_wait=True))
+    assert (later.again_s, later.reused + later.fetched, later.read) == (0, 8_300, 100)
+
+
+def test_a_prompt_that_waits_counts_nowhere():
+    state = router_state(1)
+    part = RouterPart(state, Random(1))
+    part.place(question("t0", may_wait=True))
+    part.place(question("t1", may_wait=True))
+    assert list(part.placed_by_ticket) == ["t0"] and state.endpoints_by_id["e-0"].in_flight == 1
+
+
+def test_nobody_waits_who_must_not_or_for_little_or_for_what_was_not_read():
+    part = RouterPart(router_state(4), Random(1))
+    part.place(question("t0"))
+    assert part.place(question("t1")).again_s == 0
+    part.finished(Ended("t1"))
+    small = (PartShape("aa", 8_000), PartShape("cc", 300), PartShape("own", 100))
+    part.was_read("t0")
+    assert part.place(question("t2", parts=small, may_wait=True)).again_s == 0
+    for outcome in (Outcome.NOT_SENT, Outcome.TURNED_AWAY, Outcome.FAILED, Outcome.UNREACHED):
+        other = RouterPart(router_state(1), Random(1))
+        other.place(question("t0"))
+        other.finished(Ended("t0", outcome))
+        assert other.place(question("t1", may_wait=True)).again_s == 0
+
+
+def test_nobody_waits_long_for_an_engine_that_should_have_read_by_now(monkeypatch):
+    part = RouterPart(router_state(4), Random(1))
+    part.place(question("t0"))
+    placed = part.placed_by_ticket["t0"]
+    monkeypatch.setattr("stairquay.serving.routing.monotonic", lambda: placed.at + READING_S)
+    assert part.place(question("t1", may_wait=True)).again_s == 0
+
+
+def test_a_router_takes_a_notice_of_what_was_read():
+    async def scenario():
+        async with routing(engines=2) as (here, link):
+            await eventually(lambda: all(engine.asked_report for engine in here.engines()))
+            assert (await link.place(question("t0"), 1.0)).read == 8_400
+            assert (await link.place(question("t1", may_wait=True), 1.0)).again_s > 0
+            await link.finished(FinishedNotice((), ("t0",)), 1.0)
+            later = await link.place(question("t1", may_wait=True), 1.0)
+            assert (later.reused + later.fetched, later.read, later.scope) == (8_300, 100, SCOPE)
+
+    asyncio.run(scenario())
+
+
+def test_a_box_asks_again_when_told_and_tells_its_router_what_was_read():
+    async def scenario():
+        async with routed(engines=1) as (here, router):
+            router.reply, router.again = PlaceReply(endpoint="e-0", version=1, scope=SCOPE), 2
+            answer = await here.prompt(call_id="call-1")
+            assert answer.status == 200
+            tickets = [asked.ticket for asked in router.asked]
+            assert len(tickets) > 2 and set(tickets) == {"call-1 0"}
+            await eventually(lambda: "call-1 0" in router.read)
+
+    asyncio.run(scenario())
