Give what a request wants one type, and say once what stood twice

Cause: choose() took nine arguments, and the engine's part of it nine others; the check whether a task is itself being cancelled stood in two modules, the question to a router in two shapes; boxes kept their own expectation of what engines keep beside the router's. Change: Wanted holds what is to be sent; choose_and_save adds the store boxes; being_cancelled and SharedFeeds._ask are said once. Parts read are noted by routers only. Before and after: 54 tests of choosing, routers, weights and boxes passed, types and import rules clean.

--- /dev/null
+++ b/bench/ablation.py
@@ -0,0 +1,140 @@
+"""Copies of the source tree with one mechanism of the decisions switched off, to measure what it is worth.
+
+`python -m bench.ablation` lists the mechanisms; `python -m bench.ablation NAME FOLDER` writes the copy. A
+switch that no longer fits the code is an error, so that the list cannot grow stale unseen.
+"""
+
+import shutil
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+LEFT_OUT = shutil.ignore_patterns(".venv", ".git", "journal", "__pycache__", "*.egg-info", "build", "dist")
+
+
+@dataclass(frozen=True)
+class Switch:
+    """Replacing `before` by `after` in `file` takes a mechanism away; `what` says which."""
+
+    what: str
+    file: str
+    before: str
+    after: str
+
+
+PLACEMENT = "stairquay/core/placement.py"
+SERVING = "stairquay/serving/"
+
+SWITCHES: dict[str, Switch] = {
+    "waiting": Switch(
+        "waiting for parts that are being read",
+        SERVING + "asking.py",
+        "WAIT_SHARE = 0.35",
+        "WAIT_SHARE = 0.0",
+    ),
+    "shedding": Switch(
+        "refusing the least urgent when engines are behind",
+        SERVING + "dispatch.py",
+        "SHED_AT = 0.1",
+        "SHED_AT = 1e9",
+    ),
+    "fill": Switch("balancing memory before it is full", PLACEMENT, "FILL_S = 0.06", "FILL_S = 0.0"),
+    "room": Switch(
+        "predicting the wait for room in memory",
+        PLACEMENT,
+        "    over = engine.used_tokens + tokens - engine.total_tokens * MEMORY_SHARE",
+        "    over = 0.0",
+    ),
+    "runs": Switch("counting runs under way", PLACEMENT, "RUN_S = 0.0005", "RUN_S = 0.0"),
+    "failing": Switch("avoiding engines that fail requests", PLACEMENT, "FAILING_S = 0.5", "FAILING_S = 0.0"),
+    "familiar": Switch(
+        "preferring engines that the box often uses", PLACEMENT, "UNFAMILIAR_S = 0.008", "UNFAMILIAR_S = 0.0"
+    ),
+    "hall": Switch(
+        "preferring the router's own data hall", PLACEMENT, "STRANGE_HALL_S = 0.002", "STRANGE_HALL_S = 0.0"
+    ),
+    "old_version": Switch(
+        "avoiding replaced weights", PLACEMENT, "OLD_VERSION_S = 0.12", "OLD_VERSION_S = 0.0"
+    ),
+    "queue": Switch(
+        "counting what an engine has yet to read",
+        PLACEMENT,
+        "return engine.waiting_tokens / PREFILL_TOKENS_S",
+        "return 0.0",
+    ),
+    "saves": Switch(
+        "saving shared parts to store boxes",
+        SERVING + "saving.py",
+        "    stores = fresh_stores(state, catalog)",
+        "    stores = fresh_stores(state, catalog)[:0]",
+    ),
+    "engine_fetch": Switch(
+        "fetching parts from other engines",
+        SERVING + "weighing.py",
+        "    for endpoint in state.fleet.live():",
+        "    for endpoint in state.fleet.live()[:0]:",
+    ),
+    "store_fetch": Switch(
+        "fetching parts from store boxes",
+        SERVING + "weighing.py",
+        "    for store in fresh_stores(state, catalog):",
+        "    for store in fresh_stores(state, catalog)[:0]:",
+    ),
+    "spare_fetch": Switch(
+        "naming a source for parts that the engine keeps itself",
+        PLACEMENT,
+        'source.address if source is not None and source.tokens >= part.tokens else ""',
+        '""',
+    ),
+    "second_router": Switch(
+        "asking a second router where the first is behind",
+        SERVING + "asking.py",
+        "ROUTERS_ASKED = 2",
+        "ROUTERS_ASKED = 1",
+    ),
+    "one_by_one": Switch(
+        "loading new weights on a few engines at a time",
+        "stairquay/core/rollout.py",
+        "AT_ONCE_SHARE = 0.3",
+        "AT_ONCE_SHARE = 1.0",
+    ),
+    "full_pause": Switch(
+        "leaving an endpoint alone that turned a request away",
+        SERVING + "state.py",
+        "FULL_PAUSE_S = 0.25",
+        "FULL_PAUSE_S = 0.0",
+    ),
+    "silent": Switch(
+        "choosing engines last whose reports stopped",
+        SERVING + "state.py",
+        "SILENT_AFTER = 2.5",
+        "SILENT_AFTER = 1e9",
+    ),
+}
+
+
+def main(arguments: list[str]) -> int:
+    """List the switches, or write the copy that was asked for."""
+    if not arguments:
+        for name, switch in SWITCHES.items():
+            print(f"{name:14} {switch.what}")
+        return 0
+    if len(arguments) != 2 or arguments[0] not in SWITCHES:
+        print("usage: python -m bench.ablation [NAME FOLDER]", file=sys.stderr)
+        return 2
+    return _write(SWITCHES[arguments[0]], Path(arguments[1]))
+
+
+def _write(switch: Switch, folder: Path) -> int:
+    source = (ROOT / switch.file).read_text()
+    if source.count(switch.before) != 1:
+        print(f"{switch.file} does not have this once: {switch.before}", file=sys.stderr)
+        return 1
+    shutil.copytree(ROOT, folder, ignore=LEFT_OUT)
+    (folder / switch.file).write_text(source.replace(switch.before, switch.after))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/stairquay/adapters/program.py
+++ b/stairquay/adapters/program.py
@@ -58,6 +58,12 @@
     logging.info("stopping: finishing what is under way")
 
 
+def being_cancelled() -> bool:
+    """Tell whether the current task itself is being cancelled, not something that it waits for."""
+    task = asyncio.current_task()
+    return task is None or task.cancelling() > 0
+
+
 async def wait_until(condition: Callable[[], bool], limit_s: float, step_s: float = 0.02) -> bool:
     """Wait until a condition holds, or return False after `limit_s`."""
     loop = asyncio.get_running_loop()
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from result import Err, Result
 
-from stairquay.adapters.program import Tasks, listen, until_stopped, wait_until
+from stairquay.adapters.program import Tasks, being_cancelled, listen, until_stopped, wait_until
 from stairquay.core.decode import Mistake
 from stairquay.serving.asking import Chooser
 from stairquay.serving.boxes import BoxList
@@ -142,8 +142,7 @@
         try:
             await work()
         except asyncio.CancelledError:
-            task = asyncio.current_task()
-            if task is None or task.cancelling() > 0:
+            if being_cancelled():
                 raise
             # Something inside was cancelled, not this part.
             state.log.line(Decision.PART_FAILED, part=name, detail="cancelled from inside")
--- a/stairquay/serving/asking.py
+++ b/stairquay/serving/asking.py
@@ -13,13 +13,13 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.placement import EngineView, Placement
 from stairquay.core.routers import Member, routers_for
-from stairquay.serving.choosing import Choice, choose
+from stairquay.serving.choosing import Choice, Wanted
 from stairquay.serving.jobs import Job, Progress
 from stairquay.serving.links import Links
 from stairquay.serving.messages import Ended, Outcome, PartShape, PlaceReply, PlaceRequest
 from stairquay.serving.notices import Notices
 from stairquay.serving.routing import RouterPart
-from stairquay.serving.saving import save_targets
+from stairquay.serving.saving import choose_and_save
 from stairquay.serving.state import BoxState
 
 ASK_S = 0.08
@@ -131,16 +131,8 @@
         return None if self.state.too_old(prompt.model, reply.version or 0, reply.backlog_s) else usable
 
     def _choose_here(self, job: Job, progress: Progress) -> Choice | None:
-        return choose(
-            self.state,
-            job.catalog,
-            job.service,
-            job.call.prompt,
-            job.workspace,
-            frozenset(progress.tried),
-            self.random,
-            save_targets,
-        )
+        wanted = Wanted(job.service, job.call.prompt, job.workspace, frozenset(progress.tried))
+        return choose_and_save(self.state, job.catalog, wanted, self.random)
 
 
 def _question(
--- a/stairquay/serving/choosing.py
+++ b/stairquay/serving/choosing.py
@@ -1,7 +1,7 @@
 """Chooses the endpoint of a request from what the box believes."""
 
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Sequence
+from dataclasses import dataclass
 from math import ceil
 from random import Random
 from time import monotonic
@@ -60,40 +60,35 @@
     again_s: float = 0.0
 
 
-SaveTargets = Callable[[BoxState, Catalog, PromptShape, Choice], tuple[str, ...]]
-"""Returns an address for each part of a prompt that a store box should keep."""
+@dataclass(frozen=True)
+class Wanted:
+    """A request that needs an endpoint. prompt is None for plain services.
 
+    tried: endpoints that it was sent to already. sender: the box that will send it, empty for this one.
+    """
 
-def choose(
-    state: BoxState,
-    catalog: Catalog,
-    service: ServiceShape,
-    prompt: PromptShape | None,
-    workspace: WorkspaceRule | None,
-    tried: frozenset[str],
-    random: Random,
-    save_targets: SaveTargets,
-    sender: str = "",
-) -> Choice | None:
-    """Return the best endpoint, or None where no endpoint can be used.
+    service: ServiceShape
+    prompt: PromptShape | None = None
+    workspace: WorkspaceRule | None = None
+    tried: frozenset[str] = frozenset()
+    sender: str = ""
 
-    sender: the box that will send the request, where it is not this one.
-    """
+
+def choose(state: BoxState, catalog: Catalog, wanted: Wanted, random: Random) -> Choice | None:
+    """Return the best endpoint, or None where no endpoint can be used."""
     now = monotonic()
-    candidates = _candidates(state, service, tried, now)
+    candidates = _candidates(state, wanted.service, wanted.tried, now)
+    prompt, engine = wanted.prompt, wanted.service.engine
     if prompt is not None:
         model = prompt.model
         candidates = [item for item in candidates if not state.too_old(model, state.version_of(item, model))]
     if not candidates:
         return None
-    if prompt is None or service.engine is None:
+    if prompt is None or engine is None:
         return Choice(_least_busy(state, candidates, now, random))
     candidates = _routed(state, candidates, random)
-    familiar = _familiar(sender, candidates) if sender else None
-    choice = _choose_engine(
-        state, catalog, service.engine, prompt, workspace, candidates, familiar, now, random
-    )
-    return choice and replace(choice, save_to=save_targets(state, catalog, prompt, choice))
+    placements = _placements(state, catalog, wanted, prompt, engine, candidates, now)
+    return _best(state, wanted, prompt, placements, random, now) if placements else None
 
 
 def context_scope(workspace: WorkspaceRule | None, model: str, version: int) -> str:
@@ -152,21 +147,20 @@
     return min(candidates, key=cost)
 
 
-def _choose_engine(
+def _placements(
     state: BoxState,
     catalog: Catalog,
-    engine: EngineShape,
+    wanted: Wanted,
     prompt: PromptShape,
-    workspace: WorkspaceRule | None,
+    engine: EngineShape,
     candidates: Sequence[Endpoint],
-    familiar: frozenset[str] | None,
     now: float,
-    random: Random,
-) -> Choice | None:
-    """Return the best of the candidates, None where none can begin before its weights are too old."""
+) -> list[Placement]:
+    """Return a placement on each candidate that can begin before its weights are too old, the best first."""
     model = prompt.model
+    familiar = _familiar(wanted.sender, candidates) if wanted.sender else None
     versions = {item.address: state.version_of(item, model) for item in candidates}
-    scopes = {key: context_scope(workspace, model, version) for key, version in versions.items()}
+    scopes = {key: context_scope(wanted.workspace, model, version) for key, version in versions.items()}
 
     def view_of(item: Endpoint) -> EngineView:
         outdated = state.replaced_for_s(model, versions[item.address]) > OLD_VERSION_AFTER_S
@@ -174,8 +168,6 @@
 
     views = [view_of(item) for item in candidates]
     views = [view for view in views if not state.too_old(model, versions[view.address], backlog_s(view))]
-    if not views:
-        return None
     speeds = source_speeds(state, catalog, engine, now)
 
     best_by_part: dict[tuple[int, str], list[Source]] = {}
@@ -187,15 +179,26 @@
             best = best_by_part[index, scope] = best_sources(state, speeds, scope, prompt.parts[index])
         return next((source for source in best if source.address != address), None)
 
-    placements = place(prompt.parts, prompt.tokens, views, source_of, engine.bytes_per_token)
+    return place(prompt.parts, prompt.tokens, views, source_of, engine.bytes_per_token)
+
+
+def _best(
+    state: BoxState,
+    wanted: Wanted,
+    prompt: PromptShape,
+    placements: Sequence[Placement],
+    random: Random,
+    now: float,
+) -> Choice:
     best = pick(placements, random)
-    endpoint = next(item for item in candidates if item.id == best.engine.id)
+    endpoint = state.fleet.by_id[best.engine.id]
+    version = state.version_of(endpoint, prompt.model)
     return Choice(
         endpoint=endpoint,
-        version=versions[endpoint.address] or None,
-        scope=scopes[endpoint.address],
+        version=version or None,
+        scope=context_scope(wanted.workspace, prompt.model, version),
         placement=best,
-        backlog_s=min(backlog_s(view) for view in views),
+        backlog_s=min(backlog_s(item.engine) for item in placements),
         alternative_s=placements[1].first_token_s if len(placements) > 1 else None,
         fetch_until_ms=_fetch_until_ms(state, now),
     )
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -232,13 +232,6 @@
             return
         record_prompt(self.state, job, placement)
         self.chooser.was_read(begun.choice)
-        if not self.state.routes:
-            # Only routers hear what engines drop again.
-            return
-        for part in job.call.prompt.parts:
-            self.state.holdings.expect(
-                begun.choice.endpoint.address, begun.choice.scope, part.id, part.tokens
-            )
 
     def _failed(self, job: Job, begun: Begun, progress: Progress, failure: SendFailure) -> None:
         """Take in a failed attempt."""
--- a/stairquay/serving/links.py
+++ b/stairquay/serving/links.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from stairquay.adapters.channels import CHANNEL_OPTIONS
+from stairquay.adapters.program import being_cancelled
 from stairquay.core.routers import Member
 from stairquay.serving.decisions import Decision
 from stairquay.serving.messages import (
@@ -173,16 +174,11 @@
         return None
     except asyncio.CancelledError:
         # The library cancels calls under way when their channel is closed; only our own task's end goes on.
-        if _ending():
+        if being_cancelled():
             raise
         return None
 
 
-def _ending() -> bool:
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
 def _handler(answer: Callable[[Request], Awaitable[Reply]], kind: type[Request]) -> Any:
     async def handle(request: Request, _: Any) -> Reply:
         return await answer(request)
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -17,7 +17,7 @@
 from stairquay.core.holdings import Key
 from stairquay.core.placement import read_s
 from stairquay.core.routers import Engine, engines_of
-from stairquay.serving.choosing import Choice, choose
+from stairquay.serving.choosing import Choice, Wanted
 from stairquay.serving.decisions import Decision
 from stairquay.serving.links import Answers, serve
 from stairquay.serving.messages import (
@@ -33,7 +33,7 @@
     PlaceRequest,
 )
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
-from stairquay.serving.saving import save_targets
+from stairquay.serving.saving import choose_and_save
 from stairquay.serving.state import FULL_PAUSE_S, BoxState
 
 REVIEW_S = 0.25
@@ -95,9 +95,9 @@
         choice = self._choose(asked)
         if choice is None or choice.placement is None:
             return PlaceReply()
-        if asked.may_wait and self._read_soon(choice, asked):
-            return PlaceReply(endpoint=choice.endpoint.id, version=choice.version, again_s=READ_AGAIN_S)
         given_up = asked.most_backlog_s is not None and choice.backlog_s > asked.most_backlog_s
+        if not given_up and asked.may_wait and self._read_soon(choice, asked):
+            return PlaceReply(endpoint=choice.endpoint.id, version=choice.version, again_s=READ_AGAIN_S)
         if not given_up:
             self._count(asked, choice)
         placement = choice.placement
@@ -169,8 +169,8 @@
         parts = tuple(Part(part.id, part.tokens) for part in asked.parts)
         prompt = PromptShape(asked.model, parts, asked.tokens, asked.max_output)
         wall = WorkspaceRule(asked.wall, isolated=True) if asked.wall else None
-        tried = frozenset(asked.tried)
-        return choose(self.state, catalog, service, prompt, wall, tried, self.random, save_targets, asked.box)
+        wanted = Wanted(service, prompt, wall, frozenset(asked.tried), asked.box)
+        return choose_and_save(self.state, catalog, wanted, self.random)
 
     def _count(self, asked: PlaceRequest, choice: Choice) -> None:
         now = monotonic()
--- a/stairquay/serving/saving.py
+++ b/stairquay/serving/saving.py
@@ -1,10 +1,13 @@
 """Which store box keeps which part of a prompt."""
 
+from dataclasses import replace
+from random import Random
+
 import xxhash
 
 from stairquay.core.call import Part, PromptShape
 from stairquay.core.catalog import Catalog, StoreShape
-from stairquay.serving.choosing import Choice
+from stairquay.serving.choosing import Choice, Wanted, choose
 from stairquay.serving.state import BoxState
 from stairquay.serving.weighing import fresh_stores
 
@@ -12,6 +15,14 @@
 """Share of a store box's room that is used: what others save at the same time is not yet known."""
 
 
+def choose_and_save(state: BoxState, catalog: Catalog, wanted: Wanted, random: Random) -> Choice | None:
+    """Return the best endpoint for a request, and which store boxes are to keep parts of its prompt."""
+    choice = choose(state, catalog, wanted, random)
+    if choice is None or wanted.prompt is None:
+        return choice
+    return replace(choice, save_to=save_targets(state, catalog, wanted.prompt, choice))
+
+
 def save_targets(state: BoxState, catalog: Catalog, prompt: PromptShape, choice: Choice) -> tuple[str, ...]:
     """Return an address for each part that a store box should keep, empty where none should.
 
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -4,16 +4,20 @@
 no router answers, or its own view is old, the box asks the table service itself.
 """
 
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from typing import TypeVar
 
 from result import Ok, Result
 
-from stairquay.core.routers import Member, routers_for
-from stairquay.serving.links import Links
-from stairquay.serving.messages import EndpointsRequest, OperatorsRequest
+from stairquay.core.routers import routers_for
+from stairquay.serving.links import Link, Links
+from stairquay.serving.messages import EndpointsReply, EndpointsRequest, OperatorsReply, OperatorsRequest
 from stairquay.serving.ports import EndpointChanges, FeedFault, Feeds, OperatorChanges
 from stairquay.serving.state import BoxState
 
+Reply = TypeVar("Reply")
+
 HELD_SHARE = 0.2
 """Share of the time in which a change must be known for which a router holds a question."""
 
@@ -53,31 +57,37 @@
         return Ok(passed) if passed is not None else await self.feeds.follow_endpoints(after, wait_s)
 
     async def _operators(self, after: int, wait_s: float) -> OperatorChanges | None:
-        router = self._router()
-        if router is None:
-            return None
-        known_in_s = self.state.settings.apply_s
-        question = OperatorsRequest(after, min(wait_s, known_in_s * HELD_SHARE))
-        answer = await self.links.to(router).operators(question, known_in_s * ANSWER_SHARE)
-        reply = self.links.heard(router, answer, "operators' rows")
+        limit_s = self.state.settings.apply_s
+
+        def ask(link: Link) -> Awaitable[OperatorsReply | None]:
+            return link.operators(
+                OperatorsRequest(after, min(wait_s, limit_s * HELD_SHARE)), limit_s * ANSWER_SHARE
+            )
+
+        reply = await self._ask(ask, "operators' rows")
         if reply is None or self.state.view_too_old(reply.age_s):
             return None
         # The answer was made `held_s` after the question came in, which was after it was asked.
         return replace(reply.changes, behind_s=reply.age_s - reply.held_s)
 
     async def _endpoints(self, after: int, wait_s: float) -> EndpointChanges | None:
-        router = self._router()
-        if router is None:
-            return None
-        known_in_s = self.state.settings.drain_s
-        question = EndpointsRequest(after, min(wait_s, known_in_s * HELD_SHARE))
-        answer = await self.links.to(router).endpoints(question, known_in_s * ANSWER_SHARE)
-        reply = self.links.heard(router, answer, "the list of endpoints")
+        limit_s = self.state.settings.drain_s
+
+        def ask(link: Link) -> Awaitable[EndpointsReply | None]:
+            return link.endpoints(
+                EndpointsRequest(after, min(wait_s, limit_s * HELD_SHARE)), limit_s * ANSWER_SHARE
+            )
+
+        reply = await self._ask(ask, "the list of endpoints")
         if reply is None or self.state.list_too_old(reply.age_s):
             return None
         return replace(reply.changes, behind_s=reply.age_s)
 
-    def _router(self) -> Member | None:
+    async def _ask(self, ask: Callable[[Link], Awaitable[Reply | None]], question: str) -> Reply | None:
+        """Ask the nearest router; None where this box is one, or none answers."""
         if self.state.routes:
             return None
-        return next(iter(routers_for(self.state.member, self.state.live_routers())), None)
+        router = next(iter(routers_for(self.state.member, self.state.live_routers())), None)
+        if router is None:
+            return None
+        return self.links.heard(router, await ask(self.links.to(router)), question)
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -9,14 +9,13 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.rollout import EngineState
 from stairquay.core.routers import Member
-from stairquay.serving.choosing import Choice, choose
+from stairquay.serving.choosing import Choice, Wanted, choose
 from stairquay.serving.decisions import DecisionLog
 from stairquay.serving.following import AGAIN_S, ROUTED_AGAIN_S, SINGLE_MISSES, again_s
 from stairquay.serving.messages import Ended, Outcome, PartShape, PlaceRequest
 from stairquay.serving.orders import OrderGiver
 from stairquay.serving.ports import EngineReport
 from stairquay.serving.routing import RouterPart
-from stairquay.serving.saving import save_targets
 from stairquay.serving.settings import BoxSettings
 from stairquay.serving.state import BoxState
 
@@ -41,7 +40,7 @@
 
 def chosen(state: BoxState, sender: str = "b-2") -> Choice:
     service = CATALOG.services_by_id["llm"]
-    choice = choose(state, CATALOG, service, PROMPT, None, frozenset(), CHANCE, save_targets, sender)
+    choice = choose(state, CATALOG, Wanted(service, PROMPT, sender=sender), CHANCE)
     assert choice is not None
     return choice
 
@@ -84,10 +83,7 @@
     state.routed_engines = frozenset()
     random = Random(3)
     service = CATALOG.services_by_id["llm"]
-    found = {
-        choose(state, CATALOG, service, PROMPT, None, frozenset(), random, save_targets).endpoint.id
-        for _ in range(60)
-    }
+    found = {choose(state, CATALOG, Wanted(service, PROMPT), random).endpoint.id for _ in range(60)}
     assert len(found) == 8
 
 
