Let two routers follow the table service for all

Change: the first two routers follow operators' rows and the list; the other routers ask them, as all boxes do.

--- a/stairquay/core/routers.py
+++ b/stairquay/core/routers.py
@@ -26,6 +26,10 @@
 MIN_ROUTERS = 2
 """Fewest routers: where one is gone, another is there."""
 
+FOLLOWERS = 2
+"""Routers that follow the table service and pass it on to all boxes, the other routers among them: where one
+is gone, another is there. Each makes about five calls a second, and every call is priced."""
+
 ENOUGH_CORES = 0.5
 ENOUGH_MBPS = 50.0
 """Processor and link from which a box is as good a router as any larger one: 140 prompts a second take about
@@ -68,6 +72,11 @@
     return tuple(sorted(picked, key=lambda member: member.id))
 
 
+def followers(routers: Sequence[Member]) -> list[Member]:
+    """Return the routers that follow the table service for all."""
+    return list(routers[:FOLLOWERS])
+
+
 def placing(routers: Sequence[Member], engines: int) -> list[Member]:
     """Return the routers among which so many engines are shared out; the others stand by."""
     return list(routers[: max(1, engines // ENGINES_PER_ROUTER)])
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -125,7 +125,7 @@
     def _has_news(self) -> bool:
         """Tell whether a version was named that boxes which start could not learn of from rows. Only boxes
         that follow the table service themselves write ahead of time: a few rows are enough."""
-        return self.state.routes and self.state.named_by_model != self.named_told
+        return self.state.follows and self.state.named_by_model != self.named_told
 
     def _named(self) -> tuple[NamedVersion, ...]:
         offset_s = self.own.clock_offset_s()
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -113,7 +113,7 @@
     while True:
         asked_at = monotonic()
         whole = revision is None or followed.whole_now() or asked_at - read_at > followed.whole_s
-        wait_s = ROUTER_WAIT_S if state.routes else WAIT_S
+        wait_s = ROUTER_WAIT_S if state.follows else WAIT_S
         answer = await (followed.read() if whole or revision is None else followed.follow(revision, wait_s))
         outcome = answer.err_value.value if isinstance(answer, Err) else "ok"
         state.metrics.table_calls.labels(followed.name, outcome).inc()
@@ -135,7 +135,7 @@
 
 def again_s(state: BoxState, missed: int) -> float:
     """Return the pause before a call to the table service is made again after so many without an answer."""
-    beside_routers = bool(state.routers) and not state.routes
+    beside_routers = bool(state.routers) and not state.follows
     return ROUTED_AGAIN_S if beside_routers and missed > SINGLE_MISSES else AGAIN_S
 
 
@@ -143,7 +143,7 @@
     """Return the pause before the list is asked for again. A router that is asked holds the question."""
     if state.list_passed_on:
         return 0.0
-    return ROUTER_LIST_PAUSE_S if state.routes else LIST_PAUSE_S
+    return ROUTER_LIST_PAUSE_S if state.follows else LIST_PAUSE_S
 
 
 def apply_operators(state: BoxState, changes: OperatorChanges, asked_at: float) -> None:
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -1,7 +1,7 @@
 """Follows the table service through routers, so that its load does not grow with the number of boxes.
 
-A box that is no router asks one that is for what it follows; how old a router's view is goes with it. Where
-no router answers, or its own view is old, the box asks the table service itself.
+A few routers follow it for all. The other boxes ask one of these; how old its view is goes with it. Where
+none answers, or its own view is old, a box asks the table service itself.
 """
 
 from collections.abc import Awaitable, Callable
@@ -84,10 +84,10 @@
         return replace(reply.changes, behind_s=reply.age_s)
 
     async def _ask(self, ask: Callable[[Link], Awaitable[Reply | None]], question: str) -> Reply | None:
-        """Ask the nearest router; None where this box is one, or none answers."""
-        if self.state.routes:
+        """Ask the nearest router that follows the table service; None where this box does or none answers."""
+        if self.state.follows:
             return None
-        router = next(iter(routers_for(self.state.member, self.state.live_routers())), None)
+        router = next(iter(routers_for(self.state.member, self.state.following_routers())), None)
         if router is None:
             return None
         return self.links.heard(router, await ask(self.links.to(router)), question)
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -9,7 +9,7 @@
 from stairquay.core.catalog import Catalog
 from stairquay.core.fleet import Endpoint, Fleet
 from stairquay.core.holdings import Holdings
-from stairquay.core.routers import Member, capacity, placing
+from stairquay.core.routers import Member, capacity, followers, placing
 from stairquay.core.versions import VersionHistory
 from stairquay.serving.decisions import DecisionLog
 from stairquay.serving.metrics import BoxMetrics
@@ -170,6 +170,11 @@
         """Tell whether this box is one of those that route for all, by their own view of engines."""
         return any(router.id == self.settings.id for router in self.routers)
 
+    @property
+    def follows(self) -> bool:
+        """Tell whether this box is one of those that follow the table service for all."""
+        return any(router.id == self.settings.id for router in self.following_routers())
+
     @property
     def member(self) -> Member:
         """Return this box as others see it."""
@@ -182,6 +187,10 @@
         now = monotonic()
         return [item for item in self.routers if self.suspected_until_by_id.get(item.id, NEVER) <= now]
 
+    def following_routers(self) -> list[Member]:
+        """Return the routers that follow the table service now."""
+        return followers(self.live_routers())
+
     def placing_routers(self) -> list[Member]:
         """Return the routers that place prompts now: not suspected, and as far as there are engines."""
         catalog = self.catalog
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -121,6 +121,16 @@
     assert len(Peers.asked) == 2
 
 
+def test_a_router_beside_those_that_follow_the_table_service_follows_it_once_one_is_gone():
+    state = router_state()
+    state.routers = (Member("a-1"), Member("a-2"), Member("b-1"))
+    assert state.routes and not state.follows
+    state.suspected_until_by_id["a-1"] = monotonic() + 1.0
+    assert state.follows
+    state.suspected_until_by_id["a-1"] = monotonic() - 1.0
+    assert not state.follows
+
+
 def test_boxes_beside_routers_ask_a_table_service_that_is_down_less_often():
     state = router_state()
     assert again_s(state, 9) == AGAIN_S
--- a/tests/test_routers.py
+++ b/tests/test_routers.py
@@ -13,6 +13,7 @@
     Member,
     capacity,
     engines_of,
+    followers,
     pick_routers,
     placing,
     routers_for,
@@ -41,6 +42,13 @@
     assert pick_routers(list(reversed(members))) == routers
 
 
+def test_two_routers_follow_the_table_service_and_the_next_takes_over():
+    routers = pick_routers(boxes(85))
+    assert followers(routers) == list(routers[:2])
+    assert followers(routers[1:]) == list(routers[1:3])
+    assert followers(routers[:1]) == [routers[0]]
+
+
 def test_large_halls_have_several_routers_and_one_hall_has_two():
     assert len(pick_routers(boxes(3 * BOXES_PER_ROUTER + 3))) == 6
     assert len(pick_routers(boxes(20, ("hall-a",)))) == 2
