Fetch kept parts from store boxes before engines

Ruled out: no fetches from engines at all, since store boxes may be away, start empty, or not exist. Change: of sources with the same tokens a store box goes first; engines serve what no store box has. Test: a store box goes before an engine that keeps the same part, and after one that keeps more of it.

--- a/stairquay/core/placement.py
+++ b/stairquay/core/placement.py
@@ -72,12 +72,14 @@
 
 @dataclass(frozen=True)
 class Source:
-    """Where one part of a prompt can be fetched from."""
+    """Where one part of a prompt can be fetched from. `lasting`: it will still be there when it is fetched,
+    where an engine may drop it before."""
 
     address: str
     tokens: int
     bytes_s: float
     first_s: float = 0.0
+    lasting: bool = False
 
 
 @dataclass(frozen=True)
--- a/stairquay/serving/choosing.py
+++ b/stairquay/serving/choosing.py
@@ -20,7 +20,7 @@
 )
 from stairquay.core.scope import Scope
 from stairquay.serving.state import BoxState
-from stairquay.serving.weighing import best_sources, engine_view, source_speeds
+from stairquay.serving.weighing import best_sources, engine_view, usable_sources
 
 CONNECTION_SHARE = 0.85
 """Share of an endpoint's connections that our boxes use together; it resets those beyond its bound."""
@@ -168,7 +168,7 @@
 
     views = [view_of(item) for item in candidates]
     views = [view for view in views if not state.too_old(model, versions[view.address], backlog_s(view))]
-    speeds = source_speeds(state, catalog, engine, now)
+    usable = usable_sources(state, catalog, engine, now)
 
     best_by_part: dict[tuple[int, str], list[Source]] = {}
 
@@ -176,7 +176,7 @@
         scope = scopes[address]
         best = best_by_part.get((index, scope))
         if best is None:
-            best = best_by_part[index, scope] = best_sources(state, speeds, scope, prompt.parts[index])
+            best = best_by_part[index, scope] = best_sources(state, usable, scope, prompt.parts[index])
         return next((source for source in best if source.address != address), None)
 
     return place(prompt.parts, prompt.tokens, views, source_of, engine.bytes_per_token)
--- a/stairquay/serving/weighing.py
+++ b/stairquay/serving/weighing.py
@@ -1,5 +1,6 @@
 """What a box believes of each engine that a prompt could run on, and of where kept context can be fetched."""
 
+from dataclasses import replace
 from heapq import nlargest
 from time import monotonic
 
@@ -83,27 +84,27 @@
     ]
 
 
-def source_speeds(
-    state: BoxState, catalog: Catalog, engine: EngineShape, now: float
-) -> dict[str, tuple[float, float]]:
-    """Return the link speed and first delay of every address that context can be fetched from now."""
-    speeds: dict[str, tuple[float, float]] = {}
+def usable_sources(state: BoxState, catalog: Catalog, engine: EngineShape, now: float) -> dict[str, Source]:
+    """Return by address what context can be fetched from now, each as a source of no tokens yet."""
+    by_address: dict[str, Source] = {}
     for endpoint in state.fleet.live():
         if not state.of(endpoint).silent(now):
-            speeds[endpoint.address] = (engine.link_bytes_s, 0.0)
+            by_address[endpoint.address] = Source(endpoint.address, 0, engine.link_bytes_s)
     for store in fresh_stores(state, catalog):
-        speeds[store.address] = (store.link_bytes_s, store.first_s)
-    return speeds
+        by_address[store.address] = Source(store.address, 0, store.link_bytes_s, store.first_s, lasting=True)
+    return by_address
 
 
-def best_sources(
-    state: BoxState, speeds: dict[str, tuple[float, float]], scope: str, part: Part
-) -> list[Source]:
-    """Return the best source of a part, and the one for an engine that is the best source itself."""
+def best_sources(state: BoxState, usable: dict[str, Source], scope: str, part: Part) -> list[Source]:
+    """Return the best source of a part, and the one for an engine that is the best source itself.
+
+    A store box goes before an engine with a quicker link: engines drop parts that nobody reads to make room
+    for runs, so that a fetch misses and all is read again.
+    """
     found = []
     for holder in state.holdings.holders(scope, part.id):
-        speed = speeds.get(holder)
-        if speed is not None:
+        source = usable.get(holder)
+        if source is not None:
             tokens = min(part.tokens, state.holdings.tokens(holder, scope, part.id))
-            found.append(Source(holder, tokens, *speed))
-    return nlargest(2, found, key=lambda source: (source.tokens, source.bytes_s))
+            found.append(replace(source, tokens=tokens))
+    return nlargest(2, found, key=lambda source: (source.tokens, source.lasting, source.bytes_s))
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -1,11 +1,12 @@
 """What a box believes of an engine when it chooses one."""
 
 import asyncio
+from dataclasses import replace
 from random import Random
 from time import monotonic
 
 from stairquay.core.call import Part, PromptShape
-from stairquay.core.catalog import Catalog, EngineShape, ServiceShape
+from stairquay.core.catalog import Catalog, EngineShape, ServiceShape, StoreShape
 from stairquay.core.fleet import Endpoint
 from stairquay.core.rollout import EngineState
 from stairquay.core.routers import Member
@@ -18,6 +19,7 @@
 from stairquay.serving.routing import RouterPart
 from stairquay.serving.settings import BoxSettings
 from stairquay.serving.state import BoxState
+from stairquay.serving.weighing import best_sources, usable_sources
 
 PROMPT = PromptShape("m", (Part("aa", 500), Part("bb", 300)), 800, 20)
 CATALOG = Catalog(1, services_by_id={"llm": ServiceShape("llm", 100, EngineShape(8, 100_000, 100, 1e9))})
@@ -87,6 +89,23 @@
     assert len(found) == 8
 
 
+def test_a_store_box_goes_before_an_engine_that_keeps_the_same_part():
+    state = router_state(2)
+    store = StoreShape("store", "10.0.2.1:1", "hall-a", 100_000, link_bytes_s=1e8)
+    catalog = replace(CATALOG, stores_by_id={"store": store})
+    state.holdings.expect("10.0.1.1:1", "/m/0", "aa", 500)
+    usable = usable_sources(state, catalog, CATALOG.services_by_id["llm"].engine, monotonic())
+    found = best_sources(state, usable, "/m/0", PROMPT.parts[0])
+    assert [source.address for source in found] == ["10.0.1.1:1"]
+    state.holdings.replace(store.address, 1, 1, [(("/m/0", "aa"), 500)], monotonic())
+    usable = usable_sources(state, catalog, CATALOG.services_by_id["llm"].engine, monotonic())
+    found = best_sources(state, usable, "/m/0", PROMPT.parts[0])
+    assert [source.address for source in found] == [store.address, "10.0.1.1:1"]
+    state.holdings.replace(store.address, 1, 2, [(("/m/0", "aa"), 100)], monotonic())
+    found = best_sources(state, usable, "/m/0", PROMPT.parts[0])
+    assert found[0].address == "10.0.1.1:1"
+
+
 def test_a_placed_prompt_holds_memory_for_the_parts_that_its_engine_keeps_already():
     state = router_state(2)
     state.holdings.expect("10.0.1.0:1", "/m/0", "aa", 500)
