Log that a prompt waits, and keep what was read for routers that are being told

Cause: the wait for parts that are being read is a decision about a request and stood in no log line; what was read was dropped while another notice to the same router was under way, so that prompts waited longer than they had to. Found in a read of the change, not measured: no figure is claimed. Ruled out: keeping it for routers that do not answer: it is of no use half a second later. Change: one line 'waits' for each prompt that waits, with the router, the pause and the longest wait; the drop is only for routers that did not answer lately. Test: the box told to ask again logs one line; it failed before (no such line).

--- a/stairquay/serving/asking.py
+++ b/stairquay/serving/asking.py
@@ -14,6 +14,7 @@
 from stairquay.core.placement import EngineView, Placement
 from stairquay.core.routers import Member, routers_for
 from stairquay.serving.choosing import Choice, Wanted
+from stairquay.serving.decisions import Decision
 from stairquay.serving.jobs import Job, Progress
 from stairquay.serving.links import Links
 from stairquay.serving.messages import Ended, Outcome, PartShape, PlaceReply, PlaceRequest
@@ -58,6 +59,7 @@
         if prompt is None or job.service.engine is None:
             return self._choose_here(job, progress)
         wait_until = job.arrived_at + job.route.objective_s * WAIT_SHARE
+        waits = False
         while True:
             may_wait = not progress.tried and monotonic() < wait_until
             asked = _question(self.state.settings.id, job, prompt, progress, most_backlog_s, may_wait)
@@ -66,8 +68,18 @@
                 return self._choose_here(job, progress)
             if not best.again_s:
                 return best
+            if not waits:
+                waits = True
+                self._log_wait(job, best, wait_until)
             await asyncio.sleep(best.again_s)
 
+    def _log_wait(self, job: Job, choice: Choice, wait_until: float) -> None:
+        most_s = wait_until - monotonic()
+        why = "its parts are being read for another prompt"
+        self.state.log.line(
+            Decision.WAITS, job.call.id, router=choice.router, why=why, again_s=choice.again_s, most_s=most_s
+        )
+
     async def _ask_routers(self, job: Job, prompt: PromptShape, asked: PlaceRequest) -> Choice | None:
         best: Choice | None = None
         for router in routers_for(self.state.member, self.state.placing_routers())[:ROUTERS_ASKED]:
--- a/stairquay/serving/decisions.py
+++ b/stairquay/serving/decisions.py
@@ -47,6 +47,7 @@
     STORE_VIEW = "store_view"
     FREED = "freed"
     REFUSED = "refused"
+    WAITS = "waits"
     SENT = "sent"
     ATTEMPT_FAILED = "attempt_failed"
     ENDED = "ended"
--- a/stairquay/serving/notices.py
+++ b/stairquay/serving/notices.py
@@ -80,7 +80,7 @@
                     tuple(self.ended_by_router.pop(router)), tuple(self.read_by_router.pop(router, ()))
                 )
                 self.telling_by_router[router] = asyncio.create_task(self._tell(router, notice))
-            else:
+            elif router not in live:
                 self.read_by_router.pop(router, None)
 
     def _ping(self) -> None:
--- a/tests/test_reading_once.py
+++ b/tests/test_reading_once.py
@@ -87,5 +87,7 @@
             tickets = [asked.ticket for asked in router.asked]
             assert len(tickets) > 2 and set(tickets) == {"call-1 0"}
             await eventually(lambda: "call-1 0" in router.read)
+            await eventually(lambda: here.logged("waits", request="call-1"))
+            assert len(here.logged("waits")) == 1 and here.logged("waits")[0]["again_s"] == 0.02
 
     asyncio.run(scenario())
