Keep a time-out from ending what a slot is about to be granted to

Traced by its log: where a request's wait for a slot times out in the same turn of the loop in which another request frees a slot, the time-out has already cancelled the future that the slot is set on, and the error (InvalidStateError) broke the other request's answer. An old fault of the entry program; the box has no such queue. Ruled out: load alone; the order is reproduced without any. Change: the future is shielded; a slot granted in that moment is used, as one granted just before was already. Test: tests/test_entry.py, failed first with the same error.

--- a/stairquay/entry/context.py
+++ b/stairquay/entry/context.py
@@ -121,7 +121,8 @@
         self._grant()
         try:
             async with asyncio.timeout(limit_s):
-                await granted
+                # Shielded: a time-out must not end what `_grant` may be about to set.
+                await asyncio.shield(granted)
         except TimeoutError:
             if ticket.number in self.waiting:
                 return Err(self._give_up(ticket, workspace))
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -31,6 +31,38 @@
     asyncio.run(race())
 
 
+def test_a_slot_granted_to_a_request_whose_time_just_ran_out_fails_nobody_else():
+    """The time-out cancels what the request waits for before the request itself hears of it."""
+
+    async def race():
+        gate = Gate(FairQueue(slots=1, max_wait_s=9.0))
+        first = (await gate.enter(Workspace("w"), 1.0)).unwrap()
+        loop = asyncio.get_running_loop()
+        waiting = asyncio.create_task(gate.enter(Workspace("w"), 0.05))
+        await asyncio.sleep(0)
+        due = loop.time() + 0.05
+        failed = []
+        loop.call_at(due - 0.001, blocked, loop, due + 0.01)
+        # Both are due by then; the time-out comes first.
+        loop.call_at(due + 0.002, leave, first, failed)
+        entered = await waiting
+        assert not failed
+        assert gate.queue.running == gate.queue.starting == (1 if entered.is_ok() else 0)
+        assert not gate.waiting
+
+    def blocked(loop, moment):
+        while loop.time() < moment:
+            pass
+
+    def leave(admission, failed):
+        try:
+            admission.leave()
+        except asyncio.InvalidStateError as error:
+            failed.append(error)
+
+    asyncio.run(race())
+
+
 def test_a_listed_endpoint_without_an_address_is_left_out():
     broken = Box("e", BoxKind.ENGINE, {})
     whole = Box("f", BoxKind.ENGINE, {"http": "192.0.2.1:1"})
