Do not end a program's following when a call is cancelled with its channel

A followed task that is cancelled ends without a word, and the gRPC library cancels calls of a channel that goes, as it did with boxes (docs/INCIDENTS.md 8). Change: such a call counts as no answer and is logged.

--- a/stairquay/adapters/follower.py
+++ b/stairquay/adapters/follower.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from stairquay.adapters.ports import Platform
+from stairquay.adapters.program import being_cancelled
 from stairquay.adapters.router_pb2 import ViewReply, ViewRequest
 from stairquay.adapters.rpc import RouterChannels
 from stairquay.adapters.settings import ViewSettings
@@ -122,6 +123,12 @@
         reply = await channels.stub(address).View(request, timeout=timeout_s)
     except grpc.aio.AioRpcError as error:
         return Err(error.code().name)
+    except asyncio.CancelledError:
+        # The library also cancels a call whose channel goes; that must not end the following for good.
+        if being_cancelled():
+            raise
+        logging.warning("a question to router %s was cancelled with its channel", address)
+        return Err("cancelled")
     return _update_of(reply)
 
 
