Tell in logs and metrics for how long the weights in use have been replaced

Cause: with prompts on replaced weights, logs could not tell a wrong count of the age from a forgotten one. Ruled out: a change of any decision: only lines and a gauge are added. Change: `sent` lines of prompts name replaced_s, `version_named` lines named_s_ago and what told so (operators' rows or a box's row), and the gauge stairquay_weights_replaced_seconds shows the oldest weights in use.

--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -188,6 +188,7 @@
     async def scrape(_: web.Request) -> web.Response:
         state.metrics.in_flight.set(state.in_flight)
         state.metrics.view_age.set(state.view_age())
+        state.metrics.replaced.set(state.oldest_replaced_s())
         state.metrics.left_out.set(state.log.left_out_total)
         return web.Response(body=state.metrics.text(), headers={"Content-Type": "text/plain; version=0.0.4"})
 
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -146,7 +146,8 @@
         now = monotonic()
         for row in rows:
             for named in _heartbeat(row).named:
-                self.state.note_named(named.model, named.version, min(now, named.at_s - offset_s))
+                named_at = min(now, named.at_s - offset_s)
+                self.state.note_named(named.model, named.version, named_at, row.key)
 
 
 def _member(row: Row) -> Member:
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -158,8 +158,7 @@
             state.named_by_model[model] = version
             # It may have been named as soon as the last view was asked for that did not show it.
             named_at = state.view_asked_at if state.view_asked_at > NEVER else monotonic()
-            state.note_named(model, version, named_at)
-            state.log.line(Decision.VERSION_NAMED, model=model, version=version)
+            state.note_named(model, version, named_at, "operators")
     after = None if state.catalog is None else state.catalog.version, state.named_by_model
     if before != after:
         state.operators_changed = changes.revision
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -55,6 +55,11 @@
         self.view_age = Gauge(
             "stairquay_view_age_seconds", "Age of the configuration's view", registry=registry
         )
+        self.replaced = Gauge(
+            "stairquay_weights_replaced_seconds",
+            "Seconds for which the oldest weights in use have been replaced",
+            registry=registry,
+        )
         self.leading = Gauge("stairquay_leading", "1 while this box holds the lease", registry=registry)
         self.left_out = Gauge("stairquay_log_lines_left_out", "Log lines left out", registry=registry)
 
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -25,6 +25,8 @@
     }
     if choice.placement is not None:
         inputs.update(_placement_inputs(state, choice, choice.placement))
+    if choice.version is not None and job.call.prompt is not None:
+        inputs["replaced_s"] = state.replaced_for_s(job.call.prompt.model, choice.version)
     state.log.line(Decision.SENT, job.call.id, **inputs)
 
 
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -11,7 +11,7 @@
 from stairquay.core.holdings import Holdings
 from stairquay.core.routers import Member, capacity, followers, placing
 from stairquay.core.versions import VersionHistory
-from stairquay.serving.decisions import DecisionLog
+from stairquay.serving.decisions import Decision, DecisionLog
 from stairquay.serving.metrics import BoxMetrics
 from stairquay.serving.ports import EngineReport
 from stairquay.serving.settings import BoxSettings
@@ -42,6 +42,10 @@
 """Share of the time in which a version is to be everywhere after which no request may begin on older ones:
 the rest is for the request's way. Its predicted wait at the engine counts besides."""
 
+SAME_NAMING_S = 0.25
+"""Seconds by which two boxes' times for the same naming may differ without a line in the log: clocks are
+compared over the network, and views are asked for a few times a second."""
+
 OLD_VIEW_SHARE = 0.45
 """Share of the time in which a configuration must be in force up to whose age a router's view is used. A box
 whose router then falls silent waits for 0.4 of it before it asks the table service itself."""
@@ -241,9 +245,20 @@
         reported = 0 if state.report is None else state.report.versions_by_model.get(model, 0)
         return max(endpoint.versions_by_model.get(model, 0), reported, state.version)
 
-    def note_named(self, model: str, version: int, at: float) -> None:
-        """Note when a version was named; of what several boxes saw, the earliest time counts."""
-        self.namings_by_model.setdefault(model, VersionHistory()).record(version, at)
+    def note_named(self, model: str, version: int, at: float, source: str) -> None:
+        """Note when a version was named; of what several boxes saw, the earliest time counts.
+
+        source: what tells so, for the log.
+        """
+        history = self.namings_by_model.setdefault(model, VersionHistory())
+        before = history.replaced_at(version - 1)
+        history.record(version, at)
+        after = history.replaced_at(version - 1)
+        if after is not None and (before is None or before - after > SAME_NAMING_S):
+            age_s = monotonic() - after
+            self.log.line(
+                Decision.VERSION_NAMED, model=model, version=version, named_s_ago=age_s, source=source
+            )
 
     def replaced_for_s(self, model: str, version: int) -> float:
         """Return for how long a version has been replaced by newer ones, in seconds; 0 where it has not."""
@@ -253,6 +268,15 @@
         replaced_at = None if history is None else history.replaced_at(version)
         return 0.0 if replaced_at is None else monotonic() - replaced_at
 
+    def oldest_replaced_s(self) -> float:
+        """Return for how long the oldest weights that an endpoint runs have been replaced, in seconds."""
+        ages_s = (
+            self.replaced_for_s(model, self.version_of(endpoint, model))
+            for endpoint in self.fleet.live()
+            for model in endpoint.versions_by_model
+        )
+        return max(ages_s, default=0.0)
+
     def too_old(self, model: str, version: int, wait_s: float = 0.0) -> bool:
         """Tell whether a version was replaced so long ago that nothing may begin on it after `wait_s`."""
         replaced_s = self.replaced_for_s(model, version)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -64,6 +64,25 @@
     asyncio.run(scenario())
 
 
+def test_logs_and_metrics_tell_for_how_long_weights_in_use_have_been_replaced():
+    async def scenario():
+        async with site(plain=0, engines=1, version_ms=20_000) as here:
+            here.engines()[0].load_s = 60.0
+            name_version(here, 2)
+            await eventually(lambda: here.logged("version_named", version=2, source="operators"))
+            await asyncio.sleep(0.5)
+            assert (await here.prompt()).status == 200
+            await eventually(lambda: here.logged("sent", request="call-1"))
+            assert 0.5 <= here.logged("sent", request="call-1")[0]["replaced_s"] < 5.0
+            assert here.session is not None
+            async with here.session.get(f"http://127.0.0.1:{here.metrics_port}/metrics") as response:
+                lines = (await response.text()).splitlines()
+            shown = [line for line in lines if line.startswith("stairquay_weights_replaced_seconds ")]
+            assert 0.5 <= float(shown[0].rpartition(" ")[2]) < 8.0
+
+    asyncio.run(scenario())
+
+
 def test_a_box_that_was_started_anew_knows_for_how_long_weights_have_been_replaced():
     async def scenario():
         async with site(plain=0, engines=1, version_ms=2 * LIMIT_MS) as here:
