Show two more ways in which replaced weights look younger than they are

Times in rows are by the table service's clock, which is compared with ours when an answer comes in: a late answer makes them look later. And a box that starts sends prompts before it has read the rows that tell the age. Ruled out: a wrong count with quick answers and rows that are read: those tests pass.

--- a/tests/standins/dialect.py
+++ b/tests/standins/dialect.py
@@ -42,7 +42,8 @@
 
     down: nothing is answered. lost: writes that are done but not answered. refused_by_prefix: writes of
     keys that begin so that are turned away, nothing done. forgotten: the history before this counter is gone.
-    slow_s: delay of every answer.
+    slow_s: delay of every answer. late_s_by_table: seconds by which a table's rows are late on their way.
+    unread_tables: tables whose rows are not to be had for now.
     """
 
     rows_by_key: dict[tuple[str, str], tuple[str, int]] = field(default_factory=dict)
@@ -53,6 +54,8 @@
     refused_by_prefix: dict[str, int] = field(default_factory=dict)
     forgotten: int = 0
     slow_s: float = 0.0
+    late_s_by_table: dict[str, float] = field(default_factory=dict)
+    unread_tables: set[str] = field(default_factory=set)
     calls: list[str] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     address: str = ""
@@ -89,7 +92,12 @@
             await asyncio.sleep(30)
         await asyncio.sleep(self.slow_s)
         if request.path == "/-/rows-get":
-            return self._rows(request)
+            table = request.query["table"]
+            if table in self.unread_tables:
+                return web.Response(status=429)
+            answer = self._rows(request)
+            await asyncio.sleep(self.late_s_by_table.get(table, 0.0))
+            return answer
         if request.path == "/-/rows-feed":
             return await self._feed(request)
         if request.path == "/-/rows-tx":
--- /dev/null
+++ b/tests/test_too_old.py
@@ -0,0 +1,69 @@
+"""When nothing may begin on replaced weights any more, by what a box knows: clocks, rows, and waits."""
+
+import asyncio
+from random import Random
+from time import monotonic
+
+from aiohttp import ClientSession
+
+from stairquay.platform.names import OWN_TABLE
+from stairquay.platform.rows import OwnRows, TableClient
+from stairquay.serving.boxes import PREFIX, BoxList
+from stairquay.serving.decisions import DecisionLog
+from stairquay.serving.settings import BoxSettings
+from stairquay.serving.state import BoxState
+from tests.site import eventually, site
+from tests.standins.dialect import TableService, now_ms
+from tests.test_versions import box_rows, name_version
+
+
+def box_state() -> BoxState:
+    return BoxState(BoxSettings("b-1", "10.0.0.1", "hall-a", "a:1", "a:2"), DecisionLog("b-1"))
+
+
+async def take_rows(table: TableService, boxes: BoxList) -> None:
+    found = await boxes.own.under(PREFIX)
+    boxes._take(found.ok_value)
+
+
+def test_an_answer_that_is_late_on_its_way_makes_no_time_in_a_row_look_later():
+    """Rows tell times by the table service's clock. Compared with ours when the answer came in, a late answer
+    made a naming look later than it was, by up to the time that an answer may take."""
+
+    async def scenario():
+        table = TableService()
+        await table.start()
+        assert table.runner is not None
+        try:
+            async with ClientSession() as session:
+                state = box_state()
+                boxes = BoxList(state, OwnRows(TableClient(table.address, session)), Random(1))
+                viewed_at = monotonic() - 5.0
+                table.put(OWN_TABLE, PREFIX + "other", {"beat": 3, "viewed_at_s": now_ms() / 1000 - 5.0})
+                table.late_s_by_table = {OWN_TABLE: 0.5}
+                await take_rows(table, boxes)
+                assert viewed_at - 0.7 <= state.viewed_before_start <= viewed_at + 0.05
+        finally:
+            await table.runner.cleanup()
+
+    asyncio.run(scenario())
+
+
+def test_nothing_begins_on_replaced_weights_before_the_rows_of_boxes_were_read():
+    """Only these rows tell a box that starts for how long weights have been replaced."""
+
+    async def scenario():
+        async with site(plain=0, engines=1, version_ms=3000) as here:
+            here.engines()[0].load_s = 60.0
+            name_version(here, 2)
+            await eventually(lambda: 2 in [named["version"] for named in box_rows(here)[0]["named"]])
+            here.box.kill()
+            await here.box.wait()
+            here.table.unread_tables = {OWN_TABLE}
+            await asyncio.sleep(3.0)
+            await here.start_box()
+            await here.until_ready()
+            answer = await here.prompt()
+            assert answer.status == 503 and not here.engines()[0].taken
+
+    asyncio.run(scenario())
