Take no time in a row for later than it was, and begin nothing on replaced weights before rows were read

Cause: the table service's clock was compared with ours when an answer came in; on reading, a late answer made the last view before a start look later by up to 0.7 s, more than the 0.6 s that are left for a request's way, and nothing corrected it. And a box that starts took replaced weights for new ones until it had read the rows of boxes. Ruled out: the newest answer's bounds alone: a call that waits for changes takes up to 0.7 s and would make all ages higher by that; a clock that drifts or is another one after a restart of the service replaces what was known. Change: core/clock.py keeps bounds of the clock's offset from question and answer, and converts to the earlier side; until the rows were read, any replaced version counts as too old, and they are read again each half second.

--- a/stairquay/platform/rows.py
+++ b/stairquay/platform/rows.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from stairquay.adapters.ports import Commit, Committed, Conflict, PlatformFault
+from stairquay.core.clock import ClockOffset
 from stairquay.core.configuration import Row
 from stairquay.platform.names import COMMIT_PATH, FEED_PATH, OWN_TABLE, ROWS_PATH
 from stairquay.serving.ports import FeedFault
@@ -61,7 +62,7 @@
     def __init__(self, address: str, session: ClientSession) -> None:
         self.url = f"http://{address}"
         self.session = session
-        self.clock_offset_s: float | None = None
+        self.clock_offset: ClockOffset | None = None
 
     async def rows(self, table: str, start: str = "") -> Result[WireRows, PlatformFault]:
         """Return a table's rows from a key on, page after page, as of the first page's revision."""
@@ -97,6 +98,7 @@
             ],
             "remove": [_place(item.key) for item in commit.writes if item.value is None],
         }
+        asked_at = monotonic()
         try:
             async with asyncio.timeout(ANSWER_S):
                 async with self.session.post(self.url + COMMIT_PATH, json=body) as response:
@@ -104,7 +106,7 @@
         except (ClientError, TimeoutError, OSError):
             return Err(PlatformFault.UNKNOWN)
         if response.status == HTTP_OK:
-            return Ok(Committed(self._decode(content).ver))
+            return Ok(Committed(self._decode(content, asked_at).ver))
         if response.status == HTTP_CONFLICT:
             rows = msgspec.json.decode(content, type=WireRows).rows
             return Ok(Conflict(tuple(own_row(row) for row in rows)))
@@ -112,6 +114,7 @@
         return Err(PlatformFault.UNREACHED if refused else PlatformFault.UNKNOWN)
 
     async def _get(self, path: str, query: Mapping[str, str], limit_s: float) -> Result[WireRows, FeedFault]:
+        asked_at = monotonic()
         try:
             async with asyncio.timeout(limit_s):
                 async with self.session.get(self.url + path, params=query) as response:
@@ -123,15 +126,16 @@
         if response.status != HTTP_OK:
             return Err(FeedFault.UNREACHED)
         try:
-            return Ok(self._decode(content))
+            return Ok(self._decode(content, asked_at))
         except msgspec.MsgspecError:
             return Err(FeedFault.UNREACHED)
 
-    def _decode(self, content: bytes) -> WireRows:
+    def _decode(self, content: bytes, asked_at: float) -> WireRows:
         """Read an answer with rows, and note the clock that it tells."""
         found = msgspec.json.decode(content, type=WireRows)
         if found.now_ms > 0:
-            self.clock_offset_s = found.now_ms / 1000 - monotonic()
+            told = ClockOffset.told(found.now_ms / 1000, asked_at, monotonic())
+            self.clock_offset = told if self.clock_offset is None else self.clock_offset.narrowed(told)
         return found
 
 
@@ -158,9 +162,9 @@
         """Write all rows if all conditions hold."""
         return await self.client.commit(commit)
 
-    def clock_offset_s(self) -> float | None:
+    def clock_offset(self) -> ClockOffset | None:
         """Return the table service's steady clock less ours, None before it was heard."""
-        return self.client.clock_offset_s
+        return self.client.clock_offset
 
 
 def own_row(row: WireRow) -> Row:
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -10,6 +10,7 @@
 
 from stairquay.adapters.ports import Commit, Committed, Condition, Write
 from stairquay.adapters.program import wait_until
+from stairquay.core.clock import ClockOffset
 from stairquay.core.configuration import Row
 from stairquay.core.routers import Member, pick_routers
 from stairquay.serving.decisions import Decision
@@ -40,7 +41,8 @@
 """Seconds between two looks at whether a version was named since the last heartbeat."""
 
 AGAIN_S = 0.5
-"""Seconds before a heartbeat that could not be written is written again, where it has news to tell."""
+"""Seconds before a heartbeat that could not be written is written again where it has news to tell, and before
+rows are read again that a box which starts has not read yet."""
 
 
 class NamedVersion(msgspec.Struct, frozen=True):
@@ -77,7 +79,6 @@
         self.beat = 0
         self.seen_by_key: dict[str, tuple[int, float]] = {}
         self.named_told: dict[str, int] = {}
-        self.learned = False
 
     async def run(self) -> None:
         """Write and read, until cancelled."""
@@ -87,6 +88,8 @@
                 self._take(found.ok_value)
             if not await self._write():
                 await asyncio.sleep(AGAIN_S)
+            if not self.state.namings_learned:
+                continue
             pause_s = self._pause_s() * (1 + JITTER * (self.random.random() - 0.5))
             await wait_until(self._has_news, pause_s, NEWS_STEP_S)
 
@@ -124,13 +127,13 @@
 
     async def _write(self) -> bool:
         """Write this box's row; tell whether it stands there now."""
-        offset_s = self.own.clock_offset_s()
-        if self.revision is None or offset_s is None:
+        offset = self.own.clock_offset()
+        if self.revision is None or offset is None:
             return False
         self.beat += 1
         key = PREFIX + self.state.settings.id
         named = dict(self.state.named_by_model)
-        value = msgspec.json.encode(self._heartbeat(offset_s)).decode()
+        value = msgspec.json.encode(self._heartbeat(offset)).decode()
         answer = await self.own.commit(Commit("", (Condition(key, self.revision),), (Write(key, value),)))
         written = not isinstance(answer, Err) and isinstance(answer.ok_value, Committed)
         if written:
@@ -138,8 +141,8 @@
             self.named_told = named
         return written
 
-    def _heartbeat(self, offset_s: float) -> BoxHeartbeat:
-        """Return this box's row. offset_s: the table service's clock less ours."""
+    def _heartbeat(self, offset: ClockOffset) -> BoxHeartbeat:
+        """Return this box's row. offset: the table service's clock less ours."""
         member = self.state.member
         viewed_at = self.state.last_view_at()
         return BoxHeartbeat(
@@ -148,11 +151,11 @@
             member.capacity,
             member.data_hall,
             tuple(
-                NamedVersion(model, sight.version, sight.at + offset_s)
+                NamedVersion(model, sight.version, offset.theirs(sight.at))
                 for model, history in self.state.namings_by_model.items()
                 for sight in history.sights
             ),
-            None if viewed_at is None else viewed_at + offset_s,
+            None if viewed_at is None else offset.theirs(viewed_at),
         )
 
     def _has_news(self) -> bool:
@@ -162,21 +165,21 @@
 
     def _learn_named(self, rows: tuple[Row, ...]) -> None:
         """Take from rows, also those of boxes that are gone, when versions were named."""
-        offset_s = self.own.clock_offset_s()
-        if offset_s is None:
+        offset = self.own.clock_offset()
+        if offset is None:
             return
         now = monotonic()
         views_at = []
         for row in rows:
             beat = _heartbeat(row)
             for named in beat.named:
-                named_at = min(now, named.at_s - offset_s)
+                named_at = min(now, offset.ours(named.at_s))
                 self.state.note_named(named.model, named.version, named_at, row.key)
             if beat.viewed_at_s is not None:
-                views_at.append(min(now, beat.viewed_at_s - offset_s))
-        if views_at and not self.learned:
+                views_at.append(min(now, offset.ours(beat.viewed_at_s)))
+        if views_at and not self.state.namings_learned:
             self.state.note_view_before_start(max(views_at))
-        self.learned = True
+        self.state.namings_learned = True
 
 
 def _member(row: Row) -> Member:
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -12,6 +12,7 @@
 from stairquay.core.attempt import Attempt
 from stairquay.core.call import Call, Dispatch
 from stairquay.core.catalog import Catalog
+from stairquay.core.clock import ClockOffset
 from stairquay.core.configuration import Row
 from stairquay.core.errors import ErrorKind, Ran, Refusal
 from stairquay.core.fleet import Endpoint
@@ -87,7 +88,7 @@
     async def commit(self, commit: Commit) -> Result[Committed | Conflict, PlatformFault]:
         """Write all rows if all conditions hold."""
 
-    def clock_offset_s(self) -> float | None:
+    def clock_offset(self) -> ClockOffset | None:
         """Return the table service's steady clock less ours, None before it was heard."""
 
 
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -126,7 +126,7 @@
 
     view_asked_at: when the question was asked that the newest answer about the configuration rests on.
     viewed_before_start: the same of any box, before this one started; named_at_start: the versions that this
-    box's first view showed.
+    box's first view showed. namings_learned: rows of boxes were read, which tell when versions were named.
     stopping: the stop signal came; refusing: what still arrives is refused, since it could not be finished.
     boxes: boxes of ours believed alive. clock_offset_ms: the endpoints'
     clock less this one's.
@@ -146,6 +146,7 @@
     fleet_known: bool = False
     viewed_before_start: float = NEVER
     named_at_start: dict[str, int] = field(default_factory=dict)
+    namings_learned: bool = False
     named_by_model: dict[str, int] = field(default_factory=dict)
     namings_by_model: dict[str, VersionHistory] = field(default_factory=dict)
     endpoints_by_id: dict[str, EndpointState] = field(default_factory=dict)
@@ -296,7 +297,12 @@
         return max(ages_s, default=0.0)
 
     def too_old(self, model: str, version: int, wait_s: float = 0.0) -> bool:
-        """Tell whether a version was replaced so long ago that nothing may begin on it after `wait_s`."""
+        """Tell whether a version was replaced so long ago that nothing may begin on it after `wait_s`.
+
+        While a box that starts cannot know for how long, any version that was replaced counts as too old.
+        """
+        if not self.namings_learned:
+            return version < self.named_by_model.get(model, 0)
         replaced_s = self.replaced_for_s(model, version)
         return replaced_s > 0 and replaced_s + wait_s > self.settings.versions_within_s * TOO_OLD_SHARE
 
--- a/tests/test_too_old.py
+++ b/tests/test_too_old.py
@@ -5,7 +5,10 @@
 from time import monotonic
 
 from aiohttp import ClientSession
+from hypothesis import given
+from hypothesis import strategies as st
 
+from stairquay.core.clock import ClockOffset
 from stairquay.platform.names import OWN_TABLE
 from stairquay.platform.rows import OwnRows, TableClient
 from stairquay.serving.boxes import PREFIX, BoxList
@@ -17,6 +20,28 @@
 from tests.test_versions import box_rows, name_version
 
 
+@given(
+    st.floats(-1e3, 1e3),
+    st.lists(st.tuples(st.floats(0, 1e3), st.floats(0, 1), st.floats(0, 1)), min_size=1),
+    st.floats(0, 1e3),
+)
+def test_a_time_by_another_clock_is_never_taken_for_later_than_it_was(offset_s, answers, at):
+    known: ClockOffset | None = None
+    for asked_at, there_s, back_s in answers:
+        read_at = asked_at + there_s
+        told = ClockOffset.told(read_at + offset_s, asked_at, read_at + back_s)
+        known = told if known is None else known.narrowed(told)
+    assert known is not None
+    quickest_s = min(there_s + back_s for _, there_s, back_s in answers)
+    assert at - quickest_s - 1e-6 <= known.ours(at + offset_s) <= at + 1e-6
+    assert known.theirs(at) <= at + offset_s + 1e-6
+
+
+def test_a_clock_that_contradicts_what_was_known_of_it_is_taken_as_it_is_now():
+    known = ClockOffset.told(100.0, 10.0, 10.1).narrowed(ClockOffset.told(30.0, 20.0, 20.2))
+    assert (known.ours(30.0), known.theirs(20.2)) == (20.0, 30.0)
+
+
 def box_state() -> BoxState:
     return BoxState(BoxSettings("b-1", "10.0.0.1", "hall-a", "a:1", "a:2"), DecisionLog("b-1"))
 
