Show that prompts may begin later on old weights than the limit counts, and orders that do not hurry

The limit on replaced weights counts the wait at the engine, though a run begins with its first token, after the prompt was read; and an engine that has just started again hurries no order before its first report. Ruled out: the wait at the engine itself, which is counted.

--- a/tests/test_too_old.py
+++ b/tests/test_too_old.py
@@ -8,11 +8,18 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from stairquay.core.call import Part, PromptShape
+from stairquay.core.catalog import Catalog, EngineShape, ServiceShape
 from stairquay.core.clock import ClockOffset
+from stairquay.core.fleet import Endpoint
+from stairquay.core.routers import Member
 from stairquay.platform.names import OWN_TABLE
 from stairquay.platform.rows import OwnRows, TableClient
 from stairquay.serving.boxes import PREFIX, BoxList
+from stairquay.serving.choosing import Wanted, choose
 from stairquay.serving.decisions import DecisionLog
+from stairquay.serving.orders import OrderGiver
+from stairquay.serving.ports import EngineReport
 from stairquay.serving.settings import BoxSettings
 from stairquay.serving.state import BoxState
 from tests.site import eventually, site
@@ -92,3 +99,41 @@
             assert answer.status == 503 and not here.engines()[0].taken
 
     asyncio.run(scenario())
+
+
+CATALOG = Catalog(1, services_by_id={"llm": ServiceShape("llm", 100, EngineShape(8, 200_000, 100, 1e9))})
+
+
+def state_with_old_weights(replaced_s: float) -> BoxState:
+    """Return the state of a router with one engine whose weights have been replaced for so long."""
+    state = box_state()
+    state.namings_learned = True
+    state.catalog = CATALOG
+    engine = Endpoint("e-0", "llm", "10.0.1.0:1", "hall-a", 8, versions_by_model={"m": 1})
+    state.fleet.apply([engine], [], monotonic())
+    state.routers = (Member("b-1"),)
+    state.routed_engines = frozenset({engine.id})
+    report = EngineReport(versions_by_model={"m": 1}, running=1, total_tokens=200_000)
+    state.of(engine).on_report(report, monotonic())
+    state.named_by_model["m"] = 2
+    state.note_named("m", 2, monotonic() - replaced_s, "operators")
+    return state
+
+
+def test_a_prompt_goes_to_old_weights_only_where_its_first_token_comes_in_time():
+    """A run begins with its first token: besides the wait at the engine, the prompt itself has to be read, and
+    engines take up to twice as long as predicted."""
+    sent_by_tokens = {}
+    for tokens in (100, 10_000, 30_000, 60_000):
+        wanted = Wanted(CATALOG.services_by_id["llm"], PromptShape("m", (Part("aa", tokens),), tokens, 20))
+        choice = choose(state_with_old_weights(11.0), CATALOG, wanted, Random(1))
+        sent_by_tokens[tokens] = choice is not None
+    assert sent_by_tokens == {100: True, 10_000: False, 30_000: False, 60_000: False}
+
+
+def test_an_engine_that_has_not_reported_yet_hurries_orders_by_the_age_of_its_weights():
+    """An engine that starts again has the weights that it had, and the first report comes later."""
+    state = state_with_old_weights(9.0)
+    state.fleet.apply([Endpoint("e-1", "llm", "10.0.1.1:1", versions_by_model={"m": 1})], [], monotonic())
+    ages_s = {engine.id: engine.replaced_s for engine in OrderGiver(state, None, None)._engines()}
+    assert 8.9 < ages_s["e-1"] < 9.5
