--- a/tests/test_too_old.py
+++ b/tests/test_too_old.py
@@ -18,8 +18,9 @@
 from stairquay.serving.boxes import PREFIX, BoxList
 from stairquay.serving.choosing import Wanted, choose
 from stairquay.serving.decisions import DecisionLog
+from stairquay.serving.following import apply_operators
 from stairquay.serving.orders import OrderGiver
-from stairquay.serving.ports import EngineReport
+from stairquay.serving.ports import EngineReport, OperatorChanges
 from stairquay.serving.settings import BoxSettings
 from stairquay.serving.state import BoxState
 from tests.site import eventually, site
@@ -137,3 +138,41 @@
     state.fleet.apply([Endpoint("e-1", "llm", "10.0.1.1:1", versions_by_model={"m": 1})], [], monotonic())
     ages_s = {engine.id: engine.replaced_s for engine in OrderGiver(state, None, None)._engines()}
     assert 8.9 < ages_s["e-1"] < 9.5
+
+
+def show_versions(state: BoxState, versions_by_model: dict[str, int], asked_at: float) -> None:
+    """Let a box see operators' rows, by a question that was asked then."""
+    apply_operators(state, OperatorChanges(1, True, versions_by_model=versions_by_model), asked_at)
+
+
+async def learned_age_s(state: BoxState, row: dict[str, object]) -> float:
+    """Return for how long version 1 has been replaced, once a box has read another one's row."""
+    table = TableService()
+    await table.start()
+    assert table.runner is not None
+    table.put(OWN_TABLE, PREFIX + "other", row)
+    try:
+        async with ClientSession() as session:
+            await take_rows(table, BoxList(state, OwnRows(TableClient(table.address, session)), Random(1)))
+            return state.replaced_for_s("m", 1)
+    finally:
+        await table.runner.cleanup()
+
+
+def test_a_box_that_was_held_up_for_long_makes_no_other_box_take_weights_for_too_old():
+    """A box that was frozen only knows that a version was named after its own last view, long ago. The others
+    saw it come, and refused prompts until all engines had loaded when they believed the row of that box."""
+
+    async def scenario():
+        long_ago_s = now_ms() / 1000 - 17.0
+        row = {"beat": 3, "named": [{"model": "m", "version": 2, "at_s": long_ago_s}]}
+        now = monotonic()
+        saw_it_come = box_state()
+        show_versions(saw_it_come, {"m": 1}, now - 2.0)
+        show_versions(saw_it_come, {"m": 2}, now - 1.0)
+        assert 1.9 < await learned_age_s(saw_it_come, row) < 4.0
+        started_later = box_state()
+        show_versions(started_later, {"m": 2}, now)
+        assert 16.9 < await learned_age_s(started_later, row) < 19.0
+
+    asyncio.run(scenario())
