Believe no other box about the age of a version that this box saw come

Cause: of what several boxes knew of a naming the earliest time counted. A box that was frozen or cut off can only say that a version came after its own last view; all others then refused prompts on weights that were seconds old. Ruled out: the latest of all times: a box that starts without any view before it has no bound, only a guess. Change: rows tell the age of versions that were there at a box's first view; of those that came later its own last view without them is the time, which is never too late.

--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -283,6 +283,10 @@
         for model, version in self.named_at_start.items():
             self.note_named(model, version, at, "view before start")
 
+    def saw_named(self, model: str, version: int) -> bool:
+        """Tell whether a version came between two views of this box, so that the first of them tells its age."""
+        return self.named_at_start.get(model, 0) < version <= self.named_by_model.get(model, 0)
+
     def replaced_for_s(self, model: str, version: int) -> float:
         """Return for how long a version has been replaced by newer ones, in seconds; 0 where it has not."""
         if version >= self.named_by_model.get(model, 0):
