Do not take rounding for a clock that contradicts what was known of it

Cause: a property of the clock's bounds failed once: after an answer that took no time, both bounds are equal, and rounding by 1e-14 s made the next answer, which was 0.3 s wide, look like a contradiction, so that it replaced them. Ruled out: the conversion itself; the example is exact but for rounding. Change: bounds may pass each other by a microsecond. The failing example stays in the test.

--- a/stairquay/core/clock.py
+++ b/stairquay/core/clock.py
@@ -2,6 +2,10 @@
 
 from dataclasses import dataclass
 
+ROUNDING_S = 1e-6
+"""Seconds by which bounds may pass each other through rounding alone: those of an answer that took no time
+are equal. Clocks are told in milliseconds or finer."""
+
 
 @dataclass(frozen=True)
 class ClockOffset:
@@ -23,7 +27,7 @@
         """Return the bounds after a newer answer. One that contradicts replaces all that was known: clocks
         drift, and a service may come back with another one."""
         least, most = max(self.least, newer.least), min(self.most, newer.most)
-        return ClockOffset(least, most) if least <= most else newer
+        return newer if least - most > ROUNDING_S else ClockOffset(least, most)
 
     def ours(self, theirs: float) -> float:
         """Return the earliest time by our clock that a time by the other one can be."""
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -174,8 +174,8 @@
             beat = _heartbeat(row)
             for named in beat.named:
                 if self.state.saw_named(named.model, named.version):
-                    # What this box saw is sound. A box that was held up for long tells a needlessly early time,
-                    # for which prompts were refused for up to seven seconds.
+                    # What this box saw is sound. A box that was held up for long tells a needlessly early
+                    # time, for which prompts were refused for up to seven seconds.
                     continue
                 named_at = min(now, offset.ours(named.at_s))
                 self.state.note_named(named.model, named.version, named_at, row.key)
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -284,7 +284,7 @@
             self.note_named(model, version, at, "view before start")
 
     def saw_named(self, model: str, version: int) -> bool:
-        """Tell whether a version came between two views of this box, so that the first of them tells its age."""
+        """Tell whether a version came between two views of this box: the first of them tells its age."""
         return self.named_at_start.get(model, 0) < version <= self.named_by_model.get(model, 0)
 
     def replaced_for_s(self, model: str, version: int) -> float:
--- a/tests/test_too_old.py
+++ b/tests/test_too_old.py
@@ -5,7 +5,7 @@
 from time import monotonic
 
 from aiohttp import ClientSession
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from stairquay.core.call import Part, PromptShape
@@ -33,6 +33,7 @@
     st.lists(st.tuples(st.floats(0, 1e3), st.floats(0, 1), st.floats(0, 1)), min_size=1),
     st.floats(0, 1e3),
 )
+@example(256.0, [(0.0, 0.0, 0.0), (255.9999999999999, 0.3377974098528163, 0.0)], 0.0)
 def test_a_time_by_another_clock_is_never_taken_for_later_than_it_was(offset_s, answers, at):
     known: ClockOffset | None = None
     for asked_at, there_s, back_s in answers:
