Let a box's slack for repeats grow over the first window, and only once boxes are known

Cause: a count over a window that begins anew with the process: a box killed and started anew had its whole slack again, and took the slack of all until it had read how many boxes share it. Ruled out: growing to the whole share within the first window: a box killed right after it spent its slack may then spend it again within one window, 1.4 of the allowance together. Change: no slack before the rows of boxes were read; from then on it grows to 0.4 of the box's share, and is whole after a window: 0.7 * 1.4 of the allowance at most, however often boxes are killed. The ratio part is as it was. Tests: the older test of the pure part passes a long time, with which the slack is whole from the first step, as before, and the new one passes the time since its boxes started. A new test holds that unread rows allow none. Requests that may repeat get less help in the first window after a start.

--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -15,7 +15,7 @@
 from stairquay.core.routers import Member, pick_routers
 from stairquay.serving.decisions import Decision
 from stairquay.serving.ports import OwnTable
-from stairquay.serving.state import BoxState
+from stairquay.serving.state import NEVER, BoxState
 
 PREFIX = "box/"
 WRITE_S = 4.0
@@ -102,6 +102,8 @@
         self.revision = next((row.revision for row in rows if row.key == own), 0)
         members = [_member(row) for row in alive] + [self.state.member]
         self.state.boxes = tuple(sorted(member.id for member in members))
+        if self.state.boxes_known_at == NEVER:
+            self.state.boxes_known_at = now
         self._use_routers(pick_routers(members) or (self.state.member,))
         self._learn_named(rows)
 
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -112,7 +112,7 @@
                 return refusal
         elif progress.refused >= MAX_REFUSED:
             return refusal
-        if not self.state.budget(job.service.id).take(monotonic(), len(self.state.boxes)):
+        if not self.state.take_repeat(job.service.id):
             record_not_repeated(self.state, job)
             return refusal
         self.state.metrics.repeats.labels(job.service.id).inc()
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -132,8 +132,8 @@
     viewed_before_start: the same of any box, before this one started; named_at_start: the versions that this
     box's first view showed. namings_learned: rows of boxes were read, which tell when versions were named.
     stopping: the stop signal came; refusing: what still arrives is refused, since it could not be finished.
-    boxes: boxes of ours believed alive. clock_offset_ms: the endpoints'
-    clock less this one's.
+    boxes: boxes of ours believed alive; boxes_known_at: when their rows were first read.
+    clock_offset_ms: the endpoints' clock less this one's.
     operators_revision, list_revision: the table service's revision that our view is complete up to;
     operators_changed, list_changed: the revision at which it last changed. list_asked_at: like
     view_asked_at, for the list of endpoints; list_passed_on: a router passed its newest answer on.
@@ -157,6 +157,7 @@
     holdings: Holdings = field(default_factory=Holdings)
     budgets_by_service: dict[str, WindowBudget] = field(default_factory=dict)
     boxes: tuple[str, ...] = ()
+    boxes_known_at: float = NEVER
     operators_revision: int = 0
     operators_changed: int = 0
     list_asked_at: float = NEVER
@@ -323,6 +324,12 @@
             budget = self.budgets_by_service[service] = WindowBudget(self.settings.repeats)
         return budget
 
+    def take_repeat(self, service: str) -> bool:
+        """Spend one repeat of a service's request, if the budget for that permits it."""
+        now = monotonic()
+        known_s = now - self.boxes_known_at if self.boxes_known_at > NEVER else 0.0
+        return self.budget(service).take(now, len(self.boxes), known_s)
+
     def forget_gone(self) -> None:
         """Drop the state of endpoints that are no longer known."""
         for endpoint_id in list(self.endpoints_by_id):
--- a/tests/site.py
+++ b/tests/site.py
@@ -171,6 +171,11 @@
     async def until_ready(self) -> None:
         await eventually(self.is_ready, READY_S)
 
+    async def until_slack(self) -> None:
+        """Wait until the box may send requests again as often as it ever may: a window after its start."""
+        await eventually(lambda: self.logged("router", outcome="picked"))
+        await asyncio.sleep(self.bounds["budget_window_s"])
+
     async def is_ready(self) -> bool:
         assert self.session is not None and self.box is not None
         assert self.box.returncode is None, "the box ended"
--- a/tests/test_box.py
+++ b/tests/test_box.py
@@ -59,7 +59,8 @@
 
 def test_a_request_that_may_repeat_is_sent_again_after_an_error_and_one_that_may_not_is_not():
     async def scenario():
-        async with site(plain=2) as here:
+        async with site(plain=2, budget_window_s=1) as here:
+            await here.until_slack()
             for endpoint in here.endpoints:
                 endpoint.errors = 1
             again = await here.call("/plain/x")
@@ -91,8 +92,7 @@
         async with site(plain=3, budget_slack=slack, budget_window_s=window_s) as here:
             for endpoint in here.endpoints:
                 endpoint.errors = 10_000
-            await eventually(lambda: here.logged("router", outcome="picked"))
-            await asyncio.sleep(window_s)
+            await here.until_slack()
             await call_until(here, asyncio.get_running_loop().time() + 1.0)
             assert sum(again for _, again in calls) >= slack // 2
             here.box.kill()
@@ -110,7 +110,8 @@
 
 def test_an_endpoint_that_turns_a_request_away_has_not_run_it():
     async def scenario():
-        async with site(plain=2) as here:
+        async with site(plain=2, budget_window_s=1) as here:
+            await here.until_slack()
             here.endpoints[0].refuse = here.endpoints[1].refuse = 1
             refused = await here.call("/once/x", "POST", body=b"x")
             assert refused.status == 503 and float(refused.headers["Retry-After"]) > 0
@@ -123,7 +124,8 @@
 
 def test_strange_and_unsigned_answers_are_not_passed_on():
     async def scenario():
-        async with site() as here:
+        async with site(budget_window_s=1) as here:
+            await here.until_slack()
             here.endpoints[0].stray = 1
             assert (await here.call("/once/x", "POST", body=b"x")).status == 502
             here.endpoints[0].unsigned = 1
@@ -134,7 +136,8 @@
 
 def test_an_answer_without_length_that_is_reset_is_not_taken_for_whole():
     async def scenario():
-        async with site() as here:
+        async with site(budget_window_s=1) as here:
+            await here.until_slack()
             here.endpoints[0].unframed_reset = 1
             answer = await here.call("/once/x", "POST", body=b"x")
             assert answer.status == 502
@@ -168,7 +171,8 @@
 
 def test_a_stream_passes_whole_and_a_broken_one_never_looks_complete():
     async def scenario():
-        async with site(engines=1) as here:
+        async with site(engines=1, budget_window_s=1) as here:
+            await here.until_slack()
             answer = await here.prompt()
             assert answer.whole and answer.events == [1, 2, 3, 4, 5]
             here.engines()[0].break_after = 2
@@ -180,7 +184,8 @@
 
 def test_a_stream_that_may_go_on_does_so_at_another_engine_without_gap_or_repeat():
     async def scenario():
-        async with site(engines=2) as here:
+        async with site(engines=2, budget_window_s=1) as here:
+            await here.until_slack()
             for engine in here.engines():
                 engine.break_after = 3
             answer = await here.prompt("/again/chat")
@@ -277,7 +282,8 @@
 
 def test_an_error_in_place_of_the_rest_of_a_stream_never_gets_into_it():
     async def scenario():
-        async with site(engines=2) as here:
+        async with site(engines=2, budget_window_s=1) as here:
+            await here.until_slack()
             for engine in here.engines():
                 engine.break_after, engine.event_s = 3, 0.1
             call = asyncio.create_task(here.prompt("/again/chat"))
--- a/tests/test_serving_core.py
+++ b/tests/test_serving_core.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 from random import Random
+from time import monotonic
 
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
@@ -22,6 +23,9 @@
     next_orders,
 )
 from stairquay.core.scope import Scope, parse_scope
+from stairquay.serving.decisions import DecisionLog
+from stairquay.serving.settings import BoxSettings
+from stairquay.serving.state import BoxState
 
 
 def make_route(**fields) -> Route:
@@ -78,6 +82,10 @@
     assert [item.id for item in fleet.usable("s", 9.0)] == ["e"]
 
 
+WHOLE_S = 1e6
+"""Seconds after which a box has its whole slack: more than any window."""
+
+
 @settings(max_examples=60)
 @given(
     st.integers(1, 9),
@@ -93,7 +101,7 @@
         if not repeat:
             budget.on_request(now)
             requests.append(now)
-        elif budget.take(now, boxes):
+        elif take(budget, now, boxes, WHOLE_S):
             repeats.append(now)
         spent = sum(at > now - 10.0 for at in repeats)
         assert spent <= 0.2 * sum(at >= now - 20.0 for at in requests) + 50
@@ -137,9 +145,18 @@
         assert spent <= 0.2 * sum(at >= now - 20.0 for at in requests) + 10
 
 
+def test_a_box_has_no_slack_until_the_rows_of_boxes_were_read_and_its_whole_share_a_window_after():
+    state = BoxState(BoxSettings("b-1", "10.0.0.1", "hall-a", "a:1", "a:2"), DecisionLog("b-1"))
+    state.boxes = ("b-1",)
+    assert not state.take_repeat("s")
+    state.boxes, state.boxes_known_at = ("b-1", "b-2"), monotonic() - Allowance().window_s - 1.0
+    taken = [state.take_repeat("s") for _ in range(10)]
+    assert taken == [True] * 3 + [False] * 7  # 0.7 of 10, for two boxes
+
+
 def take(budget: WindowBudget, now: float, boxes: int, known_s: float) -> bool:
     """Take a repeat at a box that has known of the others for `known_s`; below 0, it does not yet."""
-    return budget.take(now, boxes if known_s >= 0 else 1)
+    return budget.take(now, boxes if known_s >= 0 else 1, max(0.0, known_s))
 
 
 def test_an_older_event_never_undoes_a_newer_one():
