Show that a program's following can end without a word while the program runs on

Cause: follow() waits for a round without a limit of its own, and a task that is cancelled ends without a line. What is cancelled inside a round, or a question that is never ended, thus leaves an entry alive, not ready, and silent for good.

--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -1,8 +1,13 @@
-"""A program's following of routers, when the library cancels a call by itself."""
+"""A program's following, when a library cancels a call by itself or does not end one."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
-from stairquay.adapters.follower import View, ask_router
+from stairquay.adapters.follower import View, ask_router, follow
+from stairquay.adapters.program import wait_until
+
+STALE_S = 0.1
+"""Seconds for which a view is fresh: short, as the time that a round may take follows from it."""
 
 
 class Channels:
@@ -34,3 +39,53 @@
         return asking.cancelled()
 
     assert asyncio.run(scenario())
+
+
+def following_after_a_first_round_that(first: Callable[[], Awaitable[None]]) -> int:
+    """Return how many rounds a program begins whose first round does that."""
+
+    async def scenario() -> int:
+        rounds = 0
+
+        async def one_round(view: View) -> None:
+            nonlocal rounds
+            rounds += 1
+            if rounds == 1:
+                await first()
+
+        following = asyncio.create_task(follow(View("box-1", "entry", STALE_S), one_round, poll_s=0.01))
+        await wait_until(lambda: rounds > 1 or following.done(), limit_s=2.0)
+        following.cancel()
+        await asyncio.wait([following], timeout=1.0)
+        assert following.cancelled()
+        return rounds
+
+    return asyncio.run(scenario())
+
+
+def test_following_goes_on_after_a_round_in_which_something_was_cancelled():
+    async def cancelled_from_inside() -> None:
+        raise asyncio.CancelledError
+
+    assert following_after_a_first_round_that(cancelled_from_inside) > 1
+
+
+def test_following_goes_on_after_a_round_that_does_not_end():
+    async def without_end() -> None:
+        await asyncio.Event().wait()
+
+    assert following_after_a_first_round_that(without_end) > 1
+
+
+def test_following_ends_with_its_task_in_the_midst_of_a_round():
+    async def scenario() -> bool:
+        async def one_round(view: View) -> None:
+            await asyncio.Event().wait()
+
+        following = asyncio.create_task(follow(View("box-1", "entry", 30.0), one_round, poll_s=0.01))
+        await asyncio.sleep(0.01)
+        following.cancel()
+        await asyncio.wait([following], timeout=1.0)
+        return following.cancelled()
+
+    assert asyncio.run(scenario())
