Show that a vanished endpoint may get work too late beside routers that fall silent

Cause: the 1.6 s in which a vanished endpoint is a last resort count from when the box noticed, not from the last view that showed it. A box whose routers fall silent notices late. Class: an age counted from when this process noticed, in place of when it can have happened. Ruled out: the outage case: entries that lapsed in an outage keep their time from the first view after it; a test holds that, and passes. Conclusion: to be mended next.

--- /dev/null
+++ b/tests/test_gone.py
@@ -0,0 +1,108 @@
+"""For how long an endpoint that vanished from the list without a word may get new work."""
+
+import asyncio
+from itertools import product
+from time import monotonic
+
+from result import Err, Ok
+
+from stairquay.core.fleet import MISSING_GRACE_S, Endpoint
+from stairquay.serving.decisions import DecisionLog
+from stairquay.serving.following import follow_endpoints
+from stairquay.serving.ports import EndpointChanges, FeedFault
+from stairquay.serving.settings import BoxSettings
+from stairquay.serving.state import BoxState
+from tests.many_boxes import routed
+from tests.site import eventually
+
+ENDPOINT = Endpoint("e", "s", "a:1")
+SHOWN = Ok(EndpointChanges(1, True, (ENDPOINT,)))
+GONE = Ok(EndpointChanges(2, False, (), ("e",)))
+GONE_WHOLE = Ok(EndpointChanges(2, True))
+
+
+class Script:
+    """Gives answers in a row, each after a time; keeps when each was asked for and given."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked_at = []
+        self.given_at = []
+
+    async def read_endpoints(self):
+        self.asked_at.append(monotonic())
+        if not self.answers:
+            await asyncio.sleep(60)
+        after_s, answer = self.answers.pop(0)
+        await asyncio.sleep(after_s)
+        self.given_at.append(monotonic())
+        return answer
+
+    async def follow_endpoints(self, after, wait_s):
+        return await self.read_endpoints()
+
+
+async def followed(*answers) -> tuple[BoxState, Script]:
+    """Follow a list that gives these answers, until all are taken in."""
+    state = BoxState(BoxSettings("b-1", "10.0.0.1", "hall-a", "a:1", "a:2"), DecisionLog("b-1"))
+    script = Script(*answers)
+    following = asyncio.create_task(follow_endpoints(state, script))
+    await eventually(lambda: len(script.asked_at) > len(answers), 8.0)
+    following.cancel()
+    return state, script
+
+
+def usable(state: BoxState, at: float) -> bool:
+    return state.fleet.usable("s", at) == [ENDPOINT]
+
+
+def test_a_vanished_endpoint_gets_work_only_shortly_after_the_last_view_that_showed_it():
+    """The box learns late that it is gone: its question waited for a router that said nothing. A view that
+    was passed on is as old as the router says, and a history that was forgotten is an answer."""
+
+    async def case(gone, between, behind_s) -> None:
+        shown = Ok(EndpointChanges(1, True, (ENDPOINT,), behind_s=behind_s))
+        state, script = await followed((0.0, shown), *between, (0.1, gone))
+        end_at = script.asked_at[0] - behind_s + MISSING_GRACE_S
+        assert usable(state, end_at - 0.1)
+        assert not usable(state, end_at + 0.1)
+
+    async def scenario():
+        forgotten = [(0.0, Err(FeedFault.HISTORY_GONE))]
+        cases = product([GONE, GONE_WHOLE], [[], forgotten], [0.0, 0.3])
+        await asyncio.gather(*(case(*values) for values in cases))
+
+    asyncio.run(scenario())
+
+
+def test_an_entry_that_lapsed_in_an_outage_is_a_last_resort_from_the_first_view_after_it():
+    async def case(gone) -> None:
+        unreached = (0.7, Err(FeedFault.UNREACHED))
+        state, script = await followed((0.0, SHOWN), unreached, unreached, (0.0, gone))
+        assert usable(state, script.given_at[-1] + MISSING_GRACE_S - 0.1)
+        assert not usable(state, script.given_at[-1] + MISSING_GRACE_S + 0.5)
+
+    async def scenario():
+        await asyncio.gather(case(GONE), case(GONE_WHOLE))
+
+    asyncio.run(scenario())
+
+
+def test_nothing_goes_to_a_vanished_endpoint_two_seconds_later_where_a_router_falls_silent():
+    """The router's last word was 0.8 s old, and the box waits for another before it asks for itself."""
+
+    async def scenario():
+        async with routed(drain_ms=2000) as (here, router):
+            router.view_age_s = 0.8
+            await asyncio.sleep(1.5)
+            router.silent = True
+            gone_at = monotonic()
+            here.table.remove("servers", "p-0")
+            last_s = 0.0
+            while (since_s := monotonic() - gone_at) < 3.5:
+                if (await here.call("/plain/x", call_id=f"c-{since_s:.3f}")).status == 200:
+                    last_s = since_s
+                await asyncio.sleep(0.03)
+            assert last_s < 2.0
+
+    asyncio.run(scenario())
