Count a vanished endpoint's last resort from the last view that showed it

Cause: it counted from when the box noticed, which is late behind routers that fall silent. Change: it counts from when the last view that showed the entry was asked for, by the age of views passed on. Only where the table service itself was asked since and did not answer does it count from the first view that lacks the entry. A router's silence, and a forgotten history, are no outage. A further test holds a real box beside routers after an outage.

--- a/stairquay/core/fleet.py
+++ b/stairquay/core/fleet.py
@@ -1,7 +1,8 @@
 """Endpoints that the platform lists, and which of them may get new work.
 
 Whoever is leaving stays so. An endpoint that vanished from the list without a word may be one whose entry
-lapsed during an outage of the table service: it is a last resort for a short while.
+lapsed during an outage of the table service: it is a last resort for a short while, which counts from when it
+can have vanished, not from when that was noticed.
 """
 
 from collections.abc import Iterable
@@ -32,8 +33,10 @@
     by_id: dict[str, Endpoint] = field(default_factory=dict)
     missing_since_by_id: dict[str, float] = field(default_factory=dict)
 
-    def apply(self, present: Iterable[Endpoint], gone: Iterable[str], now: float) -> None:
-        """Take in changed entries, and entries that were removed."""
+    def apply(
+        self, present: Iterable[Endpoint], gone: Iterable[str], now: float, gone_since: float | None = None
+    ) -> None:
+        """Take in changed entries, and removed ones: since `gone_since` at the earliest, or now."""
         for endpoint in present:
             known = self.by_id.get(endpoint.id)
             if known is not None and known.leaving:
@@ -41,14 +44,14 @@
             self.by_id[endpoint.id] = endpoint
             self.missing_since_by_id.pop(endpoint.id, None)
         for endpoint_id in gone:
-            self._miss(endpoint_id, now)
+            self._miss(endpoint_id, now if gone_since is None else gone_since)
         self._forget(now)
 
-    def apply_whole(self, present: Iterable[Endpoint], now: float) -> None:
-        """Take in the whole list; what it lacks is gone."""
+    def apply_whole(self, present: Iterable[Endpoint], now: float, gone_since: float | None = None) -> None:
+        """Take in the whole list; what it lacks is gone, with `gone_since` as for changed entries."""
         listed = tuple(present)
         ids = {endpoint.id for endpoint in listed}
-        self.apply(listed, [key for key in self.by_id if key not in ids], now)
+        self.apply(listed, [key for key in self.by_id if key not in ids], now, gone_since)
 
     def usable(self, service: str, now: float) -> list[Endpoint]:
         """Return the endpoints of a service that may get new work; vanished ones only where no other is."""
@@ -62,7 +65,7 @@
         """Return all endpoints that the list has, leaving ones included."""
         return [item for item in self.by_id.values() if item.id not in self.missing_since_by_id]
 
-    def _miss(self, endpoint_id: str, now: float) -> None:
+    def _miss(self, endpoint_id: str, since: float) -> None:
         known = self.by_id.get(endpoint_id)
         if known is None:
             return
@@ -70,7 +73,7 @@
             del self.by_id[endpoint_id]
             self.missing_since_by_id.pop(endpoint_id, None)
             return
-        self.missing_since_by_id.setdefault(endpoint_id, now)
+        self.missing_since_by_id.setdefault(endpoint_id, since)
 
     def _forget(self, now: float) -> None:
         old = [key for key, since in self.missing_since_by_id.items() if now - since > MISSING_GRACE_S]
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -59,6 +59,7 @@
             read=feeds.read_operators,
             follow=feeds.follow_operators,
             apply=apply,
+            unreached=lambda: None,
             whole_now=lambda: False,
             whole_s=OPERATORS_WHOLE_S,
             pause_s=lambda: 0.0,
@@ -70,8 +71,10 @@
     """Keep the list of endpoints up to date."""
 
     def apply(changes: EndpointChanges, asked_at: float) -> None:
-        apply_endpoints(state, changes)
-        state.list_asked_at = asked_at - changes.behind_s
+        apply_endpoints(state, changes, asked_at)
+
+    def unreached() -> None:
+        state.list_unreached_at = monotonic()
 
     await _follow(
         state,
@@ -80,6 +83,7 @@
             read=feeds.read_endpoints,
             follow=feeds.follow_endpoints,
             apply=apply,
+            unreached=unreached,
             whole_now=lambda: bool(state.fleet.missing_since_by_id),
             whole_s=LIST_WHOLE_S,
             pause_s=lambda: _list_pause_s(state),
@@ -91,14 +95,16 @@
 class Followed(Generic[Changes]):
     """One thing that is followed in the table service.
 
-    apply takes the changes and when their question was asked. whole_now tells whether everything has to be
-    read; whole_s is the longest time between two such reads, pause_s returns the pause after an answer.
+    apply takes the changes and when their question was asked. unreached hears that the table service itself
+    gave no answer. whole_now tells whether everything has to be read; whole_s is the longest time between two
+    such reads, pause_s returns the pause after an answer.
     """
 
     name: str
     read: Callable[[], Awaitable[Result[Changes, FeedFault]]]
     follow: Callable[[int, float], Awaitable[Result[Changes, FeedFault]]]
     apply: Callable[[Changes, float], None]
+    unreached: Callable[[], None]
     whole_now: Callable[[], bool]
     whole_s: float
     pause_s: Callable[[], float]
@@ -121,6 +127,7 @@
             if answer.err_value == FeedFault.HISTORY_GONE:
                 revision = None
                 continue
+            followed.unreached()
             lost = _lost(state, followed.name, lost)
             missed += 1
             await asyncio.sleep(again_s(state, missed))
@@ -184,15 +191,17 @@
     )
 
 
-def apply_endpoints(state: BoxState, changes: EndpointChanges) -> None:
+def apply_endpoints(state: BoxState, changes: EndpointChanges, asked_at: float) -> None:
     """Take in changes of the list, and log those that change who may get work."""
     before = _standing(state)
     listed = state.fleet.live()
     now = monotonic()
+    gone_since = _gone_since(state, now)
     if changes.whole:
-        state.fleet.apply_whole(changes.present, now)
+        state.fleet.apply_whole(changes.present, now, gone_since)
     else:
-        state.fleet.apply(changes.present, changes.gone, now)
+        state.fleet.apply(changes.present, changes.gone, now, gone_since)
+    state.list_asked_at = asked_at - changes.behind_s
     if not state.fleet_known or state.fleet.live() != listed:
         state.list_changed = changes.revision
     state.list_revision = changes.revision
@@ -208,6 +217,17 @@
         state.log.line(Decision.ENDPOINTS, endpoint=endpoint_id, standing="gone", revision=changes.revision)
 
 
+def _gone_since(state: BoxState, now: float) -> float:
+    """Return since when an entry may be gone that the newest view is the first to lack.
+
+    It may have been removed as soon as the last view was asked for that showed it: a box whose routers fall
+    silent notices late, and has that much less time to stop sending. Where the table service itself was asked
+    since and did not answer, the entry may have lapsed for that alone, and is given time from now on to come
+    back: else all endpoints would vanish at once after an outage. A router's silence is no outage.
+    """
+    return now if state.list_unreached_at > state.list_asked_at else state.list_asked_at
+
+
 def _standing(state: BoxState) -> dict[str, str]:
     fleet = state.fleet
     standing = {key: "leaving" if item.leaving else "usable" for key, item in fleet.by_id.items()}
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -136,7 +136,8 @@
     clock_offset_ms: the endpoints' clock less this one's.
     operators_revision, list_revision: the table service's revision that our view is complete up to;
     operators_changed, list_changed: the revision at which it last changed. list_asked_at: like
-    view_asked_at, for the list of endpoints; list_passed_on: a router passed its newest answer on.
+    view_asked_at, for the list of endpoints; list_unreached_at: when the table service itself last gave no
+    answer about it; list_passed_on: a router passed its newest answer on.
     routers: boxes that route prompts for all, none before the boxes were read. routed_engines: the engines
     that this box routes for. suspected_until_by_id: boxes that lately did not answer.
     """
@@ -161,6 +162,7 @@
     operators_revision: int = 0
     operators_changed: int = 0
     list_asked_at: float = NEVER
+    list_unreached_at: float = NEVER
     list_passed_on: bool = False
     list_revision: int = 0
     list_changed: int = 0
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -106,3 +106,20 @@
             assert last_s < 2.0
 
     asyncio.run(scenario())
+
+
+def test_a_box_beside_routers_serves_on_right_after_an_outage_in_which_all_entries_lapsed():
+    async def scenario():
+        async with routed() as (here, router):
+            here.table.down = True
+            await eventually(lambda: here.logged("dependency", name="endpoints", outcome="lost"), 5.0)
+            await asyncio.sleep(2.0)
+            here.table.remove("servers", "p-0")
+            here.table.down = False
+            await eventually(lambda: here.logged("endpoints", endpoint="p-0", standing="missing"), 5.0)
+            await asyncio.sleep(0.6)
+            assert (await here.call("/open/x", key=None)).status == 200
+            await asyncio.sleep(2.0)
+            assert (await here.call("/open/x", key=None)).status == 503
+
+    asyncio.run(scenario())
