--- a/tests/test_too_old.py
+++ b/tests/test_too_old.py
@@ -90,7 +90,9 @@
         async with site(plain=0, engines=1, version_ms=3000) as here:
             here.engines()[0].load_s = 60.0
             name_version(here, 2)
-            await eventually(lambda: 2 in [named["version"] for named in box_rows(here)[0]["named"]])
+            await eventually(
+                lambda: [named["version"] for row in box_rows(here) for named in row["named"]] == [2]
+            )
             here.box.kill()
             await here.box.wait()
             here.table.unread_tables = {OWN_TABLE}
