--- a/tests/standins/dialect.py
+++ b/tests/standins/dialect.py
@@ -1,162 +1,18 @@
-"""Stand-ins for the users' platform: its table service, endpoints and store boxes, with faults.
+"""Stand-ins for the users' platform: its endpoints and store boxes, with faults.
 
 They run on the loop of the test that starts them, so that a test sets a fault by setting a field.
 """
 
 import asyncio
-import json
 import socket
 import struct
-from base64 import b64decode, b64encode
 from dataclasses import dataclass, field
-from time import monotonic
 from typing import Any
 
 from aiohttp import web
 from multidict import CIMultiDict
 
-TABLE_STARTED_S = monotonic() - 1_000.0
-"""When the table service's clock stood at 0; the process has its own for as long as tests run."""
-
-
-def now_ms() -> float:
-    """Return the table service's clock."""
-    return (monotonic() - TABLE_STARTED_S) * 1000
-
-
-async def serve_app(handler: Any) -> tuple[web.AppRunner, str]:
-    """Serve one handler for all paths on a free port, and return its address."""
-    app = web.Application()
-    app.router.add_route("*", "/{path:.*}", handler)
-    runner = web.AppRunner(app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1)
-    await runner.setup()
-    site = web.TCPSite(runner, "127.0.0.1", 0)
-    await site.start()
-    host, port = runner.addresses[0][:2]
-    return runner, f"{host}:{port}"
-
-
-@dataclass
-class TableService:
-    """Rows with one growing counter, a feed, and conditional writes.
-
-    down: nothing is answered. lost: writes that are done but not answered. refused_by_prefix: writes of
-    keys that begin so that are turned away, nothing done. forgotten: the history before this counter is gone.
-    slow_s: delay of every answer. late_s_by_table: seconds by which a table's rows are late on their way.
-    unread_tables: tables whose rows are not to be had for now.
-    """
-
-    rows_by_key: dict[tuple[str, str], tuple[str, int]] = field(default_factory=dict)
-    history: list[tuple[int, str, str]] = field(default_factory=list)
-    counter: int = 0
-    down: bool = False
-    lost: int = 0
-    refused_by_prefix: dict[str, int] = field(default_factory=dict)
-    forgotten: int = 0
-    slow_s: float = 0.0
-    late_s_by_table: dict[str, float] = field(default_factory=dict)
-    unread_tables: set[str] = field(default_factory=set)
-    calls: list[str] = field(default_factory=list)
-    changed: asyncio.Event = field(default_factory=asyncio.Event)
-    address: str = ""
-    runner: web.AppRunner | None = None
-
-    async def start(self) -> None:
-        self.runner, self.address = await serve_app(self._handle)
-
-    def put(self, table: str, key: str, value: object) -> None:
-        """Write a row as the operator or an endpoint does."""
-        self._write([(table, key, json.dumps(value))])
-
-    def remove(self, table: str, key: str) -> None:
-        self._write([(table, key, None)])
-
-    def get(self, table: str, key: str) -> Any:
-        row = self.rows_by_key.get((table, key))
-        return None if row is None else json.loads(row[0])
-
-    def _write(self, changes: list[tuple[str, str, str | None]]) -> None:
-        self.counter += 1
-        for table, key, value in changes:
-            if value is None:
-                self.rows_by_key.pop((table, key), None)
-            else:
-                self.rows_by_key[table, key] = (value, self.counter)
-            self.history.append((self.counter, table, key))
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-    async def _handle(self, request: web.Request) -> web.StreamResponse:
-        self.calls.append(request.path)
-        if self.down:
-            await asyncio.sleep(30)
-        await asyncio.sleep(self.slow_s)
-        if request.path == "/-/rows-get":
-            table = request.query["table"]
-            if table in self.unread_tables:
-                return web.Response(status=429)
-            answer = self._rows(request)
-            await asyncio.sleep(self.late_s_by_table.get(table, 0.0))
-            return answer
-        if request.path == "/-/rows-feed":
-            return await self._feed(request)
-        if request.path == "/-/rows-tx":
-            return await self._commit(request)
-        return web.Response(status=404)
-
-    def _rows(self, request: web.Request) -> web.Response:
-        table, start = request.query["table"], request.query.get("from", "")
-        found = sorted(key for held, key in self.rows_by_key if held == table and key >= start)
-        limit = int(request.query.get("limit", "500"))
-        rows = [self._row(table, key) for key in found[:limit]]
-        return web.json_response(
-            {"rows": rows, "more": len(found) > limit, "ver": self.counter, "now_ms": now_ms()}
-        )
-
-    async def _feed(self, request: web.Request) -> web.Response:
-        table, after = request.query["table"], int(request.query["after"])
-        if after < self.forgotten:
-            return web.Response(status=410)
-        end = asyncio.get_running_loop().time() + int(request.query["wait_ms"]) / 1000
-        while True:
-            keys = dict.fromkeys(key for ver, held, key in self.history if held == table and ver > after)
-            left = end - asyncio.get_running_loop().time()
-            if keys or left <= 0:
-                rows = [self._row(table, key) for key in keys]
-                return web.json_response({"rows": rows, "ver": self.counter, "now_ms": now_ms()})
-            try:
-                await asyncio.wait_for(self.changed.wait(), left)
-            except TimeoutError:
-                continue
-
-    async def _commit(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        for prefix, count in self.refused_by_prefix.items():
-            if count and any(item["key"].startswith(prefix) for item in body["put"]):
-                self.refused_by_prefix[prefix] -= 1
-                return web.Response(status=503)
-        wrong = [
-            item
-            for item in body["expected"]
-            if self.rows_by_key.get((item["table"], item["key"]), ("", 0))[1] != item["ver"]
-        ]
-        if wrong:
-            rows = [self._row(item["table"], item["key"]) for item in wrong]
-            return web.json_response({"rows": rows, "ver": self.counter}, status=412)
-        puts = [(item["table"], item["key"], b64decode(item["value"]).decode()) for item in body["put"]]
-        removes = [(item["table"], item["key"], None) for item in body["remove"]]
-        self._write([*puts, *removes])
-        if self.lost:
-            self.lost -= 1
-            await asyncio.sleep(30)
-        return web.json_response({"ver": self.counter, "now_ms": now_ms()})
-
-    def _row(self, table: str, key: str) -> dict[str, Any]:
-        row = self.rows_by_key.get((table, key))
-        if row is None:
-            return {"table": table, "part": "", "key": key, "gone": True, "ver": self.counter}
-        value = b64encode(row[0].encode()).decode()
-        return {"table": table, "part": "", "key": key, "value": value, "ver": row[1]}
+from tests.standins.table import serve_app
 
 
 @dataclass
--- a/tests/test_too_old.py
+++ b/tests/test_too_old.py
@@ -24,7 +24,7 @@
 from stairquay.serving.settings import BoxSettings
 from stairquay.serving.state import BoxState
 from tests.site import eventually, site
-from tests.standins.dialect import TableService, now_ms
+from tests.standins.table import TableService, now_ms
 from tests.test_versions import box_rows, name_version
 
 
