Let the test of a row of versions tell the incident

Cause: its head said nothing of what was seen. Change: four lines at its head. Ruled out, measured: nothing that runs changes.

--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -60,6 +60,11 @@
 
 
 def test_nothing_begins_on_an_engine_that_a_row_of_versions_left_behind():
+    """Prompts began on weights that had been replaced over twelve seconds before. Engines had crashed and
+    come back with the weights that they had, and a third version was named some seconds after the second.
+    Boxes counted the age of replaced weights from the newest version, so that each one began the count anew.
+    Shown by two versions in a row and an engine that never finishes loading."""
+
     async def scenario():
         async with site(plain=0, engines=1, version_ms=LIMIT_MS) as here:
             here.engines()[0].load_s = 60.0
