Wake the parts of a box on changes in place of looking from time to time

Cause: a box that serves nobody was woken by timers 50 times a second (notices each 50 ms, versions each 100, orders each 150, the log each 200, two reviews each 250 ms), and a follower of the table service looked each 50 ms for each held question: 386 of them at 195 boxes, 7,700 looks a second in one process. Parts wait for a change of the configuration, versions, list, routers, their silence or the stop, the log and the notices for something to tell; held questions for news or the moment at which the view gets too old. Timers stay where a moment of time decides, and in a router's own rounds.

--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -70,8 +70,8 @@
     chooser = Chooser(state, links, router, notices, chance)
     front = Front(state, surroundings.callers, Dispatcher(state, surroundings.endpoints, chooser), chance)
     tasks = Tasks()
-    parts_by_name = _parts(state, surroundings, links, chance)
-    parts_by_name |= {"router": router.run, "asking": notices.run, "reload": partial(_reload, state, load)}
+    parts_by_name = box_parts(state, surroundings, links, router, notices, chance)
+    parts_by_name["reload"] = partial(_reload, state, load)
     for name, work in parts_by_name.items():
         tasks.start(kept_running(state, name, work))
     log.line(Decision.START, front=settings.front, data_hall=settings.data_hall)
@@ -87,13 +87,22 @@
     await surroundings.close()
 
 
-def _parts(
-    state: BoxState, surroundings: Surroundings, links: Links, chance: random.Random
+def box_parts(
+    state: BoxState,
+    surroundings: Surroundings,
+    links: Links,
+    router: RouterPart,
+    notices: Notices,
+    chance: random.Random,
 ) -> dict[str, Work]:
     """Return by name what runs besides callers' requests, each until cancelled."""
     feeds = SharedFeeds(state, surroundings.feeds, links)
     return {
         "log": state.log.run,
+        "links": links.run,
+        "router": router.run,
+        "asking": notices.run,
+        "pings": notices.ping_others,
         "operators": partial(follow_operators, state, feeds),
         "endpoints": partial(follow_endpoints, state, feeds),
         "watching": Watcher(state, surroundings.peers).run,
@@ -200,6 +209,7 @@
 async def _finish(state: BoxState) -> None:
     """Turn unready, serve on until the balancer has seen it, then finish what is under way."""
     state.stopping = True
+    state.changed.happened()
     state.log.line(Decision.STOP, outcome="stopping", in_flight=state.in_flight)
     await asyncio.sleep(LAME_DUCK_S)
     state.refusing = True
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -9,7 +9,6 @@
 from result import Err
 
 from stairquay.adapters.ports import Commit, Committed, Condition, Write
-from stairquay.adapters.program import wait_until
 from stairquay.core.clock import ClockOffset
 from stairquay.core.configuration import Row
 from stairquay.core.routers import Member, pick_routers
@@ -37,9 +36,6 @@
 """Share of WRITE_S by which the pause between heartbeats varies, so that boxes do not write together."""
 
 
-NEWS_STEP_S = 0.1
-"""Seconds between two looks at whether a version was named since the last heartbeat."""
-
 AGAIN_S = 0.5
 """Seconds before a heartbeat that could not be written is written again where it has news to tell, and before
 rows are read again that a box which starts has not read yet."""
@@ -91,7 +87,7 @@
             if not self.state.namings_learned:
                 continue
             pause_s = self._pause_s() * (1 + JITTER * (self.random.random() - 0.5))
-            await wait_until(self._has_news, pause_s, NEWS_STEP_S)
+            await self.state.changed.until(self._has_news, pause_s)
 
     def _take(self, rows: tuple[Row, ...]) -> None:
         now = monotonic()
@@ -111,6 +107,7 @@
         if routers == self.state.routers:
             return
         self.state.routers = routers
+        self.state.changed.happened()
         names = [router.id for router in routers]
         self.state.log.line(Decision.ROUTER, outcome="picked", routers=names, boxes=len(self.state.boxes))
 
--- a/stairquay/serving/decisions.py
+++ b/stairquay/serving/decisions.py
@@ -15,6 +15,8 @@
 
 import msgspec
 
+from stairquay.serving.waking import Changes
+
 QUEUE_LINES = 4_000
 """Lines that wait for the writer: about four seconds of a box's decisions at 1,000 a second."""
 
@@ -77,6 +79,7 @@
         self.left_out_by_kind: Tally[Decision] = Tally()
         self.left_out_total = 0
         self.closed = False
+        self.more = Changes()
 
     def line(self, kind: Decision, request: str = "", **inputs: Any) -> None:
         """Log one decision. `inputs` are what decided it, with ages in seconds or versions."""
@@ -89,6 +92,7 @@
         """Write lines until cancelled."""
         os.set_blocking(1, False)
         while True:
+            await self.more.until(self._has_more)
             await asyncio.sleep(FLUSH_S)
             self.flush()
 
@@ -108,6 +112,9 @@
                 return
             self.unwritten = self.unwritten[written:]
 
+    def _has_more(self) -> bool:
+        return not self.closed and bool(self.unwritten or self.lines or self.left_out_by_kind)
+
     def _queue(self, kind: Decision, request: str, inputs: dict[str, Any]) -> None:
         if self.closed or len(self.lines) >= QUEUE_LINES:
             self._leave_out(kind)
@@ -117,6 +124,7 @@
             record["request"] = request
         record.update({key: _plain(value) for key, value in inputs.items()})
         self.lines.append(msgspec.json.encode(record) + b"\n")
+        self.more.happened()
 
     def _next_chunk(self) -> bytes:
         chunk = bytearray()
@@ -135,6 +143,7 @@
     def _leave_out(self, kind: Decision) -> None:
         self.left_out_by_kind[kind] += 1
         self.left_out_total += 1
+        self.more.happened()
 
     def _tell_left_out(self) -> None:
         if self.closed or not self.left_out_by_kind or len(self.lines) >= QUEUE_LINES:
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -174,6 +174,8 @@
         state.operators_changed = changes.revision
     state.operators_revision = changes.revision
     state.view_asked_at = max(state.view_asked_at, asked_at - changes.behind_s)
+    if before != after:
+        state.changed.happened()
 
 
 def _put_in_force(state: BoxState, catalog: Catalog) -> None:
@@ -207,6 +209,8 @@
     state.list_revision = changes.revision
     state.fleet_known = True
     state.forget_gone()
+    if state.list_changed == state.list_revision:
+        state.changed.happened()
     after = _standing(state)
     for endpoint_id, standing in after.items():
         if before.get(endpoint_id) != standing:
--- a/stairquay/serving/links.py
+++ b/stairquay/serving/links.py
@@ -6,7 +6,6 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from time import monotonic
 from typing import Any, TypeVar
 
 import grpc
@@ -144,7 +143,7 @@
                 self.lost.remove(router.id)
                 self._log(router, "regained", question)
             return answer
-        self.state.suspected_until_by_id[router.id] = monotonic() + SUSPECT_S
+        self.state.suspect(router.id, SUSPECT_S)
         self.state.metrics.silent_routers.inc()
         if router.id not in self.lost:
             self.lost.add(router.id)
@@ -155,6 +154,14 @@
         name = f"router {router.id}"
         self.state.log.line(Decision.DEPENDENCY, name=name, outcome=outcome, question=question)
 
+    async def run(self) -> None:
+        """Close the channels to boxes that are routers no longer, until cancelled."""
+        while True:
+            kept = self.state.routers
+            await self.keep_only(kept)
+            while self.state.routers == kept:
+                await self.state.changed.wait()
+
     async def keep_only(self, routers: tuple[Member, ...]) -> None:
         """Close the channels to boxes that are routers no longer."""
         wanted = {router.address for router in routers}
--- a/stairquay/serving/notices.py
+++ b/stairquay/serving/notices.py
@@ -11,6 +11,7 @@
 from stairquay.serving.messages import Ended, FinishedNotice
 from stairquay.serving.routing import RouterPart
 from stairquay.serving.state import BoxState
+from stairquay.serving.waking import Changes
 
 PING_S = 0.4
 """Seconds between two notices that a router sends to the others, so that they share out the engines of one
@@ -36,18 +37,36 @@
         self.ended_by_router: dict[Member, list[Ended]] = {}
         self.read_by_router: dict[Member, list[str]] = {}
         self.telling_by_router: dict[Member, asyncio.Task[None]] = {}
+        self.more = Changes()
 
     async def run(self) -> None:
         """Tell routers which prompts have ended, until cancelled."""
-        pinged_at = monotonic()
         while True:
+            while (wait_s := self._next_in_s()) != 0:
+                await self.more.wait(wait_s)
             await asyncio.sleep(NOTICE_S)
-            await self.links.keep_only(self.state.routers)
-            if monotonic() - pinged_at > PING_S:
-                pinged_at = monotonic()
-                self._ping()
             self._tell_all()
 
+    async def ping_others(self) -> None:
+        """While this box is a router, have every other one sent a notice, even where nothing has ended."""
+        while True:
+            await self.state.changed.until(lambda: self.state.routes)
+            self._ping()
+            await asyncio.sleep(PING_S)
+
+    def _next_in_s(self) -> float | None:
+        """Return the seconds until a router may be told something, None where nothing waits for that.
+
+        One that is being told, or does not answer, is told later.
+        """
+        now = monotonic()
+        waits_s = [
+            max(0.0, self.state.suspected_until_by_id.get(router.id, now) - now)
+            for router in self.ended_by_router
+            if router not in self.telling_by_router
+        ]
+        return min(waits_s, default=None)
+
     def add(self, router: Member, ended: Ended) -> None:
         """Have a router told that a prompt has left its engine; this box's own part hears it at once."""
         if router.id == self.state.settings.id:
@@ -56,6 +75,7 @@
         waiting = self.ended_by_router.setdefault(router, [])
         if len(waiting) < MAX_NOTICES:
             waiting.append(ended)
+        self.more.happened()
 
     def add_read(self, router: Member, ticket: str) -> None:
         """Have a router told that a prompt has been read; one that is not told in time hears it no more."""
@@ -64,12 +84,10 @@
             return
         self.ended_by_router.setdefault(router, [])
         self.read_by_router.setdefault(router, []).append(ticket)
+        self.more.happened()
 
     def _tell_all(self) -> None:
         """Send each router its notice, one at a time for each; those not heard lately wait."""
-        self.telling_by_router = {
-            router: task for router, task in self.telling_by_router.items() if not task.done()
-        }
         live = set(self.state.live_routers())
         for router in list(self.ended_by_router):
             if router not in self.state.routers:
@@ -84,15 +102,18 @@
                 self.read_by_router.pop(router, None)
 
     def _ping(self) -> None:
-        """As a router, have a notice sent to every other one, even where nothing has ended."""
-        if not self.state.routes:
-            return
+        """Have a notice sent to every other router, even where nothing has ended."""
         for router in self.state.live_routers():
             if router.id != self.state.settings.id:
                 self.ended_by_router.setdefault(router, [])
+        self.more.happened()
 
     async def _tell(self, router: Member, notice: FinishedNotice) -> None:
-        answer = await self.links.to(router).finished(notice, NOTICE_ANSWER_S)
+        try:
+            answer = await self.links.to(router).finished(notice, NOTICE_ANSWER_S)
+        finally:
+            del self.telling_by_router[router]
+            self.more.happened()
         if self.links.heard(router, answer, "what has ended") is None:
             # Told again once it is asked again: hearing the same twice changes nothing.
             for item in notice.ended:
--- a/stairquay/serving/orders.py
+++ b/stairquay/serving/orders.py
@@ -49,14 +49,10 @@
         """Look for engines that are behind, until cancelled."""
         while True:
             await asyncio.sleep(STEP_S)
-            if not self.state.routes:
-                # Only routers know the engines' state.
-                self.state.metrics.leading.set(0)
-                continue
-            engines = self._engines()
-            behind = outdated(engines, self.state.named_by_model)
-            if not behind or self.state.stopping:
+            engines = self._behind_now()
+            if not engines:
                 self.state.metrics.leading.set(0)
+                await self.state.changed.until(lambda: bool(self._behind_now()))
                 continue
             if self.held is None and not await self._may_take():
                 continue
@@ -76,6 +72,17 @@
         known = [self.state.fleet.by_id.get(name) for name in dict.fromkeys(loading + old)]
         await asyncio.gather(*(self._ask(endpoint) for endpoint in known if endpoint is not None))
 
+    def _behind_now(self) -> list[EngineState]:
+        """Return all engines if any is behind and this box may have to order it: only routers know them.
+
+        Engines never go back to older weights, so that only a change of the list or a newly named version
+        can leave one behind.
+        """
+        if not self.state.routes or self.state.stopping:
+            return []
+        engines = self._engines()
+        return engines if outdated(engines, self.state.named_by_model) else []
+
     def _behind(self, engines: list[EngineState]) -> list[str]:
         return [engine.id for engine in outdated(engines, self.state.named_by_model)]
 
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -39,9 +39,6 @@
 REVIEW_S = 0.25
 """Seconds between two looks at whether this box is a router, and of which engines."""
 
-HELD_STEP_S = 0.05
-"""Seconds between two looks at whether a held question can be answered."""
-
 PLACED_S = 20.0
 """Seconds after which a placed prompt counts as ended without a notice: above the usual time limits
 of routes, for boxes that ended before they could tell."""
@@ -86,7 +83,10 @@
         try:
             while True:
                 await self._review()
-                await asyncio.sleep(REVIEW_S)
+                if self.state.routes or self.server is not None or self.placed_by_ticket:
+                    await asyncio.sleep(REVIEW_S)
+                else:
+                    await self.state.changed.until(lambda: self.state.routes)
         finally:
             await self._close()
 
@@ -250,10 +250,10 @@
         state = self.state
         began_at = monotonic()
 
-        def answerable() -> bool:
-            return state.operators_changed > asked.after or state.view_too_old(state.view_age())
+        def unchanged_for_s() -> float:
+            return 0.0 if state.operators_changed > asked.after else state.view_lasts_s(state.view_age())
 
-        await _until(answerable, asked.wait_s)
+        await self._hold(unchanged_for_s, asked.wait_s)
         revision = state.operators_revision
         if state.operators_changed > asked.after:
             changes = OperatorChanges(revision, True, state.catalog, "", dict(state.named_by_model))
@@ -264,19 +264,18 @@
     async def _on_endpoints(self, asked: EndpointsRequest) -> EndpointsReply:
         state = self.state
 
-        def answerable() -> bool:
-            return state.list_changed > asked.after or state.list_too_old(state.list_age())
+        def unchanged_for_s() -> float:
+            return 0.0 if state.list_changed > asked.after else state.list_lasts_s(state.list_age())
 
-        await _until(answerable, asked.wait_s)
+        await self._hold(unchanged_for_s, asked.wait_s)
         if state.list_changed > asked.after:
             changes = EndpointChanges(state.list_revision, True, tuple(state.fleet.live()))
         else:
             changes = EndpointChanges(state.list_revision, False)
         return EndpointsReply(changes, state.list_age())
 
-
-async def _until(condition: Callable[[], bool], limit_s: float) -> None:
-    """Wait until a condition holds, at most so long."""
-    end = monotonic() + limit_s
-    while not condition() and monotonic() < end:
-        await asyncio.sleep(HELD_STEP_S)
+    async def _hold(self, lasts_s: Callable[[], float], limit_s: float) -> None:
+        """Hold a question as long as the answer lasts that it would get now, at most so long."""
+        end = monotonic() + limit_s
+        while (left_s := min(lasts_s(), end - monotonic())) > 0:
+            await self.state.changed.wait(left_s)
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -15,6 +15,7 @@
 from stairquay.serving.metrics import BoxMetrics
 from stairquay.serving.ports import EngineReport
 from stairquay.serving.settings import BoxSettings
+from stairquay.serving.waking import Changes
 
 FAILURE_WEIGHT = 0.2
 """Weight of the newest outcome in an endpoint's share of failures: about the last five count."""
@@ -140,6 +141,8 @@
     answer about it; list_passed_on: a router passed its newest answer on.
     routers: boxes that route prompts for all, none before the boxes were read. routed_engines: the engines
     that this box routes for. suspected_until_by_id: boxes that lately did not answer.
+    changed: wakes who waits for a change of the configuration, the named versions, the list, the routers or
+    their silence, or for the stop.
     """
 
     settings: BoxSettings
@@ -174,6 +177,7 @@
     body_bytes: int = 0
     stopping: bool = False
     refusing: bool = False
+    changed: Changes = field(default_factory=Changes)
 
     def use_settings(self, settings: BoxSettings) -> None:
         """Put changed settings in force; addresses keep until the next start."""
@@ -198,6 +202,14 @@
         room = capacity(settings.cores, settings.link_mbps)
         return Member(settings.id, settings.peer_address, room, settings.data_hall)
 
+    def suspect(self, router: str, for_s: float) -> None:
+        """Pass a router over for a while that did not answer."""
+        now = monotonic()
+        known = self.suspected_until_by_id.get(router, NEVER) > now
+        self.suspected_until_by_id[router] = now + for_s
+        if not known:
+            self.changed.happened()
+
     def live_routers(self) -> list[Member]:
         """Return the routers that are not suspected of being gone; this box is never suspected."""
         now = monotonic()
@@ -221,11 +233,19 @@
 
     def list_too_old(self, age_s: float) -> bool:
         """Tell whether a list of that age is too old to pass on: leaving endpoints must be known in time."""
-        return age_s > self.settings.drain_s * OLD_LIST_SHARE
+        return self.list_lasts_s(age_s) < 0
+
+    def list_lasts_s(self, age_s: float) -> float:
+        """Return the seconds until a list of that age is too old to pass on."""
+        return self.settings.drain_s * OLD_LIST_SHARE - age_s
 
     def view_too_old(self, age_s: float) -> bool:
         """Tell whether a view of operators' rows of that age is too old to pass on."""
-        return age_s > self.settings.apply_s * OLD_VIEW_SHARE
+        return self.view_lasts_s(age_s) < 0
+
+    def view_lasts_s(self, age_s: float) -> float:
+        """Return the seconds until a view of operators' rows of that age is too old to pass on."""
+        return self.settings.apply_s * OLD_VIEW_SHARE - age_s
 
     def view_age(self) -> float:
         """Return the age of the configuration's view in seconds."""
--- a/stairquay/serving/upkeep.py
+++ b/stairquay/serving/upkeep.py
@@ -40,6 +40,8 @@
     async def run(self) -> None:
         """Look from time to time, until cancelled."""
         while True:
+            # Only routers see what store boxes keep.
+            await self.state.changed.until(lambda: self.state.routes)
             await asyncio.sleep(STEP_S)
             catalog = self.state.catalog
             if catalog is None:
--- a/stairquay/serving/watching.py
+++ b/stairquay/serving/watching.py
@@ -57,7 +57,10 @@
         try:
             while True:
                 self._review()
-                await asyncio.sleep(REVIEW_S)
+                if self.tasks_by_name or self.state.routes:
+                    await asyncio.sleep(REVIEW_S)
+                else:
+                    await self.state.changed.until(lambda: self.state.routes)
         finally:
             for task in self.tasks_by_name.values():
                 task.cancel()
--- /dev/null
+++ b/tests/test_idle_box.py
@@ -0,0 +1,110 @@
+"""What a box costs while it has nothing to do: how often timers wake it."""
+
+import asyncio
+from random import Random
+
+import pytest
+from result import Ok
+
+from stairquay.adapters.ports import Committed
+from stairquay.core.catalog import Catalog
+from stairquay.core.clock import ClockOffset
+from stairquay.core.configuration import Row
+from stairquay.serving.app import box_parts
+from stairquay.serving.decisions import DecisionLog
+from stairquay.serving.links import Links
+from stairquay.serving.notices import Notices
+from stairquay.serving.ports import EndpointChanges, OperatorChanges, Surroundings
+from stairquay.serving.routing import RouterPart
+from stairquay.serving.settings import BoxSettings
+from stairquay.serving.state import BoxState
+
+SETTLED_S = 2.0
+"""Seconds for the first heartbeats, after which the parts of a box have nothing more to do."""
+
+WATCHED_S = 4.0
+MOST_WAKINGS_S = 2.0
+
+
+class CountingLoop(asyncio.SelectorEventLoop):
+    """Counts the timers that fire."""
+
+    fired = 0
+
+    def call_at(self, when, callback, *args, context=None):
+        def fire() -> None:
+            self.fired += 1
+            callback(*args)
+
+        return super().call_at(when, fire, context=context)
+
+
+class HeldFeeds:
+    """A table service in which nothing changes: its questions are held, and wake nobody."""
+
+    async def read_operators(self):
+        return Ok(OperatorChanges(1, True, Catalog(1)))
+
+    async def follow_operators(self, after, wait_s):
+        await asyncio.get_running_loop().create_future()
+
+    async def read_endpoints(self):
+        return Ok(EndpointChanges(1, True, ()))
+
+    async def follow_endpoints(self, after, wait_s):
+        await asyncio.get_running_loop().create_future()
+
+
+class Rows:
+    """The boxes' rows: those of others, one of which routes for all, so that this box is an ordinary one."""
+
+    def __init__(self) -> None:
+        router = '{"beat": 1, "address": "127.0.0.1:9", "capacity": 1.0, "data_hall": "hall-a"}'
+        plain = '{"beat": 1, "address": "", "capacity": 0.0, "data_hall": "hall-a"}'
+        names = ["router-1", "router-2"]
+        self.rows = [Row(f"box/{name}", router, 1) for name in names]
+        self.rows += [Row(f"box/other-{number}", plain, 1) for number in range(200)]
+
+    async def under(self, prefix):
+        return Ok(tuple(self.rows))
+
+    async def commit(self, commit):
+        return Ok(Committed(2))
+
+    def clock_offset(self):
+        return ClockOffset(0.0, 0.0)
+
+
+def wakings_a_second(settings: BoxSettings) -> float:
+    """Run the parts of a box that serves nobody, and count how often timers wake it."""
+    loop = CountingLoop()
+
+    async def scenario() -> float:
+        state = BoxState(settings, DecisionLog(settings.id, write=len))
+        surroundings = Surroundings(HeldFeeds(), Rows(), None, None, None, "", None)
+        links, router = Links(state), RouterPart(state, Random(1))
+        notices = Notices(state, links, router)
+        parts = box_parts(state, surroundings, links, router, notices, Random(1))
+        tasks = [asyncio.create_task(part()) for part in parts.values()]
+        await asyncio.sleep(SETTLED_S)
+        assert not state.routes and len(state.boxes) > 200
+        before = loop.fired
+        await asyncio.sleep(WATCHED_S)
+        ended = [task for task in tasks if task.done()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        assert not ended
+        # One of them ended this wait.
+        return (loop.fired - before - 1) / WATCHED_S
+
+    try:
+        return loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+@pytest.mark.parametrize("hall", ["hall-a", "hall-b"])
+def test_an_ordinary_box_without_work_is_hardly_ever_woken_by_timers(hall):
+    settings = BoxSettings("b-1", "10.0.0.1", hall, "a:1", "a:2")
+    assert wakings_a_second(settings) < MOST_WAKINGS_S
--- /dev/null
+++ b/tests/test_waking.py
@@ -0,0 +1,139 @@
+"""Waking on a change: nobody misses one, and nobody waits longer than told."""
+
+import asyncio
+from time import monotonic
+
+import pytest
+
+from stairquay.core.routers import Member
+from stairquay.serving.decisions import DecisionLog
+from stairquay.serving.following import apply_operators
+from stairquay.serving.links import Links
+from stairquay.serving.messages import Ended, FinishedNotice, Nothing, OperatorsRequest
+from stairquay.serving.notices import Notices
+from stairquay.serving.ports import OperatorChanges
+from stairquay.serving.routing import RouterPart
+from stairquay.serving.settings import BoxSettings
+from stairquay.serving.state import BoxState
+from stairquay.serving.waking import Changes
+from tests.site import eventually
+
+SOON_S = 1.0
+"""Seconds in which what an event brings about has to be there, also on a busy machine."""
+
+
+def box_state() -> BoxState:
+    return BoxState(BoxSettings("b-1", "10.0.0.1", "hall-a", "a:1", "a:2"), DecisionLog("b-1"))
+
+
+def test_all_who_wait_are_woken_and_conditions_are_looked_at_again():
+    async def scenario():
+        changes, seen = Changes(), []
+        waiting = [asyncio.create_task(changes.until(lambda n=n: len(seen) > n, 5.0)) for n in range(3)]
+        for number in range(3):
+            await asyncio.sleep(0.01)
+            assert [task.done() for task in waiting] == [other < number for other in range(3)]
+            seen.append(number)
+            changes.happened()
+        assert await asyncio.gather(*waiting) == [True, True, True]
+
+    asyncio.run(scenario())
+
+
+def test_a_condition_that_holds_already_is_not_waited_for_and_one_that_never_does_ends_at_the_limit():
+    async def scenario():
+        changes = Changes()
+        assert await changes.until(lambda: True)
+        began = monotonic()
+        assert not await changes.until(lambda: False, 0.05)
+        assert monotonic() - began >= 0.05
+        assert not changes._waiting
+
+    asyncio.run(scenario())
+
+
+def test_who_is_cancelled_while_waiting_leaves_nothing_behind():
+    async def scenario():
+        changes = Changes()
+        task = asyncio.create_task(changes.wait(5.0))
+        await asyncio.sleep(0)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        assert not changes._waiting
+
+    asyncio.run(scenario())
+
+
+class Channels:
+    """Stands for the channels to routers: notes what they are told. `silent`: addresses without answer."""
+
+    def __init__(self, state: BoxState) -> None:
+        self.links = Links(state)
+        self.silent: set[str] = set()
+        self.told: list[tuple[str, FinishedNotice]] = []
+
+    def to(self, router: Member) -> "Channel":
+        return Channel(self, router.address)
+
+    def heard(self, router, answer, question):
+        return self.links.heard(router, answer, question)
+
+
+class Channel:
+    def __init__(self, channels: Channels, address: str) -> None:
+        self.channels = channels
+        self.address = address
+
+    async def finished(self, notice: FinishedNotice, limit_s: float) -> Nothing | None:
+        if self.address in self.channels.silent:
+            await asyncio.sleep(0.05)
+            return None
+        self.channels.told.append((self.address, notice))
+        return Nothing()
+
+
+def test_what_has_ended_is_told_soon_and_a_silent_router_hears_it_once_it_may_be_asked_again(monkeypatch):
+    monkeypatch.setattr("stairquay.serving.links.SUSPECT_S", 0.3)
+
+    async def scenario():
+        state = box_state()
+        first, second = Member("r-1", "one"), Member("r-2", "two")
+        state.routers = (first, second)
+        channels = Channels(state)
+        channels.silent.add("two")
+        notices = Notices(state, channels, RouterPart(state, None))
+        telling = asyncio.create_task(notices.run())
+        await asyncio.sleep(0.05)
+        notices.add(first, Ended("t-1"))
+        notices.add(second, Ended("t-2"))
+        await eventually(lambda: ("one", FinishedNotice((Ended("t-1"),), ())) in channels.told, 2.0)
+        await eventually(lambda: state.suspected_until_by_id, 2.0)
+        channels.silent.clear()
+        await eventually(lambda: ("two", FinishedNotice((Ended("t-2"),), ())) in channels.told, 2.0)
+        assert not notices.ended_by_router and not notices.telling_by_router
+        telling.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_a_held_question_is_answered_as_soon_as_there_is_news_or_the_view_gets_too_old():
+    async def scenario():
+        state = box_state()
+        part = RouterPart(state, None)
+        apply_operators(state, OperatorChanges(1, True, versions_by_model={"m": 1}), monotonic())
+        asking = asyncio.create_task(part._on_operators(OperatorsRequest(1, 5.0)))
+        await asyncio.sleep(0.05)
+        assert not asking.done()
+        apply_operators(state, OperatorChanges(2, False, versions_by_model={"m": 2}), monotonic())
+        reply = await asyncio.wait_for(asking, SOON_S)
+        assert reply.changes.versions_by_model == {"m": 2} and reply.held_s >= 0.04
+
+        # Nothing new comes: the answer is given when the view becomes too old to pass on.
+        lasts_s = state.view_lasts_s(state.view_age())
+        began = monotonic()
+        reply = await part._on_operators(OperatorsRequest(2, 5.0))
+        assert not reply.changes.versions_by_model
+        assert lasts_s - 0.01 <= monotonic() - began <= lasts_s + SOON_S
+
+    asyncio.run(scenario())
