--- a/tests/test_box_state.py
+++ b/tests/test_box_state.py
@@ -4,10 +4,9 @@
 import signal
 
 from stairquay.serving.app import kept_running
-from stairquay.serving.decisions import Decision, DecisionLog
-from stairquay.serving.settings import BoxSettings
-from stairquay.serving.state import BoxState
+from stairquay.serving.decisions import Decision
 from tests.site import MODEL, Site, configuration, eventually, route, site
+from tests.states import box_state
 
 
 def in_force(here: Site, version: int):
@@ -229,7 +228,7 @@
                 raise asyncio.CancelledError
             await asyncio.sleep(30)
 
-        state = BoxState(BoxSettings("b-1", "10.0.0.1", "hall-a", "a:1", "a:2"), DecisionLog("b-1"))
+        state = box_state()
         part = asyncio.create_task(kept_running(state, "work", work))
         await eventually(lambda: len(runs) == 2, 3.0)
         part.cancel()
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -11,15 +11,14 @@
 from stairquay.core.rollout import EngineState
 from stairquay.core.routers import Member
 from stairquay.serving.choosing import Choice, Wanted, choose
-from stairquay.serving.decisions import DecisionLog
 from stairquay.serving.following import AGAIN_S, ROUTED_AGAIN_S, SINGLE_MISSES, again_s
 from stairquay.serving.messages import Ended, Outcome, PartShape, PlaceRequest
 from stairquay.serving.orders import OrderGiver
 from stairquay.serving.ports import EngineReport
 from stairquay.serving.routing import RouterPart
-from stairquay.serving.settings import BoxSettings
 from stairquay.serving.state import BoxState
 from stairquay.serving.weighing import best_sources, usable_sources
+from tests.states import box_state
 
 PROMPT = PromptShape("m", (Part("aa", 500), Part("bb", 300)), 800, 20)
 CATALOG = Catalog(1, services_by_id={"llm": ServiceShape("llm", 100, EngineShape(8, 100_000, 100, 1e9))})
@@ -29,7 +28,7 @@
 
 def router_state(engines: int = 1) -> BoxState:
     """The state of a router that has all engines, each with a young report."""
-    state = BoxState(BoxSettings("b-1", "10.0.0.1", "hall-a", "a:1", "a:2"), DecisionLog("b-1"))
+    state = box_state()
     listed = [Endpoint(f"e-{n}", "llm", f"10.0.1.{n}:1", "hall-a", 8) for n in range(engines)]
     state.catalog = CATALOG
     state.fleet.apply(listed, [], 0.0)
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -7,13 +7,12 @@
 from result import Err, Ok
 
 from stairquay.core.fleet import MISSING_GRACE_S, Endpoint
-from stairquay.serving.decisions import DecisionLog
 from stairquay.serving.following import follow_endpoints
 from stairquay.serving.ports import EndpointChanges, FeedFault
-from stairquay.serving.settings import BoxSettings
 from stairquay.serving.state import BoxState
 from tests.many_boxes import routed
 from tests.site import eventually
+from tests.states import box_state
 
 ENDPOINT = Endpoint("e", "s", "a:1")
 SHOWN = Ok(EndpointChanges(1, True, (ENDPOINT,)))
@@ -44,7 +43,7 @@
 
 async def followed(*answers) -> tuple[BoxState, Script]:
     """Follow a list that gives these answers, until all are taken in."""
-    state = BoxState(BoxSettings("b-1", "10.0.0.1", "hall-a", "a:1", "a:2"), DecisionLog("b-1"))
+    state = box_state()
     script = Script(*answers)
     following = asyncio.create_task(follow_endpoints(state, script))
     await eventually(lambda: len(script.asked_at) > len(answers), 8.0)
--- a/tests/test_serving_core.py
+++ b/tests/test_serving_core.py
@@ -23,9 +23,7 @@
     next_orders,
 )
 from stairquay.core.scope import Scope, parse_scope
-from stairquay.serving.decisions import DecisionLog
-from stairquay.serving.settings import BoxSettings
-from stairquay.serving.state import BoxState
+from tests.states import box_state
 
 
 def make_route(**fields) -> Route:
@@ -146,7 +144,7 @@
 
 
 def test_a_box_has_no_slack_until_the_rows_of_boxes_were_read_and_its_whole_share_a_window_after():
-    state = BoxState(BoxSettings("b-1", "10.0.0.1", "hall-a", "a:1", "a:2"), DecisionLog("b-1"))
+    state = box_state()
     state.boxes = ("b-1",)
     assert not state.take_repeat("s")
     state.boxes, state.boxes_known_at = ("b-1", "b-2"), monotonic() - Allowance().window_s - 1.0
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -6,12 +6,10 @@
 from result import Ok
 
 from stairquay.core.routers import Member
-from stairquay.serving.decisions import DecisionLog
 from stairquay.serving.messages import EndpointsReply, OperatorsReply, ViewsReply, ViewsRequest
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
-from stairquay.serving.settings import BoxSettings
 from stairquay.serving.sharing import SharedFeeds
-from stairquay.serving.state import BoxState
+from tests.states import box_state
 
 HELD_S = 0.3
 AGE_S = 0.1
@@ -45,7 +43,7 @@
 
 
 def shared(router: Router) -> SharedFeeds:
-    state = BoxState(BoxSettings("b-9", "10.0.0.1", "hall-a", "a:1", "a:2"), DecisionLog("b-9"))
+    state = box_state("b-9")
     state.routers = (Member("r-1", "one"), Member("r-2", "two"))
     state.operators_revision, state.list_revision = 5, 6
     return SharedFeeds(state, TableService(), router)
--- a/tests/test_too_old.py
+++ b/tests/test_too_old.py
@@ -17,14 +17,13 @@
 from stairquay.platform.rows import OwnRows, TableClient
 from stairquay.serving.boxes import PREFIX, BoxList
 from stairquay.serving.choosing import Wanted, choose
-from stairquay.serving.decisions import DecisionLog
 from stairquay.serving.following import apply_operators
 from stairquay.serving.orders import OrderGiver
 from stairquay.serving.ports import EngineReport, OperatorChanges
-from stairquay.serving.settings import BoxSettings
 from stairquay.serving.state import BoxState
 from tests.site import eventually, site
 from tests.standins.table import TableService, now_ms
+from tests.states import box_state
 from tests.test_versions import box_rows, name_version
 
 
@@ -51,10 +50,6 @@
     assert (known.ours(30.0), known.theirs(20.2)) == (20.0, 30.0)
 
 
-def box_state() -> BoxState:
-    return BoxState(BoxSettings("b-1", "10.0.0.1", "hall-a", "a:1", "a:2"), DecisionLog("b-1"))
-
-
 async def take_rows(table: TableService, boxes: BoxList) -> None:
     found = await boxes.own.under(PREFIX)
     boxes._take(found.ok_value)
--- a/tests/test_waking.py
+++ b/tests/test_waking.py
@@ -6,26 +6,21 @@
 import pytest
 
 from stairquay.core.routers import Member
-from stairquay.serving.decisions import DecisionLog
 from stairquay.serving.following import apply_operators
 from stairquay.serving.links import Links
 from stairquay.serving.messages import Ended, FinishedNotice, Nothing, OperatorsRequest
 from stairquay.serving.notices import Notices
 from stairquay.serving.ports import OperatorChanges
 from stairquay.serving.routing import RouterPart
-from stairquay.serving.settings import BoxSettings
 from stairquay.serving.state import BoxState
 from stairquay.serving.waking import Changes
 from tests.site import eventually
+from tests.states import box_state
 
 SOON_S = 1.0
 """Seconds in which what an event brings about has to be there, also on a busy machine."""
 
 
-def box_state() -> BoxState:
-    return BoxState(BoxSettings("b-1", "10.0.0.1", "hall-a", "a:1", "a:2"), DecisionLog("b-1"))
-
-
 def test_all_who_wait_are_woken_and_conditions_are_looked_at_again():
     async def scenario():
         changes, seen = Changes(), []
