--- a/tests/test_idle_box.py
+++ b/tests/test_idle_box.py
@@ -1,7 +1,8 @@
-"""What a box costs while it has nothing to do: how often timers wake it."""
+"""What a box costs while nothing changes: how often timers wake it."""
 
 import asyncio
 from random import Random
+from time import monotonic
 
 import pytest
 from result import Ok
@@ -12,12 +13,15 @@
 from stairquay.core.configuration import Row
 from stairquay.serving.app import box_parts
 from stairquay.serving.decisions import DecisionLog
+from stairquay.serving.following import apply_endpoints, apply_operators
 from stairquay.serving.links import Links
+from stairquay.serving.messages import EndpointsRequest, OperatorsRequest, ViewsRequest
 from stairquay.serving.notices import Notices
 from stairquay.serving.ports import EndpointChanges, OperatorChanges, Surroundings
 from stairquay.serving.routing import RouterPart
 from stairquay.serving.settings import BoxSettings
 from stairquay.serving.state import BoxState
+from tests.states import box_state
 
 SETTLED_S = 2.0
 """Seconds for the first heartbeats, after which the parts of a box have nothing more to do."""
@@ -108,3 +112,29 @@
 def test_an_ordinary_box_without_work_is_hardly_ever_woken_by_timers(hall):
     settings = BoxSettings("b-1", "10.0.0.1", hall, "a:1", "a:2")
     assert wakings_a_second(settings) < MOST_WAKINGS_S
+
+
+HELD = 200
+"""Questions held by one of the two boxes that follow the table service for some 200 others."""
+
+
+def test_a_held_question_costs_one_timer():
+    loop = CountingLoop()
+
+    async def scenario() -> int:
+        state = box_state()
+        apply_operators(state, OperatorChanges(1, True, Catalog(1)), monotonic())
+        apply_endpoints(state, EndpointChanges(1, True, ()), monotonic())
+        part = RouterPart(state, Random(1))
+        asked = ViewsRequest(OperatorsRequest(1, 0.4), EndpointsRequest(1, 0.4))
+        before = loop.fired
+        replies = await asyncio.gather(*(part._on_views(asked) for _ in range(HELD)))
+        assert not any(reply.operators.changes.whole for reply in replies)
+        assert min(reply.operators.held_s for reply in replies) >= 0.39
+        return loop.fired - before
+
+    try:
+        # Timers may come a moment early, and are then set once more.
+        assert loop.run_until_complete(scenario()) <= 2 * HELD
+    finally:
+        loop.close()
