Show a whole fleet with one command, from the boxes' rows and metrics

Why: in a fleet of 195 boxes an engineer could only read single logs to see who routes, who follows the table service, how old views are and who is silent. Release and configuration of a box are in neither, and are not shown: open. Tests: tests/test_boxes.py, with a real box: a whole fleet of one, a silent one, a row that cannot be read, no table service.

--- a/stairquay/cli.py
+++ b/stairquay/cli.py
@@ -26,6 +26,8 @@
 SETTINGS = Annotated[Path, Parameter(help="The box's settings: JSON with comments.")]
 BOX_SETTINGS = Annotated[Path | None, Parameter(help="The platform's settings; by default those it names.")]
 METRICS_PORT = Annotated[int, Parameter(help="The port for metrics; 0 for none.")]
+TABLE = Annotated[str, Parameter(help="The table service, as IP:port.")]
+BOXES_PORT = Annotated[int, Parameter(help="The port at which every box serves its metrics.")]
 LOGS = Annotated[Path, Parameter(help="Logs of boxes; standard input where none is named.")]
 URL = Annotated[str, Parameter(name="--control", help="A control's URL; also STAIRQUAY_CONTROL.")]
 AS_JSON = Annotated[bool, Parameter(name="--json", negative="", help="Write the answer as JSON.")]
@@ -81,6 +83,7 @@
     app.command(_plan(env), name="plan")
     app.command(_status(env), name="status")
     app.command(_check_settings(env), name="check-settings")
+    app.command(_boxes(env), name="boxes")
     app.command(_key(env), name="key")
     app.command(_explain(env), name="explain")
     return app
@@ -233,6 +236,25 @@
     return command
 
 
+def _boxes(env: Environment) -> Callable[..., ExitStatus]:
+    def command(table: TABLE, *, metrics_port: BOXES_PORT = 7700, as_json: AS_JSON = False) -> ExitStatus:
+        """Show all boxes on the users' platform: who routes, who follows, how old their views are."""
+        from stairquay.boxes import fleet_lines, look
+
+        found = asyncio.run(look(table, metrics_port))
+        if isinstance(found, Err):
+            env.complain(found.err_value)
+            return ExitStatus.UNREACHED
+        fleet = found.ok_value
+        lines = [msgspec.json.encode(fleet).decode()] if as_json else fleet_lines(fleet)
+        for line in lines:
+            env.say(line)
+        silent = any(sight.view_age_s is None for sight in fleet.boxes)
+        return ExitStatus.BEHIND if silent else ExitStatus.SUCCESS
+
+    return command
+
+
 def _key(env: Environment) -> Callable[..., ExitStatus]:
     def command(*, as_json: AS_JSON = False) -> ExitStatus:
         """Make a new key, and the hash of it that settings and workspaces hold."""
--- /dev/null
+++ b/tests/test_boxes.py
@@ -0,0 +1,72 @@
+"""`stairquay boxes`: what an engineer sees of a whole fleet."""
+
+import asyncio
+import io
+import json
+
+from stairquay.boxes import look
+from stairquay.cli import main
+from stairquay.environment import Environment
+from stairquay.platform.names import OWN_TABLE
+from stairquay.serving.boxes import PREFIX
+from stairquay.status import ExitStatus
+from tests.ports import free_port
+from tests.site import Site, eventually, site
+
+
+def run(*args: str) -> tuple[ExitStatus, str, str]:
+    out, err = io.StringIO(), io.StringIO()
+    status = main(["boxes", *args], Environment(io.StringIO(), out, err, {}))
+    return status, out.getvalue(), err.getvalue()
+
+
+async def shown(here: Site, *options: str) -> tuple[ExitStatus, str, str]:
+    return await asyncio.to_thread(
+        run, here.table.address, "--metrics-port", str(here.metrics_port), *options
+    )
+
+
+async def until_written(here: Site) -> None:
+    own = f"{PREFIX}{here.name}@127.0.0.1"
+    await eventually(lambda: any(key == own for _, key in here.table.rows_by_key))
+
+
+def test_boxes_shows_who_routes_and_how_old_views_are():
+    async def scenario():
+        async with site() as here:
+            await until_written(here)
+            status, out, _ = await shown(here)
+            assert status == ExitStatus.SUCCESS
+            assert "boxes:      1, 0 of them silent" in out
+            assert f"routers:    {here.name}@127.0.0.1" in out and "data halls: hall-a 1" in out
+            assert "oldest" in out
+            told = json.loads((await shown(here, "--json"))[1])
+            assert 0 <= told["boxes"][0]["view_age_s"] < 2.5
+
+    asyncio.run(scenario())
+
+
+def test_boxes_names_those_that_are_silent_and_rows_that_cannot_be_read():
+    async def scenario():
+        async with site() as here:
+            await until_written(here)
+            # 127.0.0.2 is this machine, too, but no box listens there.
+            gone = {"beat": 9, "address": "127.0.0.2:1", "capacity": 9.0, "data_hall": "hall-b"}
+            here.table.put(OWN_TABLE, PREFIX + "gone@127.0.0.2", gone)
+            here.table.put(OWN_TABLE, PREFIX + "odd@127.0.0.2", {"beat": "many"})
+            status, out, _ = await shown(here)
+            assert status == ExitStatus.BEHIND
+            assert "boxes:      3, 2 of them silent" in out
+            assert "silent:     gone@127.0.0.2, odd@127.0.0.2" in out
+            assert "unreadable: odd@127.0.0.2" in out
+            routers = next(line for line in out.splitlines() if line.startswith("routers:"))
+            assert "gone" not in routers
+
+    asyncio.run(scenario())
+
+
+def test_boxes_says_where_the_table_service_does_not_answer():
+    status, out, err = run(f"127.0.0.1:{free_port()}")
+    assert status == ExitStatus.ERROR and not out
+    assert "does not answer" in err
+    assert asyncio.run(look(f"127.0.0.1:{free_port()}", 1)).is_err()
