--- a/tests/test_boxes.py
+++ b/tests/test_boxes.py
@@ -67,6 +67,6 @@
 
 def test_boxes_says_where_the_table_service_does_not_answer():
     status, out, err = run(f"127.0.0.1:{free_port()}")
-    assert status == ExitStatus.ERROR and not out
+    assert status == ExitStatus.UNREACHED and not out
     assert "does not answer" in err
     assert asyncio.run(look(f"127.0.0.1:{free_port()}", 1)).is_err()
