Ask a router for both views only while both answers are used

Where one part asks the table service itself meanwhile, its news stay unread, and the other part's questions were answered at once, again and again. Shown by a test: 22,651 questions in a second from one box, with a router whose list is too old. Ruled out: holding such questions (the part whose view is too old would turn to the table service later). Change: the two parts share a question only while what the router says is used for both; otherwise each asks for its own. Test: tests/test_sharing.py, failed first; at most 6 questions in that second now.

--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -51,6 +51,7 @@
         self.feeds = feeds
         self.links = links
         self.question: Question | None = None
+        self.operators_passed_on = False
 
     async def read_operators(self) -> Result[OperatorChanges, FeedFault]:
         """Read the configuration and the named versions."""
@@ -62,8 +63,14 @@
 
     async def follow_operators(self, after: int, wait_s: float) -> Result[OperatorChanges, FeedFault]:
         """Wait for changes after a revision."""
-        reply, waiting_s = await self._follow(wait_s)
-        passed = self._operators(None if reply is None else reply.operators, waiting_s)
+        held_s = self._held_s(wait_s)
+        if self.state.list_passed_on:
+            both, waiting_s = await self._follow(held_s)
+            reply = None if both is None else both.operators
+        else:
+            request, limit_s, waiting_s = OperatorsRequest(after, held_s), self._answer_s(), 0.0
+            reply = await self._ask(lambda link: link.operators(request, limit_s), "operators' rows")
+        passed = self._operators(reply, waiting_s)
         return Ok(passed) if passed is not None else await self.feeds.follow_operators(after, wait_s)
 
     async def read_endpoints(self) -> Result[EndpointChanges, FeedFault]:
@@ -76,44 +83,53 @@
 
     async def follow_endpoints(self, after: int, wait_s: float) -> Result[EndpointChanges, FeedFault]:
         """Wait for changes of the list after a revision."""
-        reply, waiting_s = await self._follow(wait_s)
-        passed = self._endpoints(None if reply is None else reply.endpoints, waiting_s)
+        held_s = self._held_s(wait_s)
+        if self.operators_passed_on:
+            both, waiting_s = await self._follow(held_s)
+            reply = None if both is None else both.endpoints
+        else:
+            request, limit_s, waiting_s = EndpointsRequest(after, held_s), self._answer_s(), 0.0
+            reply = await self._ask(lambda link: link.endpoints(request, limit_s), "the list of endpoints")
+        passed = self._endpoints(reply, waiting_s)
         return Ok(passed) if passed is not None else await self.feeds.follow_endpoints(after, wait_s)
 
     def _operators(self, reply: OperatorsReply | None, waiting_s: float) -> OperatorChanges | None:
         """Return what a router said, None where its view is too old. waiting_s: for how long its question had
         been under way already when we began to wait for it."""
-        if reply is None or self.state.view_too_old(reply.age_s):
+        self.operators_passed_on = reply is not None and not self.state.view_too_old(reply.age_s)
+        if reply is None or not self.operators_passed_on:
             return None
         # The answer was made `held_s` after the question came in, which was after it was asked.
         return replace(reply.changes, behind_s=reply.age_s - reply.held_s + waiting_s)
 
     def _endpoints(self, reply: EndpointsReply | None, waiting_s: float) -> EndpointChanges | None:
-        passed_on = reply is not None and not self.state.list_too_old(reply.age_s)
-        self.state.list_passed_on = passed_on
-        if reply is None or not passed_on:
+        self.state.list_passed_on = reply is not None and not self.state.list_too_old(reply.age_s)
+        if reply is None or not self.state.list_passed_on:
             return None
         return replace(reply.changes, behind_s=reply.age_s + waiting_s)
 
-    async def _follow(self, wait_s: float) -> tuple[ViewsReply | None, float]:
+    async def _follow(self, held_s: float) -> tuple[ViewsReply | None, float]:
         """Wait for a router's answer about both views, and tell for how long its question was already asked.
 
-        The parts that follow the one and the other wait for the same answer.
+        The parts that follow the one and the other wait for the same answer. Only while both use what the
+        router says: news for one that asks elsewhere would have the other's questions answered at once.
         """
         now = monotonic()
         if self.question is None or self.question.reply.done():
-            self.question = Question(now, asyncio.create_task(self._ask_views(wait_s)))
+            self.question = Question(now, asyncio.create_task(self._ask_views(held_s)))
         question = self.question
         return await asyncio.shield(question.reply), now - question.asked_at
 
-    async def _ask_views(self, wait_s: float) -> ViewsReply | None:
+    async def _ask_views(self, held_s: float) -> ViewsReply | None:
         state = self.state
-        held_s = min(wait_s, self._shorter_s() * HELD_SHARE)
         request = ViewsRequest(
             OperatorsRequest(state.operators_revision, held_s), EndpointsRequest(state.list_revision, held_s)
         )
         return await self._ask(lambda link: link.views(request, self._answer_s()), "both views")
 
+    def _held_s(self, wait_s: float) -> float:
+        return min(wait_s, self._shorter_s() * HELD_SHARE)
+
     def _answer_s(self) -> float:
         return self._shorter_s() * ANSWER_SHARE
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -1,14 +1,25 @@
 """Following both views with one question: what is passed on is never taken for younger than it is."""
 
 import asyncio
+from time import monotonic
 
 import pytest
 from result import Ok
 
+from stairquay.core.fleet import Endpoint
 from stairquay.core.routers import Member
-from stairquay.serving.messages import EndpointsReply, OperatorsReply, ViewsReply, ViewsRequest
+from stairquay.serving.following import follow_endpoints
+from stairquay.serving.messages import (
+    EndpointsReply,
+    OperatorsReply,
+    OperatorsRequest,
+    ViewsReply,
+    ViewsRequest,
+)
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
 from stairquay.serving.sharing import SharedFeeds
+from stairquay.serving.state import BoxState
+from tests.site import eventually
 from tests.states import box_state
 
 HELD_S = 0.3
@@ -21,6 +32,8 @@
     def __init__(self, age_s: float = AGE_S) -> None:
         self.age_s = age_s
         self.asked: list[ViewsRequest] = []
+        self.at_once_if_old = False
+        self.questions = 0
 
     def to(self, _):
         return self
@@ -30,15 +43,25 @@
 
     async def views(self, request: ViewsRequest, limit_s: float) -> ViewsReply:
         self.asked.append(request)
-        await asyncio.sleep(HELD_S)
+        self.questions += 1
+        if not self.at_once_if_old:
+            await asyncio.sleep(HELD_S)
         operators = OperatorsReply(OperatorChanges(7, False), AGE_S, HELD_S)
         return ViewsReply(operators, EndpointsReply(EndpointChanges(8, False), self.age_s))
 
+    async def operators(self, request: OperatorsRequest, limit_s: float) -> OperatorsReply:
+        self.questions += 1
+        await asyncio.sleep(HELD_S)
+        return OperatorsReply(OperatorChanges(7, False), AGE_S, HELD_S)
+
 
 class TableService:
-    """What is asked where no router's view may be used."""
+    """What is asked where no router's view may be used. wait_s: how long it holds a question."""
+
+    wait_s = 0.0
 
     async def follow_endpoints(self, after, wait_s):
+        await asyncio.sleep(self.wait_s)
         return Ok(EndpointChanges(99, False))
 
 
@@ -46,7 +69,10 @@
     state = box_state("b-9")
     state.routers = (Member("r-1", "one"), Member("r-2", "two"))
     state.operators_revision, state.list_revision = 5, 6
-    return SharedFeeds(state, TableService(), router)
+    state.list_passed_on = True
+    feeds = SharedFeeds(state, TableService(), router)
+    feeds.operators_passed_on = True
+    return feeds
 
 
 def test_one_question_follows_both_views_and_each_new_one_asks_again():
@@ -86,3 +112,72 @@
         assert (operators.ok_value.revision, endpoints.ok_value.revision) == (7, 99)
 
     asyncio.run(scenario())
+
+
+def test_news_for_one_view_that_nobody_takes_does_not_make_the_other_one_ask_again_and_again():
+    """The router's list is too old to use: its questions are answered at once, and the list is asked for at
+    the table service meanwhile. The configuration goes on being followed by held questions."""
+
+    async def scenario():
+        router = Router(age_s=10.0)
+        router.at_once_if_old = True
+        feeds = shared(router)
+        feeds.feeds.wait_s = 5.0
+        following = asyncio.create_task(feeds.follow_endpoints(6, 0.7))
+        end = monotonic() + 1.0
+        while monotonic() < end:
+            assert (await feeds.follow_operators(5, 0.7)).ok_value.revision == 7
+        assert router.questions <= 6
+        following.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_boxes_behind_a_router_do_not_read_the_list_again_and_again_while_an_endpoint_is_missing():
+    """Its entry is gone without a word. The routers look for its return; with all boxes asking them for the
+    whole list without a pause, they had no time for anything else."""
+
+    async def scenario():
+        state = box_state()
+        shown, rest = Endpoint("e-1", "s", "10.0.0.1:1"), Endpoint("e-2", "s", "10.0.0.2:1")
+        router = PassedOn(state, [(shown, rest), (rest,)])
+        following = asyncio.create_task(follow_endpoints(state, router))
+        await eventually(lambda: state.fleet.missing_since_by_id, 2.0)
+        asked = router.asked
+        await asyncio.sleep(0.6)
+        assert router.asked - asked <= 4
+        # It is back: the held question tells.
+        router.lists.append((shown, rest))
+        await eventually(lambda: not state.fleet.missing_since_by_id and len(state.fleet.live()) == 2, 2.0)
+        following.cancel()
+
+    asyncio.run(scenario())
+
+
+class PassedOn:
+    """A list that a router passes on: each of `lists` is told once, and questions are held besides."""
+
+    def __init__(self, state: BoxState, lists: list[tuple[Endpoint, ...]]) -> None:
+        self.state = state
+        self.lists = lists
+        self.told = 0
+        self.asked = 0
+
+    async def read_endpoints(self):
+        self.asked += 1
+        await asyncio.sleep(0.002)
+        return self.answer()
+
+    async def follow_endpoints(self, after, wait_s):
+        self.asked += 1
+        end = monotonic() + 0.2
+        while self.told == len(self.lists) and monotonic() < end:
+            await asyncio.sleep(0.01)
+        return self.answer()
+
+    def answer(self):
+        self.state.list_passed_on = True
+        if self.told == len(self.lists):
+            return Ok(EndpointChanges(self.told, False))
+        self.told += 1
+        return Ok(EndpointChanges(self.told, True, self.lists[self.told - 1]))
