Judge how a router spreads prompts only by rounds that were quick enough

Traced: with a pause between filling the engines and filling e-1 again, 0 to 0.2 s give eight times e-1, 0.5 s and 1.2 s do not: the other engines have then read what they were given and reports say so, so that each may be the best. That is allowed; the test took for granted that 32 questions take no time. Change: the same two assertions, on a round that took less than 0.25 s; up to ten rounds are tried, and none quick enough is a failure.

--- a/tests/test_router_box.py
+++ b/tests/test_router_box.py
@@ -1,7 +1,9 @@
 """A box among many that routes for others, against stand-ins."""
 
 import asyncio
+from time import monotonic
 
+from stairquay.serving.links import Link
 from stairquay.serving.messages import (
     Ended,
     EndpointsRequest,
@@ -12,7 +14,7 @@
     PlaceRequest,
 )
 from tests.many_boxes import routing
-from tests.site import MODEL, SCOPE, eventually, route
+from tests.site import MODEL, SCOPE, Site, eventually, route
 
 SLOTS = 8
 """Runs that each engine of the sites here makes at once."""
@@ -24,18 +26,44 @@
     return PlaceRequest(**(base | {"ticket": ticket, "box": "box-9", "wall": "", "tried": ()} | fields))
 
 
+QUICK_S = 0.25
+"""Seconds within which a round of questions has to be through: with a pause of 0.2 s in it an engine that was
+emptied is still the best one, with one of 0.5 s the others have read what they were given, too."""
+
+ROUNDS = 10
+"""Rounds tried until a busy machine gets one through in time."""
+
+FORGOTTEN_S = 1.2
+"""Seconds after which nothing of a round counts any more."""
+
+
+async def _round(here: Site, link: Link, name: str) -> tuple[list[int], list[str], float]:
+    """Fill three engines, empty one, and fill it again. Return the counts of the first by engine, the engines
+    of the last, and the seconds that it took."""
+    began = monotonic()
+    first = [await link.place(question(f"{name} r{n}"), 1.0) for n in range(3 * SLOTS)]
+    counts = [[reply.endpoint for reply in first].count(engine.id) for engine in here.engines()]
+    ended = tuple(Ended(f"{name} r{n}") for n, reply in enumerate(first) if reply.endpoint == "e-1")
+    await link.finished(FinishedNotice(ended), 1.0)
+    again = [(await link.place(question(f"{name} q{n}"), 1.0)).endpoint for n in range(SLOTS)]
+    took_s = monotonic() - began
+    names = [f"{name} r{n}" for n in range(3 * SLOTS)] + [f"{name} q{n}" for n in range(SLOTS)]
+    await link.finished(FinishedNotice(tuple(Ended(ticket) for ticket in names)), 1.0)
+    return counts, again, took_s
+
+
 def test_a_router_spreads_what_it_places_and_counts_it_until_it_has_ended():
     async def scenario():
         async with routing(engines=3) as (here, link):
             await eventually(lambda: all(engine.asked_report for engine in here.engines()))
-            await asyncio.sleep(0.4)
-            first = [await link.place(question(f"r{n}"), 1.0) for n in range(3 * SLOTS)]
-            counts = [[reply.endpoint for reply in first].count(engine.id) for engine in here.engines()]
-            assert counts == [SLOTS] * 3
-            ended = tuple(Ended(f"r{n}") for n, reply in enumerate(first) if reply.endpoint == "e-1")
-            await link.finished(FinishedNotice(ended), 1.0)
-            again = [(await link.place(question(f"q{n}"), 1.0)).endpoint for n in range(SLOTS)]
-            assert again == ["e-1"] * SLOTS
+            for number in range(ROUNDS):
+                await asyncio.sleep(0.4 if number == 0 else FORGOTTEN_S)
+                counts, again, took_s = await _round(here, link, f"round-{number}")
+                if took_s < QUICK_S:
+                    assert counts == [SLOTS] * 3
+                    assert again == ["e-1"] * SLOTS
+                    return
+            raise AssertionError("no round was quick enough")
 
     asyncio.run(scenario())
 
