--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,11 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+DAYS ?= quiet-1,trouble-1
+SEEDS ?= 11
 STAMP := $(VENV)/installed
 
-.PHONY: setup test lint unit features mechanisms demo bench bench-cost binary proto clean
+.PHONY: setup test lint unit features mechanisms demo bench bench-cost regress binary proto clean
 
 setup: $(STAMP)
 
@@ -41,6 +43,9 @@
 bench: setup
 	$(BIN)/python -m bench.run $(BENCH)
 
+regress:
+	$(PYTHON) -m bench.regress $(FLEETBENCH) $(SITES) --days $(DAYS) --seeds $(SEEDS)
+
 binary: setup
 	$(BIN)/python -m bench.binary
 
--- /dev/null
+++ b/bench/regress.py
@@ -0,0 +1,97 @@
+"""Days of several deployments, played one after the other and compared with a committed table.
+
+    make regress FLEETBENCH=PATH SITES="SITE.toml ..." [DAYS=quiet-1,trouble-1] [SEEDS=11]
+
+Prints for each day worth, broken rules and the difference from the table; ends with 1 where a rule is
+broken, a day was not played to its end, or a day fell by more than `MOST_LOSS`. `--write` puts what was
+measured into the table.
+"""
+
+import argparse
+import json
+import re
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+TABLE = Path(__file__).parent / "results" / "regress.json"
+
+MOST_LOSS = 0.03
+"""Worth by which a day may fall: processor time is measured, and single days differ by as much."""
+
+WORTH = re.compile(r"^worth (-?\d+\.\d+) = ", re.M)
+FAULT = re.compile(r"^.*(?:BROKEN|given up|fault).*$", re.M)
+
+
+@dataclass(frozen=True)
+class Played:
+    """One day as played. `faults`: lines that tell of broken rules, or why it did not reach its end."""
+
+    key: str
+    worth: float | None
+    faults: tuple[str, ...]
+
+
+def read_report(key: str, text: str) -> Played:
+    """Return what the report of a day says."""
+    worth = WORTH.search(text)
+    head = text if worth is None else text[: worth.start()]
+    faults = tuple(line.strip() for line in FAULT.findall(head))
+    return Played(key, float(worth[1]) if worth else None, faults)
+
+
+def compare(played: Played, table: dict[str, float]) -> tuple[str, bool]:
+    """Return a line on a day, and whether it holds."""
+    if played.worth is None or played.faults:
+        reason = "; ".join(played.faults) or "not played"
+        return f"{played.key:48} {_number(played.worth)}  FAILED: {reason}", False
+    before = table.get(played.key)
+    if before is None:
+        return f"{played.key:48} {_number(played.worth)}  new", True
+    change = played.worth - before
+    holds = change >= -MOST_LOSS
+    return f"{played.key:48} {_number(played.worth)}  {change:+.3f}{'' if holds else '  FELL'}", holds
+
+
+def _number(worth: float | None) -> str:
+    return "  -  " if worth is None else f"{worth:.3f}"
+
+
+def play(bench: Path, site: Path, day: str, seed: int, why: str) -> Played:
+    """Play one day to its end."""
+    command = [str(bench), "run", str(site), day, "--seed", str(seed), "--jobs", "1", "--why", why]
+    text = subprocess.run(command, capture_output=True, text=True).stdout
+    return read_report(f"{site.stem} {day} {seed}", text)
+
+
+def main() -> int:
+    """Play the days and print the comparison; return the exit status."""
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("bench", type=Path, help="path of the bench's program")
+    parser.add_argument("sites", type=Path, nargs="+", help="paths of site files")
+    parser.add_argument("--days", default="quiet-1,trouble-1", help="days, separated by commas")
+    parser.add_argument("--seeds", default="11", help="seeds, separated by commas")
+    parser.add_argument("--why", default="regression run", help="a line for the journal")
+    parser.add_argument("--write", action="store_true", help="put what was measured into the table")
+    args = parser.parse_args()
+    table: dict[str, float] = json.loads(TABLE.read_text()) if TABLE.exists() else {}
+    all_hold = True
+    for site in args.sites:
+        for day in args.days.split(","):
+            for seed in args.seeds.split(","):
+                played = play(args.bench, site, day, int(seed), args.why)
+                line, holds = compare(played, table)
+                print(line, flush=True)
+                all_hold = all_hold and holds
+                if args.write and holds and played.worth is not None:
+                    table[played.key] = played.worth
+    if args.write:
+        TABLE.write_text(json.dumps(table, indent=1, sort_keys=True) + "\n")
+    return 0 if all_hold else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
