Start a box without the command line's library and the three programs' types

By importtime, a box loaded cyclopts, cattrs, json5, the settings of the three programs and the types of their configuration, none of which it uses. Ruled out: the types by which files are known (mimetypes), tried with 16 starts each: nothing within the spread. Change: stairquay/box.py starts a box in its usual form, apart from the command line, which still reads all other arguments; rows and mistakes have modules of their own, so that ports and settings of a box load nothing else. Exit statuses as before. Next in size: the HTTP library, data classes made at import (73, about 0.09 s beside load).

--- a/stairquay/adapters/follower.py
+++ b/stairquay/adapters/follower.py
@@ -19,10 +19,11 @@
 from stairquay.adapters.router_pb2 import ViewReply, ViewRequest
 from stairquay.adapters.rpc import RouterChannels
 from stairquay.adapters.settings import ViewSettings
-from stairquay.core.configuration import PREFIX, Configuration, Row, merge
+from stairquay.core.configuration import PREFIX, Configuration, merge
 from stairquay.core.freshness import Freshness, Reach
 from stairquay.core.membership import Membership
 from stairquay.core.models import BoxKind, BoxList
+from stairquay.core.row import Row
 
 JITTER_SHARE = 0.2
 """Rounds are spread by this share of their period, so that boxes do not ask in step."""
--- a/stairquay/adapters/platform.py
+++ b/stairquay/adapters/platform.py
@@ -9,8 +9,8 @@
 from result import Err, Ok, Result
 
 from stairquay.adapters.ports import Changes, Commit, Committed, Conflict, PlatformFault
-from stairquay.core.configuration import Row
 from stairquay.core.models import BoxList
+from stairquay.core.row import Row
 
 T = TypeVar("T")
 
--- a/stairquay/adapters/ports.py
+++ b/stairquay/adapters/ports.py
@@ -2,12 +2,15 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from result import Result
 
-from stairquay.core.configuration import Row
-from stairquay.core.models import BoxList
+from stairquay.core.row import Row
+
+if TYPE_CHECKING:
+    # One process a box knows boxes by their own rows.
+    from stairquay.core.models import BoxList
 
 
 class PlatformFault(str, Enum):
@@ -83,7 +86,7 @@
 class BoxDirectory(Protocol):
     """The platform's lagging list of boxes."""
 
-    async def boxes(self) -> Result[BoxList, PlatformFault]:
+    async def boxes(self) -> "Result[BoxList, PlatformFault]":
         """Return the list as the platform has it now."""
 
 
--- a/stairquay/adapters/program.py
+++ b/stairquay/adapters/program.py
@@ -4,12 +4,14 @@
 import signal
 import ssl
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from absl import logging
 from aiohttp import web
 
-from stairquay.adapters.settings import TlsSettings
+if TYPE_CHECKING:
+    # One process a box has no use for these settings, nor for the parser of their comments.
+    from stairquay.adapters.settings import TlsSettings
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -113,7 +115,7 @@
     return await listen(app, address)
 
 
-def server_context(tls: TlsSettings) -> ssl.SSLContext | None:
+def server_context(tls: "TlsSettings") -> ssl.SSLContext | None:
     """Return the TLS context of a server, None where settings name no certificate."""
     if not tls.certificate:
         return None
--- a/stairquay/boxes.py
+++ b/stairquay/boxes.py
@@ -12,8 +12,8 @@
 from aiohttp import ClientError, ClientSession
 from result import Err, Ok, Result
 
-from stairquay.core.configuration import Row
 from stairquay.core.routers import Member, followers, pick_routers
+from stairquay.core.row import Row
 from stairquay.platform.connections import open_session
 from stairquay.platform.rows import OwnRows, TableClient
 from stairquay.serving.boxes import PREFIX, BoxHeartbeat
--- a/stairquay/cli.py
+++ b/stairquay/cli.py
@@ -1,24 +1,21 @@
 """The command line: programs, operators' commands, and checks of settings."""
 
 import asyncio
-import gc
 import hashlib
-import os
 import secrets
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
-from logging import WARNING, getLogger
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any, TypeVar
 
 import msgspec
-from absl import flags, logging
 from cyclopts import App, CycloptsError, Parameter
 from result import Err
 
 from stairquay import __version__
+from stairquay.box import start_box, start_logs
 from stairquay.environment import Environment
-from stairquay.status import ExitStatus
+from stairquay.status import ExitStatus, ended
 
 if TYPE_CHECKING:
     from stairquay.adapters.settings import Settings
@@ -43,6 +40,10 @@
 
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
     """Run one command, and return the exit status."""
+    return ended(env, lambda: _run(args, env))
+
+
+def _run(args: Sequence[str], env: Environment) -> ExitStatus:
     app = _app(env)
     try:
         outcome = app(list(args), exit_on_error=False, print_error=False, result_action="return_value")
@@ -50,11 +51,6 @@
         env.complain(str(error))
         env.complain("`stairquay --help` lists the commands")
         return ExitStatus.USAGE
-    except KeyboardInterrupt:
-        return ExitStatus.INTERRUPTED
-    except OSError as error:
-        env.complain(str(error))
-        return ExitStatus.ERROR
     return outcome if isinstance(outcome, ExitStatus) else ExitStatus.SUCCESS
 
 
@@ -98,7 +94,7 @@
         if section is None:
             env.complain(f"{settings}: $.{program.section}: required by this program, but missing")
             return ExitStatus.BAD_SETTINGS
-        _start_logs()
+        start_logs()
         asyncio.run(_runner(program.name)(read, section))
         return ExitStatus.SUCCESS
 
@@ -124,58 +120,11 @@
 def _box(env: Environment) -> Callable[..., ExitStatus]:
     def command(settings: BOX_SETTINGS = None, *, metrics_port: METRICS_PORT = 0) -> ExitStatus:
         """Serve a whole box in one process on the users' platform."""
-        _load_lightly()
-        from stairquay.platform.boot import load_boot
-        from stairquay.platform.names import SETTINGS_VARIABLE
-        from stairquay.platform.surroundings import open_surroundings
-        from stairquay.serving.app import run_box
-
-        _loaded()
-        path = settings or Path(env.variables.get(SETTINGS_VARIABLE, ""))
-        boot = load_boot(path, metrics_port)
-        if isinstance(boot, Err):
-            for mistake in boot.err_value:
-                env.complain(f"{path}: {mistake}")
-            return ExitStatus.BAD_SETTINGS
-        _start_logs()
-        table_address = boot.ok_value.table_address
-        asyncio.run(
-            run_box(
-                boot.ok_value.settings,
-                lambda: load_boot(path, metrics_port).map(lambda again: again.settings),
-                lambda: open_surroundings(table_address),
-            )
-        )
-        return ExitStatus.SUCCESS
+        return start_box(settings, metrics_port, env)
 
     return command
 
 
-def _load_lightly() -> None:
-    """Prepare for loading a box's code: hundreds of boxes start, many of them together after a loss of power.
-
-    Loading makes no garbage, and looking for it takes a tenth of the processor time of a start. A box speaks
-    plain HTTP: the HTTP library would read the machine's certificate authorities all the same, for 60 ms of
-    processor time and 1.6 MB.
-    """
-    gc.disable()
-    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
-
-
-def _loaded() -> None:
-    """Look for garbage from now on, but not in what was loaded, which stays."""
-    gc.freeze()
-    gc.enable()
-
-
-def _start_logs() -> None:
-    flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    # It writes a line for every attempt's every state.
-    getLogger("transitions").setLevel(WARNING)
-
-
 def _read_settings(path: Path, env: Environment) -> "Settings | None":
     # One process a box has no use for these settings, nor for the parser of their comments.
     from stairquay.adapters.settings import load_settings
--- a/stairquay/control/api.py
+++ b/stairquay/control/api.py
@@ -15,8 +15,9 @@
 from stairquay.adapters.settings import ControlSettings
 from stairquay.control.plans import Plans, Stale
 from stairquay.control.status import SystemStatus, gather_status
-from stairquay.core.decode import Mistake, decode, encode
+from stairquay.core.decode import decode, encode
 from stairquay.core.errors import ErrorKind, Refusal
+from stairquay.core.mistake import Mistake
 from stairquay.core.plan import Change, Plan, Request, Running
 
 BEARER = "Bearer "
--- a/stairquay/control/leader.py
+++ b/stairquay/control/leader.py
@@ -11,8 +11,8 @@
 
 from stairquay.adapters.metrics import ControlMetrics
 from stairquay.adapters.ports import Commit, Committed, Condition, Table, Write
-from stairquay.core.configuration import Row
 from stairquay.core.lease import Held, LeaseRow, Observed, next_row, observe
+from stairquay.core.row import Row
 
 LEASE_KEY = "lease/control"
 RENEWALS = 4
--- a/stairquay/control/plans.py
+++ b/stairquay/control/plans.py
@@ -19,8 +19,8 @@
     Write,
 )
 from stairquay.core.configuration import PREFIX, Configuration, merge
-from stairquay.core.decode import Mistake
 from stairquay.core.errors import ErrorKind, Ran, Refusal
+from stairquay.core.mistake import Mistake
 from stairquay.core.plan import PLAN_PREFIX, Basis, Plan, PlanState, Request, Running, make_plan
 
 SETTLE_PAUSE_S = 0.1
--- a/stairquay/core/configuration.py
+++ b/stairquay/core/configuration.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from stairquay.core.models import ModelVersion, Placement, Service, ServiceKind, Workspace
+from stairquay.core.row import Row
 
 PREFIX = "config/"
 SERVICE_PREFIX = "config/service/"
@@ -27,15 +28,6 @@
 T = TypeVar("T")
 
 
-@dataclass(frozen=True)
-class Row:
-    """One row of the table service: `value` is JSON text, None for a deleted row."""
-
-    key: str
-    value: str | None
-    revision: int
-
-
 @dataclass(frozen=True)
 class Configuration:
     """All configuration rows, complete up to `revision`."""
--- a/stairquay/core/decode.py
+++ b/stairquay/core/decode.py
@@ -1,25 +1,15 @@
 """Strict decoding of JSON objects into data classes, with every mistake listed at once."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from typing import Any, TypeVar, get_origin
 
 from cattrs import ClassValidationError, Converter, IterableValidationError, transform_error
 from cattrs.errors import ForbiddenExtraKeysError
 from result import Err, Ok, Result
 
-T = TypeVar("T")
-
-
-@dataclass(frozen=True)
-class Mistake:
-    """One mistake: the path of the key (`$.entry.listen`), and what was expected there."""
+from stairquay.core.mistake import Mistake
 
-    path: str
-    expected: str
-
-    def __str__(self) -> str:
-        return f"{self.path}: {self.expected}"
+T = TypeVar("T")
 
 
 def decode(value: object, kind: type[T]) -> Result[T, list[Mistake]]:
--- a/stairquay/core/plan.py
+++ b/stairquay/core/plan.py
@@ -15,11 +15,12 @@
     VERSION_PREFIX,
     WORKSPACE_PREFIX,
     Configuration,
-    Row,
     merge,
 )
-from stairquay.core.decode import Mistake, decode
+from stairquay.core.decode import decode
+from stairquay.core.mistake import Mistake
 from stairquay.core.models import ModelVersion, Placement, Service, ServiceKind, Workspace
+from stairquay.core.row import Row
 
 PLAN_PREFIX = "plan/"
 
--- a/stairquay/entry/once.py
+++ b/stairquay/entry/once.py
@@ -14,8 +14,8 @@
 from result import Err, Ok, Result
 
 from stairquay.adapters.ports import Commit, Committed, Condition, PlatformFault, Table, Write
-from stairquay.core.configuration import Row
 from stairquay.core.errors import ErrorKind, Ran, Refusal
+from stairquay.core.row import Row
 
 PREFIX = "once/"
 MAX_KEY_CHARS = 255
--- a/stairquay/platform/boot.py
+++ b/stairquay/platform/boot.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from stairquay.core.budget import Allowance
-from stairquay.core.decode import Mistake
+from stairquay.core.mistake import Mistake
 from stairquay.serving.settings import BoxSettings, FreshnessSettings, LeaseSettings
 
 KEYED_SHARE = 0.92
--- a/stairquay/platform/rows.py
+++ b/stairquay/platform/rows.py
@@ -12,7 +12,7 @@
 
 from stairquay.adapters.ports import Commit, Committed, Conflict, PlatformFault
 from stairquay.core.clock import ClockOffset
-from stairquay.core.configuration import Row
+from stairquay.core.row import Row
 from stairquay.platform.names import COMMIT_PATH, FEED_PATH, OWN_TABLE, ROWS_PATH
 from stairquay.serving.ports import FeedFault
 
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -12,7 +12,7 @@
 from result import Err, Result
 
 from stairquay.adapters.program import Tasks, being_cancelled, listen, until_stopped, wait_until
-from stairquay.core.decode import Mistake
+from stairquay.core.mistake import Mistake
 from stairquay.serving.asking import Chooser
 from stairquay.serving.boxes import BoxList
 from stairquay.serving.decisions import Decision, DecisionLog
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -10,8 +10,8 @@
 
 from stairquay.adapters.ports import Commit, Committed, Condition, Write
 from stairquay.core.clock import ClockOffset
-from stairquay.core.configuration import Row
 from stairquay.core.routers import Member, pick_routers
+from stairquay.core.row import Row
 from stairquay.serving.decisions import Decision
 from stairquay.serving.ports import OwnTable
 from stairquay.serving.state import NEVER, BoxState
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -13,10 +13,10 @@
 from stairquay.core.call import Call, Dispatch
 from stairquay.core.catalog import Catalog
 from stairquay.core.clock import ClockOffset
-from stairquay.core.configuration import Row
 from stairquay.core.errors import ErrorKind, Ran, Refusal
 from stairquay.core.fleet import Endpoint
 from stairquay.core.holdings import Key, PartEvent
+from stairquay.core.row import Row
 
 
 class FeedFault(str, Enum):
--- a/stairquay/status.py
+++ b/stairquay/status.py
@@ -1,7 +1,10 @@
 """Exit statuses of the command line."""
 
+from collections.abc import Callable
 from enum import IntEnum
 
+from stairquay.environment import Environment
+
 
 class ExitStatus(IntEnum):
     """What the process tells its caller."""
@@ -15,3 +18,14 @@
     UNREACHED = 6
     BEHIND = 7
     INTERRUPTED = 130
+
+
+def ended(env: Environment, work: Callable[[], ExitStatus]) -> ExitStatus:
+    """Run a command; return its status, also where it was interrupted or the system refused something."""
+    try:
+        return work()
+    except KeyboardInterrupt:
+        return ExitStatus.INTERRUPTED
+    except OSError as error:
+        env.complain(str(error))
+        return ExitStatus.ERROR
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -8,8 +8,8 @@
 from aiohttp import web
 
 from stairquay.adapters.ports import Changes, Commit, Committed, Conflict
-from stairquay.core.configuration import Row
 from stairquay.core.models import Box, BoxList
+from stairquay.core.row import Row
 from tests.standins.serving import fault_route, parameters, reply, serve
 
 LOADS_AT_FULL_SPEED = 2
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -9,7 +9,7 @@
 
 from stairquay.core.admission import FairQueue, TokenBucket, WorkspaceLimits
 from stairquay.core.attempt import AttemptState, new_attempt
-from stairquay.core.configuration import Configuration, Row, merge
+from stairquay.core.configuration import Configuration, merge
 from stairquay.core.errors import ANSWERS, ErrorKind, Ran, Refusal
 from stairquay.core.freshness import Freshness, Reach, majority_of_others
 from stairquay.core.identity import BLOCK_TOKENS, BYTES_TOKEN, describe, digest_chain, kept_ids, workspace_key
@@ -22,6 +22,7 @@
 from stairquay.core.residency import EngineMemory, KeptBlock, KeptIndex, Segment
 from stairquay.core.retry import Ejector, RetryBudget
 from stairquay.core.routing import Candidate, Demand, KeptRun, best_way, choose
+from stairquay.core.row import Row
 
 BLOCK = BLOCK_TOKENS * BYTES_TOKEN
 ROWS = st.lists(
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -3,9 +3,10 @@
 import asyncio
 
 from stairquay.core.admission import FairQueue
-from stairquay.core.configuration import Configuration, Row, merge
+from stairquay.core.configuration import Configuration, merge
 from stairquay.core.membership import Membership
 from stairquay.core.models import Box, BoxKind, BoxList, Workspace
+from stairquay.core.row import Row
 from stairquay.entry.context import Gate
 
 
--- a/tests/test_idle_box.py
+++ b/tests/test_idle_box.py
@@ -10,7 +10,7 @@
 from stairquay.adapters.ports import Committed
 from stairquay.core.catalog import Catalog
 from stairquay.core.clock import ClockOffset
-from stairquay.core.configuration import Row
+from stairquay.core.row import Row
 from stairquay.serving.app import box_parts
 from stairquay.serving.decisions import DecisionLog
 from stairquay.serving.following import apply_endpoints, apply_operators
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from stairquay.core.admission import FairQueue, WorkspaceLimits
-from stairquay.core.configuration import Configuration, Row, merge
+from stairquay.core.configuration import Configuration, merge
 from stairquay.core.errors import Refusal
 from stairquay.core.load import EndpointLoad, LoadReport
 from stairquay.core.membership import Membership
@@ -13,6 +13,7 @@
 from stairquay.core.residency import EngineMemories, KeptIndex, Segment
 from stairquay.core.retry import RetryBudget
 from stairquay.core.routing import Candidate, Demand, choose, least_loaded
+from stairquay.core.row import Row
 
 NODES = 330
 RUNNERS = 1_800
