--- a/stairquay/boxes.py
+++ b/stairquay/boxes.py
@@ -6,7 +6,7 @@
 import asyncio
 import re
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 from aiohttp import ClientError, ClientSession
@@ -25,6 +25,8 @@
 """Boxes asked at once: 200 are through in about a second, with few connections open."""
 
 AGE = re.compile(rb"^stairquay_view_age_seconds (\S+)$", re.M)
+EVACUATED = re.compile(rb'^stairquay_evacuated_data_hall{data_hall="([^"]*)"} 1\.0$', re.M)
+COLD = re.compile(rb'^stairquay_cold_seconds_left{endpoint="([^"]*)"} (\S+)$', re.M)
 
 AGE_STEPS_S = (0.5, 1.0, 2.0, 5.0)
 """Bounds of the groups in which views are counted by age. From 2.5 s on a box is unready by default."""
@@ -34,12 +36,15 @@
 class BoxSight:
     """One box: what its row says, and its view's age in seconds, None where it did not answer.
 
-    readable: its row could be read; another release may write what this one cannot read.
+    readable: its row could be read; another release may write what this one cannot read. evacuated: data
+    halls that it sends nothing to. cold_s_by_endpoint: for how long it takes endpoints to be cold.
     """
 
     member: Member
     readable: bool
     view_age_s: float | None
+    evacuated: frozenset[str] = frozenset()
+    cold_s_by_endpoint: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -82,11 +87,36 @@
         f"following:  {', '.join(fleet.following) or 'none'}",
         f"views:      {_views(fleet)}",
     ]
+    lines += _halls_away(fleet) + _cold(fleet)
     lines += [f"silent:     {', '.join(silent)}"] if silent else []
     lines += [f"unreadable: {', '.join(unreadable)}"] if unreadable else []
     return lines
 
 
+def _halls_away(fleet: FleetSight) -> list[str]:
+    """Return a line for each evacuated data hall: how many boxes know, and how old the oldest view of the
+    others is."""
+    lines = []
+    answering = [sight for sight in fleet.boxes if sight.view_age_s is not None]
+    for hall in sorted({hall for sight in answering for hall in sight.evacuated}):
+        ages_s = [sight.view_age_s or 0.0 for sight in answering if hall not in sight.evacuated]
+        behind = f", oldest view of the others {max(ages_s):.2f} s" if ages_s else ""
+        lines.append(
+            f"evacuated:  {hall}, known at {len(answering) - len(ages_s)} of {len(answering)}{behind}"
+        )
+    return lines
+
+
+def _cold(fleet: FleetSight) -> list[str]:
+    """Return a line with the cold endpoints, and for how long any box takes them to be."""
+    left_s: dict[str, float] = {}
+    for sight in fleet.boxes:
+        for endpoint, cold_s in sight.cold_s_by_endpoint.items():
+            left_s[endpoint] = max(cold_s, left_s.get(endpoint, 0.0))
+    told = ", ".join(f"{endpoint} {cold_s:.1f} s" for endpoint, cold_s in sorted(left_s.items()))
+    return [f"cold:       {told}"] if told else []
+
+
 def _views(fleet: FleetSight) -> str:
     ages_s = [sight.view_age_s for sight in fleet.boxes if sight.view_age_s is not None]
     if not ages_s:
@@ -106,17 +136,29 @@
         beat, readable = BoxHeartbeat(0), False
     member = Member(name, beat.address, beat.capacity, beat.data_hall)
     async with limit:
-        return BoxSight(member, readable, await _view_age_s(name, session, metrics_port))
+        told = await _metrics(name, session, metrics_port)
+    if told is None:
+        return BoxSight(member, readable, None)
+    evacuated = frozenset(hall.decode() for hall in EVACUATED.findall(told))
+    cold_s = {endpoint.decode(): float(left_s) for endpoint, left_s in COLD.findall(told)}
+    return BoxSight(member, readable, _view_age_s(told), evacuated, cold_s)
+
+
+def _view_age_s(told: bytes) -> float | None:
+    found = AGE.search(told)
+    try:
+        return None if found is None else float(found[1])
+    except ValueError:
+        return None
 
 
-async def _view_age_s(name: str, session: ClientSession, metrics_port: int) -> float | None:
-    """Return the age of a box's view, None where the box does not tell it. Boxes are named `NODE@IP`."""
+async def _metrics(name: str, session: ClientSession, metrics_port: int) -> bytes | None:
+    """Return a box's metrics, None where it does not tell them. Boxes are named `NODE@IP`."""
     url = f"http://{name.rpartition('@')[2]}:{metrics_port}/metrics"
     try:
         async with asyncio.timeout(ANSWER_S):
             async with session.get(url) as response:
-                told = AGE.search(await response.read())
-        return float(told[1]) if told is not None else None
+                return await response.read()
     except (ClientError, TimeoutError, OSError, ValueError):
         return None
 
--- a/stairquay/core/catalog.py
+++ b/stairquay/core/catalog.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
+from stairquay.core.cold import ColdLimit
+
 
 @dataclass(frozen=True)
 class Split:
@@ -64,11 +66,13 @@
 
 @dataclass(frozen=True)
 class ServiceShape:
-    """A service that requests are sent to. `engine` is None for plain services."""
+    """A service that requests are sent to. `engine` is None for plain services, `cold` where its endpoints
+    bear as much as ever from their start on."""
 
     id: str
     max_connections: int = 100
     engine: EngineShape | None = None
+    cold: ColdLimit | None = None
 
 
 @dataclass(frozen=True)
--- a/stairquay/core/fleet.py
+++ b/stairquay/core/fleet.py
@@ -1,8 +1,11 @@
 """Endpoints that the platform lists, and which of them may get new work.
 
-Whoever is leaving stays so. An endpoint that vanished from the list without a word may be one whose entry
-lapsed during an outage of the table service: it is a last resort for a short while, which counts from when it
-can have vanished, not from when that was noticed.
+Whoever is leaving stays so. An endpoint that starts again under its id is told from the one before by the
+time of its birth: nothing that held for the old one holds for it.
+
+An endpoint that vanished from the list without a word may be one whose entry lapsed during an outage of the
+table service: it is a last resort for a short while, which counts from when it can have vanished, not from
+when that was noticed.
 """
 
 from collections.abc import Iterable
@@ -15,7 +18,12 @@
 
 @dataclass(frozen=True)
 class Endpoint:
-    """One endpoint in the list. `versions_by_model` is what it says of its weights."""
+    """One endpoint in the list. `versions_by_model` is what it says of its weights.
+
+    born: Unix milliseconds of its start, 0 where it does not say so. sequence: counts what it wrote in this
+    life. cold: it said that it bears little work yet, for `cold_s` more seconds. What changes with each of
+    its heartbeats does not make it another entry: else each would be passed on to all boxes.
+    """
 
     id: str
     service: str
@@ -24,6 +32,17 @@
     slots: int = 1
     leaving: bool = False
     versions_by_model: dict[str, int] = field(default_factory=dict)
+    born: int = 0
+    sequence: int = field(default=0, compare=False)
+    cold: bool = False
+    cold_s: float = field(default=0.0, compare=False)
+
+    def is_older(self, other: "Endpoint") -> bool:
+        """Tell whether this entry was written before another one with the same id: in an earlier life, or
+        earlier in the same one."""
+        if not self.born or not other.born:
+            return False
+        return (self.born, self.sequence) < (other.born, other.sequence)
 
 
 @dataclass
@@ -39,7 +58,9 @@
         """Take in changed entries, and removed ones: since `gone_since` at the earliest, or now."""
         for endpoint in present:
             known = self.by_id.get(endpoint.id)
-            if known is not None and known.leaving:
+            if known is not None and endpoint.is_older(known):
+                continue
+            if known is not None and known.leaving and endpoint.born <= known.born:
                 endpoint = replace(endpoint, leaving=True)
             self.by_id[endpoint.id] = endpoint
             self.missing_since_by_id.pop(endpoint.id, None)
--- a/stairquay/platform/boot.py
+++ b/stairquay/platform/boot.py
@@ -59,6 +59,7 @@
         stop_s=fields.number("bounds.grace_s", 8.0),
         drain_s=fields.number("bounds.drain_ms", 2_000.0) / 1000,
         apply_s=fields.number("bounds.config_apply_ms", 2_000.0) / 1000,
+        evacuate_s=fields.number("bounds.evacuate_ms", 5_000.0) / 1000,
         versions_within_s=fields.number("bounds.version_ms", 12_000.0) / 1000,
         memory_mb=int(fields.number("limits.memory_mb", 0)),
         max_descriptors=int(fields.number("limits.max_fds", DEFAULT_DESCRIPTORS)),
--- a/stairquay/platform/feeds.py
+++ b/stairquay/platform/feeds.py
@@ -1,4 +1,10 @@
-"""What operators and endpoints write into the table service, decoded into our own types."""
+"""What operators and endpoints write into the table service, decoded into our own types.
+
+An entry may come from another writer: with fields that are missing or of another type, a state that has no
+meaning here, or bytes that are no text. Such a one names no endpoint, and the others hold.
+"""
+
+from ipaddress import AddressValueError, IPv4Address
 
 import msgspec
 from result import Err, Ok, Result
@@ -13,14 +19,17 @@
     StoreShape,
     WorkspaceRule,
 )
+from stairquay.core.cold import ColdLimit
 from stairquay.core.fleet import Endpoint
 from stairquay.platform.names import (
     CONFIG_KEY,
     ENDPOINT_TABLE,
+    EVACUATION_PREFIX,
     KIND_REPEATABLE,
     KIND_STREAM,
     OPERATOR_TABLE,
     STATE_DRAINING,
+    STATE_READY,
     VERSION_PREFIX,
 )
 from stairquay.platform.rows import TableClient, WireRow, WireRows
@@ -30,6 +39,14 @@
 MEGABIT_BYTES = 125_000.0
 """Bytes in a million bits."""
 
+MAX_COLD_S = 60.0
+"""Longest time for which an entry may call its endpoint cold: starts take seconds."""
+
+MAX_PORT = 65_535
+
+UNREADABLE = (msgspec.MsgspecError, ValueError)
+"""What decoding a row raises whose bytes or fields are not as promised."""
+
 
 class WireSplit(msgspec.Struct):
     """A share of a route."""
@@ -68,10 +85,13 @@
 
 
 class WireService(msgspec.Struct):
-    """A service, or a store box where `kv_store_addr` is given."""
+    """A service, or a store box where `kv_store_addr` is given. An endpoint that is cold, as all are for
+    `cold_start_s`, takes `cold_per_s` requests a second; 0 for as many as ever."""
 
     name: str
     max_connections: int = 100
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: WireEngine | None = None
     kv_store_addr: str = ""
     zone: str = ""
@@ -115,13 +135,17 @@
 
 
 class WireEndpoint(msgspec.Struct):
-    """An endpoint's own entry in the list; its id is the row's key."""
+    """An endpoint's own entry in the list; its id is the row's key. `born`: Unix milliseconds of its start;
+    `sequence` rises with each entry until the next start."""
 
     service: str
     address: str
+    state: str
     zone: str = ""
     slots: int = 1
-    state: str = ""
+    cold_remaining_ms: float = 0.0
+    sequence: int = 0
+    born: int = 0
     models: list[WireModel] = []
 
 
@@ -157,45 +181,65 @@
 
 
 def operator_changes(rows: WireRows, whole: bool) -> OperatorChanges:
-    """Decode operators' rows. A configuration that cannot be read is told, and changes nothing."""
+    """Decode operators' rows. A configuration that cannot be read is told, and changes nothing. A row's key
+    alone asks to evacuate a data hall."""
     catalog: Catalog | None = None
     unreadable = ""
     versions: dict[str, int] = {}
+    halls: dict[bool, list[str]] = {True: [], False: []}
     for row in rows.rows:
-        text = row.text()
-        if text is None:
+        if row.key.startswith(EVACUATION_PREFIX):
+            halls[row.gone].append(row.key.removeprefix(EVACUATION_PREFIX))
             continue
         try:
+            text = row.text()
+            if text is None:
+                continue
             if row.key == CONFIG_KEY:
                 catalog = decode_catalog(text)
             elif row.key.startswith(VERSION_PREFIX):
                 named = msgspec.json.decode(text, type=WireVersion)
                 versions[named.model] = named.version
-        except msgspec.MsgspecError as error:
+        except UNREADABLE as error:
             unreadable = f"{row.key}: {error}"
-    return OperatorChanges(rows.ver, whole, catalog, unreadable, versions)
+    return OperatorChanges(
+        rows.ver,
+        whole,
+        catalog,
+        unreadable,
+        versions,
+        evacuated=tuple(halls[False]),
+        returned=tuple(halls[True]),
+    )
 
 
 def endpoint_changes(rows: WireRows, whole: bool) -> EndpointChanges:
-    """Decode entries of the list; one that cannot be read is left out, so that the others stay known."""
+    """Decode entries of the list. One that cannot be read names no endpoint, also where its id had one."""
     present = []
     gone = []
+    unreadable: dict[str, str] = {}
     for row in rows.rows:
-        text = row.text()
-        if text is None:
+        try:
+            text = row.text()
+            if text is None:
+                gone.append(row.key)
+            else:
+                present.append(_endpoint(row, text))
+        except UNREADABLE as error:
+            unreadable[row.key] = str(error)
             gone.append(row.key)
-            continue
-        endpoint = _endpoint(row, text)
-        if endpoint is not None:
-            present.append(endpoint)
-    return EndpointChanges(rows.ver, whole, tuple(present), tuple(gone))
-
-
-def _endpoint(row: WireRow, text: str) -> Endpoint | None:
-    try:
-        entry = msgspec.json.decode(text, type=WireEndpoint)
-    except msgspec.MsgspecError:
-        return None
+    return EndpointChanges(rows.ver, whole, tuple(present), tuple(gone), unreadable=unreadable)
+
+
+def _endpoint(row: WireRow, text: str) -> Endpoint:
+    """Decode an entry; raises one of UNREADABLE where it names no endpoint to use."""
+    entry = msgspec.json.decode(text, type=WireEndpoint)
+    if entry.state not in (STATE_READY, STATE_DRAINING):
+        raise ValueError(f"state {entry.state!r}")
+    if entry.born < 0 or entry.sequence < 0 or entry.slots < 1:
+        raise ValueError("a count below its least value")
+    _check_address(entry.address)
+    cold_s = min(MAX_COLD_S, max(0.0, entry.cold_remaining_ms / 1000))
     return Endpoint(
         id=row.key,
         service=entry.service,
@@ -204,9 +248,24 @@
         slots=entry.slots,
         leaving=entry.state == STATE_DRAINING,
         versions_by_model=versions_by_model(entry.models),
+        born=entry.born,
+        sequence=entry.sequence,
+        cold=cold_s > 0,
+        cold_s=cold_s,
     )
 
 
+def _check_address(address: str) -> None:
+    """Raise ValueError where an address is not IP:port."""
+    host, _, port = address.rpartition(":")
+    try:
+        IPv4Address(host)
+    except AddressValueError as error:
+        raise ValueError(f"address {address!r}") from error
+    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"address {address!r}")
+
+
 def decode_catalog(text: str) -> Catalog:
     """Decode the configuration; raises msgspec.MsgspecError where it cannot be read."""
     config = msgspec.json.decode(text, type=WireConfig)
@@ -247,8 +306,9 @@
 
 def _service(service: WireService) -> ServiceShape:
     engine = service.engine
+    cold = ColdLimit(service.cold_per_s, service.cold_start_s) if service.cold_per_s > 0 else None
     if engine is None:
-        return ServiceShape(service.name, service.max_connections)
+        return ServiceShape(service.name, service.max_connections, cold=cold)
     shape = EngineShape(
         slots=engine.slots,
         memory_tokens=engine.kv_capacity_tokens,
@@ -257,7 +317,7 @@
         models=tuple(model.name for model in engine.models),
         max_followers=engine.max_concurrency,
     )
-    return ServiceShape(service.name, service.max_connections, shape)
+    return ServiceShape(service.name, service.max_connections, shape, cold)
 
 
 def _store(service: WireService) -> StoreShape:
--- a/stairquay/platform/names.py
+++ b/stairquay/platform/names.py
@@ -92,11 +92,15 @@
 OPERATOR_TABLE = "op"
 CONFIG_KEY = "config"
 VERSION_PREFIX = "version/"
+EVACUATION_PREFIX = "evacuate/"
+"""Before the name of a data hall whose endpoints are to get nothing, as long as the row stands."""
+
 ENDPOINT_TABLE = "servers"
 OWN_TABLE = "stairquay"
 
 KIND_REPEATABLE = "idempotent"
 KIND_STREAM = "streaming"
 STATE_DRAINING = "draining"
+STATE_READY = "ready"
 
 SETTINGS_VARIABLE = "STAIRQUAY_BOOT"
--- a/stairquay/platform/peers.py
+++ b/stairquay/platform/peers.py
@@ -55,6 +55,8 @@
     next_page_token: int = 0
     kv_used: int = 0
     kv_total: int = 0
+    born: int = 0
+    cold_remaining_ms: float | None = None
 
 
 class WireEvents(msgspec.Struct):
@@ -102,6 +104,8 @@
             life=found.boot_epoch,
             used_tokens=found.kv_used,
             total_tokens=found.kv_total,
+            born=found.born,
+            cold_s=None if found.cold_remaining_ms is None else max(0.0, found.cold_remaining_ms / 1000),
         )
 
     async def kept_changes(self, address: str, since: int, wait_s: float) -> KeptChanges | None:
--- a/stairquay/platform/rows.py
+++ b/stairquay/platform/rows.py
@@ -41,10 +41,10 @@
     gone: bool = False
 
     def text(self) -> str | None:
-        """Return the value as text, None for a removed row."""
+        """Return the value as text, None for a removed row. Raises ValueError where it is no text."""
         if self.gone or self.value is None:
             return None
-        return b64decode(self.value).decode()
+        return b64decode(self.value, validate=True).decode()
 
 
 class WireRows(msgspec.Struct):
@@ -168,8 +168,11 @@
 
 
 def own_row(row: WireRow) -> Row:
-    """Return a row of our own table in our own type."""
-    return Row(row.key, row.text(), row.ver)
+    """Return a row of our own table in our own type. Bytes that are no text give a value no reader takes."""
+    try:
+        return Row(row.key, row.text(), row.ver)
+    except ValueError:
+        return Row(row.key, "", row.ver)
 
 
 def _place(key: str) -> dict[str, Any]:
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -5,6 +5,7 @@
 import signal
 from collections.abc import Callable, Coroutine
 from functools import partial
+from time import monotonic
 from traceback import extract_tb
 from typing import Any
 
@@ -15,6 +16,7 @@
 from stairquay.core.mistake import Mistake
 from stairquay.serving.asking import Chooser
 from stairquay.serving.boxes import BoxList
+from stairquay.serving.cold import cold_for_s
 from stairquay.serving.decisions import Decision, DecisionLog
 from stairquay.serving.dispatch import Dispatcher
 from stairquay.serving.following import follow_endpoints, follow_operators
@@ -199,6 +201,7 @@
         state.metrics.view_age.set(state.view_age())
         state.metrics.replaced.set(state.oldest_replaced_s())
         state.metrics.left_out.set(state.log.left_out_total)
+        _measure_halls(state)
         return web.Response(body=state.metrics.text(), headers={"Content-Type": "text/plain; version=0.0.4"})
 
     app = web.Application()
@@ -206,6 +209,18 @@
     return await listen(app, f"{state.settings.ip}:{state.settings.metrics_port}")
 
 
+def _measure_halls(state: BoxState) -> None:
+    """Set the metrics of evacuated data halls and cold endpoints."""
+    metrics, now = state.metrics, monotonic()
+    for hall in state.evacuated | state.returned_at_by_hall.keys():
+        metrics.evacuated.labels(hall).set(hall in state.evacuated)
+    metrics.cold.clear()
+    for endpoint in state.fleet.live():
+        left_s = cold_for_s(state, endpoint, now)
+        if left_s > 0:
+            metrics.cold.labels(endpoint.id).set(left_s)
+
+
 async def _finish(state: BoxState) -> None:
     """Turn unready, serve on until the balancer has seen it, then finish what is under way."""
     state.stopping = True
--- a/stairquay/serving/asking.py
+++ b/stairquay/serving/asking.py
@@ -13,8 +13,10 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.placement import EngineView, Placement
 from stairquay.core.routers import Member, routers_for
-from stairquay.serving.choosing import Choice, Wanted
+from stairquay.serving.choosing import Choice, Wanted, cold_wait_s
+from stairquay.serving.cold import count_sent
 from stairquay.serving.decisions import Decision
+from stairquay.serving.evacuation import takes_work
 from stairquay.serving.jobs import Job, Progress
 from stairquay.serving.links import Links
 from stairquay.serving.messages import Ended, Outcome, PartShape, PlaceReply, PlaceRequest
@@ -139,14 +141,24 @@
     def _usable(self, reply: PlaceReply, prompt: PromptShape) -> Endpoint | None:
         """Return the endpoint that a router chose, None where this box knows that it must not be used."""
         usable = self.state.fleet.by_id.get(reply.endpoint)
-        if usable is None or usable.leaving or usable.id in self.state.fleet.missing_since_by_id:
+        if usable is None or usable.id in self.state.fleet.missing_since_by_id:
+            return None
+        if not takes_work(self.state, usable):
             return None
         too_old = self.state.too_old(prompt.model, reply.version or 0, reply.first_token_s)
         return None if too_old else usable
 
     def _choose_here(self, job: Job, progress: Progress) -> Choice | None:
         wanted = Wanted(job.service, job.call.prompt, job.workspace, frozenset(progress.tried))
-        return choose_and_save(self.state, job.catalog, wanted, self.random)
+        choice = choose_and_save(self.state, job.catalog, wanted, self.random)
+        if choice is not None:
+            count_sent(self.state, choice.endpoint, monotonic(), self.random)
+        return choice
+
+    def cold_wait_s(self, job: Job) -> float | None:
+        """Return the seconds until a cold endpoint may get such a job from this box, None where none is held
+        back for being cold."""
+        return cold_wait_s(self.state, job.service, self.random)
 
 
 def _question(
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -13,8 +13,9 @@
 from stairquay.core.routers import Member, pick_routers
 from stairquay.core.row import Row
 from stairquay.serving.decisions import Decision
+from stairquay.serving.endpoint import NEVER
 from stairquay.serving.ports import OwnTable
-from stairquay.serving.state import NEVER, BoxState
+from stairquay.serving.state import BoxState
 
 PREFIX = "box/"
 WRITE_S = 4.0
--- a/stairquay/serving/choosing.py
+++ b/stairquay/serving/choosing.py
@@ -19,6 +19,8 @@
     place,
 )
 from stairquay.core.scope import Scope
+from stairquay.serving.cold import wait_s
+from stairquay.serving.evacuation import takes_work
 from stairquay.serving.state import BoxState
 from stairquay.serving.weighing import best_sources, engine_view, usable_sources
 
@@ -77,7 +79,7 @@
 def choose(state: BoxState, catalog: Catalog, wanted: Wanted, random: Random) -> Choice | None:
     """Return the best endpoint, or None where no endpoint can be used."""
     now = monotonic()
-    candidates = _candidates(state, wanted.service, wanted.tried, now)
+    candidates = _candidates(state, wanted.service, wanted.tried, now, random)
     prompt, engine = wanted.prompt, wanted.service.engine
     if prompt is not None:
         model = prompt.model
@@ -91,6 +93,15 @@
     return _best(state, wanted, prompt, placements, random, now) if placements else None
 
 
+def cold_wait_s(state: BoxState, service: ServiceShape, random: Random) -> float | None:
+    """Return the seconds until a cold endpoint of a service may get a request from this box, None where no
+    endpoint is held back for that."""
+    now = monotonic()
+    staying = [item for item in state.fleet.usable(service.id, now) if takes_work(state, item)]
+    waits_s = [wait_s(state, item, now, random) for item in staying]
+    return min((wait for wait in waits_s if wait > 0), default=None)
+
+
 def context_scope(workspace: WorkspaceRule | None, model: str, version: int) -> str:
     """Return the name under which context is kept: of one model and version, and of one workspace where
     that is isolated."""
@@ -98,8 +109,13 @@
     return Scope(wall, model, version).name
 
 
-def _candidates(state: BoxState, service: ServiceShape, tried: frozenset[str], now: float) -> list[Endpoint]:
-    """Return usable endpoints; those tried, turning work away or silent only where there are no others."""
+def _candidates(
+    state: BoxState, service: ServiceShape, tried: frozenset[str], now: float, random: Random
+) -> list[Endpoint]:
+    """Return usable endpoints; those tried, turning work away or silent only where there are no others.
+
+    None in an evacuated data hall, and none that is cold and has got what it bears: also where no other is.
+    """
     most = service.max_connections * CONNECTION_SHARE
 
     def has_connection(item: Endpoint) -> bool:
@@ -107,7 +123,8 @@
         boxes = 1 if item.id in state.routed_engines else max(1, len(state.boxes))
         return state.of(item).in_flight < max(2, int(most / boxes))
 
-    usable = [item for item in state.fleet.usable(service.id, now) if has_connection(item)]
+    staying = [item for item in state.fleet.usable(service.id, now) if takes_work(state, item)]
+    usable = [item for item in staying if has_connection(item) and wait_s(state, item, now, random) <= 0]
     fresh = [item for item in usable if item.id not in tried]
     if tried and not fresh:
         return []
--- a/stairquay/serving/decisions.py
+++ b/stairquay/serving/decisions.py
@@ -42,6 +42,8 @@
     CONFIGURATION = "configuration"
     VERSION_NAMED = "version_named"
     ENDPOINTS = "endpoints"
+    EVACUATION = "evacuation"
+    BORN_ANEW = "born_anew"
     DEPENDENCY = "dependency"
     ROUTER = "router"
     LEASE = "lease"
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -11,6 +11,8 @@
 from stairquay.core.errors import ErrorKind, Ran, Refusal
 from stairquay.serving.asking import Chooser
 from stairquay.serving.choosing import Choice
+from stairquay.serving.endpoint import FULL_PAUSE_S
+from stairquay.serving.evacuation import takes_work
 from stairquay.serving.jobs import Begun, Job, Progress
 from stairquay.serving.messages import Outcome
 from stairquay.serving.ports import BrokenAnswer, Endpoints, Reply, SendFailure
@@ -23,9 +25,9 @@
     record_prompt,
     record_sent,
 )
-from stairquay.serving.refusals import RETRY_AFTER_S, overloaded, truthful
+from stairquay.serving.refusals import RETRY_AFTER_S, all_cold, overloaded, truthful
 from stairquay.serving.relay import cut, read_whole, relay_stream, whole_response
-from stairquay.serving.state import FULL_PAUSE_S, BoxState
+from stairquay.serving.state import BoxState
 
 MAX_REFUSED = 4
 """Times that one request may be turned away by endpoints before it is refused."""
@@ -64,7 +66,7 @@
             most_backlog_s = _most_backlog_s(job, progress)
             choice = await self.chooser.choose(job, progress, most_backlog_s)
             if choice is None:
-                return self._given_up(job, progress, Refusal(ErrorKind.NO_ENDPOINT), request)
+                return self._given_up(job, progress, self._no_endpoint(job, progress), request)
             outcome = Outcome.NOT_SENT
             try:
                 if most_backlog_s is not None and choice.backlog_s > most_backlog_s:
@@ -89,6 +91,12 @@
             return Refusal(ErrorKind.NOT_READY, progress.ran, "the configuration's view is too old")
         return None
 
+    def _no_endpoint(self, job: Job, progress: Progress) -> Refusal:
+        cold_s = self.chooser.cold_wait_s(job)
+        if cold_s is None:
+            return Refusal(ErrorKind.NO_ENDPOINT, progress.ran)
+        return all_cold(cold_s, progress.ran)
+
     def _fresh(self, job: Job) -> bool:
         return job.workspace is None or self.state.keys_fresh()
 
@@ -149,7 +157,9 @@
         dispatch = self._dispatch(job, begun.choice, left_s, after)
 
         def guard() -> bool:
-            return self._fresh(job) and job.deadline > monotonic() and not self._too_old(job, begun.choice)
+            if not self._fresh(job) or job.deadline <= monotonic():
+                return False
+            return takes_work(self.state, begun.choice.endpoint) and not self._too_old(job, begun.choice)
 
         return await self.endpoints.send(job.call, job.body, dispatch, begun.attempt, guard, left_s)
 
@@ -246,6 +256,8 @@
             progress.runs += 1
         if _speaks_against(failure):
             begun.held.on_outcome(True, now)
+            if _unreached(failure):
+                begun.held.doubted_at = now
         record_failed(self.state, job, begun, failure, now)
 
     def _ended_well(self, job: Job, begun: Begun, reply: Reply, progress: Progress) -> None:
@@ -279,10 +291,15 @@
     if failure.ran == Ran.NOT_RUN and failure.status:
         return Outcome.TURNED_AWAY
     if failure.ran == Ran.NOT_RUN:
-        return Outcome.UNREACHED if _speaks_against(failure) else Outcome.NOT_SENT
+        return Outcome.UNREACHED if _unreached(failure) else Outcome.NOT_SENT
     return Outcome.FAILED if _speaks_against(failure) else Outcome.DONE
 
 
+def _unreached(failure: SendFailure) -> bool:
+    """Tell whether the endpoint took no connection."""
+    return failure.ran == Ran.NOT_RUN and not failure.status and _speaks_against(failure)
+
+
 def _speaks_against(failure: SendFailure) -> bool:
     """Tell whether a failed attempt counts as its endpoint's failure."""
     return failure.fault and failure.kind != ErrorKind.DEADLINE
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -9,9 +9,12 @@
 from result import Err, Result
 
 from stairquay.core.catalog import Catalog
+from stairquay.serving.cold import cold_for_s
 from stairquay.serving.decisions import Decision
+from stairquay.serving.endpoint import NEVER
+from stairquay.serving.evacuation import apply_evacuations
 from stairquay.serving.ports import EndpointChanges, FeedFault, Feeds, OperatorChanges
-from stairquay.serving.state import NEVER, BoxState
+from stairquay.serving.state import BoxState
 
 Changes = TypeVar("Changes", OperatorChanges, EndpointChanges)
 
@@ -159,7 +162,8 @@
     """Put a newer configuration in force, and note newly named versions."""
     if changes.unreadable:
         state.log.line(Decision.CONFIGURATION, outcome="kept", unreadable=changes.unreadable)
-    before = None if state.catalog is None else state.catalog.version, dict(state.named_by_model)
+    before = _operators_view(state)
+    apply_evacuations(state, changes)
     if changes.catalog is not None:
         _put_in_force(state, changes.catalog)
     if state.view_asked_at == NEVER:
@@ -171,7 +175,7 @@
         if version > state.named_by_model.get(model, 0):
             state.named_by_model[model] = version
             state.note_named(model, version, named_at, "operators")
-    after = None if state.catalog is None else state.catalog.version, state.named_by_model
+    after = _operators_view(state)
     if before != after:
         state.operators_changed = changes.revision
     state.operators_revision = changes.revision
@@ -180,6 +184,11 @@
         state.changed.happened()
 
 
+def _operators_view(state: BoxState) -> tuple[int | None, dict[str, int], frozenset[str]]:
+    version = None if state.catalog is None else state.catalog.version
+    return version, dict(state.named_by_model), state.evacuated
+
+
 def _put_in_force(state: BoxState, catalog: Catalog) -> None:
     held = state.catalog
     if held is not None and catalog.version <= held.version:
@@ -211,6 +220,8 @@
     state.list_revision = changes.revision
     state.fleet_known = True
     state.forget_gone()
+    _take_cold(state, changes, now)
+    _tell_unreadable(state, changes)
     if state.list_changed == state.list_revision:
         state.changed.happened()
     after = _standing(state)
@@ -223,6 +234,26 @@
         state.log.line(Decision.ENDPOINTS, endpoint=endpoint_id, standing="gone", revision=changes.revision)
 
 
+def _take_cold(state: BoxState, changes: EndpointChanges, now: float) -> None:
+    """Take in how long endpoints say that they are cold."""
+    for endpoint in changes.present:
+        held = state.of(endpoint)
+        if endpoint.born >= held.born:
+            held.cold_until = now + endpoint.cold_s if endpoint.cold else NEVER
+
+
+def _tell_unreadable(state: BoxState, changes: EndpointChanges) -> None:
+    """Log and count entries that name no endpoint, once for as long as they stand."""
+    if changes.whole:
+        state.unreadable &= changes.unreadable.keys()
+    for endpoint_id, why in changes.unreadable.items():
+        if endpoint_id not in state.unreadable:
+            state.unreadable.add(endpoint_id)
+            state.metrics.unreadable.inc()
+            state.log.line(Decision.ENDPOINTS, endpoint=endpoint_id, standing="unreadable", detail=why)
+    state.unreadable.difference_update(item.id for item in changes.present)
+
+
 def _gone_since(state: BoxState, now: float) -> float:
     """Return since when an entry may be gone that the newest view is the first to lack.
 
@@ -235,8 +266,10 @@
 
 
 def _standing(state: BoxState) -> dict[str, str]:
-    fleet = state.fleet
+    fleet, now = state.fleet, monotonic()
     standing = {key: "leaving" if item.leaving else "usable" for key, item in fleet.by_id.items()}
+    cold = (key for key, item in fleet.by_id.items() if not item.leaving and cold_for_s(state, item, now) > 0)
+    standing.update(dict.fromkeys(cold, "cold"))
     standing.update(dict.fromkeys(fleet.missing_since_by_id, "missing"))
     return standing
 
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -7,9 +7,9 @@
 from stairquay.core.catalog import Catalog, Route, ServiceShape, WorkspaceRule
 from stairquay.core.errors import Ran
 from stairquay.serving.choosing import Choice
+from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.ports import Reply, SendFailure
 from stairquay.serving.relay import StreamProgress
-from stairquay.serving.state import EndpointState
 
 
 @dataclass(frozen=True)
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -51,6 +51,21 @@
         self.silent_routers = Counter(
             "stairquay_silent_routers", "Questions that a router did not answer", registry=registry
         )
+        self.unreadable = Counter(
+            "stairquay_unreadable_entries", "Entries of the list that name no endpoint", registry=registry
+        )
+        self.evacuated = Gauge(
+            "stairquay_evacuated_data_hall",
+            "1 while a data hall is evacuated",
+            ["data_hall"],
+            registry=registry,
+        )
+        self.cold = Gauge(
+            "stairquay_cold_seconds_left",
+            "Seconds for which an endpoint is cold",
+            ["endpoint"],
+            registry=registry,
+        )
         self.in_flight = Gauge("stairquay_in_flight", "Requests under way", registry=registry)
         self.view_age = Gauge(
             "stairquay_view_age_seconds", "Age of the configuration's view", registry=registry
--- a/stairquay/serving/orders.py
+++ b/stairquay/serving/orders.py
@@ -57,6 +57,7 @@
             if self.held is None and not await self._may_take():
                 continue
             await self._look_again(engines)
+            self._forget_old_lives()
             within_s = self.state.settings.versions_within_s
             orders = next_orders(
                 self._engines(), self.state.named_by_model, self.given, monotonic(), within_s
@@ -72,6 +73,13 @@
         known = [self.state.fleet.by_id.get(name) for name in dict.fromkeys(loading + old)]
         await asyncio.gather(*(self._ask(endpoint) for endpoint in known if endpoint is not None))
 
+    def _forget_old_lives(self) -> None:
+        """Drop what was given to endpoints that have started again since: they know nothing of it."""
+        for key, sent in list(self.given.items()):
+            held = self.state.endpoints_by_id.get(key[0])
+            if held is not None and sent.at < held.known_since:
+                del self.given[key]
+
     def _behind_now(self) -> list[EngineState]:
         """Return all engines if any is behind and this box may have to order it: only routers know them.
 
@@ -93,7 +101,7 @@
     async def _ask(self, endpoint: Endpoint) -> None:
         report = await self.peers.report(endpoint.address)
         if report is not None:
-            self.state.of(endpoint).on_report(report, monotonic())
+            self.state.take_report(endpoint, report, monotonic())
 
     def _engines(self) -> list[EngineState]:
         """Return the engines that take orders, a state for each model."""
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -34,8 +34,9 @@
     """What operators changed. `whole`: everything was read, not only the changes.
 
     catalog is None where the configuration did not change, or where it cannot be read (`unreadable` says
-    why). versions_by_model holds newly named weights. behind_s: seconds by which this is older than the
-    question for it, where another box passed it on.
+    why). versions_by_model holds newly named weights. evacuated: data halls whose endpoints are to get
+    nothing, all of them where everything was read; returned: those that may get work again. behind_s: seconds
+    by which this is older than the question for it, where another box passed it on.
     """
 
     revision: int
@@ -44,13 +45,16 @@
     unreadable: str = ""
     versions_by_model: dict[str, int] = field(default_factory=dict)
     behind_s: float = 0.0
+    evacuated: tuple[str, ...] = ()
+    returned: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
 class EndpointChanges:
     """Changed entries of the list of endpoints, and the ids of removed ones.
 
-    behind_s: as for OperatorChanges.
+    behind_s: as for OperatorChanges. unreadable: why, for each id whose entry names no endpoint; it is among
+    the removed ones, too.
     """
 
     revision: int
@@ -58,6 +62,7 @@
     present: tuple[Endpoint, ...] = ()
     gone: tuple[str, ...] = ()
     behind_s: float = 0.0
+    unreadable: dict[str, str] = field(default_factory=dict)
 
 
 class Feeds(Protocol):
@@ -96,7 +101,8 @@
 class EngineReport:
     """What an engine or store box says of its state, some hundred milliseconds old.
 
-    next_tokens: the prompt of the first request that waits.
+    next_tokens: the prompt of the first request that waits. born: as for Endpoint. cold_s: seconds for which
+    it is cold, None where it does not say so.
     """
 
     versions_by_model: dict[str, int] = field(default_factory=dict)
@@ -110,6 +116,8 @@
     life: int | None = None
     used_tokens: int = 0
     total_tokens: int = 0
+    born: int = 0
+    cold_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from time import monotonic
 
@@ -14,11 +14,14 @@
 
 from stairquay.core.call import Part, PromptShape
 from stairquay.core.catalog import WorkspaceRule
+from stairquay.core.fleet import Endpoint
 from stairquay.core.holdings import Key
 from stairquay.core.placement import read_s
 from stairquay.core.routers import Engine, engines_of
 from stairquay.serving.choosing import Choice, Wanted
+from stairquay.serving.cold import cold_for_s, count_sent
 from stairquay.serving.decisions import Decision
+from stairquay.serving.endpoint import FULL_PAUSE_S, EndpointState
 from stairquay.serving.links import Answers, serve
 from stairquay.serving.messages import (
     Ended,
@@ -36,7 +39,7 @@
 )
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
 from stairquay.serving.saving import choose_and_save
-from stairquay.serving.state import FULL_PAUSE_S, BoxState
+from stairquay.serving.state import BoxState
 
 REVIEW_S = 0.25
 """Seconds between two looks at whether this box is a router, and of which engines."""
@@ -59,11 +62,12 @@
 class Placed:
     """A prompt placed on an endpoint: when, how long the endpoint reads it, and how many tokens it holds.
 
-    shared: the parts that other prompts may share, with their tokens; the endpoint's address will keep them.
+    held: what is believed of the endpoint's life that got it. shared: the parts that other prompts may share,
+    with their tokens; the endpoint's address will keep them.
     """
 
     at: float
-    endpoint: str
+    held: EndpointState
     reading_s: float
     tokens: int
     address: str = ""
@@ -151,15 +155,16 @@
         placed = self.placed_by_ticket.pop(ended.ticket, None)
         if placed is not None:
             self._forget_reader(ended.ticket, placed)
-        held = None if placed is None else self.state.endpoints_by_id.get(placed.endpoint)
-        if placed is None or held is None:
+        if placed is None:
             return
-        now = monotonic()
+        held, now = placed.held, monotonic()
         held.in_flight = max(0, held.in_flight - 1)
         if ended.outcome in (Outcome.NOT_SENT, Outcome.TURNED_AWAY, Outcome.UNREACHED):
             held.take_back(placed.reading_s, placed.tokens, placed.at)
         if ended.outcome == Outcome.TURNED_AWAY:
             held.refused_until = now + FULL_PAUSE_S
+        if ended.outcome == Outcome.UNREACHED:
+            held.doubted_at = now
         if ended.outcome in (Outcome.DONE, Outcome.FAILED, Outcome.UNREACHED):
             held.on_outcome(ended.outcome != Outcome.DONE, now)
 
@@ -182,11 +187,12 @@
         reading_s = read_s(placement.read, asked.tokens)
         address = choice.endpoint.address
         shared = tuple(((choice.scope, part.id), part.tokens) for part in asked.parts[:-1])
-        placed = Placed(now, choice.endpoint.id, reading_s, asked.tokens, address, shared)
+        held = self.state.of(choice.endpoint)
+        placed = Placed(now, held, reading_s, asked.tokens, address, shared)
         self.placed_by_ticket[asked.ticket] = placed
         for key, _ in shared:
             self.reader_by_key.setdefault(key, asked.ticket)
-        held = self.state.of(choice.endpoint)
+        count_sent(self.state, choice.endpoint, now, self.random)
         held.in_flight += 1
         held.on_placed(placed.reading_s, now)
         # Kept parts count, too: while the prompt runs they cannot give way to others.
@@ -203,16 +209,23 @@
         self._expire(monotonic())
 
     def _engines(self) -> frozenset[str]:
-        """Return the engines that this router routes for: those of suspected routers are shared out."""
-        catalog = self.state.catalog
+        """Return the engines that this router routes for: those of suspected routers are shared out.
+
+        Those of evacuated data halls get nothing. The routers that had them go on watching them, so that what
+        they keep is known when their hall returns.
+        """
+        catalog, state = self.state.catalog, self.state
         if catalog is None:
             return frozenset()
         engines = [
             Engine(item.id, item.data_hall)
-            for item in self.state.fleet.by_id.values()
+            for item in state.fleet.by_id.values()
             if catalog.engine_of(item.service) is not None and not item.leaving
         ]
-        return engines_of(self.state.settings.id, engines, self.state.placing_routers())
+        staying = [item for item in engines if item.data_hall not in state.evacuated]
+        away = [item for item in engines if item.data_hall in state.evacuated]
+        own = state.settings.id
+        return engines_of(own, staying, state.placing_routers()) | engines_of(own, away, state.live_routers())
 
     def _expire(self, now: float) -> None:
         """Stop counting prompts that nobody said a word about for long."""
@@ -283,7 +296,8 @@
         state = self.state
         revision = state.operators_revision
         if state.operators_changed > asked.after:
-            changes = OperatorChanges(revision, True, state.catalog, "", dict(state.named_by_model))
+            named, evacuated = dict(state.named_by_model), tuple(sorted(state.evacuated))
+            changes = OperatorChanges(revision, True, state.catalog, "", named, evacuated=evacuated)
         else:
             changes = OperatorChanges(revision, False)
         return OperatorsReply(changes, state.view_age(), monotonic() - began_at)
@@ -291,11 +305,22 @@
     def _endpoints_reply(self, asked: EndpointsRequest) -> EndpointsReply:
         state = self.state
         if state.list_changed > asked.after:
-            changes = EndpointChanges(state.list_revision, True, tuple(state.fleet.live()))
+            changes = EndpointChanges(state.list_revision, True, self._listed())
         else:
             changes = EndpointChanges(state.list_revision, False)
         return EndpointsReply(changes, state.list_age())
 
+    def _listed(self) -> tuple[Endpoint, ...]:
+        """Return the list of endpoints, with the time for which cold ones are cold from now on."""
+        now = monotonic()
+
+        def as_of_now(endpoint: Endpoint) -> Endpoint:
+            if not endpoint.cold:
+                return endpoint
+            return replace(endpoint, cold_s=cold_for_s(self.state, endpoint, now))
+
+        return tuple(as_of_now(item) for item in self.state.fleet.live())
+
     async def _hold(self, lasts_s: Callable[[], float], limit_s: float) -> None:
         """Hold a question as long as the answer lasts that it would get now, at most so long."""
         end = monotonic() + limit_s
--- a/stairquay/serving/settings.py
+++ b/stairquay/serving/settings.py
@@ -35,7 +35,8 @@
     """One box. Addresses are `IP:port`; times are seconds.
 
     front: for callers. readiness: for the balancer. metrics_port: for scraping, 0 for none.
-    apply_s: within this time of being written, a configuration is in force. drain_s: within this time a
+    apply_s: within this time of being written, a configuration is in force. evacuate_s: within this time an
+    evacuated data hall's endpoints get no new work. drain_s: within this time a
     leaving endpoint gets no new work. versions_within_s: within this time of being named, a version of
     weights is to be everywhere. stop_s: time from the stop signal until the process is killed.
     peer_address: for other boxes of ours, empty where they cannot reach this one. cores, link_mbps: what the
@@ -54,6 +55,7 @@
     stop_s: float = 8.0
     drain_s: float = 2.0
     apply_s: float = 2.0
+    evacuate_s: float = 5.0
     versions_within_s: float = 12.0
     memory_mb: int = 0
     max_descriptors: int = 1024
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -135,7 +135,8 @@
 
     def _shorter_s(self) -> float:
         """Return the shorter one of the times in which changes must be known."""
-        return min(self.state.settings.apply_s, self.state.settings.drain_s)
+        settings = self.state.settings
+        return min(settings.apply_s, settings.drain_s, settings.evacuate_s)
 
     async def _ask(self, ask: Callable[[Link], Awaitable[Reply | None]], question: str) -> Reply | None:
         """Ask the nearest router that follows the table service; None where this box does or none answers."""
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -1,7 +1,5 @@
 """What one box believes: configuration, endpoints, their load, and who keeps which context."""
 
-from collections import deque
-from contextlib import suppress
 from dataclasses import dataclass, field
 from time import monotonic
 
@@ -12,33 +10,12 @@
 from stairquay.core.routers import Member, capacity, followers, placing
 from stairquay.core.versions import VersionHistory
 from stairquay.serving.decisions import Decision, DecisionLog
+from stairquay.serving.endpoint import NEVER, EndpointState
 from stairquay.serving.metrics import BoxMetrics
 from stairquay.serving.ports import EngineReport
 from stairquay.serving.settings import BoxSettings
 from stairquay.serving.waking import Changes
 
-FAILURE_WEIGHT = 0.2
-"""Weight of the newest outcome in an endpoint's share of failures: about the last five count."""
-
-FAILURE_HALF_LIFE_S = 2.0
-"""Seconds in which a share of failures halves without new outcomes, so that the endpoint is tried again."""
-
-FULL_PAUSE_S = 0.25
-"""Seconds for which an endpoint that turned a request away is chosen last; an engine that loads weights
-does so for about two seconds, and its report tells after 0.2 to 0.5 s."""
-
-REPORT_S = 0.45
-"""Seconds between two questions for an engine's state, which is itself 0.2 s old."""
-
-SILENT_AFTER = 2.5
-"""Reports missed in a row after which an engine is chosen last."""
-
-SENT_COUNTS_S = 1.1
-"""Seconds for which a prompt that was sent counts towards an engine's memory where no report comes."""
-
-REPORT_LAG_S = 0.2
-"""Seconds by which an engine's report lags behind its state, as endpoints promise."""
-
 TOO_OLD_SHARE = 0.95
 """Share of the time in which a version is to be everywhere after which no request may begin on older ones:
 the rest is for the request's way. Its predicted time to the first token counts besides."""
@@ -58,72 +35,6 @@
 OLD_LIST_SHARE = 0.5
 """The same for the list of endpoints, of the time in which new work for a leaving endpoint must stop."""
 
-NEVER = float("-inf")
-
-
-@dataclass
-class EndpointState:
-    """Load and health of one endpoint as this box sees it; times are monotonic seconds.
-
-    read_until: when the engine has read all that this box, as its router, placed there.
-    """
-
-    in_flight: int = 0
-    unread_tokens_by_request: dict[str, int] = field(default_factory=dict)
-    sent_prompts: deque[tuple[float, int]] = field(default_factory=deque)
-    report: EngineReport | None = None
-    reported_at: float = NEVER
-    version: int = 0
-    refused_until: float = NEVER
-    failing: float = 0.0
-    failing_at: float = NEVER
-    work_s: float = 0.05
-    read_until: float = NEVER
-
-    def on_report(self, report: EngineReport, now: float) -> None:
-        """Take in what the engine said about itself."""
-        self.report = report
-        self.reported_at = now
-
-    def on_placed(self, reading_s: float, now: float) -> None:
-        """As its router, count the time that an engine takes to read a prompt after those before it."""
-        self.read_until = max(self.read_until, now) + reading_s
-
-    def take_back(self, reading_s: float, tokens: int, sent_at: float) -> None:
-        """Stop counting a prompt that the engine never read."""
-        self.read_until -= reading_s
-        with suppress(ValueError):
-            # A report may have come since, which does not count the prompt any more.
-            self.sent_prompts.remove((sent_at, tokens))
-
-    def on_sent(self, tokens: int, now: float) -> None:
-        """Count a prompt that was sent, until a report shows its memory."""
-        self.sent_prompts.append((now, tokens))
-
-    def used_tokens(self, now: float) -> float:
-        """Return the memory that runs hold: as last reported, and what this box sent since."""
-        while self.sent_prompts and self.sent_prompts[0][0] < self.reported_at - REPORT_LAG_S:
-            self.sent_prompts.popleft()
-        while self.sent_prompts and self.sent_prompts[0][0] < now - SENT_COUNTS_S:
-            self.sent_prompts.popleft()
-        reported = 0 if self.report is None else self.report.used_tokens
-        return float(reported + sum(tokens for _, tokens in self.sent_prompts))
-
-    def on_outcome(self, failed: bool, now: float) -> None:
-        """Count an attempt that ended well or badly."""
-        self.failing = self.failing_share(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * failed
-        self.failing_at = now
-
-    def failing_share(self, now: float) -> float:
-        """Return the share of recent attempts that failed, fading with time."""
-        if self.failing == 0.0:
-            return 0.0
-        return float(self.failing * 0.5 ** ((now - self.failing_at) / FAILURE_HALF_LIFE_S))
-
-    def silent(self, now: float) -> bool:
-        """Tell whether reports that used to come have stopped."""
-        return self.report is not None and now - self.reported_at > SILENT_AFTER * REPORT_S
-
 
 @dataclass
 class BoxState:
@@ -141,8 +52,11 @@
     answer about it; list_passed_on: a router passed its newest answer on.
     routers: boxes that route prompts for all, none before the boxes were read. routed_engines: the engines
     that this box routes for. suspected_until_by_id: boxes that lately did not answer.
-    changed: wakes who waits for a change of the configuration, the named versions, the list, the routers or
-    their silence, or for the stop.
+    evacuated: data halls whose endpoints are to get nothing; evacuated_revision: the table service's revision
+    up to which that is known; returned_at_by_hall: when such a hall might get work again.
+    unreadable: ids whose entries in the list name no endpoint.
+    changed: wakes who waits for a change of the configuration, the named versions, the evacuated halls, the
+    list, the routers or their silence, or for the stop.
     """
 
     settings: BoxSettings
@@ -172,6 +86,10 @@
     routers: tuple[Member, ...] = ()
     routed_engines: frozenset[str] = frozenset()
     suspected_until_by_id: dict[str, float] = field(default_factory=dict)
+    evacuated: frozenset[str] = frozenset()
+    evacuated_revision: int = 0
+    returned_at_by_hall: dict[str, float] = field(default_factory=dict)
+    unreadable: set[str] = field(default_factory=set)
     clock_offset_ms: float | None = None
     in_flight: int = 0
     body_bytes: int = 0
@@ -220,12 +138,18 @@
         return followers(self.live_routers())
 
     def placing_routers(self) -> list[Member]:
-        """Return the routers that place prompts now: not suspected, and as far as there are engines."""
+        """Return the routers that place prompts now: not suspected, as far as there are engines, and none in
+        an evacuated data hall where there are others: its engines get nothing."""
         catalog = self.catalog
         if catalog is None:
             return []
-        engines = sum(catalog.engine_of(item.service) is not None for item in self.fleet.live())
-        return placing(self.live_routers(), engines)
+        engines = sum(
+            catalog.engine_of(item.service) is not None and item.data_hall not in self.evacuated
+            for item in self.fleet.live()
+        )
+        live = self.live_routers()
+        staying = [router for router in live if router.data_hall not in self.evacuated]
+        return placing(staying or live, engines)
 
     def list_age(self) -> float:
         """Return the age of the list of endpoints in seconds."""
@@ -245,7 +169,7 @@
 
     def view_lasts_s(self, age_s: float) -> float:
         """Return the seconds until a view of operators' rows of that age is too old to pass on."""
-        return self.settings.apply_s * OLD_VIEW_SHARE - age_s
+        return min(self.settings.apply_s, self.settings.evacuate_s) * OLD_VIEW_SHARE - age_s
 
     def view_age(self) -> float:
         """Return the age of the configuration's view in seconds."""
@@ -265,11 +189,46 @@
         return self.stopping or self.view_age() >= self.settings.freshness.ready_s
 
     def of(self, endpoint: Endpoint) -> EndpointState:
-        """Return the state of an endpoint."""
-        state = self.endpoints_by_id.get(endpoint.id)
-        if state is None:
-            state = self.endpoints_by_id[endpoint.id] = EndpointState()
-        return state
+        """Return the state of an endpoint, a new one where its entry tells of a newer life."""
+        held = self.endpoints_by_id.get(endpoint.id)
+        if held is None:
+            held = self.endpoints_by_id[endpoint.id] = EndpointState(born=endpoint.born)
+        elif endpoint.born > held.born:
+            return self._new_life(endpoint, held, endpoint.born, "entry")
+        return held
+
+    def take_report(self, endpoint: Endpoint, report: EngineReport, now: float) -> None:
+        """Take in what an endpoint said of itself. News of a newer life may come so before its entry does: it
+        has just started then, and counts as cold."""
+        held = self.of(endpoint)
+        if 0 < report.born < held.born:
+            return
+        if report.born > held.born:
+            known = held
+            held = self._new_life(endpoint, held, report.born, "report")
+            if held is not known:
+                held.cold_until = now + self.cold_start_s(endpoint.service)
+        held.on_report(report, now)
+
+    def cold_start_s(self, service: str) -> float:
+        """Return for how many seconds the endpoints of a service are cold after a start."""
+        shape = None if self.catalog is None else self.catalog.services_by_id.get(service)
+        return 0.0 if shape is None or shape.cold is None else shape.cold.start_s
+
+    def _new_life(self, endpoint: Endpoint, held: EndpointState, born: int, source: str) -> EndpointState:
+        """Drop all that was believed of an endpoint's last life; return the state of the new one.
+
+        The first birth that is heard of is that of the life which is known already. What is under way at the
+        old life goes on counting there.
+        """
+        if not held.born:
+            held.born = born
+            return held
+        self.holdings.forget(endpoint.address)
+        self.log.line(Decision.BORN_ANEW, endpoint=endpoint.id, born=born, before=held.born, source=source)
+        anew = EndpointState(born=born, known_since=monotonic())
+        self.endpoints_by_id[endpoint.id] = anew
+        return anew
 
     def version_of(self, endpoint: Endpoint, model: str) -> int:
         """Return the version of the weights an endpoint runs: no endpoint ever goes back."""
--- a/stairquay/serving/watching.py
+++ b/stairquay/serving/watching.py
@@ -10,8 +10,9 @@
 
 from stairquay.core.catalog import Catalog
 from stairquay.serving.decisions import Decision
+from stairquay.serving.endpoint import REPORT_S
 from stairquay.serving.ports import Peers
-from stairquay.serving.state import REPORT_S, BoxState
+from stairquay.serving.state import BoxState
 
 FOREIGN_REPORT_S = 2.0
 """Seconds between a router's questions for the state of other routers' engines: orders need their count of
@@ -39,7 +40,7 @@
 """Share of a holder's places for followers that our boxes use together."""
 
 Name = tuple[str, str]
-"""What is watched (`report`, `engine` or `store`), and the endpoint's id or the holder's address."""
+"""What is watched (`report`, `engine` or `store`): the endpoint's id and address, or the holder's address."""
 
 Work = Callable[[], Coroutine[Any, Any, None]]
 
@@ -88,7 +89,8 @@
             engine = catalog.engine_of(endpoint.service)
             if engine is None:
                 continue
-            wanted["report", endpoint.id] = partial(self._watch_report, endpoint.id, endpoint.address)
+            name = f"{endpoint.id} {endpoint.address}"
+            wanted["report", name] = partial(self._watch_report, endpoint.id, endpoint.address)
             if endpoint.id not in self.state.routed_engines:
                 continue
             if self._follows(endpoint.address, engine.max_followers):
@@ -111,13 +113,12 @@
         while True:
             report = await self.peers.report(address)
             self._count("report", report is not None)
-            known = self.state.endpoints_by_id.get(endpoint_id)
             endpoint = self.state.fleet.by_id.get(endpoint_id)
-            if endpoint is not None and known is None:
-                known = self.state.of(endpoint)
-            if report is not None and known is not None:
-                known.on_report(report, monotonic())
+            if report is not None and endpoint is not None:
+                self.state.take_report(endpoint, report, monotonic())
                 self._take_clock(report.clock_ms)
+            elif endpoint is not None:
+                self.state.of(endpoint).doubted_at = monotonic()
             await asyncio.sleep(self._report_pause_s(endpoint_id))
 
     def _report_pause_s(self, endpoint_id: str) -> float:
--- a/stairquay/serving/weighing.py
+++ b/stairquay/serving/weighing.py
@@ -8,8 +8,9 @@
 from stairquay.core.catalog import Catalog, EngineShape, StoreShape
 from stairquay.core.fleet import Endpoint
 from stairquay.core.placement import PREFILL_TOKENS_S, EngineView, Source
+from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.ports import EngineReport
-from stairquay.serving.state import BoxState, EndpointState
+from stairquay.serving.state import BoxState
 
 STORE_VIEW_S = 1.2
 """Seconds without an answer after which a store box's view is not used any more: it may have started
@@ -88,7 +89,8 @@
     """Return by address what context can be fetched from now, each as a source of no tokens yet."""
     by_address: dict[str, Source] = {}
     for endpoint in state.fleet.live():
-        if not state.of(endpoint).silent(now):
+        # An evacuated hall may be about to lose its power: a source that is gone costs some hundred ms.
+        if endpoint.data_hall not in state.evacuated and not state.of(endpoint).silent(now):
             by_address[endpoint.address] = Source(endpoint.address, 0, engine.link_bytes_s)
     for store in fresh_stores(state, catalog):
         by_address[store.address] = Source(store.address, 0, store.link_bytes_s, store.first_s, lasting=True)
--- /dev/null
+++ b/tests/loads/test_hall_returns_cold.py
@@ -0,0 +1,104 @@
+"""Pattern: a data hall that was evacuated at the peak returns, and all its endpoints are cold and empty.
+
+Every router and every box sees ten idle engines beside twenty that are full, so that all would send there at
+once. Figures: 71 boxes in three halls before 30 engines (13 prompts a second each on average); a cold engine
+bears 18 requests a second and falls over from 32 a second on, summed over all boxes (`cold_per_s`,
+`cold_overage`, `cold_slack` of that deployment). Here all have more to send than the engines take.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+import pytest
+
+from stairquay.core.cold import ALONE_SHARE, ROUTER_BURST, ROUTER_SHARE, Pace, pace_alone
+
+BEARS_PER_S = 18.0
+FALLS_OVER = 32
+"""Requests within one second from which a cold engine falls over."""
+
+BOXES = 71
+COLD_S = 6.0
+STEP_S = 0.005
+
+Sender = Callable[[float], bool]
+"""Tells whether one more request goes to the engine now."""
+
+
+def router(start: float = 0.0) -> Sender:
+    """A router that has always more prompts than the engine may get."""
+    pace = Pace(start)
+    per_s = BEARS_PER_S * ROUTER_SHARE
+
+    def sends(now: float) -> bool:
+        if now < start or pace.wait_s(now, per_s, ROUTER_BURST) > 0:
+            return False
+        pace.take(now, per_s)
+        return True
+
+    return sends
+
+
+def box_alone(boxes: int, chance: Random, share: float = ALONE_SHARE) -> Sender:
+    """A box that finds no router to ask, and always has a prompt for the engine."""
+    held: list[Pace | None] = [None]
+    per_s = BEARS_PER_S * share / boxes
+
+    def sends(now: float) -> bool:
+        pace = held[0] = pace_alone(held[0], now, per_s, chance)
+        if pace.wait_s(now, per_s) > 0:
+            return False
+        pace.take(now, per_s)
+        return True
+
+    return sends
+
+
+def box_with_full_share(boxes: int) -> Sender:
+    """The way that lost: each box may spend its share of a second at once, and at least one request."""
+    pace = Pace(0.0)
+    per_s = BEARS_PER_S / boxes
+
+    def sends(now: float) -> bool:
+        if pace.wait_s(now, per_s) > 0:
+            return False
+        pace.take(now, per_s)
+        return True
+
+    return sends
+
+
+def busiest_second(senders: list[Sender]) -> int:
+    """Return the most requests that the engine gets within one second."""
+    sent_at: list[float] = []
+    for step in range(int(COLD_S / STEP_S)):
+        now = step * STEP_S
+        sent_at += [now for sends in senders if sends(now)]
+    return max((sum(at <= other < at + 1.0 for other in sent_at) for at in sent_at), default=0)
+
+
+def test_one_router_uses_most_of_what_a_cold_engine_bears_and_never_more():
+    assert 0.6 * BEARS_PER_S <= busiest_second([router()]) <= BEARS_PER_S
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_router_beside_boxes_that_find_none_stays_below_what_fells_an_engine(seed):
+    chance = Random(seed)
+    senders = [router(), *(box_alone(BOXES, chance) for _ in range(BOXES))]
+    assert busiest_second(senders) < FALLS_OVER
+
+
+@pytest.mark.parametrize("taken_over_at", (0.0, 0.3, 1.0))
+def test_two_routers_that_both_believe_an_engine_is_theirs_do_not_fell_it(taken_over_at):
+    assert busiest_second([router(), router(taken_over_at)]) <= FALLS_OVER
+
+
+@pytest.mark.parametrize("boxes", (6, 71, 195, 330))
+def test_boxes_without_any_router_do_not_send_in_the_same_second(boxes):
+    chance = Random(boxes)
+    assert busiest_second([box_alone(boxes, chance) for _ in range(boxes)]) < FALLS_OVER / 2
+    assert busiest_second([box_alone(boxes, chance, ROUTER_SHARE) for _ in range(boxes)]) < FALLS_OVER
+
+
+def test_shares_that_may_be_spent_at_once_would_fell_it():
+    assert busiest_second([box_with_full_share(BOXES) for _ in range(BOXES)]) > FALLS_OVER
--- a/tests/site.py
+++ b/tests/site.py
@@ -262,11 +262,14 @@
     stores: int = 0,
     ready: bool = True,
     limits: dict[str, int] | None = None,
+    halls: tuple[str, ...] = ("hall-a",),
     **bounds: float,
 ) -> AsyncIterator[Site]:
-    """Start stand-ins and a box, and end them."""
+    """Start stand-ins and a box, and end them. The endpoints of a service stand in the halls in turn."""
     endpoints = [Endpoint(id=f"p-{number}", service="plain") for number in range(plain)]
     endpoints += [Endpoint(id=f"e-{number}", service="llm", model=MODEL) for number in range(engines)]
+    for endpoint in endpoints:
+        endpoint.hall = halls[int(endpoint.id.partition("-")[2]) % len(halls)]
     with tempfile.TemporaryDirectory() as folder:
         boxes = [StoreBox() for _ in range(stores)]
         made = Site(TableService(), endpoints, boxes, Path(folder), bounds=bounds, limits=limits or {})
--- a/tests/standins/dialect.py
+++ b/tests/standins/dialect.py
@@ -126,6 +126,9 @@
     queued: int = 0
     busy: bool = False
     sequence: int = 0
+    hall: str = "hall-a"
+    born: int = 0
+    cold_ms: int = 0
     asked_report: int = 0
     taken: list[Taken] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
@@ -144,13 +147,18 @@
         return {
             "service": self.service,
             "address": self.address,
-            "zone": "hall-a",
+            "zone": self.hall,
             "slots": 4,
             "state": state,
             "models": models,
             "sequence": 1,
+            "cold_remaining_ms": self.cold_ms,
+            **self._birth(),
         }
 
+    def _birth(self) -> dict[str, int]:
+        return {"born": self.born} if self.born else {}
+
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         kept = await self.kept(request)
         if kept is not None:
@@ -166,7 +174,7 @@
         models = [{"name": self.model, "version": self.version, "adapters": []}]
         report = {"stage": "both", "models": models, "busy": self.busy, "sequence": self.sequence}
         report |= {"queued": self.queued, "next_page_token": 9_000, "running": 0, "kv_used": 0}
-        report |= {"kv_total": 100_000, "clock_ms": self.clock_ms}
+        report |= {"kv_total": 100_000, "clock_ms": self.clock_ms, **self._birth()}
         return web.json_response(report)
 
     async def _order(self, request: web.Request) -> web.Response:
--- a/tests/standins/table.py
+++ b/tests/standins/table.py
@@ -62,6 +62,10 @@
         """Write a row as the operator or an endpoint does."""
         self._write([(table, key, json.dumps(value))])
 
+    def put_bytes(self, table: str, key: str, value: bytes) -> None:
+        """Write a row as another writer may: its bytes need be no text."""
+        self._write([(table, key, value.decode("utf-8", "surrogateescape"))])
+
     def remove(self, table: str, key: str) -> None:
         self._write([(table, key, None)])
 
@@ -149,5 +153,5 @@
         row = self.rows_by_key.get((table, key))
         if row is None:
             return {"table": table, "part": "", "key": key, "gone": True, "ver": self.counter}
-        value = b64encode(row[0].encode()).decode()
+        value = b64encode(row[0].encode("utf-8", "surrogateescape")).decode()
         return {"table": table, "part": "", "key": key, "value": value, "ver": row[1]}
--- a/tests/test_boxes.py
+++ b/tests/test_boxes.py
@@ -11,7 +11,7 @@
 from stairquay.serving.boxes import PREFIX
 from stairquay.status import ExitStatus
 from tests.ports import free_port
-from tests.site import Site, eventually, site
+from tests.site import Site, configuration, eventually, site
 
 
 def run(*args: str) -> tuple[ExitStatus, str, str]:
@@ -46,6 +46,26 @@
     asyncio.run(scenario())
 
 
+def test_boxes_shows_evacuated_halls_and_cold_endpoints():
+    async def scenario():
+        async with site(plain=1, engines=1) as here:
+            await until_written(here)
+            services = configuration(2, [])["services"]
+            for service in services:
+                service["cold_per_s"] = 18.0
+            here.put_configuration(2, services=services)
+            here.table.put("op", "evacuate/hall-a", {})
+            engine = here.engines()[0]
+            engine.cold_ms = 30_000
+            here.table.put("servers", engine.id, engine.entry())
+            await eventually(lambda: here.logged("evacuation") and here.logged("endpoints", standing="cold"))
+            out = (await shown(here))[1]
+            assert "evacuated:  hall-a, known at 1 of 1" in out
+            assert "cold:       e-0 2" in out
+
+    asyncio.run(scenario())
+
+
 def test_boxes_names_those_that_are_silent_and_rows_that_cannot_be_read():
     async def scenario():
         async with site() as here:
--- /dev/null
+++ b/tests/test_entries.py
@@ -0,0 +1,73 @@
+"""Whatever stands in the table service or in a report, decoding it ends in our own types."""
+
+import json
+from base64 import b64encode
+from typing import Any
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from stairquay.platform.feeds import endpoint_changes, operator_changes
+from stairquay.platform.peers import WireEvents, WireKept, WireReport
+from stairquay.platform.rows import WireRow, WireRows, own_row
+
+GOOD = {
+    "service": "plain",
+    "address": "127.0.0.1:9",
+    "zone": "hall-a",
+    "state": "ready",
+    "slots": 4,
+    "born": 7,
+}
+
+TEXTS = st.text("az09:.-\u00e9\ud83d\ude00", max_size=8)
+VALUES: Any = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False, allow_infinity=False) | TEXTS,
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(TEXTS, inner, max_size=3),
+    max_leaves=5,
+)
+FIELDS = sorted({*GOOD, "models", "cold_remaining_ms", "sequence"})
+ENTRIES = st.dictionaries(st.sampled_from(FIELDS), VALUES).map(
+    lambda odd: json.dumps({**GOOD, **odd}).encode()
+)
+CONTENTS = st.binary(max_size=60) | ENTRIES | VALUES.map(lambda value: json.dumps(value).encode())
+
+
+def rows_of(table: str, contents: dict[str, bytes]) -> WireRows:
+    rows = [WireRow(table, "", key, b64encode(content).decode(), 3) for key, content in contents.items()]
+    return WireRows(rows, False, 3)
+
+
+@given(st.dictionaries(st.sampled_from(["x-1", "x-2", "x-3"]), CONTENTS))
+def test_an_entry_of_the_list_names_an_endpoint_or_says_why_not_and_the_others_hold(contents):
+    good = {"good": json.dumps(GOOD).encode()}
+    changes = endpoint_changes(rows_of("servers", {**contents, **good}), whole=False)
+    present = {item.id: item for item in changes.present}
+    assert present["good"].address == GOOD["address"] and present["good"].born == 7
+    assert present.keys() | changes.unreadable.keys() == {*contents, "good"}
+    assert set(changes.gone) == changes.unreadable.keys()
+    for endpoint in changes.present:
+        assert isinstance(endpoint.born, int) and isinstance(endpoint.service, str)
+        assert 0 <= endpoint.cold_s <= 60 and endpoint.cold == (endpoint.cold_s > 0)
+
+
+@given(st.dictionaries(st.sampled_from(["config", "version/m", "other", "evacuate/a"]), CONTENTS))
+def test_operators_rows_that_cannot_be_read_change_nothing_but_an_evacuation_holds(contents):
+    changes = operator_changes(rows_of("op", contents), whole=True)
+    assert changes.evacuated == (("a",) if "evacuate/a" in contents else ())
+    assert all(isinstance(version, int) for version in changes.versions_by_model.values())
+
+
+@given(CONTENTS)
+def test_a_row_of_our_own_is_text_whatever_stands_there(content):
+    assert isinstance(own_row(rows_of("stairquay", {"box/b": content}).rows[0]).value, str)
+
+
+@given(CONTENTS)
+def test_reports_and_lists_of_kept_context_are_typed_or_refused(content):
+    for kind in (WireReport, WireEvents, WireKept):
+        try:
+            assert isinstance(msgspec.json.decode(content, type=kind), kind)
+        except msgspec.MsgspecError:
+            continue
--- /dev/null
+++ b/tests/test_lives.py
@@ -0,0 +1,216 @@
+"""What a box believes of an endpoint is of one life of it, and what it believes of a hall is of one view."""
+
+from dataclasses import replace
+from random import Random
+from time import monotonic
+
+from stairquay.core.catalog import Catalog, EngineShape, ServiceShape
+from stairquay.core.cold import ColdLimit
+from stairquay.core.fleet import Endpoint, Fleet
+from stairquay.core.rollout import Given
+from stairquay.core.routers import Member
+from stairquay.serving.choosing import cold_wait_s
+from stairquay.serving.cold import RETURN_CAUTION_S, cold_for_s, wait_s
+from stairquay.serving.following import apply_endpoints, apply_operators
+from stairquay.serving.messages import (
+    Ended,
+    EndpointsRequest,
+    OperatorsRequest,
+    Outcome,
+    PartShape,
+    PlaceRequest,
+)
+from stairquay.serving.orders import OrderGiver
+from stairquay.serving.ports import EndpointChanges, EngineReport, OperatorChanges
+from stairquay.serving.routing import RouterPart
+from stairquay.serving.state import BoxState
+from tests.states import box_state
+
+START_S = 3.0
+LIMIT = ColdLimit(per_s=18.0, start_s=START_S)
+SERVICE = ServiceShape("llm", 100, EngineShape(8, 100_000, 100, 1e9, ("m",)), LIMIT)
+CATALOG = Catalog(1, services_by_id={"llm": SERVICE})
+ENGINE = Endpoint("e", "llm", "10.0.1.1:1", "hall-a", 8, versions_by_model={"m": 1}, born=1_000, sequence=5)
+CHANCE = Random(1)
+
+
+def state_with(*endpoints: Endpoint) -> BoxState:
+    state = box_state()
+    state.catalog = CATALOG
+    listed(state, *endpoints)
+    return state
+
+
+def listed(state: BoxState, *endpoints: Endpoint, revision: int = 1) -> None:
+    apply_endpoints(state, EndpointChanges(revision, True, endpoints), monotonic())
+
+
+def operators(state: BoxState, revision: int, whole: bool = False, **changes: tuple[str, ...]) -> None:
+    apply_operators(state, OperatorChanges(revision, whole, **changes), monotonic())
+
+
+def place(part: RouterPart, ticket: str) -> str:
+    request = PlaceRequest(ticket, "b-2", "llm", "m", (PartShape("aa", 500),), 500, 20, "", ())
+    return part.place(request).endpoint
+
+
+def test_all_that_was_believed_of_an_endpoint_goes_with_its_life():
+    state = state_with(ENGINE)
+    held = state.of(ENGINE)
+    held.in_flight, held.version, held.failing = 7, 4, 0.9
+    held.on_report(EngineReport({"m": 4}, running=5, used_tokens=9_000, total_tokens=10_000), monotonic())
+    state.holdings.expect(ENGINE.address, "/m/4", "aa", 500)
+    listed(state, replace(ENGINE, born=2_000, sequence=1))
+    anew = state.of(ENGINE)
+    assert (
+        anew is not held
+        and anew.report is None
+        and (anew.in_flight, anew.version, anew.failing) == (0, 0, 0.0)
+    )
+    assert not state.holdings.holders("/m/4", "aa")
+    assert state.version_of(state.fleet.by_id["e"], "m") == 1
+
+
+def test_a_report_may_tell_of_a_new_life_before_its_entry_does_and_it_is_cold():
+    state = state_with(ENGINE)
+    held = state.of(ENGINE)
+    now = monotonic()
+    state.take_report(ENGINE, EngineReport(born=2_000), now)
+    assert state.of(ENGINE) is not held
+    assert START_S - 0.1 < cold_for_s(state, ENGINE, now) <= START_S
+    state.take_report(ENGINE, EngineReport({"m": 9}, born=1_000), now)
+    assert state.version_of(ENGINE, "m") == 1, "a report of the last life"
+    listed(state, replace(ENGINE, sequence=6))
+    assert cold_for_s(state, ENGINE, monotonic()) > 0, "an entry of the last life"
+    listed(state, replace(ENGINE, born=2_000, sequence=3))
+    assert cold_for_s(state, ENGINE, monotonic()) == 0
+
+
+def test_an_entry_of_the_last_life_that_comes_late_changes_nothing():
+    fleet = Fleet()
+    newer = replace(ENGINE, born=2_000, sequence=1)
+    fleet.apply([newer], [], 0.0)
+    fleet.apply([replace(ENGINE, sequence=99, address="10.0.9.9:1", leaving=True)], [], 1.0)
+    assert fleet.by_id["e"] == newer
+    fleet.apply([replace(newer, sequence=3, leaving=True)], [], 2.0)
+    fleet.apply([replace(newer, sequence=2)], [], 3.0)
+    assert fleet.by_id["e"].leaving
+    fleet.apply([replace(newer, born=3_000, sequence=0)], [], 4.0)
+    assert not fleet.by_id["e"].leaving
+
+
+def test_entries_without_a_birth_are_taken_as_they_come():
+    fleet = Fleet()
+    plain = Endpoint("p", "s", "10.0.1.1:1")
+    fleet.apply([replace(plain, sequence=9)], [], 0.0)
+    fleet.apply([replace(plain, sequence=1, address="10.0.1.2:1")], [], 1.0)
+    assert fleet.by_id["p"].address == "10.0.1.2:1"
+
+
+def test_what_ends_of_an_old_life_is_not_counted_off_the_new_one():
+    state = state_with(ENGINE)
+    state.routers, state.routed_engines = (state.member,), frozenset({"e"})
+    part = RouterPart(state, CHANCE)
+    assert place(part, "old") == "e"
+    listed(state, replace(ENGINE, born=2_000, sequence=1))
+    assert place(part, "new") == "e"
+    part.finished(Ended("old", Outcome.FAILED))
+    anew = state.of(ENGINE)
+    assert anew.in_flight == 1 and anew.failing == 0.0
+
+
+def test_an_order_that_the_last_life_took_does_not_hold_up_the_next_one():
+    state = state_with(ENGINE)
+    giver = OrderGiver(state, None, None)
+    giver.given = {("e", 2): Given(monotonic() - 0.1), ("f", 2): Given(monotonic())}
+    giver._forget_old_lives()
+    assert len(giver.given) == 2
+    listed(state, replace(ENGINE, born=2_000, sequence=1))
+    giver._forget_old_lives()
+    assert list(giver.given) == [("f", 2)]
+
+
+def test_an_endpoint_that_was_not_reached_counts_as_cold_until_it_says_that_it_is_the_same():
+    state = state_with(ENGINE)
+    assert cold_for_s(state, ENGINE, monotonic()) == 0
+    state.of(ENGINE).doubted_at = monotonic()
+    assert cold_for_s(state, ENGINE, monotonic()) > START_S - 0.1
+    state.take_report(ENGINE, EngineReport(born=ENGINE.born), monotonic())
+    assert cold_for_s(state, ENGINE, monotonic()) == 0
+
+
+def test_a_router_places_on_a_cold_engine_what_it_bears_and_then_nothing():
+    state = state_with(replace(ENGINE, cold=True, cold_s=START_S))
+    state.routers, state.routed_engines = (state.member,), frozenset({"e"})
+    part = RouterPart(state, CHANCE)
+    placed = [place(part, f"t{number}") for number in range(40)]
+    assert 0 < placed.count("e") <= LIMIT.per_s
+    assert placed[-1] == ""
+    wait = cold_wait_s(state, SERVICE, CHANCE)
+    assert wait is not None and 0 < wait < 1 / LIMIT.per_s * 2
+    listed(state, replace(ENGINE, sequence=6))
+    assert place(part, "warm") == "e" and cold_wait_s(state, SERVICE, CHANCE) is None
+
+
+def test_a_box_that_decides_alone_waits_for_its_own_moment():
+    state = state_with(replace(ENGINE, cold=True, cold_s=START_S))
+    state.boxes = tuple(f"b-{number}" for number in range(71))
+    assert wait_s(state, ENGINE, monotonic(), Random(2)) > 0
+
+
+def test_an_older_view_does_not_take_back_an_evacuation():
+    state = state_with(ENGINE)
+    operators(state, 10, evacuated=("hall-a",))
+    operators(state, 8, whole=True)
+    assert state.evacuated == {"hall-a"}
+    operators(state, 12)
+    assert state.evacuated == {"hall-a"}
+    operators(state, 13, returned=("hall-a",))
+    assert not state.evacuated
+    operators(state, 14, whole=True, evacuated=("hall-b",))
+    assert state.evacuated == {"hall-b"}
+    operators(state, 15, whole=True)
+    assert not state.evacuated
+
+
+def test_a_hall_that_returns_counts_as_cold_and_one_that_is_evacuated_again_gets_nothing():
+    state = state_with(ENGINE)
+    operators(state, 10, evacuated=("hall-a",))
+    operators(state, 11, returned=("hall-a",))
+    assert RETURN_CAUTION_S - 0.1 < cold_for_s(state, ENGINE, monotonic()) <= RETURN_CAUTION_S
+    state.routers, state.routed_engines = (state.member,), frozenset({"e"})
+    part = RouterPart(state, CHANCE)
+    assert place(part, "back") == "e"
+    operators(state, 12, evacuated=("hall-a",))
+    assert place(part, "again") == ""
+
+
+def test_a_router_passes_on_which_halls_are_evacuated_and_how_long_engines_are_cold():
+    state = state_with(replace(ENGINE, cold=True, cold_s=START_S))
+    operators(state, 10, evacuated=("hall-a",))
+    part = RouterPart(state, CHANCE)
+    changes = part._operators_reply(OperatorsRequest(9, 0.0), monotonic()).changes
+    assert changes.whole and changes.evacuated == ("hall-a",)
+    state.of(ENGINE).cold_until = monotonic() + 1.0
+    passed = part._endpoints_reply(EndpointsRequest(0, 0.0)).changes.present[0]
+    assert passed.cold and 0.9 < passed.cold_s <= 1.0
+
+
+def test_routers_of_an_evacuated_hall_place_nothing_and_the_others_take_all_engines():
+    engines = [
+        replace(ENGINE, id=f"e-{hall}-{n}", data_hall=hall) for hall in ("a", "b", "c") for n in range(8)
+    ]
+    state = state_with(*engines)
+    state.routers = tuple(Member(f"b-{hall}", "x:1", 1.0, hall) for hall in ("a", "b", "c"))
+    assert len(state.placing_routers()) == 3
+    operators(state, 10, evacuated=("a",))
+    placing = state.placing_routers()
+    assert [router.data_hall for router in placing] == ["b", "c"]
+    owned = {}
+    for router in state.routers:
+        state.settings = replace(state.settings, id=router.id, data_hall=router.data_hall)
+        owned[router.data_hall] = RouterPart(state, CHANCE)._engines()
+    assert owned["a"] == {f"e-a-{n}" for n in range(8)}, "watched on, for when the hall returns"
+    assert owned["b"] | owned["c"] == {item.id for item in engines if item.data_hall != "a"}
+    operators(state, 11, evacuated=("b", "c"))
+    assert len(state.placing_routers()) == 1, "someone is to be asked, also where nothing may be sent"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -106,11 +106,11 @@
 
 
 def test_entries_of_the_list_are_read_one_by_one():
-    good = row("i-1", {"service": "s", "address": "a:1", "state": "draining", "sequence": 4})
+    good = row("i-1", {"service": "s", "address": "10.0.0.1:1", "state": "draining", "sequence": 4})
     gone = WireRow("servers", "", "i-3", None, 8, True)
     changes = endpoint_changes(WireRows([good, row("i-2", {"service": 7}), gone], False, 8), whole=False)
     assert [(item.id, item.leaving) for item in changes.present] == [("i-1", True)]
-    assert changes.gone == ("i-3",)
+    assert changes.gone == ("i-2", "i-3") and changes.unreadable.keys() == {"i-2"}
 
 
 WIRE_NAMES = re.compile(
