Say which routes and workspaces have homes that are not honoured

Cause: a configuration may carry allowed regions of routes and workspaces; the system read none and said nothing. Test: test_platform.py; nothing else changes. Conclusion: told, not done.

--- a/stairquay/core/catalog.py
+++ b/stairquay/core/catalog.py
@@ -98,7 +98,8 @@
 
 @dataclass(frozen=True)
 class Catalog:
-    """One version of the configuration, complete."""
+    """One version of the configuration, complete. homed: routes and workspaces that are to be served in some
+    regions only, which boxes do not do."""
 
     version: int
     routes: tuple[Route, ...] = ()
@@ -106,6 +107,7 @@
     stores_by_id: dict[str, StoreShape] = field(default_factory=dict)
     workspaces_by_key: dict[str, WorkspaceRule] = field(default_factory=dict, repr=False)
     keyed: bool = False
+    homed: tuple[str, ...] = ()
     limits: CallerLimits = field(default_factory=CallerLimits)
 
     @cached_property
--- a/stairquay/platform/feeds.py
+++ b/stairquay/platform/feeds.py
@@ -71,6 +71,7 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
+    allowed_regions: list[str] = []
 
 
 class WireEngine(msgspec.Struct):
@@ -109,6 +110,7 @@
     api_keys: list[str] = []
     priority: int | None = None
     isolated: bool = False
+    allowed_regions: list[str] = []
 
 
 class WireLimits(msgspec.Struct):
@@ -281,6 +283,7 @@
             for key in item.api_keys
         },
         keyed=config.tenants is not None,
+        homed=tuple(item.name for item in (*config.routes, *workspaces) if item.allowed_regions),
         limits=CallerLimits(config.limits.max_body_bytes),
     )
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -98,6 +98,14 @@
     assert catalog.services_by_id["llm"].engine.models == ("m",) and catalog.keyed
 
 
+def test_homes_that_are_not_honoured_are_told():
+    config = configuration(3, [])
+    assert decode_catalog(json.dumps(config)).homed == ()
+    config["routes"][0]["allowed_regions"] = ["north"]
+    config["tenants"][1]["allowed_regions"] = ["south"]
+    assert decode_catalog(json.dumps(config)).homed == ("plain", "w2")
+
+
 def test_unreadable_rows_are_told_and_the_others_taken():
     rows = WireRows([row("config", "{"), row("version/m", {"model": "m", "version": 4})], False, 9)
     changes = operator_changes(rows, whole=False)
