--- a/stairquay/platform/feeds.py
+++ b/stairquay/platform/feeds.py
@@ -71,7 +71,7 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
-    allowed_regions: list[str] = []
+    allowed_regions: list[str] | None = None
 
 
 class WireEngine(msgspec.Struct):
@@ -110,7 +110,7 @@
     api_keys: list[str] = []
     priority: int | None = None
     isolated: bool = False
-    allowed_regions: list[str] = []
+    allowed_regions: list[str] | None = None
 
 
 class WireLimits(msgspec.Struct):
@@ -283,11 +283,17 @@
             for key in item.api_keys
         },
         keyed=config.tenants is not None,
-        homed=tuple(item.name for item in (*config.routes, *workspaces) if item.allowed_regions),
+        homed=_homed(config.routes, workspaces),
         limits=CallerLimits(config.limits.max_body_bytes),
     )
 
 
+def _homed(routes: list[WireRoute], workspaces: list[WireWorkspace]) -> tuple[str, ...]:
+    """Return the names of routes and workspaces that are to be served in some regions only."""
+    homed = [route.name for route in routes if route.allowed_regions]
+    return (*homed, *(workspace.name for workspace in workspaces if workspace.allowed_regions))
+
+
 def _route(route: WireRoute) -> Route:
     splits = tuple(Split(item.service, item.weight) for item in route.traffic_split)
     return Route(
