Tell each file of tests as it ends, run files side by side, and name the slowest cases

Cause: make test said nothing for eleven minutes: pytest ran all files in one process, before any scenario. Change: each file of tests and each feature file is a part; three run at a time, the largest first; each is told with its time as it ends, the ten slowest cases at the end. A file without a test counts as failed, as before for the whole. No assertion changed.

--- a/tests/run.py
+++ b/tests/run.py
@@ -1,6 +1,7 @@
-"""Runs every check in turn, and closes with the count of what passed and failed.
+"""Runs every check, and closes with the count of what passed and failed.
 
-Feature files run a few at a time. A failure that KNOWN-RED.txt names is printed, not counted.
+Files of tests run a few at a time; each is told as it ends, and the slowest cases at the end. A failure that
+KNOWN-RED.txt names is printed, not counted.
 """
 
 import json
@@ -9,14 +10,20 @@
 import sys
 import tempfile
 import time
-from concurrent.futures import ThreadPoolExecutor
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor, as_completed
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
+from xml.etree import ElementTree
 
 ROOT = Path(__file__).resolve().parent.parent
 BIN = Path(sys.executable).parent
 AT_ONCE = 3
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+SLOWEST = 10
+SCENARIO_WEIGHT = 4
+"""How many times as long a feature file takes as a file of unit tests of its size."""
 
 LINT = [
     ["ruff", "format", "--check", "."],
@@ -32,6 +39,16 @@
     name: str
     passed: bool
     text: str = ""
+    seconds: float = 0.0
+
+
+@dataclass(frozen=True)
+class Part:
+    """A file of tests, or all checks without one. weight: larger ones are begun first."""
+
+    name: str
+    run: Callable[[], list[Case]]
+    weight: int = 0
 
 
 def known_red() -> set[str]:
@@ -54,21 +71,20 @@
     return cases
 
 
-def unit_cases() -> list[Case]:
+def unit_cases(file: Path) -> list[Case]:
     with tempfile.NamedTemporaryFile(suffix=".xml") as report:
-        done = run([sys.executable, "-m", "pytest", "-q", "tests", f"--junitxml={report.name}"])
-        from xml.etree import ElementTree
-
+        done = run([sys.executable, "-m", "pytest", "-q", str(file), f"--junitxml={report.name}"])
         try:
             tree = ElementTree.parse(report.name)
         except ElementTree.ParseError:
-            return [Case("pytest", False, done.stdout + done.stderr)]
+            return [Case(file.name, False, done.stdout + done.stderr)]
     cases = []
     for item in tree.iter("testcase"):
         bad = [child for child in item if child.tag in ("failure", "error")]
         name = f"{item.get('classname')}.{item.get('name')}"
-        cases.append(Case(name, not bad, bad[0].text or "" if bad else ""))
-    return cases or [Case("pytest", False, done.stdout + done.stderr)]
+        text = bad[0].text or "" if bad else ""
+        cases.append(Case(name, not bad, text, float(item.get("time", "0"))))
+    return cases or [Case(file.name, False, done.stdout + done.stderr)]
 
 
 def feature_cases(feature: Path) -> list[Case]:
@@ -85,17 +101,53 @@
             continue
         passed = scenario["status"] == "passed"
         name = f"{feature.name}: {scenario['name']}"
-        cases.append(Case(name, passed, "" if passed else done.stdout[-12000:]))
+        seconds = sum(step.get("result", {}).get("duration", 0.0) for step in scenario["steps"])
+        cases.append(Case(name, passed, "" if passed else done.stdout[-12000:], seconds))
     return cases or [Case(str(feature.name), False, done.stdout[-6000:] + done.stderr)]
 
 
-def main() -> int:
-    started = time.monotonic()
-    cases = lint_cases() + unit_cases()
-    features = sorted((ROOT / "features").glob("*.feature"), key=lambda path: -path.stat().st_size)
+def parts() -> list[Part]:
+    """Return the files of tests, the longest first."""
+    units = sorted((ROOT / "tests").rglob("test_*.py"))
+    features = sorted((ROOT / "features").glob("*.feature"))
+    found = [Part(file.name, partial(unit_cases, file), _weight(file)) for file in units]
+    found += [Part(file.name, partial(feature_cases, file), _weight(file)) for file in features]
+    return sorted(found, key=lambda part: -part.weight)
+
+
+def _weight(file: Path) -> int:
+    """Return how early a file is begun: scenarios take longer than unit tests of that length."""
+    size = file.stat().st_size
+    return size * SCENARIO_WEIGHT if file.suffix == ".feature" else size
+
+
+def run_parts(wanted: list[Part]) -> list[Case]:
+    """Run parts a few at a time, and tell each as it ends."""
+    cases = []
     with ThreadPoolExecutor(AT_ONCE) as pool:
-        for found in pool.map(feature_cases, features):
+        running = {pool.submit(timed, part): part for part in wanted}
+        for ended in as_completed(running):
+            found, seconds = ended.result()
+            tell(running[ended].name, found, seconds)
             cases += found
+    return cases
+
+
+def timed(part: Part) -> tuple[list[Case], float]:
+    started = time.monotonic()
+    return part.run(), time.monotonic() - started
+
+
+def tell(name: str, cases: list[Case], seconds: float) -> None:
+    failed = sum(not case.passed for case in cases)
+    print(f"{seconds:6.1f} s  {len(cases) - failed:3} passed, {failed} failed  {name}", flush=True)
+
+
+def main() -> int:
+    started = time.monotonic()
+    lint = lint_cases()
+    tell("lint, types, import rules", lint, time.monotonic() - started)
+    cases = lint + run_parts(parts())
     red = known_red()
     failed = [case for case in cases if not case.passed and case.name not in red]
     for case in failed:
@@ -103,6 +155,8 @@
     for case in cases:
         if case.name in red:
             print(f"known red: {case.name}: {'passes now, take it off the list' if case.passed else 'fails'}")
+    for case in sorted(cases, key=lambda case: -case.seconds)[:SLOWEST]:
+        print(f"slow: {case.seconds:.1f} s  {case.name}")
     for case in failed:
         print(f"FAILED {case.name}")
     passed = sum(case.passed for case in cases)
