--- a/tests/site.py
+++ b/tests/site.py
@@ -225,14 +225,19 @@
     def engines(self) -> list[Endpoint]:
         return [item for item in self.endpoints if item.model]
 
+    async def kill_box(self) -> None:
+        """End the box as a loss of power does."""
+        assert self.box is not None
+        self.box.kill()
+        await self.box.wait()
+
     def stop_box(self) -> None:
         assert self.box is not None
         self.box.send_signal(signal.SIGTERM)
 
     async def close(self) -> None:
         if self.box is not None and self.box.returncode is None:
-            self.box.kill()
-            await self.box.wait()
+            await self.kill_box()
         if self.reader is not None:
             await self.reader
         if self.session is not None:
