--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -17,7 +17,7 @@
 """Requests a second that a cold endpoint bears in these tests."""
 
 AT_ONCE_S = 1.0
-"""Seconds within which a refusal comes at once, on a busy machine: these prompts' time is over after three."""
+"""Seconds within which a refusal comes at once, on a busy machine: their time is over after three."""
 
 HALLS = ("hall-a", "hall-b")
 
