--- a/stairquay/box.py
+++ b/stairquay/box.py
@@ -83,11 +83,3 @@
     """Look for garbage from now on, but not in what was loaded, which stays."""
     gc.freeze()
     gc.enable()
-
-
-def _start_logs() -> None:
-    flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    # It writes a line for every attempt's every state.
-    getLogger("transitions").setLevel(WARNING)
--- a/stairquay/core/cold.py
+++ b/stairquay/core/cold.py
@@ -15,8 +15,9 @@
 where it bears 18; an endpoint falls over at about 1.8 times."""
 
 ALONE_SHARE = 0.2
-"""Share of it that all boxes which decide alone spend together: about one in five prompts finds no router
-within its time while a router has just gone."""
+"""Share of it that all boxes spend together which decide alone, since no router answers them. On virtual
+time, 71 of them beside a router stay below what fells an endpoint; 6 to 330 without one send under half of
+it."""
 
 ROUTER_BURST = 3
 """Requests that a router may place at once on a cold endpoint that had none before."""
