Tell which requests are the same, and which endpoints crashed under them

Cause: logs could not tell the hypotheses of the incident apart: a request that comes again has another id, and a connection that broke may have been reset alone. Change: failed attempts log a digest of method, host, path, caller and body; after a break the box asks whether the endpoint still takes connections, and logs and counts a crash with all requests that were there. No decision changed.

--- a/stairquay/core/call.py
+++ b/stairquay/core/call.py
@@ -1,7 +1,11 @@
 """A caller's request as routing sees it, whatever dialect the caller speaks."""
 
+import hashlib
 from dataclasses import dataclass, field
 
+DIGEST_BYTES = 12
+"""Bytes of a request's digest: two of a million requests get the same one with a chance below 1e-16."""
+
 
 @dataclass(frozen=True)
 class Part:
@@ -70,3 +74,16 @@
     save_to: tuple[str, ...] = ()
     fetch_until_ms: int | None = None
     resume_after: str | None = None
+
+
+def request_digest(call: Call, body: bytes) -> str:
+    """Return the name by which a request is known again: that of its method, host, path, caller and body.
+
+    The id differs each time that a caller sends a request again. Headers are left out, since clients change
+    them from one time to the next.
+    """
+    known_by = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for text in (call.method, call.host, call.target, call.key or ""):
+        known_by.update(text.encode(errors="surrogateescape") + b"\0")
+    known_by.update(body)
+    return known_by.hexdigest()
--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -10,7 +10,7 @@
 
 from stairquay.core.attempt import Attempt, AttemptState
 from stairquay.core.call import Call, Dispatch
-from stairquay.core.errors import ErrorKind
+from stairquay.core.errors import ErrorKind, Ran
 from stairquay.platform.connections import SENDING, CheckedProtocol, Sending, SendRefused
 from stairquay.platform.names import (
     CHANNEL_ONLY,
@@ -71,7 +71,16 @@
         except (ClientError, OSError, ValueError) as error:
             attempt.lose()
             fault = not isinstance(error, SendRefused)
-            return Err(SendFailure(ErrorKind.ENDPOINT_FAILED, attempt.ran, type(error).__name__, fault=fault))
+            detail = type(error).__name__
+            return Err(
+                SendFailure(
+                    ErrorKind.ENDPOINT_FAILED,
+                    attempt.ran,
+                    detail,
+                    fault=fault,
+                    broke=attempt.ran != Ran.NOT_RUN,
+                )
+            )
         finally:
             SENDING.reset(token)
         if sending.protocol is not None:
--- a/stairquay/platform/peers.py
+++ b/stairquay/platform/peers.py
@@ -8,6 +8,7 @@
 from aiohttp import ClientError, ClientSession
 
 from stairquay.core.holdings import Key, PartEvent
+from stairquay.platform.connections import CONNECT_S
 from stairquay.platform.names import (
     FREE_PATH,
     INSTANCE,
@@ -150,6 +151,17 @@
             return OrderAnswer.SILENT
         return ORDER_ANSWERS.get(status, OrderAnswer.REFUSED)
 
+    async def accepts(self, address: str) -> bool:
+        """Tell whether something takes connections at an address: a port that was left resets at once."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
     async def _get(
         self, url: str, kind: type[T], limit_s: float, headers: dict[str, str] | None = None
     ) -> T | None:
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -17,6 +17,7 @@
 from stairquay.serving.asking import Chooser
 from stairquay.serving.boxes import BoxList
 from stairquay.serving.cold import cold_for_s
+from stairquay.serving.crashes import CrashWatch
 from stairquay.serving.decisions import Decision, DecisionLog
 from stairquay.serving.dispatch import Dispatcher
 from stairquay.serving.following import follow_endpoints, follow_operators
@@ -70,7 +71,9 @@
     router = RouterPart(state, chance)
     notices = Notices(state, links, router)
     chooser = Chooser(state, links, router, notices, chance)
-    front = Front(state, surroundings.callers, Dispatcher(state, surroundings.endpoints, chooser), chance)
+    crashes = CrashWatch(state, surroundings.peers)
+    dispatcher = Dispatcher(state, surroundings.endpoints, chooser, crashes)
+    front = Front(state, surroundings.callers, dispatcher, chance)
     tasks = Tasks()
     parts_by_name = box_parts(state, surroundings, links, router, notices, chance)
     parts_by_name["reload"] = partial(_reload, state, load)
--- a/stairquay/serving/decisions.py
+++ b/stairquay/serving/decisions.py
@@ -55,6 +55,7 @@
     SENT = "sent"
     ATTEMPT_FAILED = "attempt_failed"
     ENDED = "ended"
+    CRASHED = "crashed"
     PART_FAILED = "part_failed"
     LEFT_OUT = "left_out"
 
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -11,6 +11,7 @@
 from stairquay.core.errors import ErrorKind, Ran, Refusal
 from stairquay.serving.asking import Chooser
 from stairquay.serving.choosing import Choice
+from stairquay.serving.crashes import CrashWatch
 from stairquay.serving.endpoint import FULL_PAUSE_S
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.jobs import Begun, Job, Progress
@@ -50,10 +51,11 @@
 class Dispatcher:
     """Sends jobs to endpoints."""
 
-    def __init__(self, state: BoxState, endpoints: Endpoints, chooser: Chooser) -> None:
+    def __init__(self, state: BoxState, endpoints: Endpoints, chooser: Chooser, crashes: CrashWatch) -> None:
         self.state = state
         self.endpoints = endpoints
         self.chooser = chooser
+        self.crashes = crashes
 
     async def run(self, job: Job, request: web.Request) -> Result[web.StreamResponse, Refusal]:
         """Run a job to its end, and return the answer that was given or is to be given."""
@@ -208,7 +210,7 @@
             begun.attempt.lose()
             fault = kind != ErrorKind.DEADLINE
             detail = f"the answer broke off: {error}"
-            failure = SendFailure(kind, begun.attempt.ran, detail, reply.status, fault=fault)
+            failure = SendFailure(kind, begun.attempt.ran, detail, reply.status, fault=fault, broke=fault)
             self._failed(job, begun, progress, failure)
             return None
         finally:
@@ -257,6 +259,8 @@
             begun.held.on_outcome(True, now)
             if _unreached(failure):
                 begun.held.doubted_at = now
+        if failure.broke:
+            self.crashes.broke(job, begun)
         record_failed(self.state, job, begun, failure, now)
 
     def _ended_well(self, job: Job, begun: Begun, reply: Reply, progress: Progress) -> None:
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -1,9 +1,10 @@
 """A request that is to run, and what became of its attempts so far."""
 
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from stairquay.core.attempt import Attempt
-from stairquay.core.call import Call
+from stairquay.core.call import Call, request_digest
 from stairquay.core.catalog import Catalog, Route, ServiceShape, WorkspaceRule
 from stairquay.core.errors import Ran
 from stairquay.serving.choosing import Choice
@@ -30,6 +31,11 @@
         """Return the workspace's id, empty where the route needs no key."""
         return "" if self.workspace is None else self.workspace.id
 
+    @cached_property
+    def digest(self) -> str:
+        """Return the name by which the request is known when it comes again, under another id."""
+        return request_digest(self.call, self.body)
+
 
 @dataclass
 class Progress:
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -66,6 +66,12 @@
             ["endpoint"],
             registry=registry,
         )
+        self.crashes = Counter(
+            "stairquay_endpoint_crashes",
+            "Endpoints that crashed under this box's requests",
+            ["service"],
+            registry=registry,
+        )
         self.in_flight = Gauge("stairquay_in_flight", "Requests under way", registry=registry)
         self.view_age = Gauge(
             "stairquay_view_age_seconds", "Age of the configuration's view", registry=registry
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -183,13 +183,16 @@
     async def order(self, order: VersionOrder) -> OrderAnswer:
         """Give an order."""
 
+    async def accepts(self, address: str) -> bool:
+        """Tell whether something takes connections at an address."""
+
 
 @dataclass(frozen=True)
 class SendFailure:
     """Why an endpoint gave no answer that counts.
 
     status: the HTTP status it gave, 0 for none. misdirected: another endpoint or version is there now.
-    fault: whether it speaks against the endpoint.
+    fault: whether it speaks against the endpoint. broke: the connection ended before the answer did.
     """
 
     kind: ErrorKind
@@ -198,6 +201,7 @@
     status: int = 0
     misdirected: bool = False
     fault: bool = True
+    broke: bool = False
 
 
 @dataclass(frozen=True)
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -79,6 +79,8 @@
         status=failure.status,
         took_s=now - begun.sent_at,
         failing=begun.held.failing_share(now),
+        broke=failure.broke,
+        digest=job.digest,
     )
 
 
