--- a/tests/site.py
+++ b/tests/site.py
@@ -220,7 +220,8 @@
         """Send a prompt of three parts."""
         headers = {"Model": MODEL, "Token-Usage": "900,20", "Prompt-Prefix": "aa:500,bb:300,cc:100"}
         headers |= options.pop("headers", {})
-        return await self.call(path, "POST", headers=headers, body=b"a prompt", **options)
+        body = options.pop("body", b"a prompt")
+        return await self.call(path, "POST", headers=headers, body=body, **options)
 
     def engines(self) -> list[Endpoint]:
         return [item for item in self.endpoints if item.model]
--- a/tests/standins/dialect.py
+++ b/tests/standins/dialect.py
@@ -104,7 +104,8 @@
     refuse: this many requests are turned away. errors: this many runs end in 500. stray: this many answers
     carry another request's id. break_after: streams are reset after that many events. hold_s: time before
     the answer. unframed_reset: this many answers without a length end in a reset. surplus: this many
-    answers are followed by bytes that belong to nothing.
+    answers are followed by bytes that belong to nothing. crashes_on: a request whose body holds that crashes
+    the endpoint `crash_s` after it began.
     """
 
     id: str = "i-1"
@@ -120,6 +121,9 @@
     break_after: int | None = None
     hold_s: float = 0.0
     unframed_reset: int = 0
+    crashes_on: bytes = b""
+    crash_s: float = 0.02
+    crashed: bool = False
     keep_alive: str = ""
     lose_orders: int = 0
     load_s: float = 0.1
@@ -213,11 +217,32 @@
         )
         try:
             await asyncio.sleep(self.hold_s)
+            if self.crashes_on and self.crashes_on in body:
+                await asyncio.sleep(self.crash_s)
+                return self._crash()
             return await self._answer(request, call_id)
         except asyncio.CancelledError:
             self.left += 1
             raise
 
+    def _crash(self) -> web.Response:
+        """End as a process does: nothing listens any more, and all connections are reset."""
+        self.crashed = True
+        assert self.runner is not None and self.runner.server is not None
+        for site in list(self.runner.sites):
+            site._server.close()  # type: ignore[attr-defined]
+        for connection in self.runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        return web.Response()
+
+    async def again(self) -> None:
+        """Start again after a crash, at another address."""
+        assert self.runner is not None
+        await self.runner.cleanup()
+        self.crashed = False
+        await self.start()
+
     async def _answer(self, request: web.Request, call_id: str) -> web.StreamResponse:
         headers = {
             "Request-Id": call_id,
