Quarantine requests under which three endpoints crashed, at all boxes

Cause: nothing remembered a request beyond its own attempts, so that each coming crashed as many endpoints as one request may be sent to. Class: a bound that is kept per id, where the thing it bounds comes again under another id.

Change: a request is known by a digest of method, host, path, caller and body. A box that finds that an endpoint has crashed notes all requests that were there; boxes tell each other by rows of their own, which the two routers that follow the table service pass on with operators' rows. The verdict takes the request that explains most crashes, at least three, and lets it explain those of all who ran beside it; a request that any box answered whole in the last 60 s is above suspicion. Crashes count for 600 s, and all that is kept is bounded. What is quarantined is refused at once with 503 and the time that is left, before each attempt and at the last moment before bytes leave, whatever the way: prompts, plain services, resumed streams.

--- a/stairquay/core/errors.py
+++ b/stairquay/core/errors.py
@@ -33,6 +33,7 @@
     NO_ENDPOINT = "no_endpoint"
     ENDPOINT_REFUSED = "endpoint_refused"
     ENDPOINT_FAILED = "endpoint_failed"
+    QUARANTINED = "quarantined"
     ENDPOINT_GARBAGE = "endpoint_garbage"
     DEADLINE = "deadline_exceeded"
     CONFLICT = "conflict"
@@ -77,6 +78,9 @@
     ErrorKind.NO_ENDPOINT: Answer(503, SERVER, "No endpoint of the service can be used now", retry=True),
     ErrorKind.ENDPOINT_REFUSED: Answer(503, SERVER, "Every endpoint tried refused the request", retry=True),
     ErrorKind.ENDPOINT_FAILED: Answer(502, SERVER, "The endpoint failed during the request", retry=True),
+    ErrorKind.QUARANTINED: Answer(
+        503, SERVER, "Endpoints crashed each time that they ran this request", retry=True
+    ),
     ErrorKind.ENDPOINT_GARBAGE: Answer(502, SERVER, "The endpoint's answer was not valid", retry=True),
     ErrorKind.DEADLINE: Answer(504, SERVER, "The request's time ran out", retry=True),
     ErrorKind.CONFLICT: Answer(409, "conflict_error", "The plan no longer fits the configuration"),
--- a/stairquay/platform/names.py
+++ b/stairquay/platform/names.py
@@ -97,6 +97,7 @@
 
 ENDPOINT_TABLE = "servers"
 OWN_TABLE = "stairquay"
+CRASH_TABLE = "stairquay-crashes"
 
 KIND_REPEATABLE = "idempotent"
 KIND_STREAM = "streaming"
--- a/stairquay/platform/rows.py
+++ b/stairquay/platform/rows.py
@@ -10,7 +10,7 @@
 from aiohttp import ClientError, ClientSession
 from result import Err, Ok, Result
 
-from stairquay.adapters.ports import Commit, Committed, Conflict, PlatformFault
+from stairquay.adapters.ports import Changes, Commit, Committed, Conflict, PlatformFault
 from stairquay.core.clock import ClockOffset
 from stairquay.core.row import Row
 from stairquay.platform.names import COMMIT_PATH, FEED_PATH, OWN_TABLE, ROWS_PATH
@@ -87,16 +87,18 @@
         query = {"table": table, "after": str(after), "wait_ms": str(int(wait_s * 1000))}
         return await self._get(FEED_PATH, query, wait_s + ANSWER_S)
 
-    async def commit(self, commit: Commit) -> Result[Committed | Conflict, PlatformFault]:
-        """Write all rows of our own table if all conditions hold."""
+    async def commit(
+        self, commit: Commit, table: str = OWN_TABLE
+    ) -> Result[Committed | Conflict, PlatformFault]:
+        """Write all rows of a table of our own if all conditions hold."""
         body = {
-            "expected": [{**_place(item.key), "ver": item.revision} for item in commit.conditions],
+            "expected": [{**_place(table, item.key), "ver": item.revision} for item in commit.conditions],
             "put": [
-                {**_place(item.key), "value": b64encode(item.value.encode()).decode()}
+                {**_place(table, item.key), "value": b64encode(item.value.encode()).decode()}
                 for item in commit.writes
                 if item.value is not None
             ],
-            "remove": [_place(item.key) for item in commit.writes if item.value is None],
+            "remove": [_place(table, item.key) for item in commit.writes if item.value is None],
         }
         asked_at = monotonic()
         try:
@@ -167,6 +169,35 @@
         return self.client.clock_offset
 
 
+class FollowedRows:
+    """A table of our own that is followed."""
+
+    def __init__(self, client: TableClient, table: str) -> None:
+        self.client = client
+        self.table = table
+
+    async def read(self) -> Result[Changes, FeedFault]:
+        """Read all rows."""
+        found = await self.client.rows(self.table)
+        return Err(FeedFault.UNREACHED) if isinstance(found, Err) else Ok(_changes(found.ok_value))
+
+    async def follow(self, after: int, wait_s: float) -> Result[Changes, FeedFault]:
+        """Wait for rows that change after a revision."""
+        return (await self.client.feed(self.table, after, wait_s)).map(_changes)
+
+    async def commit(self, commit: Commit) -> Result[Committed | Conflict, PlatformFault]:
+        """Write all rows if all conditions hold."""
+        return await self.client.commit(commit, self.table)
+
+    def clock_offset(self) -> ClockOffset | None:
+        """Return the table service's steady clock less ours, None before it was heard."""
+        return self.client.clock_offset
+
+
+def _changes(found: WireRows) -> Changes:
+    return Changes(found.ver, tuple(own_row(row) for row in found.rows))
+
+
 def own_row(row: WireRow) -> Row:
     """Return a row of our own table in our own type. Bytes that are no text give a value no reader takes."""
     try:
@@ -175,5 +206,5 @@
         return Row(row.key, "", row.ver)
 
 
-def _place(key: str) -> dict[str, Any]:
-    return {"table": OWN_TABLE, "part": "", "key": key}
+def _place(table: str, key: str) -> dict[str, Any]:
+    return {"table": table, "part": "", "key": key}
--- a/stairquay/platform/surroundings.py
+++ b/stairquay/platform/surroundings.py
@@ -4,9 +4,9 @@
 from stairquay.platform.connections import open_session
 from stairquay.platform.endpoints import EndpointClient
 from stairquay.platform.feeds import Feeds
-from stairquay.platform.names import READY_PATH
+from stairquay.platform.names import CRASH_TABLE, READY_PATH
 from stairquay.platform.peers import PeerClient
-from stairquay.platform.rows import OwnRows, TableClient
+from stairquay.platform.rows import FollowedRows, OwnRows, TableClient
 from stairquay.serving.ports import Surroundings
 
 
@@ -28,4 +28,5 @@
         callers=CallerDialect(),
         ready_path=READY_PATH,
         close=close,
+        crashes=FollowedRows(table, CRASH_TABLE),
     )
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -17,6 +17,7 @@
 from stairquay.serving.asking import Chooser
 from stairquay.serving.boxes import BoxList
 from stairquay.serving.cold import cold_for_s
+from stairquay.serving.crash_rows import CrashRows
 from stairquay.serving.crashes import CrashWatch
 from stairquay.serving.decisions import Decision, DecisionLog
 from stairquay.serving.dispatch import Dispatcher
@@ -102,6 +103,7 @@
 ) -> dict[str, Work]:
     """Return by name what runs besides callers' requests, each until cancelled."""
     feeds = SharedFeeds(state, surroundings.feeds, links)
+    crash_rows = CrashRows(state, surroundings.crashes)
     return {
         "log": state.log.run,
         "links": links.run,
@@ -114,6 +116,8 @@
         "orders": OrderGiver(state, surroundings.own, surroundings.peers).run,
         "boxes": BoxList(state, surroundings.own, chance).run,
         "upkeep": Upkeep(state, surroundings.peers).run,
+        "crashes told": crash_rows.tell,
+        "crashes followed": crash_rows.follow,
     }
 
 
--- a/stairquay/serving/decisions.py
+++ b/stairquay/serving/decisions.py
@@ -56,6 +56,7 @@
     ATTEMPT_FAILED = "attempt_failed"
     ENDED = "ended"
     CRASHED = "crashed"
+    QUARANTINE = "quarantine"
     PART_FAILED = "part_failed"
     LEFT_OUT = "left_out"
 
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -91,8 +91,16 @@
             return Refusal(ErrorKind.DEADLINE, progress.ran)
         if not self._fresh(job):
             return Refusal(ErrorKind.NOT_READY, progress.ran, "the configuration's view is too old")
+        quarantined_s = self._quarantined_s(job)
+        if quarantined_s > 0:
+            return Refusal(ErrorKind.QUARANTINED, progress.ran, f"digest {job.digest}", quarantined_s)
         return None
 
+    def _quarantined_s(self, job: Job) -> float:
+        """Return for how many more seconds nothing is sent of a job, because it crashes endpoints."""
+        quarantine = self.state.quarantine
+        return quarantine.left_s(job.digest) if quarantine.verdict else 0.0
+
     def _no_endpoint(self, job: Job, progress: Progress) -> Refusal:
         cold_s = self.chooser.cold_wait_s(job)
         if cold_s is None:
@@ -158,7 +166,7 @@
         dispatch = self._dispatch(job, begun.choice, left_s, after)
 
         def guard() -> bool:
-            if not self._fresh(job) or job.deadline <= monotonic():
+            if not self._fresh(job) or job.deadline <= monotonic() or self._quarantined_s(job) > 0:
                 return False
             return takes_work(self.state, begun.choice.endpoint) and not self._too_old(job, begun.choice)
 
@@ -265,6 +273,8 @@
 
     def _ended_well(self, job: Job, begun: Begun, reply: Reply, progress: Progress) -> None:
         now = monotonic()
+        if reply.status < SERVER_ERROR:
+            self.state.quarantine.served(job.digest)
         begun.held.on_outcome(False, now)
         begun.held.work_s += WORK_WEIGHT * ((now - begun.sent_at) - begun.held.work_s)
         if reply.version is not None:
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -93,20 +93,48 @@
     read: tuple[str, ...] = ()
 
 
+class CrashTold(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint crashed while a request was there, `ago_s` before this was made. Else as
+    core.crashes.Crash."""
+
+    digest: str
+    life: str
+    ago_s: float
+    ran_s: float
+
+
+class CrashesTold(msgspec.Struct, frozen=True, array_like=True):
+    """What a router knows of crashes. cleared: requests that are above suspicion, and for how many
+    seconds."""
+
+    crashes: tuple[CrashTold, ...]
+    cleared: tuple[tuple[str, float], ...]
+
+
 class OperatorsRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Asks for operators' rows if they changed after a revision; waits up to `wait_s` for that."""
+    """Asks for operators' rows if they changed after a revision; waits up to `wait_s` for that.
+
+    crashes_known: the revision at which boxes' rows about crashes last changed, as far as the asker was told.
+    """
 
     after: int
     wait_s: float
+    crashes_known: int = -1
 
 
 class OperatorsReply(msgspec.Struct, frozen=True, array_like=True):
     """A router's view of operators' rows. age_s: how old it was when this reply was made; held_s: how long
-    the router held the question."""
+    the router held the question.
+
+    crashes_revision: the revision at which boxes' rows about crashes last changed, -1 where the router does
+    not follow them. crashes: what they tell, None where the question named that revision.
+    """
 
     changes: OperatorChanges
     age_s: float
     held_s: float
+    crashes_revision: int = -1
+    crashes: CrashesTold | None = None
 
 
 class EndpointsRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from result import Result
 
-from stairquay.adapters.ports import Commit, Committed, Conflict, PlatformFault
+from stairquay.adapters.ports import Changes, Commit, Committed, Conflict, PlatformFault
 from stairquay.core.attempt import Attempt
 from stairquay.core.call import Call, Dispatch
 from stairquay.core.catalog import Catalog
@@ -97,6 +97,22 @@
         """Return the table service's steady clock less ours, None before it was heard."""
 
 
+class CrashTable(Protocol):
+    """Rows of our own in which boxes tell each other of crashes, one for each box under its id."""
+
+    async def read(self) -> Result[Changes, FeedFault]:
+        """Read all rows."""
+
+    async def follow(self, after: int, wait_s: float) -> Result[Changes, FeedFault]:
+        """Wait for rows that change after a revision."""
+
+    async def commit(self, commit: Commit) -> Result[Committed | Conflict, PlatformFault]:
+        """Write all rows if all conditions hold."""
+
+    def clock_offset(self) -> ClockOffset | None:
+        """Return the table service's steady clock less ours, None before it was heard."""
+
+
 @dataclass(frozen=True)
 class EngineReport:
     """What an engine or store box says of its state, some hundred milliseconds old.
@@ -257,3 +273,4 @@
     callers: Callers
     ready_path: str
     close: Callable[[], Awaitable[None]]
+    crashes: CrashTable
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -20,10 +20,13 @@
 from stairquay.core.routers import Engine, engines_of
 from stairquay.serving.choosing import Choice, Wanted
 from stairquay.serving.cold import cold_for_s, count_sent
+from stairquay.serving.crash_rows import STALE_S
 from stairquay.serving.decisions import Decision
 from stairquay.serving.endpoint import FULL_PAUSE_S, EndpointState
 from stairquay.serving.links import Answers, serve
 from stairquay.serving.messages import (
+    CrashesTold,
+    CrashTold,
     Ended,
     EndpointsReply,
     EndpointsRequest,
@@ -300,7 +303,23 @@
             changes = OperatorChanges(revision, True, state.catalog, "", named, evacuated=evacuated)
         else:
             changes = OperatorChanges(revision, False)
-        return OperatorsReply(changes, state.view_age(), monotonic() - began_at)
+        changed, crashes = self._crashes(asked.crashes_known)
+        return OperatorsReply(changes, state.view_age(), monotonic() - began_at, changed, crashes)
+
+    def _crashes(self, known: int) -> tuple[int, CrashesTold | None]:
+        """Return the revision at which boxes' rows about crashes last changed, and what they tell where that
+        is news to the one that asks."""
+        quarantine, now = self.state.quarantine, monotonic()
+        if quarantine.rows_revision < 0 or now - quarantine.rows_asked_at > STALE_S:
+            return -1, None
+        if quarantine.rows_changed == known:
+            return known, None
+        told = quarantine.to_pass_on()
+        crashes = tuple(
+            CrashTold(crash.digest, crash.life, now - crash.at, crash.ran_s) for crash in told.crashes
+        )
+        cleared = tuple((digest, now - at) for digest, at in told.cleared.items())
+        return quarantine.rows_changed, CrashesTold(crashes, cleared)
 
     def _endpoints_reply(self, asked: EndpointsRequest) -> EndpointsReply:
         state = self.state
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -12,9 +12,11 @@
 
 from result import Ok, Result
 
+from stairquay.core.crashes import Crash
 from stairquay.core.routers import routers_for
 from stairquay.serving.links import Link, Links
 from stairquay.serving.messages import (
+    CrashesTold,
     EndpointsReply,
     EndpointsRequest,
     OperatorsReply,
@@ -23,6 +25,7 @@
     ViewsRequest,
 )
 from stairquay.serving.ports import EndpointChanges, FeedFault, Feeds, OperatorChanges
+from stairquay.serving.quarantine import Told
 from stairquay.serving.state import BoxState
 
 Reply = TypeVar("Reply")
@@ -56,7 +59,7 @@
     async def read_operators(self) -> Result[OperatorChanges, FeedFault]:
         """Read the configuration and the named versions."""
         limit_s = self._answer_s()
-        request = OperatorsRequest(self.state.operators_revision, 0.0)
+        request = self._operators_request(self.state.operators_revision, 0.0)
         reply = await self._ask(lambda link: link.operators(request, limit_s), "operators' rows")
         passed = self._operators(reply, 0.0)
         return Ok(passed) if passed is not None else await self.feeds.read_operators()
@@ -68,7 +71,7 @@
             both, waiting_s = await self._follow(held_s)
             reply = None if both is None else both.operators
         else:
-            request, limit_s, waiting_s = OperatorsRequest(after, held_s), self._answer_s(), 0.0
+            request, limit_s, waiting_s = self._operators_request(after, held_s), self._answer_s(), 0.0
             reply = await self._ask(lambda link: link.operators(request, limit_s), "operators' rows")
         passed = self._operators(reply, waiting_s)
         return Ok(passed) if passed is not None else await self.feeds.follow_operators(after, wait_s)
@@ -98,10 +101,31 @@
         been under way already when we began to wait for it."""
         self.operators_passed_on = reply is not None and not self.state.view_too_old(reply.age_s)
         if reply is None or not self.operators_passed_on:
+            self._take_crashes(-1, None)
             return None
+        self._take_crashes(reply.crashes_revision, reply.crashes)
         # The answer was made `held_s` after the question came in, which was after it was asked.
         return replace(reply.changes, behind_s=reply.age_s - reply.held_s + waiting_s)
 
+    def _operators_request(self, after: int, held_s: float) -> OperatorsRequest:
+        return OperatorsRequest(after, held_s, self.state.quarantine.passed_revision)
+
+    def _take_crashes(self, revision: int, told: CrashesTold | None) -> None:
+        """Take in what a router knows of crashes; a revision of -1 stands for nothing."""
+        quarantine, now = self.state.quarantine, monotonic()
+        knew = quarantine.passed_on is not None
+        if revision < 0:
+            if knew:
+                quarantine.take_passed_on(None, -1)
+        elif told is not None:
+            crashes = tuple(
+                Crash(item.digest, item.life, now - item.ago_s, item.ran_s) for item in told.crashes
+            )
+            cleared = {digest: now - ago_s for digest, ago_s in told.cleared}
+            quarantine.take_passed_on(Told(crashes, cleared), revision)
+        if knew != (quarantine.passed_on is not None):
+            self.state.changed.happened()
+
     def _endpoints(self, reply: EndpointsReply | None, waiting_s: float) -> EndpointChanges | None:
         self.state.list_passed_on = reply is not None and not self.state.list_too_old(reply.age_s)
         if reply is None or not self.state.list_passed_on:
@@ -123,7 +147,8 @@
     async def _ask_views(self, held_s: float) -> ViewsReply | None:
         state = self.state
         request = ViewsRequest(
-            OperatorsRequest(state.operators_revision, held_s), EndpointsRequest(state.list_revision, held_s)
+            self._operators_request(state.operators_revision, held_s),
+            EndpointsRequest(state.list_revision, held_s),
         )
         return await self._ask(lambda link: link.views(request, self._answer_s()), "both views")
 
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -13,6 +13,7 @@
 from stairquay.serving.endpoint import NEVER, EndpointState
 from stairquay.serving.metrics import BoxMetrics
 from stairquay.serving.ports import EngineReport
+from stairquay.serving.quarantine import Quarantine
 from stairquay.serving.settings import BoxSettings
 from stairquay.serving.waking import Changes
 
@@ -56,7 +57,8 @@
     up to which that is known; returned_at_by_hall: when such a hall might get work again.
     unreadable: ids whose entries in the list name no endpoint.
     changed: wakes who waits for a change of the configuration, the named versions, the evacuated halls, the
-    list, the routers or their silence, or for the stop.
+    list, the routers or their silence, or for the stop; also where routers begin or cease to tell of crashes.
+    quarantine: requests that crash endpoints.
     """
 
     settings: BoxSettings
@@ -96,6 +98,11 @@
     stopping: bool = False
     refusing: bool = False
     changed: Changes = field(default_factory=Changes)
+    quarantine: Quarantine = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin with no request in quarantine."""
+        self.quarantine = Quarantine(self.log)
 
     def use_settings(self, settings: BoxSettings) -> None:
         """Put changed settings in force; addresses keep until the next start."""
--- a/tests/standins/dialect.py
+++ b/tests/standins/dialect.py
@@ -219,13 +219,13 @@
             await asyncio.sleep(self.hold_s)
             if self.crashes_on and self.crashes_on in body:
                 await asyncio.sleep(self.crash_s)
-                return self._crash()
+                return self.crash()
             return await self._answer(request, call_id)
         except asyncio.CancelledError:
             self.left += 1
             raise
 
-    def _crash(self) -> web.Response:
+    def crash(self) -> web.Response:
         """End as a process does: nothing listens any more, and all connections are reset."""
         self.crashed = True
         assert self.runner is not None and self.runner.server is not None
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,16 +1,22 @@
 """A request that crashes each endpoint that begins it comes again and again, at any box.
 
-Seen on six boxes and five engines: one prompt crashed 24 engines, 11 of them after the third, and all five were
-down four times in twenty seconds. Each time it came with another id, mostly to another box. No box remembered a
-request beyond its own attempts, so that each coming crashed as many engines as one request may be sent to; the
-logs of two comings name the same digest, and a crash within 0.1 s of each beginning.
+Seen on six boxes and five engines: one prompt crashed 24 engines, 11 of them after the third, and all five
+were down four times in twenty seconds. Each time it came with another id, mostly to another box. No box
+remembered a request beyond its own attempts, so that each coming crashed as many engines as one request may
+be sent to; the logs of two comings name the same digest, and a crash within 0.1 s of each beginning.
 """
 
 import asyncio
 
-from tests.site import Site, eventually, site
+from tests.site import Answer, Site, eventually, site
+from tests.standins.dialect import Endpoint
+from tests.test_two_boxes import two_boxes
 
 POISON = b"crash"
+PROMPT = b"a prompt, crash"
+KNOWN_S = 3.0
+"""Seconds within which every box knows of a third crash: the shortest time for which a box must have been in
+touch on any deployment."""
 
 
 def arm(here: Site) -> None:
@@ -22,17 +28,164 @@
     return sum(endpoint.crashed for endpoint in here.endpoints)
 
 
+async def come(here: Site, times: int, path: str = "/again/x", name: str = "crash") -> Answer:
+    """Have the request that crashes endpoints come a few times, and return its last answer."""
+    for number in range(times):
+        answer = await here.prompt(path, call_id=f"{name}-{number}", body=PROMPT)
+        assert answer.status in (0, 502, 503)
+        await asyncio.sleep(0.1)
+    return answer
+
+
+async def known_everywhere(*sites: Site) -> None:
+    for here in sites:
+        await eventually(lambda here=here: here.logged("quarantine", outcome="begun"), KNOWN_S)
+
+
 def test_a_prompt_that_comes_again_crashes_three_engines_and_no_more():
     async def scenario():
         async with site(plain=0, engines=7, budget_window_s=1) as here:
             await here.until_slack()
             arm(here)
-            for number in range(4):
-                answer = await here.prompt("/again/x", call_id=f"crash-{number}", body=b"a prompt, crash")
-                assert answer.status in (502, 503)
-                await asyncio.sleep(0.1)
+            answer = await come(here, 4)
             assert crashed(here) == 3
             assert answer.status == 503 and float(answer.headers["Retry-After"]) > 1
             assert (await here.prompt("/again/x", call_id="well")).status == 200
 
     asyncio.run(scenario())
+
+
+def test_another_box_sends_nothing_of_a_prompt_that_crashed_three_engines_at_this_one():
+    async def scenario():
+        async with two_boxes(engines=7, budget_window_s=1) as (first, second):
+            await first.until_slack()
+            arm(first)
+            await come(first, 2)
+            assert crashed(first) == 3
+            await known_everywhere(first, second)
+            assert (await come(second, 2, name="second")).status == 503
+            assert crashed(first) == 3
+
+    asyncio.run(scenario())
+
+
+def test_crashes_at_several_boxes_count_together():
+    async def scenario():
+        async with two_boxes(engines=7, budget_window_s=1) as (first, second):
+            arm(first)
+            for here in (first, second, first):
+                await come(here, 1, path="/llm/x")
+            assert crashed(first) == 3
+            await known_everywhere(first, second)
+            for here in (first, second):
+                assert (await come(here, 2, path="/llm/x", name="late")).status == 503
+            assert crashed(first) == 3
+
+    asyncio.run(scenario())
+
+
+def test_a_box_that_was_started_anew_knows_of_crashes_before():
+    async def scenario():
+        async with site(plain=0, engines=7, budget_window_s=1) as here:
+            await here.until_slack()
+            arm(here)
+            await come(here, 2)
+            await eventually(lambda: here.table.get("stairquay-crashes", "box-1@127.0.0.1"))
+            await here.kill_box()
+            here.log_lines.clear()
+            await here.start_box()
+            await here.until_ready()
+            await known_everywhere(here)
+            assert (await come(here, 2)).status == 503
+            assert crashed(here) == 3
+
+    asyncio.run(scenario())
+
+
+def test_a_box_judges_by_its_own_crashes_while_the_table_service_is_away():
+    async def scenario():
+        async with site(plain=0, engines=7, budget_window_s=1, revoke_ms=60_000, drain_ms=60_000) as here:
+            await here.until_slack()
+            arm(here)
+            here.table.down = True
+            await come(here, 4)
+            assert crashed(here) == 3
+
+    asyncio.run(scenario())
+
+
+def test_a_plain_request_is_no_longer_sent_either_also_one_that_must_not_repeat():
+    async def scenario():
+        async with site(plain=5, budget_window_s=1) as here:
+            await here.until_slack()
+            arm(here)
+            statuses = [
+                (await here.call("/once/x", "POST", call_id=f"once-{number}", body=POISON)).status
+                for number in range(5)
+            ]
+            assert statuses == [502, 502, 502, 503, 503]
+            assert crashed(here) == 3
+            assert (await here.call("/once/x", "POST", call_id="well", body=b"well")).status == 200
+            assert (await here.call("/once/y", "POST", call_id="other", body=POISON)).status == 502
+
+    asyncio.run(scenario())
+
+
+def test_a_stream_that_is_resumed_counts_as_the_same_request():
+    async def scenario():
+        async with site(plain=0, engines=7, budget_window_s=1) as here:
+            await here.until_slack()
+            arm(here)
+            await come(here, 2)
+            answer = await here.prompt("/again/x", call_id="on", body=PROMPT, headers={"Last-Event-Id": "3"})
+            assert answer.status == 503
+            assert crashed(here) == 3
+
+    asyncio.run(scenario())
+
+
+def test_resets_of_engines_that_go_on_count_for_nothing():
+    async def scenario():
+        async with site(plain=0, engines=6, budget_window_s=1) as here:
+            await here.until_slack()
+            for endpoint in here.endpoints:
+                endpoint.break_after = 1
+            for number in range(6):
+                await here.prompt("/llm/x", call_id=f"reset-{number}", body=PROMPT)
+            await asyncio.sleep(0.5)
+            assert not any(endpoint.break_after for endpoint in here.endpoints)
+            assert not here.logged("crashed")
+            assert (await here.prompt("/llm/x", call_id="well", body=PROMPT)).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_a_request_that_many_send_is_not_held_against_them_when_endpoints_are_lost():
+    async def scenario():
+        async with site(plain=6, budget_window_s=1) as here:
+            assert (await here.call("/open/x", key=None)).status == 200
+            for number in range(4):
+                await lose_one(here, f"lost-{number}")
+            assert len(here.logged("crashed")) == 4
+            assert not here.logged("quarantine", outcome="begun")
+            assert (await here.call("/open/x", key=None, call_id="well")).status == 200
+
+    asyncio.run(scenario())
+
+
+async def lose_one(here: Site, call_id: str) -> None:
+    """Have the endpoint crash that has the request that many send."""
+    seen = len(here.logged("crashed"))
+    for endpoint in here.endpoints:
+        endpoint.hold_s = 0.3
+    calling = asyncio.create_task(here.call("/open/x", key=None, call_id=call_id))
+    await eventually(lambda: having(here, call_id))
+    for endpoint in here.endpoints:
+        endpoint.hold_s = 0.0
+    having(here, call_id)[0].crash()
+    await calling
+    await eventually(lambda: len(here.logged("crashed")) > seen)
+
+
+def having(here: Site, call_id: str) -> list[Endpoint]:
+    return [item for item in here.endpoints if any(taken.id == call_id for taken in item.taken)]
--- a/tests/test_idle_box.py
+++ b/tests/test_idle_box.py
@@ -7,7 +7,7 @@
 import pytest
 from result import Ok
 
-from stairquay.adapters.ports import Committed
+from stairquay.adapters.ports import Changes, Committed
 from stairquay.core.catalog import Catalog
 from stairquay.core.clock import ClockOffset
 from stairquay.core.row import Row
@@ -59,6 +59,19 @@
         await asyncio.get_running_loop().create_future()
 
 
+class HeldCrashes:
+    """Rows about crashes, of which there are none."""
+
+    async def read(self):
+        return Ok(Changes(1, ()))
+
+    async def follow(self, after, wait_s):
+        await asyncio.get_running_loop().create_future()
+
+    def clock_offset(self):
+        return ClockOffset(0.0, 0.0)
+
+
 class Rows:
     """The boxes' rows: those of others, one of which routes for all, so that this box is an ordinary one."""
 
@@ -85,7 +98,7 @@
 
     async def scenario() -> float:
         state = BoxState(settings, DecisionLog(settings.id, write=len))
-        surroundings = Surroundings(HeldFeeds(), Rows(), None, None, None, "", None)
+        surroundings = Surroundings(HeldFeeds(), Rows(), None, None, None, "", None, HeldCrashes())
         links, router = Links(state), RouterPart(state, Random(1))
         notices = Notices(state, links, router)
         parts = box_parts(state, surroundings, links, router, notices, Random(1))
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,123 @@
+"""Which requests are quarantined: the one that crashes endpoints, and none that ran beside it."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from stairquay.core.crashes import KEPT_S, LEAST_CRASHES, Crash, quarantined
+from stairquay.serving.quarantine import MOST_OWN, MOST_PASSED, MOST_SERVED, Quarantine, Told
+from tests.states import box_state
+
+GUILTY = "guilty"
+
+
+def crash(digest: str, life: int, at: float = 0.0, ran_s: float = 0.1) -> Crash:
+    return Crash(digest, f"e-{life}", at, ran_s)
+
+
+def box() -> Quarantine:
+    return box_state().quarantine
+
+
+def pass_on(sender: Quarantine, receiver: Quarantine) -> None:
+    receiver.take_passed_on(sender.to_pass_on(), 1)
+
+
+def tell(sender: Quarantine, reader: Quarantine, key: str = "other") -> None:
+    """Have one box read what another one wrote."""
+    reader.take_rows({key: Told(tuple(sender.own.values()), dict(sender.cleared))}, False)
+
+
+BESIDE = st.lists(st.sets(st.integers(0, 5), max_size=6), min_size=1, max_size=12)
+"""For each crash, those that ran beside the request that caused it."""
+
+
+@given(BESIDE)
+def test_the_one_request_that_was_at_every_crash_is_found_and_none_beside_it(beside):
+    crashes = [crash(GUILTY, life, ran_s=0.05) for life in range(len(beside))]
+    crashes += [crash(f"well-{name}", life) for life, names in enumerate(beside) for name in names]
+    found = quarantined(crashes, 1.0)
+    assert set(found) == ({GUILTY} if len(beside) >= LEAST_CRASHES else set())
+
+
+@given(BESIDE, BESIDE)
+def test_two_that_crash_endpoints_are_both_found(first, second):
+    """Whoever ran beside either of them is not, unless it ran beside nearly all of their crashes."""
+    crashes = []
+    for name, beside in (("one", first), ("two", second)):
+        for life, names in enumerate(beside):
+            crashes.append(Crash(name, f"{name}-{life}", 0.0, 0.05))
+            crashes += [Crash(f"well-{other}", f"{name}-{life}", 0.0, 0.1) for other in names]
+    found = quarantined(crashes, 1.0)
+    for name, beside in (("one", first), ("two", second)):
+        rivals = [sum(other in names for names in first + second) for other in range(6)]
+        if len(beside) >= LEAST_CRASHES and len(beside) > max(rivals):
+            assert name in found
+
+
+def test_between_equals_the_one_that_ran_shortest_is_taken_and_the_next_crash_puts_a_mistake_right():
+    ran = {GUILTY: 0.3, "well": 0.1}
+    crashes = [crash(name, life, ran_s=ran_s) for life in range(3) for name, ran_s in ran.items()]
+    assert set(quarantined(crashes, 1.0)) == {"well"}
+    assert set(quarantined([*crashes, crash(GUILTY, 3)], 1.0)) == {GUILTY}
+
+
+def test_a_crash_told_twice_counts_once_and_old_ones_count_no_more():
+    twice = [crash(GUILTY, life) for life in (1, 1, 2, 2)]
+    assert not quarantined(twice, 1.0)
+    three = [crash(GUILTY, life, at=life) for life in range(3)]
+    assert quarantined(three, 10.0)[GUILTY].until == 2 + KEPT_S
+    assert not quarantined(three, KEPT_S + 0.5)
+
+
+def test_a_request_that_any_box_served_is_above_suspicion_everywhere(monkeypatch):
+    monkeypatch.setattr("stairquay.serving.quarantine.monotonic", lambda: 10.0)
+    follower, crashed, served = box(), box(), box()
+    served.served("popular")
+    crashed.noticed(crash("popular", life, at=9.0) for life in range(4))
+    tell(crashed, follower)
+    assert follower.left_s("popular") > 0
+    pass_on(follower, served)
+    assert served.left_s("popular") == 0 and served.untold
+    tell(served, follower, "served")
+    pass_on(follower, crashed)
+    assert crashed.left_s("popular") == follower.left_s("popular") == 0
+
+
+def test_a_box_that_served_a_request_lately_does_not_count_crashes_against_it(monkeypatch):
+    now = 10.0
+    monkeypatch.setattr("stairquay.serving.quarantine.monotonic", lambda: now)
+    here = box()
+    here.served("popular")
+    here.noticed(crash("popular", life, at=now) for life in range(4))
+    assert here.left_s("popular") == 0
+    now = 100.0
+    here.noticed(crash("popular", life, at=now) for life in range(4, 8))
+    assert here.left_s("popular") > 0
+
+
+def test_who_ran_beside_is_released_once_the_cause_is_told(monkeypatch):
+    monkeypatch.setattr("stairquay.serving.quarantine.monotonic", lambda: 10.0)
+    follower, here, there = box(), box(), box()
+    here.noticed(crash("well", life, at=9.0) for life in range(3))
+    there.noticed(crash(GUILTY, life, at=9.0, ran_s=0.05) for life in range(4))
+    assert here.left_s("well") > 0
+    tell(here, follower, "here")
+    tell(there, follower, "there")
+    pass_on(follower, here)
+    assert here.left_s("well") == 0 and here.left_s(GUILTY) > 0
+
+
+def test_what_a_box_keeps_and_passes_on_is_bounded(monkeypatch):
+    monkeypatch.setattr("stairquay.serving.quarantine.monotonic", lambda: 10.0)
+    here = box()
+    for life in range(30):
+        here.noticed(crash(f"d-{number}", life, at=9.0) for number in range(40))
+    for number in range(3 * MOST_SERVED):
+        here.served(f"s-{number}")
+    for number in range(3 * MOST_OWN):
+        here.cleared[f"c-{number}"] = 9.0
+    here.noticed([])
+    assert len(here.own) == MOST_OWN and len(here.served_at) == MOST_SERVED
+    assert len(here.cleared) == MOST_OWN
+    told = here.to_pass_on()
+    assert 0 < len(told.crashes) <= MOST_PASSED and len(told.cleared) == MOST_PASSED
