Count ages, leases and limits by a clock that goes on while a machine is suspended

Cause: the usual steady clock stands still meanwhile, so that keys, views and leases seem as young as before. Ruled out: the time of day, which steps.

--- a/stairquay/adapters/follower.py
+++ b/stairquay/adapters/follower.py
@@ -7,13 +7,13 @@
 import random
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
-from time import monotonic
 
 import grpc
 import msgspec
 from absl import logging
 from result import Err, Ok, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.ports import Platform
 from stairquay.adapters.program import being_cancelled
 from stairquay.adapters.router_pb2 import ViewReply, ViewRequest
--- a/stairquay/control/leader.py
+++ b/stairquay/control/leader.py
@@ -3,12 +3,12 @@
 import asyncio
 import secrets
 from collections.abc import Awaitable, Callable
-from time import monotonic
 
 import msgspec
 from absl import logging
 from result import Err, Ok
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.metrics import ControlMetrics
 from stairquay.adapters.ports import Commit, Committed, Condition, Table, Write
 from stairquay.core.lease import Held, LeaseRow, Observed, next_row, observe
--- a/stairquay/control/plans.py
+++ b/stairquay/control/plans.py
@@ -4,11 +4,11 @@
 import secrets
 import time
 from dataclasses import dataclass, replace
-from time import monotonic
 
 import msgspec
 from result import Err, Ok, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.ports import (
     Commit,
     Committed,
--- a/stairquay/control/upkeep.py
+++ b/stairquay/control/upkeep.py
@@ -6,13 +6,13 @@
 
 import secrets
 import time
-from time import monotonic
 
 import msgspec
 from absl import logging
 from aiohttp import ClientSession
 from result import Err, Ok
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.follower import View
 from stairquay.adapters.metrics import ControlMetrics
 from stairquay.adapters.ports import Commit, Condition, Table, Write
--- a/stairquay/entry/attempts.py
+++ b/stairquay/entry/attempts.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
-from time import monotonic
 from typing import Any
 
 from absl import logging
 from aiohttp import ClientResponse, web
 from result import Err, Ok, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.router_pb2 import (
     RUN_OUTCOME_FAILED,
     RUN_OUTCOME_FINISHED,
--- a/stairquay/entry/context.py
+++ b/stairquay/entry/context.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass, field
 from math import ceil
 from random import Random
-from time import monotonic
 
 from aiohttp import ClientSession
 from result import Err, Ok, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.follower import View
 from stairquay.adapters.metrics import EntryMetrics
 from stairquay.adapters.ports import Platform
--- a/stairquay/entry/once.py
+++ b/stairquay/entry/once.py
@@ -8,11 +8,12 @@
 import hashlib
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from time import monotonic, time
+from time import time
 
 import msgspec
 from result import Err, Ok, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.ports import Commit, Committed, Condition, PlatformFault, Table, Write
 from stairquay.core.errors import ErrorKind, Ran, Refusal
 from stairquay.core.row import Row
--- a/stairquay/entry/relay.py
+++ b/stairquay/entry/relay.py
@@ -7,12 +7,12 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from time import monotonic
 
 import msgspec
 from aiohttp import ClientError, ClientResponse, ClientTimeout, web
 from result import Err, Ok, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.attempt import Attempt
 from stairquay.core.errors import ErrorKind, Refusal
 from stairquay.entry.attempts import Arrival, Begun, Relay
--- a/stairquay/entry/server.py
+++ b/stairquay/entry/server.py
@@ -5,12 +5,12 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from functools import partial
-from time import monotonic
 
 import msgspec
 from aiohttp import web
 from result import Err, Ok, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.errors import ErrorKind, Ran, Refusal
 from stairquay.core.models import Service, ServiceKind, Workspace, allowed
 from stairquay.entry.attempts import Arrival, Runner, Work
--- a/stairquay/entry/targets.py
+++ b/stairquay/entry/targets.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from dataclasses import dataclass, field
-from time import monotonic
 from typing import Any
 
 import grpc
 from result import Err, Ok, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.router_pb2 import ReportRequest, RouteReply, RouteRequest, RunOutcome
 from stairquay.core.errors import ErrorKind, Refusal
 from stairquay.core.identity import Prompt, kept_ids
--- a/stairquay/entry/upstream.py
+++ b/stairquay/entry/upstream.py
@@ -7,7 +7,6 @@
 import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
-from time import monotonic
 
 from aiohttp import (
     ClientConnectorError,
@@ -23,6 +22,7 @@
 )
 from result import Err, Ok, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.attempt import Attempt, AttemptState
 from stairquay.core.errors import ErrorKind, Ran
 
--- a/stairquay/platform/connections.py
+++ b/stairquay/platform/connections.py
@@ -7,13 +7,14 @@
 from contextvars import ContextVar
 from dataclasses import dataclass
 from functools import partial
-from time import monotonic
 from typing import Any
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, DummyCookieJar, TCPConnector
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
+from stairquay.adapters.clock import monotonic
+
 CONNECT_S = 0.4
 """Seconds to open a connection: data halls are a millisecond apart, and a dead box says nothing."""
 
--- a/stairquay/platform/rows.py
+++ b/stairquay/platform/rows.py
@@ -3,13 +3,13 @@
 import asyncio
 from base64 import b64decode, b64encode
 from collections.abc import Mapping
-from time import monotonic
 from typing import Any
 
 import msgspec
 from aiohttp import ClientError, ClientSession
 from result import Err, Ok, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.ports import Changes, Commit, Committed, Conflict, PlatformFault
 from stairquay.core.clock import ClockOffset
 from stairquay.core.row import Row
--- a/stairquay/router/exporting.py
+++ b/stairquay/router/exporting.py
@@ -6,12 +6,12 @@
 import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
-from time import monotonic
 from typing import Any
 
 from aiohttp import ClientSession
 from result import Err
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.engine import Exported, ExportOrder, export_blocks
 from stairquay.adapters.store import put_manifest, renew_manifest
 from stairquay.core.admission import TokenBucket
--- a/stairquay/router/importing.py
+++ b/stairquay/router/importing.py
@@ -3,11 +3,11 @@
 import asyncio
 import time
 from dataclasses import dataclass
-from time import monotonic
 
 from aiohttp import ClientSession
 from result import Err
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.engine import ImportBlock, ImportOrder, import_blocks
 from stairquay.core.models import Box, EngineCosts
 from stairquay.core.routing import Import, block_bytes
--- a/stairquay/router/polling.py
+++ b/stairquay/router/polling.py
@@ -3,11 +3,11 @@
 import asyncio
 import random
 from dataclasses import dataclass
-from time import monotonic
 
 from aiohttp import ClientSession
 from result import Err
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.engine import CacheEvent, EngineState, EventKind, fetch_state
 from stairquay.adapters.follower import JITTER_SHARE
 from stairquay.adapters.store import Catalogue, fetch_catalogue
--- a/stairquay/router/service.py
+++ b/stairquay/router/service.py
@@ -3,11 +3,12 @@
 import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, replace
-from time import monotonic, process_time
+from time import process_time
 from typing import Any
 
 import msgspec
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.router_pb2 import (
     RUN_OUTCOME_FINISHED,
     RUN_OUTCOME_LEAVING,
--- a/stairquay/router/state.py
+++ b/stairquay/router/state.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 from random import Random
-from time import monotonic
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.follower import View
 from stairquay.adapters.metrics import RouterMetrics
 from stairquay.adapters.settings import RouterSettings
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -5,13 +5,13 @@
 import signal
 from collections.abc import Callable, Coroutine
 from functools import partial
-from time import monotonic
 from traceback import extract_tb
 from typing import Any
 
 from aiohttp import web
 from result import Err, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.program import Tasks, being_cancelled, listen, until_stopped, wait_until
 from stairquay.core.mistake import Mistake
 from stairquay.serving.asking import Chooser
--- a/stairquay/serving/asking.py
+++ b/stairquay/serving/asking.py
@@ -6,8 +6,8 @@
 
 import asyncio
 from random import Random
-from time import monotonic
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.call import PromptShape
 from stairquay.core.catalog import WorkspaceRule
 from stairquay.core.fleet import Endpoint
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -2,12 +2,12 @@
 
 import asyncio
 from random import Random
-from time import monotonic
 
 import msgspec
 from absl import logging
 from result import Err
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.ports import Commit, Committed, Condition, Write
 from stairquay.core.clock import ClockOffset
 from stairquay.core.routers import Member, pick_routers
--- a/stairquay/serving/choosing.py
+++ b/stairquay/serving/choosing.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from math import ceil
 from random import Random
-from time import monotonic
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.call import PromptShape
 from stairquay.core.catalog import Catalog, EngineShape, ServiceShape, WorkspaceRule
 from stairquay.core.fleet import Endpoint
--- a/stairquay/serving/crash_rows.py
+++ b/stairquay/serving/crash_rows.py
@@ -5,12 +5,12 @@
 """
 
 import asyncio
-from time import monotonic
 
 import msgspec
 from absl import logging
 from result import Err
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.ports import Changes, Commit, Committed, Condition, Write
 from stairquay.core.clock import ClockOffset
 from stairquay.core.crashes import KEPT_S, Crash
--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -5,8 +5,8 @@
 """
 
 import asyncio
-from time import monotonic
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.crashes import Crash
 from stairquay.core.fleet import Endpoint
 from stairquay.serving.decisions import Decision
--- a/stairquay/serving/decisions.py
+++ b/stairquay/serving/decisions.py
@@ -10,11 +10,12 @@
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
-from time import monotonic, time
+from time import time
 from typing import Any
 
 import msgspec
 
+from stairquay.adapters.clock import monotonic
 from stairquay.serving.waking import Changes
 
 QUEUE_LINES = 4_000
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -1,10 +1,9 @@
 """Runs a request: attempts at endpoints, one after the other, as far as truth, time and budget allow."""
 
-from time import monotonic
-
 from aiohttp import web
 from result import Err, Ok, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.attempt import Attempt, worst
 from stairquay.core.call import Dispatch
 from stairquay.core.catalog import urgency
--- a/stairquay/serving/evacuation.py
+++ b/stairquay/serving/evacuation.py
@@ -1,7 +1,6 @@
 """Data halls whose endpoints operators want to get nothing, for as long as they do."""
 
-from time import monotonic
-
+from stairquay.adapters.clock import monotonic
 from stairquay.core.fleet import Endpoint
 from stairquay.serving.decisions import Decision
 from stairquay.serving.ports import OperatorChanges
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from time import monotonic
 from typing import Generic, TypeVar
 
 from result import Err, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.catalog import Catalog
 from stairquay.serving.cold import cold_for_s
 from stairquay.serving.decisions import Decision
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from random import Random
-from time import monotonic
 
 from aiohttp import web
 from result import Err, Ok, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.call import Call
 from stairquay.core.catalog import Catalog, Route, WorkspaceRule, pick_service
 from stairquay.core.errors import ErrorKind, Ran, Refusal
--- a/stairquay/serving/notices.py
+++ b/stairquay/serving/notices.py
@@ -4,8 +4,8 @@
 """
 
 import asyncio
-from time import monotonic
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.routers import Member
 from stairquay.serving.links import Links
 from stairquay.serving.messages import Ended, FinishedNotice
--- a/stairquay/serving/orders.py
+++ b/stairquay/serving/orders.py
@@ -8,11 +8,11 @@
 
 import asyncio
 from dataclasses import replace
-from time import monotonic
 
 import msgspec
 from result import Err
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.ports import Commit, Committed, Condition, Write
 from stairquay.core.fleet import Endpoint
 from stairquay.core.lease import Held, LeaseRow, Observed, next_row, observe
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -7,8 +7,8 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from time import monotonic
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.crashes import KEPT_S, Crash, Quarantined, quarantined, unexplained
 from stairquay.serving.decisions import Decision, DecisionLog
 from stairquay.serving.endpoint import NEVER
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -1,7 +1,6 @@
 """Log lines and metrics of a job's attempts and of its end."""
 
-from time import monotonic
-
+from stairquay.adapters.clock import monotonic
 from stairquay.core.errors import Ran, Refusal
 from stairquay.core.placement import Placement
 from stairquay.serving.choosing import Choice
--- a/stairquay/serving/relay.py
+++ b/stairquay/serving/relay.py
@@ -7,10 +7,10 @@
 import re
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
-from time import monotonic
 
 from aiohttp import web
 
+from stairquay.adapters.clock import monotonic
 from stairquay.serving.ports import BrokenAnswer, Reply
 
 EVENT_END = b"\n\n"
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from random import Random
-from time import monotonic
 
 import grpc
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.call import Part, PromptShape
 from stairquay.core.catalog import WorkspaceRule
 from stairquay.core.fleet import Endpoint
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -7,11 +7,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
-from time import monotonic
 from typing import TypeVar
 
 from result import Ok, Result
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.crashes import Crash
 from stairquay.core.routers import routers_for
 from stairquay.serving.links import Link, Links
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -1,8 +1,8 @@
 """What one box believes: configuration, endpoints, their load, and who keeps which context."""
 
 from dataclasses import dataclass, field
-from time import monotonic
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.budget import WindowBudget
 from stairquay.core.catalog import Catalog
 from stairquay.core.fleet import Endpoint, Fleet
--- a/stairquay/serving/upkeep.py
+++ b/stairquay/serving/upkeep.py
@@ -5,8 +5,8 @@
 """
 
 import asyncio
-from time import monotonic
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.catalog import Catalog, StoreShape
 from stairquay.core.holdings import Key
 from stairquay.core.scope import parse_scope
--- a/stairquay/serving/waking.py
+++ b/stairquay/serving/waking.py
@@ -6,7 +6,8 @@
 
 import asyncio
 from collections.abc import Callable
-from time import monotonic
+
+from stairquay.adapters.clock import monotonic
 
 
 class Changes:
--- a/stairquay/serving/watching.py
+++ b/stairquay/serving/watching.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from functools import partial
-from time import monotonic
 from typing import Any
 
 import xxhash
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.catalog import Catalog
 from stairquay.serving.decisions import Decision
 from stairquay.serving.endpoint import REPORT_S
--- a/stairquay/serving/weighing.py
+++ b/stairquay/serving/weighing.py
@@ -2,8 +2,8 @@
 
 from dataclasses import replace
 from heapq import nlargest
-from time import monotonic
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.call import Part, PromptShape
 from stairquay.core.catalog import Catalog, EngineShape, StoreShape
 from stairquay.core.fleet import Endpoint
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -3,8 +3,8 @@
 import asyncio
 from dataclasses import replace
 from random import Random
-from time import monotonic
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.call import Part, PromptShape
 from stairquay.core.catalog import Catalog, EngineShape, ServiceShape, StoreShape
 from stairquay.core.fleet import Endpoint
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from itertools import product
-from time import monotonic
 
 from result import Err, Ok
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.fleet import MISSING_GRACE_S, Endpoint
 from stairquay.serving.following import follow_endpoints
 from stairquay.serving.ports import EndpointChanges, FeedFault
--- a/tests/test_idle_box.py
+++ b/tests/test_idle_box.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from random import Random
-from time import monotonic
 
 import pytest
 from result import Ok
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.ports import Changes, Committed
 from stairquay.core.catalog import Catalog
 from stairquay.core.clock import ClockOffset
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -2,8 +2,8 @@
 
 from dataclasses import replace
 from random import Random
-from time import monotonic
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.catalog import Catalog, EngineShape, ServiceShape
 from stairquay.core.cold import ColdLimit
 from stairquay.core.fleet import Endpoint, Fleet
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -4,9 +4,9 @@
 """
 
 import asyncio
-from time import monotonic
 from typing import Any
 
+from stairquay.adapters.clock import monotonic
 from tests.site import Answer, Site, configuration, eventually, site
 from tests.standins.dialect import Endpoint
 
--- a/tests/test_router_box.py
+++ b/tests/test_router_box.py
@@ -1,8 +1,8 @@
 """A box among many that routes for others, against stand-ins."""
 
 import asyncio
-from time import monotonic
 
+from stairquay.adapters.clock import monotonic
 from stairquay.serving.links import Link
 from stairquay.serving.messages import (
     Ended,
--- a/tests/test_serving_core.py
+++ b/tests/test_serving_core.py
@@ -2,11 +2,11 @@
 
 from dataclasses import replace
 from random import Random
-from time import monotonic
 
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.budget import Allowance, WindowBudget
 from stairquay.core.call import Part
 from stairquay.core.catalog import Catalog, Route, Split, WorkspaceRule, pick_service, urgency
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -1,11 +1,11 @@
 """Following both views with one question: what is passed on is never taken for younger than it is."""
 
 import asyncio
-from time import monotonic
 
 import pytest
 from result import Ok
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.fleet import Endpoint
 from stairquay.core.routers import Member
 from stairquay.serving.following import follow_endpoints
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -1,8 +1,8 @@
 """A machine that is suspended for seconds: its steady clock stands still meanwhile, and all else goes on.
 
-Boxes counted ages and limits by a clock that does not count such a time. A box that was suspended for six seconds
-took its view for as young as before, and sent requests with keys that had been taken away, gave orders under a
-lease that another box had taken over, and worked on requests whose time had long run out.
+Boxes counted ages and limits by a clock that does not count such a time. A box that was suspended for six
+seconds took its view for as young as before, and sent requests with keys that had been taken away, gave
+orders under a lease that another box had taken over, and worked on requests whose time had long run out.
 """
 
 import time
--- a/tests/test_too_old.py
+++ b/tests/test_too_old.py
@@ -2,12 +2,12 @@
 
 import asyncio
 from random import Random
-from time import monotonic
 
 from aiohttp import ClientSession
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.call import Part, PromptShape
 from stairquay.core.catalog import Catalog, EngineShape, ServiceShape
 from stairquay.core.clock import ClockOffset
--- a/tests/test_waking.py
+++ b/tests/test_waking.py
@@ -1,10 +1,10 @@
 """Waking on a change: nobody misses one, and nobody waits longer than told."""
 
 import asyncio
-from time import monotonic
 
 import pytest
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.routers import Member
 from stairquay.serving.following import apply_operators
 from stairquay.serving.links import Links
