--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -5,11 +5,13 @@
 orders under a lease that another box had taken over, and worked on requests whose time had long run out.
 """
 
+import asyncio
 import time
 from importlib import import_module
 
 import pytest
 
+from stairquay.box import start_box
 from stairquay.core.lease import Held, LeaseRow
 from stairquay.serving.following import apply_endpoints, apply_operators
 from stairquay.serving.orders import OrderGiver
@@ -54,3 +56,39 @@
     assert state.view_age() >= SUSPENDED_S and state.list_age() >= SUSPENDED_S
     assert not giver.held.may_act(now_of("orders"))
     assert state.suspected_until_by_id["box-2"] < now_of("state")
+
+
+def test_a_request_whose_time_ran_out_meanwhile_ends_at_the_next_event(suspend, monkeypatch, tmp_path):
+    """The box's own loop: what it waits for ends by the same clock."""
+    took_s = []
+
+    async def box(*_: object) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.05, suspend)
+        began = time.perf_counter()
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(SUSPENDED_S):
+                while True:
+                    await asyncio.sleep(0.02)
+        took_s.append(time.perf_counter() - began)
+
+    monkeypatch.setattr("stairquay.serving.app.run_box", box)
+    settings = tmp_path / "local.toml"
+    settings.write_text(SETTINGS)
+    assert start_box(settings, 0, None) == 0  # type: ignore[arg-type]
+    assert took_s[0] < SUSPENDED_S / 2
+
+
+SETTINGS = """
+node_name = "box-1"
+ip = "127.0.0.1"
+zone = "hall-a"
+internal_ports = [1, 2]
+[listen]
+front = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+[platform]
+address = "127.0.0.1:3"
+[limits]
+[bounds]
+"""
