End a box's waits by the clock that goes on while the machine is suspended

Cause: the loop timed its waits by the clock that stands still, so that a request whose time ran out meanwhile was worked on for as long again, and idle connections seemed young. Change: a loop of that clock for all programs; what is due is done at the first event or timer after a suspension. Ruled out: a look at both clocks from time to time, which costs wake-ups and comes late.

--- a/stairquay/box.py
+++ b/stairquay/box.py
@@ -5,7 +5,6 @@
 the three programs take a fifth of the processor time that a box's code takes to load.
 """
 
-import asyncio
 import gc
 import os
 from collections.abc import Sequence
@@ -35,6 +34,7 @@
 def start_box(path: Path | None, metrics_port: int, env: Environment) -> ExitStatus:
     """Run a box until it is stopped, by the settings at `path` or where the platform names them."""
     _load_lightly()
+    from stairquay.adapters.clock import run
     from stairquay.platform.boot import load_boot
     from stairquay.platform.names import SETTINGS_VARIABLE
     from stairquay.platform.surroundings import open_surroundings
@@ -49,7 +49,7 @@
         return ExitStatus.BAD_SETTINGS
     start_logs()
     table_address = boot.ok_value.table_address
-    asyncio.run(
+    run(
         run_box(
             boot.ok_value.settings,
             lambda: load_boot(settings_path, metrics_port).map(lambda again: again.settings),
--- a/stairquay/cli.py
+++ b/stairquay/cli.py
@@ -13,6 +13,7 @@
 from result import Err
 
 from stairquay import __version__
+from stairquay.adapters.clock import run
 from stairquay.box import start_box, start_logs
 from stairquay.environment import Environment
 from stairquay.status import ExitStatus, ended
@@ -95,7 +96,7 @@
             env.complain(f"{settings}: $.{program.section}: required by this program, but missing")
             return ExitStatus.BAD_SETTINGS
         start_logs()
-        asyncio.run(_runner(program.name)(read, section))
+        run(_runner(program.name)(read, section))
         return ExitStatus.SUCCESS
 
     command.__doc__ = program.summary
