Test rows about crashes, remove those in which nothing counts, and count crashes once

Change: a row is removed once neither crashes nor cleared requests in it count (cleared ones alone were overlooked, found by reading); crashes by request are counted when judged, not at each answer; a gauge of quarantined requests.

--- a/stairquay/serving/crash_rows.py
+++ b/stairquay/serving/crash_rows.py
@@ -110,7 +110,7 @@
         now = monotonic()
         for row in changes.rows:
             told = self.state.quarantine.told_by_key.get(row.key)
-            if told is None or any(now - crash.at < KEPT_S for crash in told.crashes):
+            if told is None or any(now - at < KEPT_S for at in told.times()):
                 continue
             await self.table.commit(Commit("", (Condition(row.key, row.revision),), (Write(row.key, None),)))
 
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -72,6 +72,9 @@
             ["service"],
             registry=registry,
         )
+        self.quarantined = Gauge(
+            "stairquay_quarantined_requests", "Requests that crash endpoints, not sent now", registry=registry
+        )
         self.in_flight = Gauge("stairquay_in_flight", "Requests under way", registry=registry)
         self.view_age = Gauge(
             "stairquay_view_age_seconds", "Age of the configuration's view", registry=registry
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -4,7 +4,7 @@
 crashes (`stairquay.serving.crash_rows`), and judge by those of all.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -42,6 +42,10 @@
     crashes: tuple[Crash, ...] = ()
     cleared: Mapping[str, float] = field(default_factory=dict)
 
+    def times(self) -> list[float]:
+        """Return when all that it tells happened."""
+        return [*(crash.at for crash in self.crashes), *self.cleared.values()]
+
 
 class Quarantine:
     """Crashes that a box knows of.
@@ -69,6 +73,7 @@
         self.untold = False
         self.changed = Changes()
         self.verdict: dict[str, Quarantined] = {}
+        self.crashes_by_digest: Counter[str] = Counter()
 
     def left_s(self, digest: str) -> float:
         """Return for how many more seconds a request is not sent, 0 where it may be."""
@@ -91,10 +96,9 @@
         self.served_at.move_to_end(digest)
         if len(self.served_at) > MOST_SERVED:
             self.served_at.popitem(last=False)
-        lives = {crash.life for crash in self._pool() if crash.digest == digest}
-        if len(lives) > 1:
+        if self.crashes_by_digest.get(digest, 0) > 1:
             self._clear([digest])
-        elif lives:
+        else:
             # One crash alone is not worth a row.
             self.own = {key: crash for key, crash in self.own.items() if key[0] != digest}
 
@@ -164,13 +168,15 @@
 
     def _learned(self) -> None:
         """Judge anew, and clear those that this box has served."""
+        self._judge()
         now = monotonic()
-        known = {crash.digest for crash in self._pool()}
-        well = [digest for digest in known if now - self.served_at.get(digest, NEVER) < SERVED_S]
+        well = [
+            digest
+            for digest, crashes in self.crashes_by_digest.items()
+            if crashes > 1 and now - self.served_at.get(digest, NEVER) < SERVED_S
+        ]
         if well:
             self._clear(well)
-        else:
-            self._judge()
 
     def _sources(self) -> list[Told]:
         return [*self.told_by_key.values(), self.passed_on]
@@ -192,10 +198,11 @@
         return [crash for crash in (*self.own.values(), *told) if crash.at > cleared.get(crash.digest, NEVER)]
 
     def _judge(self) -> None:
-        before, self.verdict = self.verdict, quarantined(self._pool(), monotonic())
+        pool = self._pool()
+        self.crashes_by_digest = Counter(digest for digest, _ in {(item.digest, item.life) for item in pool})
+        before, self.verdict = self.verdict, quarantined(pool, monotonic())
         for digest in self.verdict.keys() - before.keys():
-            held = self.verdict[digest]
-            lives = [crash.life for crash in held.crashes]
+            lives = [crash.life for crash in self.verdict[digest].crashes]
             self.log.line(Decision.QUARANTINE, outcome="begun", digest=digest, crashed=lives)
         for digest in before.keys() - self.verdict.keys():
             self.log.line(Decision.QUARANTINE, outcome="ended", digest=digest)
