--- a/stairquay/serving/crash_rows.py
+++ b/stairquay/serving/crash_rows.py
@@ -27,18 +27,18 @@
 """Seconds between two writes of a box: every call is priced. What it tells is known everywhere within 2 s."""
 
 AGAIN_S = 0.4
-"""Seconds before a call that got no answer is made again. A crash right before an outage is so known at all
-boxes 2.6 s after it: a call under way may hang for 1.7 s. With 1 s it took 3.4 s (soak, seed 10)."""
+"""Seconds before a call that got no answer is made again. After an outage, a call under way may hang for 2.7 s;
+with 1 s before the next one, a crash was known at all boxes 3.4 s after the outage, in a soak."""
 
-WAIT_S = 1.0
-"""Seconds for which a call waits for changes of rows."""
+WAIT_S = 2.0
+"""Seconds for which a call waits for changes of rows: every call is priced, and two routers always wait."""
 
 READ_PAUSE_S = 0.2
 """Seconds between two such calls, in which the rows of many boxes come together."""
 
-STALE_S = 3.2
+STALE_S = 5.2
 """Seconds after which what a box read of the rows is too old to pass on. What was read last is that old when
-two calls that wait have followed each other, and the second one got its answer as late as it may: 2.9 s."""
+two calls that wait have followed each other, and the second one got its answer as late as it may: 4.9 s."""
 
 
 class CrashRow(msgspec.Struct, frozen=True):
