--- a/stairquay/serving/crash_rows.py
+++ b/stairquay/serving/crash_rows.py
@@ -27,8 +27,8 @@
 """Seconds between two writes of a box: every call is priced. What it tells is known everywhere within 2 s."""
 
 AGAIN_S = 0.4
-"""Seconds before a call that got no answer is made again. After an outage, a call under way may hang for 2.7 s;
-with 1 s before the next one, a crash was known at all boxes 3.4 s after the outage, in a soak."""
+"""Seconds before a call that got no answer is made again. After an outage, a call under way may hang for 2.7
+s; with 1 s before the next one, a crash was known at all boxes 3.4 s after the outage, in a soak."""
 
 WAIT_S = 2.0
 """Seconds for which a call waits for changes of rows: every call is priced, and two routers always wait."""
