Do not take a request for the cause that ran on elsewhere, or that only waited

Change: a request that crashes endpoints does so at one point of its work, so that crashes before a longer run do not count; where an engine answered others and had not begun to answer a request, the crash counts half against it.

--- a/stairquay/core/crashes.py
+++ b/stairquay/core/crashes.py
@@ -11,6 +11,14 @@
 """Of these, those that no other quarantined request explains. Two requests that crash endpoints are often at
 the same one when it crashes; who only ran beside them was at few crashes without either."""
 
+WAITING_WEIGHT = 0.5
+"""What a crash counts against a request that its engine had not begun to answer while it answered others:
+engines send the head of an answer when they begin, so that it mostly waited."""
+
+ALIKE_S = 1.5
+"""Seconds by which the same request works longer on one endpoint than on another until it crashes it: engines
+with much work take three times as long for a token as idle ones."""
+
 KEPT_S = 600.0
 """Seconds for which a crash counts. A request that crashes endpoints at least this often stays quarantined;
 one that was mended meanwhile gets its next chance after so long."""
@@ -22,12 +30,14 @@
 
     digest: names the request, as `request_digest` gives it. life: names the life of the endpoint that ended.
     at: when that was noticed, in monotonic seconds. ran_s: seconds from sending the request to that.
+    worked_s: seconds from the beginning of its answer to that, None where an engine had not begun to answer.
     """
 
     digest: str
     life: str
     at: float
     ran_s: float
+    worked_s: float | None
 
 
 @dataclass(frozen=True)
@@ -40,6 +50,10 @@
     crashes: tuple[Crash, ...]
 
 
+Lives = dict[str, Crash]
+"""Crashes under one request, by the life of the endpoint that ended."""
+
+
 def quarantined(crashes: Iterable[Crash], now: float) -> dict[str, Quarantined]:
     """Return by digest the requests under which at least LEAST_CRASHES endpoints crashed, without those that
     only ran beside one of them.
@@ -49,27 +63,61 @@
     besides. Between equals the one that had run the shortest on average is taken: others had mostly begun
     before it. What was taken wrongly is cleared again by the next crash of the right one.
     """
-    lives_by_digest: dict[str, dict[str, Crash]] = {}
-    for crash in crashes:
-        if now - crash.at < KEPT_S:
-            lives_by_digest.setdefault(crash.digest, {})[crash.life] = crash
-    waiting = {key: held for key, held in lives_by_digest.items() if len(held) >= LEAST_CRASHES}
+    known = _by_digest(crashes, now)
+    answering = {
+        crash.life for lives in known.values() for crash in lives.values() if crash.worked_s is not None
+    }
+
+    def weight(lives: Lives) -> float:
+        waited = sum(crash.worked_s is None and crash.life in answering for crash in lives.values())
+        return len(lives) - (1 - WAITING_WEIGHT) * waited
+
+    alike = {digest: _alike(lives) for digest, lives in known.items()}
+    waiting = {digest: lives for digest, lives in alike.items() if weight(lives) >= LEAST_CRASHES}
     found: dict[str, Quarantined] = {}
     explained: set[str] = set()
     while waiting:
-        left = {key: held.keys() - explained for key, held in waiting.items()}
-        digest = max(waiting, key=lambda key: (len(left[key]), -_mean_s(waiting[key].values()), key))
-        if len(left[digest]) < LEAST_UNEXPLAINED:
+        left = {key: weight(_without(lives, explained)) for key, lives in waiting.items()}
+        digest = max(waiting, key=lambda key: (left[key], -_mean_s(waiting[key]), key))
+        if left[digest] < LEAST_UNEXPLAINED:
             break
-        held = waiting.pop(digest)
-        explained |= held.keys()
-        until = max(crash.at for crash in held.values()) + KEPT_S
-        found[digest] = Quarantined(digest, until, tuple(held.values()))
+        lives = waiting.pop(digest)
+        explained |= lives.keys()
+        until = max(crash.at for crash in lives.values()) + KEPT_S
+        found[digest] = Quarantined(digest, until, tuple(lives.values()))
     return found
 
 
-def _mean_s(crashes: Collection[Crash]) -> float:
-    return sum(crash.ran_s for crash in crashes) / len(crashes)
+def _by_digest(crashes: Iterable[Crash], now: float) -> dict[str, Lives]:
+    """Return the crashes that are young enough to count. Of two that tell of one life, that counts which saw
+    the request work for longer."""
+    found: dict[str, Lives] = {}
+    for crash in crashes:
+        if now - crash.at < KEPT_S:
+            lives = found.setdefault(crash.digest, {})
+            known = lives.get(crash.life)
+            if known is None or _worked_s(crash) > _worked_s(known):
+                lives[crash.life] = crash
+    return found
+
+
+def _alike(lives: Lives) -> Lives:
+    """Return the crashes that came as late as the latest one: what crashes endpoints does so at one point,
+    and a request that went on beyond that point somewhere is not why the endpoints before crashed."""
+    longest_s = max(_worked_s(crash) for crash in lives.values())
+    return {life: crash for life, crash in lives.items() if _worked_s(crash) >= longest_s - ALIKE_S}
+
+
+def _without(lives: Lives, explained: Collection[str]) -> Lives:
+    return {life: crash for life, crash in lives.items() if life not in explained}
+
+
+def _worked_s(crash: Crash) -> float:
+    return -1.0 if crash.worked_s is None else crash.worked_s
+
+
+def _mean_s(lives: Lives) -> float:
+    return sum(crash.ran_s for crash in lives.values()) / len(lives)
 
 
 def unexplained(crashes: Iterable[Crash], found: dict[str, Quarantined]) -> list[Crash]:
--- a/stairquay/serving/crash_rows.py
+++ b/stairquay/serving/crash_rows.py
@@ -42,10 +42,10 @@
 
 
 class CrashRow(msgspec.Struct, frozen=True):
-    """A box's row: [digest, life, at, ran_s] of crashes, and [digest, at] of requests that are above
-    suspicion. Times are seconds of the table service's clock."""
+    """A box's row: [digest, life, at, ran_s, worked_s] of crashes, and [digest, at] of requests that are
+    above suspicion. Times are seconds of the table service's clock."""
 
-    crashes: tuple[tuple[str, str, float, float], ...] = ()
+    crashes: tuple[tuple[str, str, float, float, float | None], ...] = ()
     cleared: tuple[tuple[str, float], ...] = ()
 
 
@@ -123,7 +123,7 @@
             return False
         row = CrashRow(
             tuple(
-                (item.digest, item.life, offset.theirs(item.at), item.ran_s)
+                (item.digest, item.life, offset.theirs(item.at), item.ran_s, item.worked_s)
                 for item in quarantine.own.values()
             ),
             tuple((digest, offset.theirs(at)) for digest, at in quarantine.cleared.items()),
@@ -152,9 +152,8 @@
         logging.warning("row %s cannot be read: %s", row.key, error)
         return Told()
     now = monotonic()
-    return Told(
-        tuple(
-            Crash(digest, life, min(now, offset.ours(at)), ran_s) for digest, life, at, ran_s in told.crashes
-        ),
-        {digest: min(now, offset.ours(at)) for digest, at in told.cleared},
+    crashes = (
+        Crash(digest, life, min(now, offset.ours(at)), ran_s, worked_s)
+        for digest, life, at, ran_s, worked_s in told.crashes
     )
+    return Told(tuple(crashes), {digest: min(now, offset.ours(at)) for digest, at in told.cleared})
--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -34,7 +34,7 @@
             task = asyncio.create_task(self._ask(endpoint, life, begun.held.born))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
-        waiting[job.digest] = Crash(job.digest, life, now, now - begun.sent_at)
+        waiting[job.digest] = Crash(job.digest, life, now, now - begun.sent_at, _worked_s(job, begun, now))
 
     async def _ask(self, endpoint: Endpoint, life: str, born: int) -> None:
         """Find out whether a life of an endpoint has ended; all connections of a crash break within that."""
@@ -55,3 +55,10 @@
         started at its address since."""
         held = self.state.endpoints_by_id.get(endpoint_id)
         return endpoint_id in self.state.fleet.by_id and held is not None and held.born == born
+
+
+def _worked_s(job: Job, begun: Begun, now: float) -> float | None:
+    """Return for how long an endpoint has worked on a request, None where an engine has not begun to answer.
+    Plain services answer when they are done, so that their work counts from when they got it."""
+    since = begun.sent_at if job.service.engine is None else begun.replied_at
+    return None if since is None else now - since
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -154,6 +154,7 @@
             if isinstance(sent, Err):
                 self._failed(job, begun, progress, sent.err_value)
                 return None
+            begun.replied_at = monotonic()
             return await self._relay(job, begun, progress, sent.ok_value, request)
         finally:
             held.in_flight -= not counted
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -52,10 +52,12 @@
 
 @dataclass
 class Begun:
-    """An attempt under way at an endpoint."""
+    """An attempt under way at an endpoint. replied_at: when the head of its answer came; first_at: its first
+    byte or event. Monotonic seconds, None before."""
 
     choice: Choice
     attempt: Attempt
     held: EndpointState
     sent_at: float
+    replied_at: float | None = None
     first_at: float | None = None
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -316,7 +316,8 @@
             return known, None
         told = quarantine.to_pass_on()
         crashes = tuple(
-            CrashTold(crash.digest, crash.life, now - crash.at, crash.ran_s) for crash in told.crashes
+            CrashTold(crash.digest, crash.life, now - crash.at, crash.ran_s, crash.worked_s)
+            for crash in told.crashes
         )
         cleared = tuple((digest, now - at) for digest, at in told.cleared.items())
         return quarantine.rows_changed, CrashesTold(crashes, cleared)
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -118,7 +118,8 @@
             quarantine.router_ceased()
         elif told is not None:
             crashes = tuple(
-                Crash(item.digest, item.life, now - item.ago_s, item.ran_s) for item in told.crashes
+                Crash(item.digest, item.life, now - item.ago_s, item.ran_s, item.worked_s)
+                for item in told.crashes
             )
             cleared = {digest: now - ago_s for digest, ago_s in told.cleared}
             quarantine.take_passed_on(Told(crashes, cleared), revision)
--- a/tests/soak_crashes.py
+++ b/tests/soak_crashes.py
@@ -233,6 +233,7 @@
     async with several_boxes(boxes) as sites:
         for endpoint in sites[0].endpoints:
             endpoint.crashes_on = b"POISON"
+            endpoint.heard = bool(endpoint.model)
             endpoint.events_made, endpoint.event_s = 12, 0.02
         played = Soak(sites, Random(seed), seconds)
         outcome = await played.run()
--- a/tests/standins/dialect.py
+++ b/tests/standins/dialect.py
@@ -106,7 +106,8 @@
     carry another request's id. break_after: streams are reset after that many events. hold_s: time before
     the answer. unframed_reset: this many answers without a length end in a reset. surplus: this many
     answers are followed by bytes that belong to nothing. crashes_on: a request whose body holds that crashes
-    the endpoint `crash_s` after it began; on_poison hears of each beginning and each crash.
+    the endpoint `crash_s` after it began, heard: after the head of its answer; on_poison hears of each
+    beginning and each crash.
     """
 
     id: str = "i-1"
@@ -124,6 +125,7 @@
     unframed_reset: int = 0
     crashes_on: bytes = b""
     crash_s: float = 0.02
+    heard: bool = False
     on_poison: Callable[[str, bytes, bool], None] = lambda call_id, body, crashed: None
     crashed: bool = False
     keep_alive: str = ""
@@ -221,6 +223,8 @@
             await asyncio.sleep(self.hold_s)
             if self.crashes_on and self.crashes_on in body:
                 self.on_poison(call_id, body, False)
+                if self.heard:
+                    await self._begin_answer(request, call_id)
                 await asyncio.sleep(self.crash_s)
                 self.on_poison(call_id, body, True)
                 return self.crash()
@@ -229,6 +233,12 @@
             self.left += 1
             raise
 
+    async def _begin_answer(self, request: web.Request, call_id: str) -> None:
+        headers = {"Request-Id": call_id, "Response-Signature": f"sig-{self.id}", "Versions": "1"}
+        response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+
     def crash(self) -> web.Response:
         """End as a process does: nothing listens any more, and all connections are reset."""
         self.crashed = True
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -55,6 +55,19 @@
     asyncio.run(scenario())
 
 
+def test_a_prompt_that_crashes_engines_after_the_head_of_its_answer_counts_as_well():
+    async def scenario():
+        async with site(plain=0, engines=7, budget_window_s=1) as here:
+            await here.until_slack()
+            arm(here)
+            for endpoint in here.endpoints:
+                endpoint.heard = True
+            assert (await come(here, 4)).status == 503
+            assert crashed(here) == 3
+
+    asyncio.run(scenario())
+
+
 def test_another_box_sends_nothing_of_a_prompt_that_crashed_three_engines_at_this_one():
     async def scenario():
         async with two_boxes(engines=7, budget_window_s=1) as (first, second):
