Tell by its events, not by time, how far a request came before a crash

Cause, found by reading: a box that stood still or was cut off hears of a crash seconds late, so that a request that crashes endpoints seemed to have run on for that long at one of them, and its earlier crashes no longer counted. Change: the events of the answer that had come, 16 more than elsewhere for a run that went on.

--- a/stairquay/core/crashes.py
+++ b/stairquay/core/crashes.py
@@ -15,9 +15,9 @@
 """What a crash counts against a request that its engine had not begun to answer while it answered others:
 engines send the head of an answer when they begin, so that it mostly waited."""
 
-ALIKE_S = 1.5
-"""Seconds by which the same request works longer on one endpoint than on another until it crashes it: engines
-with much work take three times as long for a token as idle ones."""
+ALIKE_EVENTS = 16
+"""Events by which the same request may come further on one endpoint than on another before it crashes it.
+Time says less: a box that stood still, or was cut off, hears of a crash seconds late."""
 
 KEPT_S = 600.0
 """Seconds for which a crash counts. A request that crashes endpoints at least this often stays quarantined;
@@ -29,15 +29,15 @@
     """An endpoint crashed while a request was there.
 
     digest: names the request, as `request_digest` gives it. life: names the life of the endpoint that ended.
-    at: when that was noticed, in monotonic seconds. ran_s: seconds from sending the request to that.
-    worked_s: seconds from the beginning of its answer to that, None where an engine had not begun to answer.
+    at: when that was noticed, in monotonic seconds. ran_s: seconds from sending the request to that. events:
+    how many of its answer had come by then, None where an engine had not begun to answer.
     """
 
     digest: str
     life: str
     at: float
     ran_s: float
-    worked_s: float | None
+    events: int | None
 
 
 @dataclass(frozen=True)
@@ -65,11 +65,11 @@
     """
     known = _by_digest(crashes, now)
     answering = {
-        crash.life for lives in known.values() for crash in lives.values() if crash.worked_s is not None
+        crash.life for lives in known.values() for crash in lives.values() if crash.events is not None
     }
 
     def weight(lives: Lives) -> float:
-        waited = sum(crash.worked_s is None and crash.life in answering for crash in lives.values())
+        waited = sum(crash.events is None and crash.life in answering for crash in lives.values())
         return len(lives) - (1 - WAITING_WEIGHT) * waited
 
     alike = {digest: _alike(lives) for digest, lives in known.items()}
@@ -96,24 +96,25 @@
         if now - crash.at < KEPT_S:
             lives = found.setdefault(crash.digest, {})
             known = lives.get(crash.life)
-            if known is None or _worked_s(crash) > _worked_s(known):
+            if known is None or _events(crash) > _events(known):
                 lives[crash.life] = crash
     return found
 
 
 def _alike(lives: Lives) -> Lives:
-    """Return the crashes that came as late as the latest one: what crashes endpoints does so at one point,
-    and a request that went on beyond that point somewhere is not why the endpoints before crashed."""
-    longest_s = max(_worked_s(crash) for crash in lives.values())
-    return {life: crash for life, crash in lives.items() if _worked_s(crash) >= longest_s - ALIKE_S}
+    """Return the crashes that came as late in the answer as the latest one: what crashes endpoints does so at
+    one point, and a request that went on beyond that point somewhere is not why the endpoints before
+    crashed."""
+    furthest = max(_events(crash) for crash in lives.values())
+    return {life: crash for life, crash in lives.items() if _events(crash) >= furthest - ALIKE_EVENTS}
 
 
 def _without(lives: Lives, explained: Collection[str]) -> Lives:
     return {life: crash for life, crash in lives.items() if life not in explained}
 
 
-def _worked_s(crash: Crash) -> float:
-    return -1.0 if crash.worked_s is None else crash.worked_s
+def _events(crash: Crash) -> int:
+    return -1 if crash.events is None else crash.events
 
 
 def _mean_s(lives: Lives) -> float:
--- a/stairquay/serving/crash_rows.py
+++ b/stairquay/serving/crash_rows.py
@@ -42,10 +42,10 @@
 
 
 class CrashRow(msgspec.Struct, frozen=True):
-    """A box's row: [digest, life, at, ran_s, worked_s] of crashes, and [digest, at] of requests that are
+    """A box's row: [digest, life, at, ran_s, events] of crashes, and [digest, at] of requests that are
     above suspicion. Times are seconds of the table service's clock."""
 
-    crashes: tuple[tuple[str, str, float, float, float | None], ...] = ()
+    crashes: tuple[tuple[str, str, float, float, int | None], ...] = ()
     cleared: tuple[tuple[str, float], ...] = ()
 
 
@@ -123,7 +123,7 @@
             return False
         row = CrashRow(
             tuple(
-                (item.digest, item.life, offset.theirs(item.at), item.ran_s, item.worked_s)
+                (item.digest, item.life, offset.theirs(item.at), item.ran_s, item.events)
                 for item in quarantine.own.values()
             ),
             tuple((digest, offset.theirs(at)) for digest, at in quarantine.cleared.items()),
@@ -153,7 +153,7 @@
         return Told()
     now = monotonic()
     crashes = (
-        Crash(digest, life, min(now, offset.ours(at)), ran_s, worked_s)
-        for digest, life, at, ran_s, worked_s in told.crashes
+        Crash(digest, life, min(now, offset.ours(at)), ran_s, events)
+        for digest, life, at, ran_s, events in told.crashes
     )
     return Told(tuple(crashes), {digest: min(now, offset.ours(at)) for digest, at in told.cleared})
--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -24,8 +24,9 @@
         self.suspected_by_life: dict[str, dict[str, Crash]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def broke(self, job: Job, begun: Begun) -> None:
-        """Take in that an endpoint's connection broke while it had a request."""
+    def broke(self, job: Job, begun: Begun, events: int) -> None:
+        """Take in that an endpoint's connection broke while it had a request, after so many events of the
+        answer."""
         endpoint, now = begun.choice.endpoint, monotonic()
         life = f"{endpoint.id}/{begun.held.born}"
         waiting = self.suspected_by_life.get(life)
@@ -34,7 +35,7 @@
             task = asyncio.create_task(self._ask(endpoint, life, begun.held.born))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
-        waiting[job.digest] = Crash(job.digest, life, now, now - begun.sent_at, _worked_s(job, begun, now))
+        waiting[job.digest] = Crash(job.digest, life, now, now - begun.sent_at, _events(job, begun, events))
 
     async def _ask(self, endpoint: Endpoint, life: str, born: int) -> None:
         """Find out whether a life of an endpoint has ended; all connections of a crash break within that."""
@@ -57,8 +58,7 @@
         return endpoint_id in self.state.fleet.by_id and held is not None and held.born == born
 
 
-def _worked_s(job: Job, begun: Begun, now: float) -> float | None:
-    """Return for how long an endpoint has worked on a request, None where an engine has not begun to answer.
-    Plain services answer when they are done, so that their work counts from when they got it."""
-    since = begun.sent_at if job.service.engine is None else begun.replied_at
-    return None if since is None else now - since
+def _events(job: Job, begun: Begun, events: int) -> int | None:
+    """Return how far an answer had come, None where an engine had not begun it. Plain services answer when
+    they are done, so that nobody knows whether they had begun."""
+    return None if job.service.engine is not None and not begun.replied else events
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -154,7 +154,7 @@
             if isinstance(sent, Err):
                 self._failed(job, begun, progress, sent.err_value)
                 return None
-            begun.replied_at = monotonic()
+            begun.replied = True
             return await self._relay(job, begun, progress, sent.ok_value, request)
         finally:
             held.in_flight -= not counted
@@ -268,7 +268,7 @@
             if _unreached(failure):
                 begun.held.doubted_at = now
         if failure.broke:
-            self.crashes.broke(job, begun)
+            self.crashes.broke(job, begun, progress.stream.events)
         record_failed(self.state, job, begun, failure, now)
 
     def _ended_well(self, job: Job, begun: Begun, reply: Reply, progress: Progress) -> None:
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -52,12 +52,12 @@
 
 @dataclass
 class Begun:
-    """An attempt under way at an endpoint. replied_at: when the head of its answer came; first_at: its first
-    byte or event. Monotonic seconds, None before."""
+    """An attempt under way at an endpoint. replied: the head of its answer has come. first_at: when its first
+    byte or event came, in monotonic seconds."""
 
     choice: Choice
     attempt: Attempt
     held: EndpointState
     sent_at: float
-    replied_at: float | None = None
+    replied: bool = False
     first_at: float | None = None
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -101,7 +101,7 @@
     life: str
     ago_s: float
     ran_s: float
-    worked_s: float | None
+    events: int | None
 
 
 class CrashesTold(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -118,7 +118,7 @@
             quarantine.router_ceased()
         elif told is not None:
             crashes = tuple(
-                Crash(item.digest, item.life, now - item.ago_s, item.ran_s, item.worked_s)
+                Crash(item.digest, item.life, now - item.ago_s, item.ran_s, item.events)
                 for item in told.crashes
             )
             cleared = {digest: now - ago_s for digest, ago_s in told.cleared}
--- a/tests/test_crash_rows.py
+++ b/tests/test_crash_rows.py
@@ -37,7 +37,7 @@
 
 def row(key: str, revision: int, *crashes: tuple[str, int, float], **fields) -> Row:
     """A box's row; times are seconds ago."""
-    told = [[digest, f"e-{life}", NOW + 50.0 - ago_s, 0.1, 0.05] for digest, life, ago_s in crashes]
+    told = [[digest, f"e-{life}", NOW + 50.0 - ago_s, 0.1, 0] for digest, life, ago_s in crashes]
     return Row(key, json.dumps({"crashes": told, **fields}), revision)
 
 
@@ -56,7 +56,7 @@
     standing = row("b-1", 5, ("before", 1, 10.0))
     table = Table(Ok(Conflict((standing,))))
     state, rows = box(monkeypatch, table)
-    state.quarantine.noticed([Crash("new", "e-2", NOW - 1.0, 0.1, 0.05)])
+    state.quarantine.noticed([Crash("new", "e-2", NOW - 1.0, 0.1, 0)])
     assert not asyncio.run(rows._write())
     assert asyncio.run(rows._write())
     assert table.commits[-1].conditions[0].revision == 5
@@ -67,7 +67,7 @@
 def test_a_row_that_another_box_removed_is_written_anew(monkeypatch):
     table = Table(Ok(Committed(3)), Ok(Conflict((Row("b-1", None, 4),))))
     state, rows = box(monkeypatch, table)
-    state.quarantine.noticed([Crash("new", "e-2", NOW - 1.0, 0.1, 0.05)])
+    state.quarantine.noticed([Crash("new", "e-2", NOW - 1.0, 0.1, 0)])
     assert asyncio.run(rows._write())
     assert not asyncio.run(rows._write())
     assert asyncio.run(rows._write())
@@ -77,7 +77,7 @@
 def test_a_write_without_an_answer_is_made_again(monkeypatch):
     table = Table(Err(PlatformFault.UNKNOWN))
     state, rows = box(monkeypatch, table)
-    state.quarantine.noticed([Crash("new", "e-2", NOW - 1.0, 0.1, 0.05)])
+    state.quarantine.noticed([Crash("new", "e-2", NOW - 1.0, 0.1, 0)])
     assert not asyncio.run(rows._write()) and asyncio.run(rows._write())
 
 
@@ -112,7 +112,7 @@
 
 def test_one_crash_of_a_request_that_was_then_served_is_forgotten():
     quarantine = box_state().quarantine
-    quarantine.noticed([Crash("a", "e-1", 0.0, 0.1, 0.05)])
+    quarantine.noticed([Crash("a", "e-1", 0.0, 0.1, 0)])
     quarantine.served("a")
     assert not quarantine.own and not quarantine.cleared
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,10 +10,8 @@
 GUILTY = "guilty"
 
 
-def crash(
-    digest: str, life: int, at: float = 0.0, ran_s: float = 0.1, worked_s: float | None = 0.05
-) -> Crash:
-    return Crash(digest, f"e-{life}", at, ran_s, worked_s)
+def crash(digest: str, life: int, at: float = 0.0, ran_s: float = 0.1, events: int | None = 0) -> Crash:
+    return Crash(digest, f"e-{life}", at, ran_s, events)
 
 
 def box() -> Quarantine:
@@ -47,8 +45,8 @@
     crashes = []
     for name, beside in (("one", first), ("two", second)):
         for life, names in enumerate(beside):
-            crashes.append(Crash(name, f"{name}-{life}", 0.0, 0.05, 0.05))
-            crashes += [Crash(f"well-{other}", f"{name}-{life}", 0.0, 0.1, 0.05) for other in names]
+            crashes.append(Crash(name, f"{name}-{life}", 0.0, 0.05, 0))
+            crashes += [Crash(f"well-{other}", f"{name}-{life}", 0.0, 0.1, 0) for other in names]
     found = quarantined(crashes, 1.0)
     for name, beside in (("one", first), ("two", second)):
         rivals = [sum(other in names for names in first + second) for other in range(6)]
@@ -146,16 +144,15 @@
 def test_a_request_that_ran_on_elsewhere_did_not_crash_the_endpoints_before():
     """Seen on a day on which half of the engines crashed each three seconds: a stream that had lost two of
     them went on at a third for 2.9 s, lost that one too, and was cut as their cause."""
-    worked = (0.1, 0.1, 2.9)
-    crashes = [crash("well", life, worked_s=worked_s) for life, worked_s in enumerate(worked)]
+    crashes = [crash("well", life, events=events) for life, events in enumerate((0, 0, 40))]
     assert not quarantined(crashes, 1.0)
-    long = [crash(GUILTY, life, worked_s=30.0 + life / 10) for life in range(3)]
+    long = [crash(GUILTY, life, events=300 + life) for life in range(3)]
     assert set(quarantined(crashes + long, 1.0)) == {GUILTY}
 
 
 def test_a_request_that_an_engine_had_not_begun_is_half_as_suspicious_where_it_answered_others():
-    waited = [crash("waits", life, worked_s=None) for life in range(6)]
-    others = [crash(f"well-{life}", life, worked_s=0.5) for life in range(6)]
+    waited = [crash("waits", life, events=None) for life in range(6)]
+    others = [crash(f"well-{life}", life, events=5) for life in range(6)]
     assert not quarantined(waited[:5] + others, 1.0)
     assert set(quarantined(waited + others, 1.0)) == {"waits"}
     assert set(quarantined(waited[:3], 1.0)) == {"waits"}
