--- a/tests/site.py
+++ b/tests/site.py
@@ -223,6 +223,12 @@
         body = options.pop("body", b"a prompt")
         return await self.call(path, "POST", headers=headers, body=body, **options)
 
+    async def metrics(self) -> str:
+        """Return the box's metrics as they are scraped."""
+        assert self.session is not None
+        async with self.session.get(f"http://127.0.0.1:{self.metrics_port}/metrics") as response:
+            return await response.text()
+
     def engines(self) -> list[Endpoint]:
         return [item for item in self.endpoints if item.model]
 
--- a/tests/test_box_state.py
+++ b/tests/test_box_state.py
@@ -239,9 +239,9 @@
 
 
 ELSEWHERE = {"dependency", "freed", "reload", "part_failed", "left_out", "router", "waits"}
-ELSEWHERE |= {"evacuation", "born_anew"}
+ELSEWHERE |= {"evacuation", "born_anew", "crashed", "quarantine"}
 """Kinds of lines that other tests provoke: outages, replaced weights, settings, failing parts, floods, many
-boxes, bursts, data halls that get nothing, endpoints that start again."""
+boxes, bursts, data halls that get nothing, endpoints that start again, requests that crash endpoints."""
 
 INPUTS_BY_KIND = {
     "start": {"front"},
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -55,6 +55,28 @@
     asyncio.run(scenario())
 
 
+def test_lines_and_counters_tell_of_crashes_and_of_what_is_refused_for_them():
+    async def scenario():
+        async with site(plain=0, engines=7, budget_window_s=1) as here:
+            await here.until_slack()
+            arm(here)
+            await come(here, 3)
+            await eventually(lambda: here.logged("refused", cause="quarantined", ran="not run"))
+            begun = here.logged("quarantine", outcome="begun")[0]
+            digest = begun["digest"]
+            lines = here.logged("crashed")
+            assert {line["life"] for line in lines} == set(begun["crashed"]) and len(lines) == 3
+            assert all(line["requests"] == [digest] and not line["accepts"] for line in lines)
+            assert len(here.logged("attempt_failed", digest=digest, broke=True)) == 3
+            assert digest in here.logged("refused", cause="quarantined")[0]["detail"]
+            metrics = await here.metrics()
+            assert 'stairquay_endpoint_crashes_total{service="llm"} 3.0' in metrics
+            assert 'stairquay_refusals_total{kind="quarantined",ran="not run"}' in metrics
+            assert "stairquay_quarantined_requests 1.0" in metrics
+
+    asyncio.run(scenario())
+
+
 def test_a_prompt_that_crashes_engines_after_the_head_of_its_answer_counts_as_well():
     async def scenario():
         async with site(plain=0, engines=7, budget_window_s=1) as here:
