Keep set-ups that several files of tests share where they can be found

Two boxes, newly named weights and rows of boxes were taken from other files of tests; a box's metrics were scraped by hand.

--- a/tests/many_boxes.py
+++ b/tests/many_boxes.py
@@ -1,9 +1,13 @@
 """Sites of many boxes: one box that asks routers, stand-ins for them, and one that routes for others."""
 
 import asyncio
+import tempfile
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from pathlib import Path
+
+from aiohttp import ClientSession, ClientTimeout
 
 from stairquay.serving.links import Answers, Link, serve
 from stairquay.serving.messages import (
@@ -148,3 +152,33 @@
             yield here, link
         finally:
             await link.close()
+
+
+BESIDE_TWO = 10
+"""Other boxes in the table that nobody can reach: with two real ones, more than route by themselves."""
+
+FIRST, SECOND = "box-1@127.0.0.1", "box-2@127.0.0.1"
+
+
+@asynccontextmanager
+async def two_boxes(**options) -> AsyncIterator[tuple[Site, Site]]:
+    """Two boxes as real processes that share their stand-ins, one of which routes for both."""
+    async with site(ready=False, **options) as first:
+        for number in range(BESIDE_TWO):
+            first.table.put("stairquay", f"box/other-{number}", {"beat": 1})
+        with tempfile.TemporaryDirectory() as folder:
+            second = Site(first.table, first.endpoints, first.stores, Path(folder), name="box-2")
+            second.session = ClientSession(timeout=ClientTimeout(total=20), auto_decompress=False)
+            try:
+                await second.start_box()
+                await first.until_ready()
+                await second.until_ready()
+                await eventually(lambda: both_know(first) and both_know(second))
+                yield first, second
+            finally:
+                second.endpoints, second.stores = [], []
+                await second.close()
+
+
+def both_know(here: Site) -> bool:
+    return any(line["routers"] == [FIRST, SECOND] for line in here.logged("router", outcome="picked"))
--- a/tests/site.py
+++ b/tests/site.py
@@ -254,6 +254,17 @@
                 await part.runner.cleanup()
 
 
+def name_version(here: Site, version: int) -> None:
+    """Name new weights, as operators do."""
+    here.table.put("op", f"version/{MODEL}", {"model": MODEL, "version": version})
+
+
+def box_rows(here: Site) -> list[dict[str, Any]]:
+    """Return the heartbeats that boxes wrote."""
+    rows = here.table.rows_by_key.items()
+    return [json.loads(text) for (_, key), (text, _) in rows if key.startswith("box/")]
+
+
 async def eventually(check: Any, limit_s: float = 10.0) -> None:
     """Wait until a check holds; it may be a plain function or a coroutine function."""
     end = asyncio.get_running_loop().time() + limit_s
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -7,10 +7,12 @@
 """
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
+from tests.many_boxes import two_boxes
 from tests.site import Answer, Site, eventually, site
 from tests.standins.dialect import Endpoint
-from tests.test_two_boxes import two_boxes
 
 POISON = b"crash"
 PROMPT = b"a prompt, crash"
@@ -24,6 +26,15 @@
         endpoint.crashes_on = POISON
 
 
+@asynccontextmanager
+async def armed(plain: int = 0, engines: int = 7, **bounds: float) -> AsyncIterator[Site]:
+    """A box whose endpoints crash on one request, and which may send as often again as it ever may."""
+    async with site(plain=plain, engines=engines, budget_window_s=1, **bounds) as here:
+        await here.until_slack()
+        arm(here)
+        yield here
+
+
 def crashed(here: Site) -> int:
     return sum(endpoint.crashed for endpoint in here.endpoints)
 
@@ -44,9 +55,7 @@
 
 def test_a_prompt_that_comes_again_crashes_three_engines_and_no_more():
     async def scenario():
-        async with site(plain=0, engines=7, budget_window_s=1) as here:
-            await here.until_slack()
-            arm(here)
+        async with armed() as here:
             answer = await come(here, 4)
             assert crashed(here) == 3
             assert answer.status == 503 and float(answer.headers["Retry-After"]) > 1
@@ -57,9 +66,7 @@
 
 def test_lines_and_counters_tell_of_crashes_and_of_what_is_refused_for_them():
     async def scenario():
-        async with site(plain=0, engines=7, budget_window_s=1) as here:
-            await here.until_slack()
-            arm(here)
+        async with armed() as here:
             await come(here, 3)
             await eventually(lambda: here.logged("refused", cause="quarantined", ran="not run"))
             begun = here.logged("quarantine", outcome="begun")[0]
@@ -79,9 +86,7 @@
 
 def test_a_prompt_that_crashes_engines_after_the_head_of_its_answer_counts_as_well():
     async def scenario():
-        async with site(plain=0, engines=7, budget_window_s=1) as here:
-            await here.until_slack()
-            arm(here)
+        async with armed() as here:
             for endpoint in here.endpoints:
                 endpoint.heard = True
             assert (await come(here, 4)).status == 503
@@ -121,9 +126,7 @@
 
 def test_a_box_that_was_started_anew_knows_of_crashes_before():
     async def scenario():
-        async with site(plain=0, engines=7, budget_window_s=1) as here:
-            await here.until_slack()
-            arm(here)
+        async with armed() as here:
             await come(here, 2)
             await eventually(lambda: here.table.get("stairquay-crashes", "box-1@127.0.0.1"))
             await here.kill_box()
@@ -139,9 +142,7 @@
 
 def test_a_box_judges_by_its_own_crashes_while_the_table_service_is_away():
     async def scenario():
-        async with site(plain=0, engines=7, budget_window_s=1, revoke_ms=60_000, drain_ms=60_000) as here:
-            await here.until_slack()
-            arm(here)
+        async with armed(revoke_ms=60_000, drain_ms=60_000) as here:
             here.table.down = True
             await come(here, 4)
             assert crashed(here) == 3
@@ -151,9 +152,7 @@
 
 def test_a_plain_request_is_no_longer_sent_either_also_one_that_must_not_repeat():
     async def scenario():
-        async with site(plain=5, budget_window_s=1) as here:
-            await here.until_slack()
-            arm(here)
+        async with armed(plain=5, engines=0) as here:
             statuses = [
                 (await here.call("/once/x", "POST", call_id=f"once-{number}", body=POISON)).status
                 for number in range(5)
@@ -168,9 +167,7 @@
 
 def test_a_stream_that_is_resumed_counts_as_the_same_request():
     async def scenario():
-        async with site(plain=0, engines=7, budget_window_s=1) as here:
-            await here.until_slack()
-            arm(here)
+        async with armed() as here:
             await come(here, 2)
             answer = await here.prompt("/again/x", call_id="on", body=PROMPT, headers={"Last-Event-Id": "3"})
             assert answer.status == 503
--- a/tests/test_too_old.py
+++ b/tests/test_too_old.py
@@ -21,10 +21,9 @@
 from stairquay.serving.orders import OrderGiver
 from stairquay.serving.ports import EngineReport, OperatorChanges
 from stairquay.serving.state import BoxState
-from tests.site import eventually, site
+from tests.site import box_rows, eventually, name_version, site
 from tests.standins.table import TableService, now_ms
 from tests.states import box_state
-from tests.test_versions import box_rows, name_version
 
 
 @given(
--- a/tests/test_two_boxes.py
+++ b/tests/test_two_boxes.py
@@ -1,42 +1,9 @@
 """Two boxes as real processes, among others that only have rows: one routes for both."""
 
 import asyncio
-import tempfile
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-from pathlib import Path
 
-from aiohttp import ClientSession, ClientTimeout
-
-from tests.site import Site, eventually, site
-
-OTHERS = 10
-"""Other boxes in the table that nobody can reach: with these two, more than route by themselves."""
-
-FIRST, SECOND = "box-1@127.0.0.1", "box-2@127.0.0.1"
-
-
-@asynccontextmanager
-async def two_boxes(**options) -> AsyncIterator[tuple[Site, Site]]:
-    async with site(ready=False, **options) as first:
-        for number in range(OTHERS):
-            first.table.put("stairquay", f"box/other-{number}", {"beat": 1})
-        with tempfile.TemporaryDirectory() as folder:
-            second = Site(first.table, first.endpoints, first.stores, Path(folder), name="box-2")
-            second.session = ClientSession(timeout=ClientTimeout(total=20), auto_decompress=False)
-            try:
-                await second.start_box()
-                await first.until_ready()
-                await second.until_ready()
-                await eventually(lambda: both_know(first) and both_know(second))
-                yield first, second
-            finally:
-                second.endpoints, second.stores = [], []
-                await second.close()
-
-
-def both_know(here: Site) -> bool:
-    return any(line["routers"] == [FIRST, SECOND] for line in here.logged("router", outcome="picked"))
+from tests.many_boxes import FIRST, SECOND, two_boxes
+from tests.site import Site, eventually
 
 
 def routed_by(here: Site, call_id: str) -> str:
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -1,15 +1,13 @@
 """Since when weights have been replaced: what a box knows of it when versions follow each other, and anew."""
 
 import asyncio
-import json
-from typing import Any
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from stairquay.core.versions import MAX_SIGHTS, VersionHistory
 from stairquay.serving.boxes import PREFIX
-from tests.site import MODEL, Site, eventually, site
+from tests.site import box_rows, eventually, name_version, site
 
 LIMIT_MS = 1_500
 """Milliseconds after which nothing may begin on replaced weights, on the sites here."""
@@ -49,16 +47,6 @@
     assert (believed is None) if true is None else (believed is not None and believed <= true)
 
 
-def name_version(here: Site, version: int) -> None:
-    here.table.put("op", f"version/{MODEL}", {"model": MODEL, "version": version})
-
-
-def box_rows(here: Site) -> list[dict[str, Any]]:
-    """Return the heartbeats that boxes wrote."""
-    rows = here.table.rows_by_key.items()
-    return [json.loads(text) for (_, key), (text, _) in rows if key.startswith(PREFIX)]
-
-
 def test_nothing_begins_on_an_engine_that_a_row_of_versions_left_behind():
     """Prompts began on weights that had been replaced over twelve seconds before. Engines had crashed and
     come back with the weights that they had, and a third version was named some seconds after the second.
@@ -88,9 +76,7 @@
             assert (await here.prompt()).status == 200
             await eventually(lambda: here.logged("sent", request="call-1"))
             assert 0.5 <= here.logged("sent", request="call-1")[0]["replaced_s"] < 5.0
-            assert here.session is not None
-            async with here.session.get(f"http://127.0.0.1:{here.metrics_port}/metrics") as response:
-                lines = (await response.text()).splitlines()
+            lines = (await here.metrics()).splitlines()
             shown = [line for line in lines if line.startswith("stairquay_weights_replaced_seconds ")]
             assert 0.5 <= float(shown[0].rpartition(" ")[2]) < 8.0
 
