--- a/stairquay/core/crashes.py
+++ b/stairquay/core/crashes.py
@@ -90,7 +90,7 @@
 
 def _by_digest(crashes: Iterable[Crash], now: float) -> dict[str, Lives]:
     """Return the crashes that are young enough to count. Of two that tell of one life, that counts which saw
-    the request work for longer."""
+    the request come further."""
     found: dict[str, Lives] = {}
     for crash in crashes:
         if now - crash.at < KEPT_S:
