Read the limits that endpoints name, and tell of them in lines and a gauge

Change: answers' heads are read for the limit; `ended` and `attempt_failed` lines give what they named, a `limit` line tells when an endpoint begins, changes or ends it, and a gauge gives it. No decision uses it yet. A text that is no decimal number is told once and counted, and what was known stands. Which of two words about an endpoint holds is decided by when its request was sent and its answer came, so that answers which cross end nothing. An answer of 421 says nothing: it may be another endpoint's. Ruled out: a number read by float(), which takes nan, infinity, 1_000 and digits of other scripts (tests, one of which failed first for a digit of another script).

--- /dev/null
+++ b/stairquay/core/limits.py
@@ -0,0 +1,56 @@
+"""What endpoints say of how much work they take, and which of two such words is the newer one.
+
+An endpoint in need names in its answers how many requests a second it takes from all callers together, for
+as long as it says so. Answers come to many boxes and late, and boxes tell each other what they heard: an
+older answer must not undo what a newer one said.
+"""
+
+import re
+from dataclasses import dataclass
+from math import inf, isfinite
+
+UNLIMITED = inf
+"""Requests a second of an endpoint that names no limit."""
+
+MAX_DIGITS = 32
+"""Longest text that is read as a limit."""
+
+DECIMAL = re.compile(r"(\d+\.?\d*|\.\d+)(e[+-]?\d{1,3})?", re.ASCII | re.IGNORECASE)
+"""A decimal number without a sign; words such as `nan` are none."""
+
+
+@dataclass(frozen=True)
+class LimitNews:
+    """What an answer said of its endpoint's limit, in requests a second from all callers together.
+
+    sent_at, heard_at: monotonic seconds between which the answer was begun: when its request was sent, and
+    when its head came.
+    """
+
+    per_s: float
+    sent_at: float
+    heard_at: float
+
+
+def read_limit(text: str) -> float | None:
+    """Return the limit that an answer names, in requests a second, None where the text names none."""
+    text = text.strip()
+    if len(text) > MAX_DIGITS or DECIMAL.fullmatch(text) is None:
+        return None
+    per_s = float(text)
+    return per_s if isfinite(per_s) else None
+
+
+def newer(known: LimitNews | None, told: LimitNews) -> LimitNews:
+    """Return what holds after two words about one endpoint, whichever of them was heard of first.
+
+    A word is newer than another only if its request was sent after the other's answer had come. Where neither
+    is, the lower limit holds: answers that cross must not end a limit.
+    """
+    if known is None or told.sent_at >= known.heard_at:
+        return told
+    if known.sent_at >= told.heard_at:
+        return known
+    return LimitNews(
+        min(known.per_s, told.per_s), max(known.sent_at, told.sent_at), max(known.heard_at, told.heard_at)
+    )
--- a/stairquay/explain.py
+++ b/stairquay/explain.py
@@ -26,6 +26,7 @@
         "configuration",
         "version_named",
         "endpoints",
+        "limit",
         "dependency",
         "router",
         "lease",
--- a/stairquay/platform/names.py
+++ b/stairquay/platform/names.py
@@ -10,6 +10,9 @@
 """Marks an answer as an endpoint's own; a success without it does not count."""
 
 NOT_RUN = "Not-Executed"
+LIMIT = "Server-Limit"
+"""Requests a second, a decimal number, that an endpoint in need takes from all callers together."""
+
 INSTANCE = "Target-Instance"
 """The id of the endpoint that a request is meant for; any other refuses it."""
 
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -13,6 +13,7 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.program import Tasks, being_cancelled, listen, until_stopped, wait_until
+from stairquay.core.limits import UNLIMITED
 from stairquay.core.mistake import Mistake
 from stairquay.serving.asking import Chooser
 from stairquay.serving.boxes import BoxList
@@ -23,6 +24,7 @@
 from stairquay.serving.dispatch import Dispatcher
 from stairquay.serving.following import follow_endpoints, follow_operators
 from stairquay.serving.front import Front
+from stairquay.serving.limits import limit_of
 from stairquay.serving.links import Links
 from stairquay.serving.notices import Notices
 from stairquay.serving.orders import OrderGiver
@@ -218,15 +220,19 @@
 
 
 def _measure_halls(state: BoxState) -> None:
-    """Set the metrics of evacuated data halls and cold endpoints."""
+    """Set the metrics of evacuated data halls, cold endpoints and limits that endpoints name."""
     metrics, now = state.metrics, monotonic()
     for hall in state.evacuated | state.returned_at_by_hall.keys():
         metrics.evacuated.labels(hall).set(hall in state.evacuated)
     metrics.cold.clear()
+    metrics.limits.clear()
     for endpoint in state.fleet.live():
         left_s = cold_for_s(state, endpoint, now)
         if left_s > 0:
             metrics.cold.labels(endpoint.id).set(left_s)
+        per_s = limit_of(state.of(endpoint))
+        if per_s < UNLIMITED:
+            metrics.limits.labels(endpoint.id).set(per_s)
 
 
 async def _finish(state: BoxState) -> None:
--- a/stairquay/serving/decisions.py
+++ b/stairquay/serving/decisions.py
@@ -56,6 +56,7 @@
     SENT = "sent"
     ATTEMPT_FAILED = "attempt_failed"
     ENDED = "ended"
+    LIMIT = "limit"
     CRASHED = "crashed"
     QUARANTINE = "quarantine"
     PART_FAILED = "part_failed"
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -8,12 +8,14 @@
 from stairquay.core.call import Dispatch
 from stairquay.core.catalog import urgency
 from stairquay.core.errors import ErrorKind, Ran, Refusal
+from stairquay.core.limits import LimitNews
 from stairquay.serving.asking import Chooser
 from stairquay.serving.choosing import Choice
 from stairquay.serving.crashes import CrashWatch
 from stairquay.serving.endpoint import FULL_PAUSE_S
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.jobs import Begun, Job, Progress
+from stairquay.serving.limits import take_limit, take_unreadable_limit
 from stairquay.serving.messages import Outcome
 from stairquay.serving.ports import BrokenAnswer, Endpoints, Reply, SendFailure
 from stairquay.serving.records import (
@@ -151,6 +153,7 @@
         record_sent(self.state, job, choice, progress)
         try:
             sent = await self._send(job, begun, progress)
+            self._take_limit(begun, sent)
             if isinstance(sent, Err):
                 self._failed(job, begun, progress, sent.err_value)
                 return None
@@ -160,6 +163,17 @@
             held.in_flight -= not counted
             held.unread_tokens_by_request.pop(job.call.id, None)
 
+    def _take_limit(self, begun: Begun, sent: Result[Reply, SendFailure]) -> None:
+        """Take in what an answer's head says of its endpoint's limit."""
+        said = sent.err_value.limit if isinstance(sent, Err) else sent.ok_value.limit
+        if said is None:
+            return
+        endpoint, held = begun.choice.endpoint, begun.held
+        if said.unreadable:
+            take_unreadable_limit(self.state, endpoint, held, said.unreadable)
+        else:
+            take_limit(self.state, endpoint, held, LimitNews(said.per_s, begun.sent_at, monotonic()))
+
     async def _send(self, job: Job, begun: Begun, progress: Progress) -> Result[Reply, SendFailure]:
         left_s = job.deadline - monotonic()
         after = progress.stream.last_event or job.call.resume_after
--- a/stairquay/serving/endpoint.py
+++ b/stairquay/serving/endpoint.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from stairquay.core.cold import Pace
+from stairquay.core.limits import LimitNews
 from stairquay.serving.ports import EngineReport
 
 NEVER = float("-inf")
@@ -41,6 +42,8 @@
     cold_until: until when it is cold; doubted_at: when it last was not to be reached, since when it may be
     another life that nobody has told of, NEVER where a report came since. router_pace, alone_pace: how this
     box spaces what it sends there while it is cold, as its router and where it decides alone.
+    limit: what its answers last said of its limit, None before any did; unreadable_limit: the last text that
+    could not be read as one.
     read_until: when the engine has read all that this box, as its router, placed there.
     """
 
@@ -50,6 +53,8 @@
     doubted_at: float = NEVER
     router_pace: Pace | None = None
     alone_pace: Pace | None = None
+    limit: LimitNews | None = None
+    unreadable_limit: str = ""
 
     in_flight: int = 0
     unread_tokens_by_request: dict[str, int] = field(default_factory=dict)
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -66,6 +66,15 @@
             ["endpoint"],
             registry=registry,
         )
+        self.limits = Gauge(
+            "stairquay_endpoint_limit_per_second",
+            "Requests a second that an endpoint takes from all callers, where it names a limit",
+            ["endpoint"],
+            registry=registry,
+        )
+        self.unreadable_limits = Counter(
+            "stairquay_unreadable_limits", "Answers whose limit cannot be read", registry=registry
+        )
         self.crashes = Counter(
             "stairquay_endpoint_crashes",
             "Endpoints that crashed under this box's requests",
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -16,6 +16,7 @@
 from stairquay.core.errors import ErrorKind, Ran, Refusal
 from stairquay.core.fleet import Endpoint
 from stairquay.core.holdings import Key, PartEvent
+from stairquay.core.limits import UNLIMITED
 from stairquay.core.row import Row
 
 
@@ -203,12 +204,22 @@
         """Tell whether something takes connections at an address."""
 
 
+@dataclass(frozen=True)
+class LimitSaid:
+    """What an answer says of its endpoint's limit, in requests a second. `unreadable`: the text, where it
+    cannot be read; per_s says nothing then."""
+
+    per_s: float = UNLIMITED
+    unreadable: str = ""
+
+
 @dataclass(frozen=True)
 class SendFailure:
     """Why an endpoint gave no answer that counts.
 
     status: the HTTP status it gave, 0 for none. misdirected: another endpoint or version is there now.
     fault: whether it speaks against the endpoint. broke: the connection ended before the answer did.
+    limit: None where no answer came, or one that may be another endpoint's.
     """
 
     kind: ErrorKind
@@ -218,6 +229,7 @@
     misdirected: bool = False
     fault: bool = True
     broke: bool = False
+    limit: LimitSaid | None = None
 
 
 @dataclass(frozen=True)
@@ -233,6 +245,7 @@
     close: Callable[[], None]
     streamed: bool = False
     version: int | None = None
+    limit: LimitSaid = LimitSaid()
 
 
 class BrokenAnswer(Exception):
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -2,14 +2,22 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.errors import Ran, Refusal
+from stairquay.core.limits import UNLIMITED
 from stairquay.core.placement import Placement
 from stairquay.serving.choosing import Choice
 from stairquay.serving.decisions import Decision
 from stairquay.serving.jobs import Begun, Job, Progress
-from stairquay.serving.ports import Reply, SendFailure
+from stairquay.serving.ports import LimitSaid, Reply, SendFailure
 from stairquay.serving.state import BoxState
 
 
+def limit_named(said: LimitSaid | None) -> float | str | None:
+    """Return the limit that an answer named, or the text that cannot be read as one; None for none."""
+    if said is None:
+        return None
+    return said.unreadable or (None if said.per_s == UNLIMITED else said.per_s)
+
+
 def record_sent(state: BoxState, job: Job, choice: Choice, progress: Progress) -> None:
     """Log where an attempt goes, and by which inputs that was decided."""
     inputs: dict[str, object] = {
@@ -79,6 +87,7 @@
         took_s=now - begun.sent_at,
         failing=begun.held.failing_share(now),
         broke=failure.broke,
+        limit_per_s=limit_named(failure.limit),
         digest=job.digest,
     )
 
@@ -115,6 +124,7 @@
         endpoint=begun.choice.endpoint.id,
         version=reply.version,
         events=progress.stream.events,
+        limit_per_s=limit_named(reply.limit),
         first_s=None if begun.first_at is None else begun.first_at - job.arrived_at,
         took_s=now - job.arrived_at,
     )
--- a/tests/standins/dialect.py
+++ b/tests/standins/dialect.py
@@ -107,7 +107,7 @@
     the answer. unframed_reset: this many answers without a length end in a reset. surplus: this many
     answers are followed by bytes that belong to nothing. crashes_on: a request whose body holds that crashes
     the endpoint `crash_s` after it began, heard: after the head of its answer; on_poison hears of each
-    beginning and each crash.
+    beginning and each crash. limit: named in every answer as what it takes from all callers, where it is set.
     """
 
     id: str = "i-1"
@@ -129,6 +129,7 @@
     on_poison: Callable[[str, bytes, bool], None] = lambda call_id, body, crashed: None
     crashed: bool = False
     keep_alive: str = ""
+    limit: str | None = None
     lose_orders: int = 0
     load_s: float = 0.1
     queued: int = 0
@@ -204,6 +205,9 @@
         self.version = version
         self.busy = False
 
+    def _limit(self) -> dict[str, str]:
+        return {} if self.limit is None else {"Server-Limit": self.limit}
+
     async def _run(self, request: web.Request) -> web.StreamResponse:
         call_id = request.headers.get("Request-Id", "")
         wanted = request.headers.get("Target-Instance", self.id)
@@ -212,7 +216,8 @@
             return web.Response(status=421, headers={"Instance-Id": self.id})
         if self.refuse:
             self.refuse -= 1
-            return web.Response(status=503, headers={"Not-Executed": "1", "Request-Id": call_id})
+            headers = {"Not-Executed": "1", "Request-Id": call_id, **self._limit()}
+            return web.Response(status=503, headers=headers)
         body = await request.read()
         assert request.transport is not None
         self.ports.append(request.transport.get_extra_info("peername")[1])
@@ -262,6 +267,7 @@
             "Request-Id": call_id,
             "Response-Signature": f"sig-{self.id}",
             "Versions": str(self.version),
+            **self._limit(),
         }
         if self.keep_alive:
             headers["Keep-Alive"] = self.keep_alive
