Give an endpoint no more than the limit it names, over all boxes, and tell callers when to come

What callers and endpoints saw: an endpoint in need got two to three times the requests a second that its answers named. Cause, shown by the failing tests and by lines about limits: no box read the limit, and the router that places for all never sees an endpoint's answer. Ruled out: a bound of another figure; boxes that were not told. Change: what bounds an endpoint, coldness or a limit it names, is one bound, kept by one pace (core/pace.py, serving/pacing.py) that every choice asks and every request counts at: prompts that routers place, boxes that decide alone, plain requests, repeats, streams that go on, requests that wait. Boxes tell each other what they heard with the questions and notices that go anyway; a box that was told of a limit does not use a router's choice that was made without knowing it, but tells the router and asks again, so that a router that started or took over counts from the first such prompt on. A limit ends by an answer to a request that was sent after it was last heard. What is not sent is taken off the count. A request whose turn comes within a quarter of its objective waits for it; others are refused at once, each with its own time. A box that has not read who else is there counts with 300. Ways compared on virtual time: one mechanism for both bounds against a second one beside the pace of cold endpoints: the second would count the same requests again at each of its places, and was not built. Merging two words that cross by their latest times lost: an answer without a limit made one seem to be heard again, and it never ended. Cold endpoints keep their shares. One check is replaced: a refusal's time for a cold engine is the caller's own turn now, so that the time of the next one is asked for directly, with the same bound, and that the times differ and keep to 2 s is checked besides.

--- a/stairquay/boxes.py
+++ b/stairquay/boxes.py
@@ -26,6 +26,7 @@
 
 AGE = re.compile(rb"^stairquay_view_age_seconds (\S+)$", re.M)
 EVACUATED = re.compile(rb'^stairquay_evacuated_data_hall{data_hall="([^"]*)"} 1\.0$', re.M)
+LIMITED = re.compile(rb'^stairquay_endpoint_limit_per_second{endpoint="([^"]*)"} (\S+)$', re.M)
 COLD = re.compile(rb'^stairquay_cold_seconds_left{endpoint="([^"]*)"} (\S+)$', re.M)
 
 AGE_STEPS_S = (0.5, 1.0, 2.0, 5.0)
@@ -38,6 +39,7 @@
 
     readable: its row could be read; another release may write what this one cannot read. evacuated: data
     halls that it sends nothing to. cold_s_by_endpoint: for how long it takes endpoints to be cold.
+    limit_by_endpoint: the limits that it knows endpoints to name, in requests a second.
     """
 
     member: Member
@@ -45,6 +47,7 @@
     view_age_s: float | None
     evacuated: frozenset[str] = frozenset()
     cold_s_by_endpoint: dict[str, float] = field(default_factory=dict)
+    limit_by_endpoint: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -87,7 +90,7 @@
         f"following:  {', '.join(fleet.following) or 'none'}",
         f"views:      {_views(fleet)}",
     ]
-    lines += _halls_away(fleet) + _cold(fleet)
+    lines += _halls_away(fleet) + _cold(fleet) + _limited(fleet)
     lines += [f"silent:     {', '.join(silent)}"] if silent else []
     lines += [f"unreadable: {', '.join(unreadable)}"] if unreadable else []
     return lines
@@ -117,6 +120,20 @@
     return [f"cold:       {told}"] if told else []
 
 
+def _limited(fleet: FleetSight) -> list[str]:
+    """Return a line with the limits that endpoints name, the lowest that any box knows, and how many boxes
+    know of one."""
+    limits: dict[str, list[float]] = {}
+    for sight in fleet.boxes:
+        for endpoint, per_s in sight.limit_by_endpoint.items():
+            limits.setdefault(endpoint, []).append(per_s)
+    told = ", ".join(
+        f"{endpoint} {min(known):g} a second, known at {len(known)}"
+        for endpoint, known in sorted(limits.items())
+    )
+    return [f"limited:    {told}"] if told else []
+
+
 def _views(fleet: FleetSight) -> str:
     ages_s = [sight.view_age_s for sight in fleet.boxes if sight.view_age_s is not None]
     if not ages_s:
@@ -141,7 +158,8 @@
         return BoxSight(member, readable, None)
     evacuated = frozenset(hall.decode() for hall in EVACUATED.findall(told))
     cold_s = {endpoint.decode(): float(left_s) for endpoint, left_s in COLD.findall(told)}
-    return BoxSight(member, readable, _view_age_s(told), evacuated, cold_s)
+    limits = {endpoint.decode(): float(per_s) for endpoint, per_s in LIMITED.findall(told)}
+    return BoxSight(member, readable, _view_age_s(told), evacuated, cold_s, limits)
 
 
 def _view_age_s(told: bytes) -> float | None:
--- a/stairquay/core/limits.py
+++ b/stairquay/core/limits.py
@@ -45,12 +45,13 @@
     """Return what holds after two words about one endpoint, whichever of them was heard of first.
 
     A word is newer than another only if its request was sent after the other's answer had come. Where neither
-    is, the lower limit holds: answers that cross must not end a limit.
+    is, the lower limit holds: answers that cross must not end a limit. It keeps its own times: an answer that
+    names none must not make a limit seem to have been heard again.
     """
     if known is None or told.sent_at >= known.heard_at:
         return told
     if known.sent_at >= told.heard_at:
         return known
-    return LimitNews(
-        min(known.per_s, told.per_s), max(known.sent_at, told.sent_at), max(known.heard_at, told.heard_at)
-    )
+    if known.per_s != told.per_s:
+        return min(known, told, key=lambda news: news.per_s)
+    return LimitNews(known.per_s, max(known.sent_at, told.sent_at), max(known.heard_at, told.heard_at))
--- a/stairquay/serving/asking.py
+++ b/stairquay/serving/asking.py
@@ -7,20 +7,24 @@
 import asyncio
 from random import Random
 
+from msgspec import structs
+
 from stairquay.adapters.clock import monotonic
 from stairquay.core.call import PromptShape
 from stairquay.core.catalog import WorkspaceRule
 from stairquay.core.fleet import Endpoint
+from stairquay.core.limits import UNLIMITED
 from stairquay.core.placement import EngineView, Placement
 from stairquay.core.routers import Member, routers_for
-from stairquay.serving.choosing import Choice, Wanted, cold_wait_s
-from stairquay.serving.cold import count_sent
+from stairquay.serving.choosing import Choice, Wanted
 from stairquay.serving.decisions import Decision
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.jobs import Job, Progress
+from stairquay.serving.limits import limit_of, take_told_limits, told_limits
 from stairquay.serving.links import Links
 from stairquay.serving.messages import Ended, Outcome, PartShape, PlaceReply, PlaceRequest
 from stairquay.serving.notices import Notices
+from stairquay.serving.pacing import come_back_s, count_sent
 from stairquay.serving.routing import RouterPart
 from stairquay.serving.saving import choose_and_save
 from stairquay.serving.state import BoxState
@@ -66,7 +70,7 @@
         while True:
             may_wait = not progress.tried and monotonic() < wait_until
             asked = _question(self.state.settings.id, job, prompt, progress, most_backlog_s, may_wait)
-            best = await self._ask_routers(job, prompt, asked)
+            best = await self._ask_routers(job, prompt, asked, progress)
             if best is None:
                 return self._choose_here(job, progress)
             if not best.again_s:
@@ -83,10 +87,13 @@
             Decision.WAITS, job.call.id, router=choice.router, why=why, again_s=choice.again_s, most_s=most_s
         )
 
-    async def _ask_routers(self, job: Job, prompt: PromptShape, asked: PlaceRequest) -> Choice | None:
+    async def _ask_routers(
+        self, job: Job, prompt: PromptShape, asked: PlaceRequest, progress: Progress
+    ) -> Choice | None:
         best: Choice | None = None
+        progress.come_back_s = None
         for router in routers_for(self.state.member, self.state.placing_routers())[:ROUTERS_ASKED]:
-            choice = await self._place(router, asked, prompt)
+            choice = await self._place(router, asked, prompt, progress)
             best = self._better(best, choice)
             if best is not None and best.backlog_s <= SPILL_AT * job.route.objective_s:
                 return best
@@ -104,15 +111,21 @@
         if router is not None:
             self.notices.add(router, Ended(choice.ticket, outcome))
 
-    async def _place(self, router: Member, asked: PlaceRequest, prompt: PromptShape) -> Choice | None:
+    async def _place(
+        self, router: Member, asked: PlaceRequest, prompt: PromptShape, progress: Progress
+    ) -> Choice | None:
         """Return a router's choice, None where there is none that this box may use."""
         try:
-            reply = await self._ask(router, asked)
+            reply = await self._ask_knowing(router, asked)
         except asyncio.CancelledError:
             # The caller left meanwhile.
             self.notices.add(router, Ended(asked.ticket, Outcome.NOT_SENT))
             raise
-        if reply is None or not reply.endpoint:
+        if reply is None:
+            return None
+        if not reply.endpoint:
+            if reply.come_back_s > 0:
+                progress.come_back_s = min(reply.come_back_s, progress.come_back_s or reply.come_back_s)
             return None
         endpoint = self._usable(reply, prompt)
         if endpoint is None:
@@ -128,6 +141,31 @@
         self.finished(worse, Outcome.NOT_SENT)
         return better
 
+    async def _ask_knowing(self, router: Member, asked: PlaceRequest) -> PlaceReply | None:
+        """Ask a router, and once more where it did not know of a limit that this box was told: only a router
+        that knows of it counts what it places there, also right after it started or took an endpoint over."""
+        reply = await self._ask(router, asked)
+        if reply is None or not self._unaware(reply):
+            return reply
+        told = told_limits(self.state, monotonic())
+        reply = await self._ask(router, structs.replace(asked, limits=told))
+        if reply is not None and (not reply.endpoint or self._unaware(reply)):
+            # What it placed at first is not sent.
+            self.notices.add(router, Ended(asked.ticket, Outcome.NOT_SENT))
+            return PlaceReply(come_back_s=reply.come_back_s)
+        return reply
+
+    def _unaware(self, reply: PlaceReply) -> bool:
+        """Tell whether a router chose an endpoint without knowing the limit that this box knows of."""
+        endpoint = self.state.fleet.by_id.get(reply.endpoint)
+        if endpoint is None:
+            return False
+        by_router = UNLIMITED
+        if reply.limit is not None:
+            take_told_limits(self.state, (reply.limit,), monotonic())
+            by_router = reply.limit.per_s
+        return not reply.again_s and limit_of(self.state.of(endpoint)) < by_router
+
     async def _ask(self, router: Member, asked: PlaceRequest) -> PlaceReply | None:
         if router.id == self.state.settings.id:
             return self.part.place(asked)
@@ -155,10 +193,12 @@
             count_sent(self.state, choice.endpoint, monotonic(), self.random)
         return choice
 
-    def cold_wait_s(self, job: Job) -> float | None:
-        """Return the seconds until a cold endpoint may get such a job from this box, None where none is held
-        back for being cold."""
-        return cold_wait_s(self.state, job.service, self.random)
+    def come_back_s(self, job: Job, progress: Progress) -> float | None:
+        """Return the seconds after which an endpoint takes a job that none takes now, as a router says, or
+        this box where none was asked; None where none is held back for having got what it takes."""
+        if progress.come_back_s is not None:
+            return progress.come_back_s
+        return come_back_s(self.state, job.service.id, progress.tried, monotonic(), self.random)
 
 
 def _question(
--- a/stairquay/serving/choosing.py
+++ b/stairquay/serving/choosing.py
@@ -19,8 +19,8 @@
     place,
 )
 from stairquay.core.scope import Scope
-from stairquay.serving.cold import wait_s
 from stairquay.serving.evacuation import takes_work
+from stairquay.serving.pacing import wait_s
 from stairquay.serving.state import BoxState
 from stairquay.serving.weighing import best_sources, engine_view, usable_sources
 
@@ -93,15 +93,6 @@
     return _best(state, wanted, prompt, placements, random, now) if placements else None
 
 
-def cold_wait_s(state: BoxState, service: ServiceShape, random: Random) -> float | None:
-    """Return the seconds until a cold endpoint of a service may get a request from this box, None where no
-    endpoint is held back for that."""
-    now = monotonic()
-    staying = [item for item in state.fleet.usable(service.id, now) if takes_work(state, item)]
-    waits_s = [wait_s(state, item, now, random) for item in staying]
-    return min((wait for wait in waits_s if wait > 0), default=None)
-
-
 def context_scope(workspace: WorkspaceRule | None, model: str, version: int) -> str:
     """Return the name under which context is kept: of one model and version, and of one workspace where
     that is isolated."""
@@ -114,7 +105,7 @@
 ) -> list[Endpoint]:
     """Return usable endpoints; those tried, turning work away or silent only where there are no others.
 
-    None in an evacuated data hall, and none that is cold and has got what it bears: also where no other is.
+    None in an evacuated data hall, and none that has got as much as it takes: also where no other is.
     """
     most = service.max_connections * CONNECTION_SHARE
 
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -1,5 +1,7 @@
 """Runs a request: attempts at endpoints, one after the other, as far as truth, time and budget allow."""
 
+import asyncio
+
 from aiohttp import web
 from result import Err, Ok, Result
 
@@ -27,7 +29,7 @@
     record_prompt,
     record_sent,
 )
-from stairquay.serving.refusals import RETRY_AFTER_S, all_cold, overloaded, truthful
+from stairquay.serving.refusals import RETRY_AFTER_S, all_held_back, overloaded, truthful
 from stairquay.serving.relay import cut, read_whole, relay_stream, whole_response
 from stairquay.serving.state import BoxState
 
@@ -45,6 +47,11 @@
 WORK_WEIGHT = 0.1
 """Weight of the newest answer in an endpoint's mean time to answer."""
 
+TURN_SHARE = 0.25
+"""Share of the objective, from a request's arrival, within which it waits for its turn where all endpoints
+take only so many a second: it is still in time then, and a refusal and its return take longer. Who would
+wait longer is refused at once."""
+
 MIN_LEFT_S = 0.01
 """Seconds left below which no attempt is begun."""
 
@@ -69,7 +76,11 @@
             most_backlog_s = _most_backlog_s(job, progress)
             choice = await self.chooser.choose(job, progress, most_backlog_s)
             if choice is None:
-                return self._given_up(job, progress, self._no_endpoint(job, progress), request)
+                come_back_s = self.chooser.come_back_s(job, progress)
+                if come_back_s is not None and _may_wait(job, come_back_s):
+                    await asyncio.sleep(come_back_s)
+                    continue
+                return self._given_up(job, progress, _no_endpoint(progress, come_back_s), request)
             outcome = Outcome.NOT_SENT
             try:
                 if most_backlog_s is not None and choice.backlog_s > most_backlog_s:
@@ -102,12 +113,6 @@
         quarantine = self.state.quarantine
         return quarantine.left_s(job.digest) if quarantine.verdict else 0.0
 
-    def _no_endpoint(self, job: Job, progress: Progress) -> Refusal:
-        cold_s = self.chooser.cold_wait_s(job)
-        if cold_s is None:
-            return Refusal(ErrorKind.NO_ENDPOINT, progress.ran)
-        return all_cold(cold_s, progress.ran)
-
     def _fresh(self, job: Job) -> bool:
         return job.workspace is None or self.state.keys_fresh()
 
@@ -310,6 +315,18 @@
         return Err(truthful(refusal, progress.ran))
 
 
+def _may_wait(job: Job, come_back_s: float) -> bool:
+    """Tell whether a request that all endpoints hold back waits for its turn."""
+    until = job.arrived_at + job.route.objective_s * TURN_SHARE
+    return monotonic() + come_back_s < min(until, job.deadline - MIN_LEFT_S)
+
+
+def _no_endpoint(progress: Progress, come_back_s: float | None) -> Refusal:
+    if come_back_s is None:
+        return Refusal(ErrorKind.NO_ENDPOINT, progress.ran)
+    return all_held_back(come_back_s, progress.ran)
+
+
 def _outcome(response: web.StreamResponse | None, progress: Progress) -> Outcome:
     """Return what an attempt that has just ended says of its endpoint."""
     failure = progress.last
--- a/stairquay/serving/endpoint.py
+++ b/stairquay/serving/endpoint.py
@@ -4,8 +4,8 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
-from stairquay.core.cold import Pace
 from stairquay.core.limits import LimitNews
+from stairquay.core.pace import Pace
 from stairquay.serving.ports import EngineReport
 
 NEVER = float("-inf")
@@ -41,9 +41,9 @@
     born: as for Endpoint; known_since: when this box learned of this life, NEVER for the first one it knew.
     cold_until: until when it is cold; doubted_at: when it last was not to be reached, since when it may be
     another life that nobody has told of, NEVER where a report came since. router_pace, alone_pace: how this
-    box spaces what it sends there while it is cold, as its router and where it decides alone.
-    limit: what its answers last said of its limit, None before any did; unreadable_limit: the last text that
-    could not be read as one.
+    box spaces what it sends there while it takes only so much, as its router and where it decides alone.
+    limit: what its answers last said of its limit, None before any named one; limit_ended_at: when the last
+    one ended; unreadable_limit: the last text that could not be read as one.
     read_until: when the engine has read all that this box, as its router, placed there.
     """
 
@@ -54,6 +54,7 @@
     router_pace: Pace | None = None
     alone_pace: Pace | None = None
     limit: LimitNews | None = None
+    limit_ended_at: float = NEVER
     unreadable_limit: str = ""
 
     in_flight: int = 0
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -39,7 +39,11 @@
 
 @dataclass
 class Progress:
-    """What became of a job's attempts. runs: attempts that may have run. ran: the worst of all."""
+    """What became of a job's attempts. runs: attempts that may have run. ran: the worst of all.
+
+    come_back_s: the seconds after which a router said that an endpoint takes the job, where all have got what
+    they take.
+    """
 
     tried: set[str] = field(default_factory=set)
     refused: int = 0
@@ -48,6 +52,7 @@
     stream: StreamProgress = field(default_factory=StreamProgress)
     last: SendFailure | None = None
     kept_reply: tuple[Reply, bytes] | None = None
+    come_back_s: float | None = None
 
 
 @dataclass
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -14,13 +14,28 @@
     tokens: int
 
 
+class LimitTold(msgspec.Struct, frozen=True, array_like=True):
+    """What a box heard of the limit that an endpoint names, in requests a second.
+
+    born: of the life that named it, 0 where that is not known. sent_ago_s, heard_ago_s: as the times of
+    core.limits.LimitNews, before this was made.
+    """
+
+    endpoint: str
+    born: int
+    per_s: float
+    sent_ago_s: float
+    heard_ago_s: float
+
+
 class PlaceRequest(msgspec.Struct, frozen=True, array_like=True):
     """Asks where a prompt should run.
 
     ticket: names this attempt until it has ended. box: who asks, and will send it. wall: the workspace that
     shares no kept context, empty for the others. tried: endpoints that must not be chosen again.
     most_backlog_s: the sender gives the prompt up where it would wait longer; None where it does not.
-    may_wait: the sender can ask again a little later.
+    may_wait: the sender can ask again a little later. limits: what the sender heard of limits, where a router
+    has just shown that it does not know of them.
     """
 
     ticket: str
@@ -34,12 +49,15 @@
     tried: tuple[str, ...]
     most_backlog_s: float | None = None
     may_wait: bool = False
+    limits: tuple[LimitTold, ...] = ()
 
 
 class PlaceReply(msgspec.Struct, frozen=True, array_like=True):
     """Where a prompt should run; `endpoint` is empty where no endpoint can take it.
 
-    again_s: seconds after which the sender should ask again, 0 where this reply is the answer.
+    again_s: seconds after which the sender should ask again, 0 where this reply is the answer. limit: what
+    the router knows of the limit that the endpoint names, and counts by; None where it heard of none.
+    come_back_s: where all endpoints have got what they take, the seconds until one takes this prompt; else 0.
 
     The fields are those of serving.choosing.Choice and core.placement.Placement.
     """
@@ -57,6 +75,8 @@
     alternative_s: float | None = None
     backlog_s: float = 0.0
     again_s: float = 0.0
+    limit: LimitTold | None = None
+    come_back_s: float = 0.0
 
 
 class Outcome(str, Enum):
@@ -87,10 +107,11 @@
 
 class FinishedNotice(msgspec.Struct, frozen=True, array_like=True):
     """Names attempts that have ended, and the tickets of those whose prompts have been read; none where a
-    router only asks whether another is there."""
+    router only asks whether another is there. limits: what the sender heard of limits that endpoints name."""
 
     ended: tuple[Ended, ...]
     read: tuple[str, ...] = ()
+    limits: tuple[LimitTold, ...] = ()
 
 
 class CrashTold(msgspec.Struct, frozen=True, array_like=True):
@@ -116,11 +137,13 @@
     """Asks for operators' rows if they changed after a revision; waits up to `wait_s` for that.
 
     crashes_known: the revision at which boxes' rows about crashes last changed, as far as the asker was told.
+    limits: what the asker heard of limits that endpoints name.
     """
 
     after: int
     wait_s: float
     crashes_known: int = -1
+    limits: tuple[LimitTold, ...] = ()
 
 
 class OperatorsReply(msgspec.Struct, frozen=True, array_like=True):
@@ -128,7 +151,8 @@
     the router held the question.
 
     crashes_revision: the revision at which boxes' rows about crashes last changed, -1 where the router does
-    not follow them. crashes: what they tell, None where the question named that revision.
+    not follow them. crashes: what they tell, None where the question named that revision. limits: what the
+    router knows of limits that endpoints name.
     """
 
     changes: OperatorChanges
@@ -136,6 +160,7 @@
     held_s: float
     crashes_revision: int = -1
     crashes: CrashesTold | None = None
+    limits: tuple[LimitTold, ...] = ()
 
 
 class EndpointsRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/notices.py
+++ b/stairquay/serving/notices.py
@@ -1,4 +1,6 @@
-"""Tells routers which prompts have left their engines; routers find by their notices that another is gone.
+"""Tells routers which prompts have left their engines, and which limits endpoints name.
+
+Routers find by their notices that another is gone.
 
 Each router gets one notice at a time, and a silent one holds up no other's.
 """
@@ -7,6 +9,7 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.routers import Member
+from stairquay.serving.limits import told_limits
 from stairquay.serving.links import Links
 from stairquay.serving.messages import Ended, FinishedNotice
 from stairquay.serving.routing import RouterPart
@@ -89,13 +92,16 @@
     def _tell_all(self) -> None:
         """Send each router its notice, one at a time for each; those not heard lately wait."""
         live = set(self.state.live_routers())
+        limits = told_limits(self.state, monotonic())
         for router in list(self.ended_by_router):
             if router not in self.state.routers:
                 del self.ended_by_router[router]
                 self.read_by_router.pop(router, None)
             elif router in live and router not in self.telling_by_router:
                 notice = FinishedNotice(
-                    tuple(self.ended_by_router.pop(router)), tuple(self.read_by_router.pop(router, ()))
+                    tuple(self.ended_by_router.pop(router)),
+                    tuple(self.read_by_router.pop(router, ())),
+                    limits,
                 )
                 self.telling_by_router[router] = asyncio.create_task(self._tell(router, notice))
             elif router not in live:
--- /dev/null
+++ b/stairquay/serving/pacing.py
@@ -0,0 +1,136 @@
+"""How many requests this box may send to an endpoint that takes only so many a second from all boxes.
+
+Every choice of an endpoint asks here first, and every request that goes to one is counted here: prompts that
+a router places, what a box decides alone, plain requests, repeats and streams that go on elsewhere.
+"""
+
+from collections.abc import Collection
+from random import Random
+
+from stairquay.core.fleet import Endpoint
+from stairquay.core.limits import UNLIMITED
+from stairquay.core.pace import COLD_SHARES, LEAST_PER_S, LIMIT_SHARES, Bound, Pace, pace_alone
+from stairquay.serving.cold import cold_for_s, cold_limit_of
+from stairquay.serving.endpoint import NEVER, EndpointState
+from stairquay.serving.evacuation import takes_work
+from stairquay.serving.limits import limit_of
+from stairquay.serving.state import BoxState
+
+UNKNOWN_BOXES = 300
+"""Boxes that a box counts with before it has read who else is there: as many as a fleet may have, so that
+hundreds that start at once do not each take the whole for their own share."""
+
+COLD_RETRY_S = 2.0
+"""Longest time after which a caller refused for cold endpoints should come back: starts take seconds, and one
+endpoint that is warm again takes all who wait."""
+
+SPREAD_S = 3.0
+"""Longest time by which callers that are refused together are told to come one after the other."""
+
+
+def bounds_of(state: BoxState, endpoint: Endpoint, now: float) -> list[Bound]:
+    """Return what bounds the work of an endpoint now; nothing does usually."""
+    bounds = []
+    named = limit_of(state.of(endpoint))
+    if named < UNLIMITED:
+        bounds.append(Bound(max(LEAST_PER_S, named), LIMIT_SHARES))
+    cold = cold_limit_of(state, endpoint)
+    if cold is not None and cold_for_s(state, endpoint, now) > 0:
+        bounds.append(Bound(cold.per_s, COLD_SHARES))
+    return bounds
+
+
+def wait_s(state: BoxState, endpoint: Endpoint, now: float, chance: Random) -> float:
+    """Return the seconds until this box may send a request to an endpoint, 0 where it may do so now."""
+    bounds = bounds_of(state, endpoint, now)
+    if not bounds:
+        return 0.0
+    per_s = own_per_s(state, endpoint, bounds)
+    if endpoint.id in state.routed_engines:
+        burst = min(bound.shares.burst for bound in bounds)
+        return _router_pace(state, endpoint, now).wait_s(now, per_s, burst)
+    return _alone_pace(state, endpoint, now, per_s, chance).wait_s(now, per_s)
+
+
+def count_sent(state: BoxState, endpoint: Endpoint, now: float, chance: Random) -> bool:
+    """Count a request that goes to an endpoint, if that takes only so many; tell whether it was counted as by
+    its router."""
+    bounds = bounds_of(state, endpoint, now)
+    if not bounds:
+        return False
+    per_s = own_per_s(state, endpoint, bounds)
+    if endpoint.id in state.routed_engines:
+        _router_pace(state, endpoint, now).take(now, per_s)
+        return True
+    _alone_pace(state, endpoint, now, per_s, chance).take(now, per_s)
+    return False
+
+
+def take_back(held: EndpointState) -> None:
+    """As its router, stop counting a request that never reached an endpoint."""
+    if held.router_pace is not None:
+        held.router_pace.take_back()
+
+
+def own_per_s(state: BoxState, endpoint: Endpoint, bounds: list[Bound]) -> float:
+    """Return the requests a second that this box may send to an endpoint, by the strictest of its bounds."""
+    return min(bound.per_s * _own_share(state, endpoint, bound) for bound in bounds)
+
+
+def come_back_s(
+    state: BoxState, service: str, tried: Collection[str], now: float, chance: Random
+) -> float | None:
+    """Return the seconds after which a caller that is refused should come back, None where no endpoint of the
+    service is held back by a bound.
+
+    tried: endpoints that the request was sent to already. Callers that are refused together are told times
+    one after the other, as the endpoints take them: all told the same time, all but the first would be
+    refused again.
+    """
+    usable = [
+        item for item in state.fleet.usable(service, now) if takes_work(state, item) and item.id not in tried
+    ]
+    bounds_by_id = {item.id: bounds for item in usable if (bounds := bounds_of(state, item, now))}
+    held_back = [item for item in usable if item.id in bounds_by_id]
+    pauses_s = [_pause_s(state, item, now, chance) for item in held_back]
+    soonest_s = min((pause_s for pause_s in pauses_s if pause_s > 0), default=None)
+    if soonest_s is None:
+        return None
+    per_s = sum(own_per_s(state, item, bounds_by_id[item.id]) for item in held_back)
+    told_s = max(soonest_s, state.come_back_at_by_service.get(service, NEVER) - now)
+    most_s = soonest_s + SPREAD_S
+    if all(limit_of(state.of(item)) == UNLIMITED for item in held_back):
+        most_s = max(soonest_s, COLD_RETRY_S)
+    if told_s > most_s:
+        return most_s
+    state.come_back_at_by_service[service] = now + told_s + 1 / per_s
+    return told_s
+
+
+def _pause_s(state: BoxState, endpoint: Endpoint, now: float, chance: Random) -> float:
+    """Return the seconds until an endpoint takes a request of this box: a cold one may be warm before."""
+    pause_s = wait_s(state, endpoint, now, chance)
+    if limit_of(state.of(endpoint)) < UNLIMITED:
+        return pause_s
+    return min(pause_s, cold_for_s(state, endpoint, now), COLD_RETRY_S)
+
+
+def _own_share(state: BoxState, endpoint: Endpoint, bound: Bound) -> float:
+    if endpoint.id in state.routed_engines:
+        return bound.shares.router
+    boxes = UNKNOWN_BOXES if state.boxes_known_at == NEVER else max(1, len(state.boxes))
+    routed = state.catalog is not None and state.catalog.engine_of(endpoint.service) is not None
+    return (bound.shares.alone if routed else bound.shares.split) / boxes
+
+
+def _router_pace(state: BoxState, endpoint: Endpoint, now: float) -> Pace:
+    held = state.of(endpoint)
+    if held.router_pace is None:
+        held.router_pace = Pace(now)
+    return held.router_pace
+
+
+def _alone_pace(state: BoxState, endpoint: Endpoint, now: float, per_s: float, chance: Random) -> Pace:
+    held = state.of(endpoint)
+    held.alone_pace = pace_alone(held.alone_pace, now, per_s, chance)
+    return held.alone_pace
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -7,6 +7,7 @@
 from stairquay.serving.choosing import Choice
 from stairquay.serving.decisions import Decision
 from stairquay.serving.jobs import Begun, Job, Progress
+from stairquay.serving.limits import limit_of
 from stairquay.serving.ports import LimitSaid, Reply, SendFailure
 from stairquay.serving.state import BoxState
 
@@ -30,6 +31,9 @@
         "configuration": job.catalog.version,
         "in_flight": state.of(choice.endpoint).in_flight,
     }
+    limit_per_s = limit_of(state.of(choice.endpoint))
+    if limit_per_s < UNLIMITED:
+        inputs["limit_per_s"] = limit_per_s
     if choice.placement is not None:
         inputs.update(_placement_inputs(state, choice, choice.placement))
     if choice.version is not None and job.call.prompt is not None:
--- a/stairquay/serving/refusals.py
+++ b/stairquay/serving/refusals.py
@@ -9,9 +9,6 @@
 SHED_RETRY_S = 0.3
 """Seconds after which a caller refused for overload should come back: half an objective."""
 
-COLD_RETRY_S = 2.0
-"""Longest time after which a caller refused for cold endpoints should come back: starts take seconds, and one
-endpoint that is warm again takes all who wait."""
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that promise that the request has not run."""
@@ -26,13 +23,14 @@
     return Refusal(ErrorKind.OVERLOADED, Ran.NOT_RUN, detail, SHED_RETRY_S)
 
 
-def all_cold(wait_s: float, ran: Ran) -> Refusal:
-    """Return the refusal of a request where each endpoint is cold and has got what it bears.
+def all_held_back(come_back_s: float, ran: Ran) -> Refusal:
+    """Return the refusal of a request where each endpoint is cold, or names a limit, and has got all that it
+    takes.
 
-    wait_s: until one of them may get the next request from this box.
+    come_back_s: seconds after which one of them may take this request, after others refused before.
     """
-    detail = f"endpoints are cold, the next request goes in {wait_s:.2f} s"
-    return Refusal(ErrorKind.OVERLOADED, ran, detail, min(COLD_RETRY_S, max(RETRY_AFTER_S, wait_s)))
+    detail = f"endpoints have got what they take, one takes the next request in {come_back_s:.2f} s"
+    return Refusal(ErrorKind.OVERLOADED, ran, detail, max(RETRY_AFTER_S, come_back_s))
 
 
 def truthful(refusal: Refusal, ran: Ran) -> Refusal:
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -19,10 +19,11 @@
 from stairquay.core.placement import read_s
 from stairquay.core.routers import Engine, engines_of
 from stairquay.serving.choosing import Choice, Wanted
-from stairquay.serving.cold import cold_for_s, count_sent
+from stairquay.serving.cold import cold_for_s
 from stairquay.serving.crash_rows import STALE_S
 from stairquay.serving.decisions import Decision
 from stairquay.serving.endpoint import FULL_PAUSE_S, EndpointState
+from stairquay.serving.limits import limit_told, take_told_limits, told_limits
 from stairquay.serving.links import Answers, serve
 from stairquay.serving.messages import (
     CrashesTold,
@@ -40,6 +41,7 @@
     ViewsReply,
     ViewsRequest,
 )
+from stairquay.serving.pacing import come_back_s, count_sent, take_back
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
 from stairquay.serving.saving import choose_and_save
 from stairquay.serving.state import BoxState
@@ -66,7 +68,8 @@
     """A prompt placed on an endpoint: when, how long the endpoint reads it, and how many tokens it holds.
 
     held: what is believed of the endpoint's life that got it. shared: the parts that other prompts may share,
-    with their tokens; the endpoint's address will keep them.
+    with their tokens; the endpoint's address will keep them. paced: it was counted as one of the few that the
+    endpoint takes, as its router.
     """
 
     at: float
@@ -75,6 +78,7 @@
     tokens: int
     address: str = ""
     shared: tuple[tuple[Key, int], ...] = ()
+    paced: bool = False
 
 
 class RouterPart:
@@ -101,9 +105,14 @@
 
     def place(self, asked: PlaceRequest) -> PlaceReply:
         """Choose an engine for a prompt, and count it there until the box that asked says that it ended."""
+        now = monotonic()
+        take_told_limits(self.state, asked.limits, now)
         choice = self._choose(asked)
         if choice is None or choice.placement is None:
-            return PlaceReply()
+            soonest_s = come_back_s(self.state, asked.service, asked.tried, now, self.random)
+            return PlaceReply(come_back_s=soonest_s or 0.0)
+        held = self.state.of(choice.endpoint)
+        limit = None if held.limit is None else limit_told(choice.endpoint, held, held.limit, now)
         given_up = asked.most_backlog_s is not None and choice.backlog_s > asked.most_backlog_s
         if not given_up and asked.may_wait and self._read_soon(choice, asked):
             return PlaceReply(endpoint=choice.endpoint.id, version=choice.version, again_s=READ_AGAIN_S)
@@ -123,6 +132,7 @@
             first_token_s=placement.first_token_s,
             alternative_s=choice.alternative_s,
             backlog_s=choice.backlog_s,
+            limit=limit,
         )
 
     def was_read(self, ticket: str) -> None:
@@ -164,6 +174,8 @@
         held.in_flight = max(0, held.in_flight - 1)
         if ended.outcome in (Outcome.NOT_SENT, Outcome.TURNED_AWAY, Outcome.UNREACHED):
             held.take_back(placed.reading_s, placed.tokens, placed.at)
+            if placed.paced and ended.outcome != Outcome.TURNED_AWAY:
+                take_back(held)
         if ended.outcome == Outcome.TURNED_AWAY:
             held.refused_until = now + FULL_PAUSE_S
         if ended.outcome == Outcome.UNREACHED:
@@ -191,11 +203,11 @@
         address = choice.endpoint.address
         shared = tuple(((choice.scope, part.id), part.tokens) for part in asked.parts[:-1])
         held = self.state.of(choice.endpoint)
-        placed = Placed(now, held, reading_s, asked.tokens, address, shared)
+        paced = count_sent(self.state, choice.endpoint, now, self.random)
+        placed = Placed(now, held, reading_s, asked.tokens, address, shared, paced)
         self.placed_by_ticket[asked.ticket] = placed
         for key, _ in shared:
             self.reader_by_key.setdefault(key, asked.ticket)
-        count_sent(self.state, choice.endpoint, now, self.random)
         held.in_flight += 1
         held.on_placed(placed.reading_s, now)
         # Kept parts count, too: while the prompt runs they cannot give way to others.
@@ -260,6 +272,7 @@
         return self.place(asked)
 
     async def _on_finished(self, notice: FinishedNotice) -> Nothing:
+        take_told_limits(self.state, notice.limits, monotonic())
         for ticket in notice.read:
             self.was_read(ticket)
         for ended in notice.ended:
@@ -268,6 +281,7 @@
 
     async def _on_operators(self, asked: OperatorsRequest) -> OperatorsReply:
         began_at = monotonic()
+        take_told_limits(self.state, asked.limits, began_at)
         await self._hold(lambda: self._operators_last_s(asked), asked.wait_s)
         return self._operators_reply(asked, began_at)
 
@@ -277,6 +291,7 @@
 
     async def _on_views(self, asked: ViewsRequest) -> ViewsReply:
         began_at = monotonic()
+        take_told_limits(self.state, asked.operators.limits, began_at)
 
         def last_s() -> float:
             return min(self._operators_last_s(asked.operators), self._endpoints_last_s(asked.endpoints))
@@ -304,7 +319,9 @@
         else:
             changes = OperatorChanges(revision, False)
         changed, crashes = self._crashes(asked.crashes_known)
-        return OperatorsReply(changes, state.view_age(), monotonic() - began_at, changed, crashes)
+        now = monotonic()
+        limits = told_limits(state, now, frozenset(item.endpoint for item in asked.limits))
+        return OperatorsReply(changes, state.view_age(), now - began_at, changed, crashes, limits)
 
     def _crashes(self, known: int) -> tuple[int, CrashesTold | None]:
         """Return the revision at which boxes' rows about crashes last changed, and what they tell where that
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -14,6 +14,7 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.core.crashes import Crash
 from stairquay.core.routers import routers_for
+from stairquay.serving.limits import take_told_limits, told_limits
 from stairquay.serving.links import Link, Links
 from stairquay.serving.messages import (
     CrashesTold,
@@ -104,11 +105,13 @@
             self._take_crashes(-1, None)
             return None
         self._take_crashes(reply.crashes_revision, reply.crashes)
+        take_told_limits(self.state, reply.limits, monotonic())
         # The answer was made `held_s` after the question came in, which was after it was asked.
         return replace(reply.changes, behind_s=reply.age_s - reply.held_s + waiting_s)
 
     def _operators_request(self, after: int, held_s: float) -> OperatorsRequest:
-        return OperatorsRequest(after, held_s, self.state.quarantine.passed_revision)
+        limits = told_limits(self.state, monotonic())
+        return OperatorsRequest(after, held_s, self.state.quarantine.passed_revision, limits)
 
     def _take_crashes(self, revision: int, told: CrashesTold | None) -> None:
         """Take in what a router knows of crashes; a revision of -1 stands for nothing."""
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -53,6 +53,9 @@
     answer about it; list_passed_on: a router passed its newest answer on.
     routers: boxes that route prompts for all, none before the boxes were read. routed_engines: the engines
     that this box routes for. suspected_until_by_id: boxes that lately did not answer.
+    come_back_at_by_service: the latest time that a caller was told for whom all endpoints of a service had
+    got what they take.
+    limited: ids of endpoints that have named a limit, also where it has ended.
     evacuated: data halls whose endpoints are to get nothing; evacuated_revision: the table service's revision
     up to which that is known; returned_at_by_hall: when such a hall might get work again.
     unreadable: ids whose entries in the list name no endpoint.
@@ -87,7 +90,9 @@
     list_changed: int = 0
     routers: tuple[Member, ...] = ()
     routed_engines: frozenset[str] = frozenset()
+    come_back_at_by_service: dict[str, float] = field(default_factory=dict)
     suspected_until_by_id: dict[str, float] = field(default_factory=dict)
+    limited: set[str] = field(default_factory=set)
     evacuated: frozenset[str] = frozenset()
     evacuated_revision: int = 0
     returned_at_by_hall: dict[str, float] = field(default_factory=dict)
@@ -324,3 +329,4 @@
             state = self.endpoints_by_id[endpoint_id]
             if endpoint_id not in self.fleet.by_id and state.in_flight == 0:
                 del self.endpoints_by_id[endpoint_id]
+                self.limited.discard(endpoint_id)
--- a/tests/loads/test_hall_returns_cold.py
+++ b/tests/loads/test_hall_returns_cold.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from stairquay.core.cold import ALONE_SHARE, ROUTER_BURST, ROUTER_SHARE, Pace, pace_alone
+from stairquay.core.pace import COLD_SHARES, Pace, pace_alone
 
 BEARS_PER_S = 18.0
 FALLS_OVER = 32
@@ -28,10 +28,10 @@
 def router(start: float = 0.0) -> Sender:
     """A router that has always more prompts than the engine may get."""
     pace = Pace(start)
-    per_s = BEARS_PER_S * ROUTER_SHARE
+    per_s = BEARS_PER_S * COLD_SHARES.router
 
     def sends(now: float) -> bool:
-        if now < start or pace.wait_s(now, per_s, ROUTER_BURST) > 0:
+        if now < start or pace.wait_s(now, per_s, COLD_SHARES.burst) > 0:
             return False
         pace.take(now, per_s)
         return True
@@ -39,7 +39,7 @@
     return sends
 
 
-def box_alone(boxes: int, chance: Random, share: float = ALONE_SHARE) -> Sender:
+def box_alone(boxes: int, chance: Random, share: float = COLD_SHARES.alone) -> Sender:
     """A box that finds no router to ask, and always has a prompt for the engine."""
     held: list[Pace | None] = [None]
     per_s = BEARS_PER_S * share / boxes
@@ -97,7 +97,7 @@
 def test_boxes_without_any_router_do_not_send_in_the_same_second(boxes):
     chance = Random(boxes)
     assert busiest_second([box_alone(boxes, chance) for _ in range(boxes)]) < FALLS_OVER / 2
-    assert busiest_second([box_alone(boxes, chance, ROUTER_SHARE) for _ in range(boxes)]) < FALLS_OVER
+    assert busiest_second([box_alone(boxes, chance, COLD_SHARES.split) for _ in range(boxes)]) < FALLS_OVER
 
 
 def test_shares_that_may_be_spent_at_once_would_fell_it():
--- a/tests/test_box_state.py
+++ b/tests/test_box_state.py
@@ -249,6 +249,7 @@
     "version_named": {"model", "version", "named_s_ago", "source"},
     "endpoints": {"endpoint", "standing", "revision"},
     "store_view": {"store", "outcome", "parts"},
+    "limit": {"endpoint", "service", "outcome", "per_s", "before_per_s"},
     "lease": {"outcome", "fence", "revision"},
     "order": {"endpoint", "version", "fence", "sequence", "lease_age_s", "outcome"},
     "sent": {
@@ -275,7 +276,7 @@
             await here.until_slack()
             await eventually(lambda: here.logged("store_view"))
             assert (await here.prompt(call_id="prompt-1")).status == 200
-            here.endpoints[0].errors = 1
+            here.endpoints[0].errors, here.endpoints[0].limit = 1, "50"
             await here.call("/plain/x", call_id="again-1")
             await here.call("/nowhere/x", call_id="lost-1")
             here.table.put("op", f"version/{MODEL}", {"model": MODEL, "version": 2})
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,8 +12,9 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
-from tests.many_boxes import two_boxes
-from tests.site import Answer, Site, site
+from stairquay.serving.messages import Outcome, PlaceReply
+from tests.many_boxes import placed_prompt, routed, two_boxes
+from tests.site import Answer, Site, eventually, site
 from tests.standins.dialect import Endpoint
 
 KNOWN_S = 3.0
@@ -137,6 +138,102 @@
     asyncio.run(scenario())
 
 
+def test_a_caller_that_is_refused_for_a_limit_is_served_when_it_was_told_to_come():
+    async def scenario():
+        async with known_boxes(plain=1) as here:
+            here.endpoints[0].limit = "0.5"
+            await here.call("/plain/x", call_id="named")
+            answer = await here.call("/plain/x", call_id="early")
+            told_s = float(answer.headers["Retry-After"])
+            assert answer.status == 503 and 0.5 < told_s < 5
+            await asyncio.sleep(told_s)
+            assert (await here.call("/plain/x", call_id="as-told")).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_requests_whose_turn_comes_soon_wait_for_it_and_callers_refused_together_come_one_by_one():
+    async def scenario():
+        async with known_boxes(plain=1) as here:
+            here.endpoints[0].limit = "25"
+            await here.call("/plain/x", call_id="named")
+            together = (here.call("/plain/x", call_id=f"together-{number}") for number in range(12))
+            answers = await asyncio.gather(*together)
+            served = [answer for answer in answers if answer.status == 200]
+            assert len(served) >= 2 and max(answer.took_s for answer in served) < AT_ONCE_S
+            told = [float(answer.headers["Retry-After"]) for answer in answers if answer.status == 503]
+            assert len(set(told)) >= 3
+
+    asyncio.run(scenario())
+
+
+def test_work_returns_when_answers_name_no_limit_any_more_also_where_none_was_taken():
+    async def scenario():
+        async with known_boxes(plain=2) as here:
+            limited = here.endpoints[0]
+            for endpoint in here.endpoints:
+                endpoint.hold_s = 0.05
+            for limit in ("0", "0.01", "1"):
+                limited.limit = limit
+                await press(lambda n, limit=limit: here.call("/plain/x", call_id=f"{limit}-{n}"), 20, 3.0)
+                limited.limit = None
+                before = len(limited.taken)
+                answers = await press(
+                    lambda n, limit=limit: here.call("/plain/y", call_id=f"{limit}-e{n}"), 20, 8
+                )
+                assert [answer.status for answer in answers] == [200] * len(answers)
+                assert len(limited.taken) - before >= 20
+
+    asyncio.run(scenario())
+
+
+def test_a_box_that_was_told_of_a_limit_tells_a_router_that_does_not_know_of_it():
+    async def scenario():
+        async with routed(plain=0, engines=2) as (here, router):
+            limited = here.engines()[0]
+            limited.limit = "1"
+            router.reply = PlaceReply(endpoint=limited.id, version=1, scope="/m/1", first_token_s=0.02)
+            await placed_prompt(here, router, "first")
+            router.asked.clear()
+            began = clock()
+            answers = await press(lambda n: here.prompt("/again/x", call_id=f"press-{n}"), 10, 8.0)
+            told = [item.limits[0] for item in router.asked if item.limits]
+            assert told and told[0].endpoint == limited.id and told[0].per_s == 1.0
+            assert any(ended.outcome == Outcome.NOT_SENT for ended in router.ended)
+            assert busiest_window(limited, began) <= borne(1)
+            assert [answer.status for answer in answers] == [200] * len(answers)
+
+    asyncio.run(scenario())
+
+
+def test_a_limit_that_one_box_was_told_is_known_at_the_other_and_its_end_as_well():
+    async def scenario():
+        async with two_boxes(plain=1) as (first, second):
+            endpoint = first.endpoints[0]
+            endpoint.limit = "7.5"
+            await first.call("/plain/x", call_id="named")
+            known = f'stairquay_endpoint_limit_per_second{{endpoint="{endpoint.id}"}} 7.5'
+
+            async def second_knows() -> bool:
+                return known in await second.metrics()
+
+            await eventually(second_knows, KNOWN_S)
+            endpoint.limit = None
+            await asyncio.sleep(1.0)
+            await eventually(lambda: ended_at(first, endpoint), KNOWN_S)
+
+            async def second_forgot() -> bool:
+                return known not in await second.metrics()
+
+            await eventually(second_forgot, KNOWN_S)
+
+    async def ended_at(here: Site, endpoint: Endpoint) -> bool:
+        await here.call("/plain/x", call_id="ended")
+        return bool(here.logged("limit", endpoint=endpoint.id, outcome="ended"))
+
+    asyncio.run(scenario())
+
+
 def test_lines_and_metrics_tell_which_limits_endpoints_name():
     async def scenario():
         async with site(plain=1, engines=1) as here:
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -9,8 +9,7 @@
 from stairquay.core.fleet import Endpoint, Fleet
 from stairquay.core.rollout import Given
 from stairquay.core.routers import Member
-from stairquay.serving.choosing import cold_wait_s
-from stairquay.serving.cold import RETURN_CAUTION_S, cold_for_s, wait_s
+from stairquay.serving.cold import RETURN_CAUTION_S, cold_for_s
 from stairquay.serving.following import apply_endpoints, apply_operators
 from stairquay.serving.messages import (
     Ended,
@@ -18,9 +17,11 @@
     OperatorsRequest,
     Outcome,
     PartShape,
+    PlaceReply,
     PlaceRequest,
 )
 from stairquay.serving.orders import OrderGiver
+from stairquay.serving.pacing import COLD_RETRY_S, come_back_s, wait_s
 from stairquay.serving.ports import EndpointChanges, EngineReport, OperatorChanges
 from stairquay.serving.routing import RouterPart
 from stairquay.serving.state import BoxState
@@ -49,9 +50,13 @@
     apply_operators(state, OperatorChanges(revision, whole, **changes), monotonic())
 
 
-def place(part: RouterPart, ticket: str) -> str:
+def reply_to(part: RouterPart, ticket: str) -> PlaceReply:
     request = PlaceRequest(ticket, "b-2", "llm", "m", (PartShape("aa", 500),), 500, 20, "", ())
-    return part.place(request).endpoint
+    return part.place(request)
+
+
+def place(part: RouterPart, ticket: str) -> str:
+    return reply_to(part, ticket).endpoint
 
 
 def test_all_that_was_believed_of_an_endpoint_goes_with_its_life():
@@ -143,13 +148,17 @@
     state = state_with(replace(ENGINE, cold=True, cold_s=START_S))
     state.routers, state.routed_engines = (state.member,), frozenset({"e"})
     part = RouterPart(state, CHANCE)
-    placed = [place(part, f"t{number}") for number in range(40)]
+    replies = [reply_to(part, f"t{number}") for number in range(40)]
+    placed = [reply.endpoint for reply in replies]
     assert 0 < placed.count("e") <= LIMIT.per_s
     assert placed[-1] == ""
-    wait = cold_wait_s(state, SERVICE, CHANCE)
-    assert wait is not None and 0 < wait < 1 / LIMIT.per_s * 2
+    now = monotonic()
+    assert 0 < wait_s(state, ENGINE, now, CHANCE) < 1 / LIMIT.per_s * 2
+    told = [reply.come_back_s for reply in replies if not reply.endpoint]
+    assert 0 < told[0] < 1 / LIMIT.per_s * 2 and max(told) <= COLD_RETRY_S
+    assert told == sorted(told) and len(set(told)) > 10, "one after the other, not all at once"
     listed(state, replace(ENGINE, sequence=6))
-    assert place(part, "warm") == "e" and cold_wait_s(state, SERVICE, CHANCE) is None
+    assert place(part, "warm") == "e" and come_back_s(state, SERVICE.id, (), monotonic(), CHANCE) is None
 
 
 def test_a_box_that_decides_alone_waits_for_its_own_moment():
