--- a/tests/standins/dialect.py
+++ b/tests/standins/dialect.py
@@ -108,7 +108,7 @@
     answers are followed by bytes that belong to nothing. crashes_on: a request whose body holds that crashes
     the endpoint `crash_s` after it began, heard: after the head of its answer; on_poison hears of each
     beginning and each crash. limit: named in every answer as what it takes from all callers, where it is set.
-    arrived_at: when requests came that were meant for it, by the loop's clock.
+    arrived, named: requests that were meant for it, and answers that named a limit, by the loop's clock.
     """
 
     id: str = "i-1"
@@ -141,7 +141,8 @@
     cold_ms: int = 0
     asked_report: int = 0
     taken: list[Taken] = field(default_factory=list)
-    arrived_at: list[float] = field(default_factory=list)
+    arrived: list[tuple[float, str]] = field(default_factory=list)
+    named: list[tuple[float, str]] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     ports: list[int] = field(default_factory=list)
     left: int = 0
@@ -207,8 +208,11 @@
         self.version = version
         self.busy = False
 
-    def _limit(self) -> dict[str, str]:
-        return {} if self.limit is None else {"Server-Limit": self.limit}
+    def _limit(self, call_id: str) -> dict[str, str]:
+        if self.limit is None:
+            return {}
+        self.named.append((asyncio.get_running_loop().time(), call_id))
+        return {"Server-Limit": self.limit}
 
     async def _run(self, request: web.Request) -> web.StreamResponse:
         call_id = request.headers.get("Request-Id", "")
@@ -216,10 +220,10 @@
         version = request.headers.get("Expect-Version", str(self.version))
         if wanted != self.id or version != str(self.version):
             return web.Response(status=421, headers={"Instance-Id": self.id})
-        self.arrived_at.append(asyncio.get_running_loop().time())
+        self.arrived.append((asyncio.get_running_loop().time(), call_id))
         if self.refuse:
             self.refuse -= 1
-            headers = {"Not-Executed": "1", "Request-Id": call_id, **self._limit()}
+            headers = {"Not-Executed": "1", "Request-Id": call_id, **self._limit(call_id)}
             return web.Response(status=503, headers=headers)
         body = await request.read()
         assert request.transport is not None
@@ -270,7 +274,7 @@
             "Request-Id": call_id,
             "Response-Signature": f"sig-{self.id}",
             "Versions": str(self.version),
-            **self._limit(),
+            **self._limit(call_id),
         }
         if self.keep_alive:
             headers["Keep-Alive"] = self.keep_alive
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -41,7 +41,7 @@
 
 def busiest_window(endpoint: Endpoint, named_at: float) -> int:
     """Return the most requests that an endpoint got in a window, of those that begin once the limit binds."""
-    times = [at for at in endpoint.arrived_at if at >= named_at + KNOWN_S]
+    times = [at for at, _ in endpoint.arrived if at >= named_at + KNOWN_S]
     return max((sum(at <= other < at + WINDOW_S for other in times) for at in times), default=0)
 
 
@@ -49,7 +49,7 @@
     """Return the fewest requests that an endpoint got in a window from then on."""
     starts = [named_at + KNOWN_S + step / 10 for step in range(200)]
     return min(
-        sum(start <= at < start + WINDOW_S for at in endpoint.arrived_at)
+        sum(start <= at < start + WINDOW_S for at, _ in endpoint.arrived)
         for start in starts
         if start + WINDOW_S <= until
     )
