--- a/tests/standins/table.py
+++ b/tests/standins/table.py
@@ -30,6 +30,15 @@
     return runner, f"{host}:{port}"
 
 
+@dataclass(frozen=True)
+class Copy:
+    """What stood in the table service at a time."""
+
+    rows_by_key: dict[tuple[str, str], tuple[str, int]]
+    history: tuple[tuple[int, str, str], ...]
+    counter: int
+
+
 @dataclass
 class TableService:
     """Rows with one growing counter, a feed, and conditional writes.
@@ -37,7 +46,7 @@
     down: nothing is answered. lost: writes that are done but not answered. refused_by_prefix: writes of
     keys that begin so that are turned away, nothing done. forgotten: the history before this counter is gone.
     slow_s: delay of every answer. late_s_by_table: seconds by which a table's rows are late on their way.
-    unread_tables: tables whose rows are not to be had for now.
+    unread_tables: tables whose rows are not to be had for now. era: rises with each restore of an older copy.
     """
 
     rows_by_key: dict[tuple[str, str], tuple[str, int]] = field(default_factory=dict)
@@ -50,6 +59,7 @@
     slow_s: float = 0.0
     late_s_by_table: dict[str, float] = field(default_factory=dict)
     unread_tables: set[str] = field(default_factory=set)
+    era: int = 1
     calls: list[str] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     address: str = ""
@@ -73,6 +83,18 @@
         row = self.rows_by_key.get((table, key))
         return None if row is None else json.loads(row[0])
 
+    def copy(self) -> Copy:
+        """Return what stands here now, to come back to."""
+        return Copy(dict(self.rows_by_key), tuple(self.history), self.counter)
+
+    def restore(self, copy: Copy) -> None:
+        """Come back from an older copy: what was written since is gone, its numbers are given out again."""
+        self.rows_by_key, self.history = dict(copy.rows_by_key), list(copy.history)
+        self.counter = copy.counter
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def _write(self, changes: list[tuple[str, str, str | None]]) -> None:
         self.counter += 1
         for table, key, value in changes:
@@ -85,6 +107,11 @@
         self.changed = asyncio.Event()
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
+        answer = await self._answer(request)
+        answer.headers["Store-Era"] = str(self.era)
+        return answer
+
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
         self.calls.append(request.path)
         if self.down:
             await asyncio.sleep(30)
@@ -113,7 +140,7 @@
 
     async def _feed(self, request: web.Request) -> web.Response:
         table, after = request.query["table"], int(request.query["after"])
-        if after < self.forgotten:
+        if after < self.forgotten or after > self.counter:
             return web.Response(status=410)
         end = asyncio.get_running_loop().time() + int(request.query["wait_ms"]) / 1000
         while True:
