Keep the start of several boxes where the other sites of boxes are, and one set-up of kept parts

Two soaks share the start of several boxes, which stood in one of them; two tests had the same three lines of set-up.

--- a/tests/many_boxes.py
+++ b/tests/many_boxes.py
@@ -182,3 +182,29 @@
 
 def both_know(here: Site) -> bool:
     return any(line["routers"] == [FIRST, SECOND] for line in here.logged("router", outcome="picked"))
+
+
+@asynccontextmanager
+async def several_boxes(count: int) -> AsyncIterator[list[Site]]:
+    """Start boxes that share one table service, five engines and three plain endpoints."""
+    bounds = {"budget_window_s": 2, "budget_slack": 400}
+    async with site(ready=False, plain=3, engines=5, **bounds) as first:
+        boxes = [first]
+        with tempfile.TemporaryDirectory() as folder:
+            try:
+                for number in range(2, count + 1):
+                    place = Path(folder) / str(number)
+                    place.mkdir()
+                    box = Site(
+                        first.table, first.endpoints, [], place, name=f"box-{number}", bounds=first.bounds
+                    )
+                    box.session = ClientSession(timeout=ClientTimeout(total=20), auto_decompress=False)
+                    await box.start_box()
+                    boxes.append(box)
+                for box in boxes:
+                    await box.until_ready()
+                yield boxes
+            finally:
+                for box in boxes[1:]:
+                    box.endpoints = []
+                    await box.close()
--- a/tests/soak_crashes.py
+++ b/tests/soak_crashes.py
@@ -8,18 +8,14 @@
 import argparse
 import asyncio
 import json
-import tempfile
 import time
 from collections import defaultdict
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
-from aiohttp import ClientSession, ClientTimeout
-
-from tests.site import Site, site
+from tests.many_boxes import several_boxes
+from tests.site import Site
 from tests.standins.dialect import Endpoint
 
 TOLD_S = 3.0
@@ -199,32 +195,6 @@
         self.table.put("servers", endpoint.id, endpoint.entry())
 
 
-@asynccontextmanager
-async def several_boxes(count: int) -> AsyncIterator[list[Site]]:
-    """Start boxes that share one table service, five engines and three plain endpoints."""
-    bounds = {"budget_window_s": 2, "budget_slack": 400}
-    async with site(ready=False, plain=3, engines=5, **bounds) as first:
-        boxes = [first]
-        with tempfile.TemporaryDirectory() as folder:
-            try:
-                for number in range(2, count + 1):
-                    place = Path(folder) / str(number)
-                    place.mkdir()
-                    box = Site(
-                        first.table, first.endpoints, [], place, name=f"box-{number}", bounds=first.bounds
-                    )
-                    box.session = ClientSession(timeout=ClientTimeout(total=20), auto_decompress=False)
-                    await box.start_box()
-                    boxes.append(box)
-                for box in boxes:
-                    await box.until_ready()
-                yield boxes
-            finally:
-                for box in boxes[1:]:
-                    box.endpoints = []
-                    await box.close()
-
-
 async def soak(seed: int, seconds: float, boxes: int = 4, story: Path | None = None) -> Outcome:
     """Play a soak, and return what it showed. story: a file for what happened when."""
     async with several_boxes(boxes) as sites:
--- a/tests/soak_limits.py
+++ b/tests/soak_limits.py
@@ -16,8 +16,8 @@
 from random import Random
 from typing import Any
 
+from tests.many_boxes import several_boxes
 from tests.site import Site
-from tests.soak_crashes import several_boxes
 from tests.standins.dialect import Endpoint
 
 KNOWN_S, TOLD_S, WINDOW_S = 3.0, 0.5, 4.0
--- a/tests/test_box_weights.py
+++ b/tests/test_box_weights.py
@@ -2,7 +2,16 @@
 
 import asyncio
 
-from tests.site import KEY, MODEL, SCOPE, eventually, site
+from tests.site import KEY, MODEL, SCOPE, Site, eventually, site
+from tests.standins.dialect import StoreBox
+
+
+async def keep_a_part(here: Site) -> StoreBox:
+    """Have the first store box keep a part, and wait until the box has read what it keeps."""
+    store = here.stores[0]
+    store.keep(SCOPE, "aa", 500)
+    await eventually(lambda: here.logged("store_view", outcome="read"))
+    return store
 
 
 def test_engines_are_brought_to_a_named_version_one_after_the_other_under_one_fence():
@@ -93,9 +102,7 @@
 def test_nothing_is_fetched_from_a_store_box_that_started_anew():
     async def scenario():
         async with site(plain=0, engines=1, stores=1) as here:
-            store = here.stores[0]
-            store.keep(SCOPE, "aa", 500)
-            await eventually(lambda: here.logged("store_view", outcome="read"))
+            store = await keep_a_part(here)
             await asyncio.sleep(0.5)
             assert (await here.prompt()).status == 200
             assert store.address in here.engines()[0].taken[0].headers["Kv-Fetch"]
@@ -110,9 +117,7 @@
 def test_nothing_is_fetched_from_a_store_box_that_fell_silent():
     async def scenario():
         async with site(plain=0, engines=1, stores=1) as here:
-            store = here.stores[0]
-            store.keep(SCOPE, "aa", 500)
-            await eventually(lambda: here.logged("store_view", outcome="read"))
+            store = await keep_a_part(here)
             await asyncio.sleep(0.3)
             store.silent = True
             await eventually(lambda: here.logged("store_view", cause="silent"), 4.0)
