--- a/stairquay/core/limits.py
+++ b/stairquay/core/limits.py
@@ -1,8 +1,8 @@
-"""What endpoints say of how much work they take, and which of two such words is the newer one.
+"""Rate limits that endpoints name in their answers, and which of two statements about one is the newer one.
 
-An endpoint in need names in its answers how many requests a second it takes from all callers together, for
-as long as it says so. Answers come to many boxes and late, and boxes tell each other what they heard: an
-older answer must not undo what a newer one said.
+An endpoint that is short of room names in its answers how many requests a second it takes from all callers
+together, for as long as it does so. Answers come to many boxes and late, and boxes tell each other what they
+heard: an older answer must not undo what a newer one said.
 """
 
 import re
@@ -42,9 +42,9 @@
 
 
 def newer(known: LimitNews | None, told: LimitNews) -> LimitNews:
-    """Return what holds after two words about one endpoint, whichever of them was heard of first.
+    """Return what holds after two statements about one endpoint, whichever of them was heard of first.
 
-    A word is newer than another only if its request was sent after the other's answer had come. Where neither
+    One is newer than another only if its request was sent after the other's answer had come. Where neither
     is, the lower limit holds: answers that cross must not end a limit. It keeps its own times: an answer that
     names none must not make a limit seem to have been heard again.
     """
--- a/stairquay/core/pace.py
+++ b/stairquay/core/pace.py
@@ -2,7 +2,7 @@
 others send.
 
 An endpoint may take only so many requests a second, summed over all boxes: while it is cold, by the
-configuration; in need, by the limit that its answers name. Both are one bound, kept in one way. Where one
+configuration; or by the rate limit that its answers name. Both are one bound, kept in one way. Where one
 router counts what it places on the endpoint, it spends most of that. A box that decides alone spends its
 share of the rest, at a moment drawn by chance, so that hundreds of boxes that all see an idle endpoint do not
 send to it in the same second.
--- a/stairquay/platform/names.py
+++ b/stairquay/platform/names.py
@@ -11,7 +11,7 @@
 
 NOT_RUN = "Not-Executed"
 LIMIT = "Server-Limit"
-"""Requests a second, a decimal number, that an endpoint in need takes from all callers together."""
+"""Requests a second, a decimal number, that an endpoint short of room takes from all callers together."""
 
 INSTANCE = "Target-Instance"
 """The id of the endpoint that a request is meant for; any other refuses it."""
--- a/tests/loads/test_limits_of_endpoints.py
+++ b/tests/loads/test_limits_of_endpoints.py
@@ -1,4 +1,4 @@
-"""Pattern: an endpoint in need names how many requests a second it takes, and hundreds of boxes press on it.
+"""Pattern: an endpoint names how many requests a second it takes, and hundreds of boxes press on it.
 
 The product's own decisions on virtual time, for as many boxes as there are: what each believes (`BoxState`),
 what it may send (`pacing`), what it hears and is told (`limits`). There is always more to send. A request is
--- a/tests/soak_limits.py
+++ b/tests/soak_limits.py
@@ -81,8 +81,8 @@
 
     async def run(self) -> Outcome:
         """Play it to its end, and judge."""
-        needs = [self._needs(endpoint) for endpoint in self.endpoints]
-        await asyncio.gather(self._press(), self._all_in_need(), self._faults(), *needs)
+        limits = [self._limits(endpoint) for endpoint in self.endpoints]
+        await asyncio.gather(self._press(), self._all_at_once(), self._faults(), *limits)
         for endpoint in self.endpoints:
             self._name(endpoint, None)
         await asyncio.gather(*self.calls)
@@ -136,8 +136,8 @@
         else:
             told[-1].limits.append((now_s(), limit))
 
-    async def _needs(self, endpoint: Endpoint) -> None:
-        """Have an endpoint be in need from time to time, with a limit that changes."""
+    async def _limits(self, endpoint: Endpoint) -> None:
+        """Have an endpoint name a limit from time to time, which may change."""
         while self._left():
             await asyncio.sleep(self.chance.uniform(2.0, 12.0))
             for _ in range(self.chance.choice((1, 1, 2))):
@@ -145,7 +145,7 @@
                 await asyncio.sleep(self.chance.uniform(8.0, 14.0))
             self._name(endpoint, None)
 
-    async def _all_in_need(self) -> None:
+    async def _all_at_once(self) -> None:
         """Once, have all endpoints name limits together."""
         await asyncio.sleep(self.chance.uniform(5.0, 15.0))
         for endpoint in self.endpoints:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,4 +1,4 @@
-"""Endpoints in need name in their answers how many requests a second they take from all callers together.
+"""Endpoints name rate limits in their answers: requests a second that they take from all callers together.
 
 Seen on six boxes and five engines: two engines that named 2.8 and 3.5 requests a second got 24 and 29 in four
 seconds, from boxes that had passed on answers which named the limit three seconds before; engines without a
--- a/tests/test_limits_named.py
+++ b/tests/test_limits_named.py
@@ -1,4 +1,4 @@
-"""What endpoints say of their limits: how it is read, and which of two words holds."""
+"""What endpoints say of their limits: how it is read, and which of two statements holds."""
 
 import pytest
 from hypothesis import given
