Read in answers that an endpoint leaves or wants rest, and tell of it in lines and gauges

Change: an answer's head is read once for all that it says of its endpoint's use (limit, leaving, rest) into one typed statement, in the platform's folder, and taken in at one place. `leaving` and `rest` lines, inputs of `ended` and `attempt_failed` lines, two gauges; one counter by topic of what cannot be read takes the place of the one for limits. No decision uses leaving or rest yet. A rest is a decimal number of seconds, or a date by the endpoint's own clock; nonsense changes nothing; an hour is the longest. Ruled out: float() for numbers (nan, 1_000, other scripts); any word but 1 for leaving; Retry-After of other statuses than 503.

--- a/stairquay/core/limits.py
+++ b/stairquay/core/limits.py
@@ -13,7 +13,7 @@
 """Requests a second of an endpoint that names no limit."""
 
 MAX_DIGITS = 32
-"""Longest text that is read as a limit."""
+"""Longest text that is read as a number."""
 
 DECIMAL = re.compile(r"(\d+\.?\d*|\.\d+)(e[+-]?\d{1,3})?", re.ASCII | re.IGNORECASE)
 """A decimal number without a sign; words such as `nan` are none."""
@@ -32,13 +32,14 @@
     heard_at: float
 
 
-def read_limit(text: str) -> float | None:
-    """Return the limit that an answer names, in requests a second, None where the text names none."""
+def read_decimal(text: str) -> float | None:
+    """Return a decimal number that an answer gives, None where the text is none: a limit in requests a
+    second, a rest in seconds."""
     text = text.strip()
     if len(text) > MAX_DIGITS or DECIMAL.fullmatch(text) is None:
         return None
-    per_s = float(text)
-    return per_s if isfinite(per_s) else None
+    value = float(text)
+    return value if isfinite(value) else None
 
 
 def newer(known: LimitNews | None, told: LimitNews) -> LimitNews:
--- a/stairquay/explain.py
+++ b/stairquay/explain.py
@@ -27,6 +27,8 @@
         "version_named",
         "endpoints",
         "limit",
+        "leaving",
+        "rest",
         "dependency",
         "router",
         "lease",
--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -11,7 +11,6 @@
 from stairquay.core.attempt import Attempt, AttemptState
 from stairquay.core.call import Call, Dispatch
 from stairquay.core.errors import ErrorKind, Ran
-from stairquay.core.limits import read_limit
 from stairquay.platform.connections import SENDING, CheckedProtocol, Sending, SendRefused
 from stairquay.platform.names import (
     CHANNEL_ONLY,
@@ -21,7 +20,6 @@
     INSTANCE,
     KEEP_ALIVE,
     LAST_EVENT,
-    LIMIT,
     NOT_RUN,
     PRIORITY,
     REQUEST_ID,
@@ -32,7 +30,8 @@
     VERSION,
     WORKSPACE,
 )
-from stairquay.serving.ports import BrokenAnswer, Guard, LimitSaid, Reply, SendFailure
+from stairquay.platform.statements import statement
+from stairquay.serving.ports import BrokenAnswer, Guard, Reply, SendFailure
 
 NOWHERE = "-"
 """Stands for a part that is neither fetched nor saved."""
@@ -129,9 +128,9 @@
         misdirected = status == HTTP_MISDIRECTED
         detail = f"refused with {status}"
         # The endpoint that a request was misdirected to speaks of itself.
-        limit = None if misdirected else _limit_said(response)
+        said = None if misdirected else statement(response.headers, status)
         return Err(
-            SendFailure(ErrorKind.ENDPOINT_REFUSED, attempt.ran, detail, status, misdirected, limit=limit)
+            SendFailure(ErrorKind.ENDPOINT_REFUSED, attempt.ran, detail, status, misdirected, said=said)
         )
     if response.headers.get(REQUEST_ID) != call.id:
         response.close()
@@ -155,21 +154,11 @@
             close=response.close,
             streamed=response.content_type == STREAM_TYPE,
             version=int(version) if version.isdecimal() else None,
-            limit=_limit_said(response),
+            said=statement(response.headers, status),
         )
     )
 
 
-def _limit_said(response: ClientResponse) -> LimitSaid:
-    """Return what an answer says of its endpoint's limit: of several, the lowest."""
-    said = response.headers.getall(LIMIT, [])
-    limits = [read_limit(text) for text in said]
-    readable = [per_s for per_s in limits if per_s is not None]
-    if readable:
-        return LimitSaid(min(readable))
-    return LimitSaid(unreadable=said[0] or "(empty)") if said else LimitSaid()
-
-
 def _passed_back(response: ClientResponse) -> tuple[tuple[str, str], ...]:
     named = {item.strip().lower() for item in response.headers.get("Connection", "").split(",")}
     dropped = (CHANNEL_ONLY | named) - {SIGNATURE.lower(), REQUEST_ID.lower()}
--- a/stairquay/platform/names.py
+++ b/stairquay/platform/names.py
@@ -13,6 +13,9 @@
 LIMIT = "Server-Limit"
 """Requests a second, a decimal number, that an endpoint short of room takes from all callers together."""
 
+LEAVING = "Server-Leaving"
+"""`1` in all answers of an endpoint that leaves."""
+
 INSTANCE = "Target-Instance"
 """The id of the endpoint that a request is meant for; any other refuses it."""
 
@@ -23,6 +26,9 @@
 """Whole seconds after which an endpoint closes an idle connection."""
 
 RETRY_AFTER = "Retry-After"
+"""Seconds after which to come back: to a caller that we refuse, and to us where an endpoint refuses."""
+
+DATE = "Date"
 LAST_EVENT = "Last-Event-Id"
 MODEL = "Model"
 TOKENS = "Token-Usage"
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -22,9 +22,9 @@
 from stairquay.serving.crashes import CrashWatch
 from stairquay.serving.decisions import Decision, DecisionLog
 from stairquay.serving.dispatch import Dispatcher
+from stairquay.serving.endpoint import NEVER
 from stairquay.serving.following import follow_endpoints, follow_operators
 from stairquay.serving.front import Front
-from stairquay.serving.limits import limit_of
 from stairquay.serving.links import Links
 from stairquay.serving.notices import Notices
 from stairquay.serving.orders import OrderGiver
@@ -33,6 +33,7 @@
 from stairquay.serving.settings import BoxSettings
 from stairquay.serving.sharing import SharedFeeds
 from stairquay.serving.state import BoxState
+from stairquay.serving.statements import limit_of
 from stairquay.serving.upkeep import Upkeep
 from stairquay.serving.watching import Watcher
 
@@ -220,12 +221,14 @@
 
 
 def _measure_halls(state: BoxState) -> None:
-    """Set the metrics of evacuated data halls, cold endpoints and limits that endpoints name."""
+    """Set the metrics of evacuated data halls, cold endpoints, and what endpoints say of their use."""
     metrics, now = state.metrics, monotonic()
     for hall in state.evacuated | state.returned_at_by_hall.keys():
         metrics.evacuated.labels(hall).set(hall in state.evacuated)
     metrics.cold.clear()
     metrics.limits.clear()
+    metrics.leaving.clear()
+    metrics.rests.clear()
     for endpoint in state.fleet.live():
         left_s = cold_for_s(state, endpoint, now)
         if left_s > 0:
@@ -233,6 +236,11 @@
         per_s = limit_of(state.of(endpoint))
         if per_s < UNLIMITED:
             metrics.limits.labels(endpoint.id).set(per_s)
+        if state.of(endpoint).said_leaving_at > NEVER:
+            metrics.leaving.labels(endpoint.id).set(1)
+        rest = state.of(endpoint).rest
+        if rest is not None and rest.until > now:
+            metrics.rests.labels(endpoint.id).set(rest.until - now)
 
 
 async def _finish(state: BoxState) -> None:
--- a/stairquay/serving/asking.py
+++ b/stairquay/serving/asking.py
@@ -20,7 +20,6 @@
 from stairquay.serving.decisions import Decision
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.jobs import Job, Progress
-from stairquay.serving.limits import limit_of, take_told_limits, told_limits
 from stairquay.serving.links import Links
 from stairquay.serving.messages import Ended, Outcome, PartShape, PlaceReply, PlaceRequest
 from stairquay.serving.notices import Notices
@@ -28,6 +27,7 @@
 from stairquay.serving.routing import RouterPart
 from stairquay.serving.saving import choose_and_save
 from stairquay.serving.state import BoxState
+from stairquay.serving.statements import limit_of, take_told_limits, told_limits
 
 ASK_S = 0.08
 """Seconds for a router's answer: a way of 2 ms and 2 ms of a slow box's time, with room for a burst; a
--- a/stairquay/serving/decisions.py
+++ b/stairquay/serving/decisions.py
@@ -57,6 +57,8 @@
     ATTEMPT_FAILED = "attempt_failed"
     ENDED = "ended"
     LIMIT = "limit"
+    LEAVING = "leaving"
+    REST = "rest"
     CRASHED = "crashed"
     QUARANTINE = "quarantine"
     PART_FAILED = "part_failed"
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -10,14 +10,12 @@
 from stairquay.core.call import Dispatch
 from stairquay.core.catalog import urgency
 from stairquay.core.errors import ErrorKind, Ran, Refusal
-from stairquay.core.limits import LimitNews
 from stairquay.serving.asking import Chooser
 from stairquay.serving.choosing import Choice
 from stairquay.serving.crashes import CrashWatch
 from stairquay.serving.endpoint import FULL_PAUSE_S
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.jobs import Begun, Job, Progress
-from stairquay.serving.limits import take_limit, take_unreadable_limit
 from stairquay.serving.messages import Outcome
 from stairquay.serving.ports import BrokenAnswer, Endpoints, Reply, SendFailure
 from stairquay.serving.records import (
@@ -32,6 +30,7 @@
 from stairquay.serving.refusals import RETRY_AFTER_S, all_held_back, overloaded, truthful
 from stairquay.serving.relay import cut, read_whole, relay_stream, whole_response
 from stairquay.serving.state import BoxState
+from stairquay.serving.statements import take_statement
 
 MAX_REFUSED = 4
 """Times that one request may be turned away by endpoints before it is refused."""
@@ -158,7 +157,7 @@
         record_sent(self.state, job, choice, progress)
         try:
             sent = await self._send(job, begun, progress)
-            self._take_limit(begun, sent)
+            self._take_statement(begun, sent)
             if isinstance(sent, Err):
                 self._failed(job, begun, progress, sent.err_value)
                 return None
@@ -168,16 +167,11 @@
             held.in_flight -= not counted
             held.unread_tokens_by_request.pop(job.call.id, None)
 
-    def _take_limit(self, begun: Begun, sent: Result[Reply, SendFailure]) -> None:
-        """Take in what an answer's head says of its endpoint's limit."""
-        said = sent.err_value.limit if isinstance(sent, Err) else sent.ok_value.limit
-        if said is None:
-            return
-        endpoint, held = begun.choice.endpoint, begun.held
-        if said.unreadable:
-            take_unreadable_limit(self.state, endpoint, held, said.unreadable)
-        else:
-            take_limit(self.state, endpoint, held, LimitNews(said.per_s, begun.sent_at, monotonic()))
+    def _take_statement(self, begun: Begun, sent: Result[Reply, SendFailure]) -> None:
+        """Take in what an answer's head says of its endpoint, before any of it is passed on."""
+        said = sent.err_value.said if isinstance(sent, Err) else sent.ok_value.said
+        if said is not None:
+            take_statement(self.state, begun.choice.endpoint, begun.held, said, begun.sent_at, monotonic())
 
     async def _send(self, job: Job, begun: Begun, progress: Progress) -> Result[Reply, SendFailure]:
         left_s = job.deadline - monotonic()
--- a/stairquay/serving/endpoint.py
+++ b/stairquay/serving/endpoint.py
@@ -6,7 +6,8 @@
 
 from stairquay.core.limits import LimitNews
 from stairquay.core.pace import Pace
-from stairquay.serving.ports import EngineReport
+from stairquay.core.rest import Rest
+from stairquay.serving.ports import EngineReport, Topic
 
 NEVER = float("-inf")
 """A time before all others."""
@@ -43,7 +44,8 @@
     another life that nobody has told of, NEVER where a report came since. router_pace, alone_pace: how this
     box spaces what it sends there while it takes only so much, as its router and where it decides alone.
     limit: what its answers last said of its limit, None before any named one; limit_ended_at: when the last
-    one ended; unreadable_limit: the last text that could not be read as one.
+    one ended; said_leaving_at: when it first said that it leaves; rest: what it last asked this box for, None
+    where none did or it is over; unreadable_by_topic: the last text of each kind that could not be read.
     read_until: when the engine has read all that this box, as its router, placed there.
     """
 
@@ -55,7 +57,9 @@
     alone_pace: Pace | None = None
     limit: LimitNews | None = None
     limit_ended_at: float = NEVER
-    unreadable_limit: str = ""
+    said_leaving_at: float = NEVER
+    rest: Rest | None = None
+    unreadable_by_topic: dict[Topic, str] = field(default_factory=dict)
 
     in_flight: int = 0
     unread_tokens_by_request: dict[str, int] = field(default_factory=dict)
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -72,8 +72,23 @@
             ["endpoint"],
             registry=registry,
         )
-        self.unreadable_limits = Counter(
-            "stairquay_unreadable_limits", "Answers whose limit cannot be read", registry=registry
+        self.leaving = Gauge(
+            "stairquay_endpoint_leaving",
+            "1 for an endpoint that said that it leaves",
+            ["endpoint"],
+            registry=registry,
+        )
+        self.rests = Gauge(
+            "stairquay_endpoint_rest_seconds_left",
+            "Seconds for which an endpoint wants nothing from this box",
+            ["endpoint"],
+            registry=registry,
+        )
+        self.unreadable_statements = Counter(
+            "stairquay_unreadable_statements",
+            "Answers whose statement of their endpoint's use cannot be read",
+            ["topic"],
+            registry=registry,
         )
         self.crashes = Counter(
             "stairquay_endpoint_crashes",
--- a/stairquay/serving/notices.py
+++ b/stairquay/serving/notices.py
@@ -9,11 +9,11 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.routers import Member
-from stairquay.serving.limits import told_limits
 from stairquay.serving.links import Links
 from stairquay.serving.messages import Ended, FinishedNotice
 from stairquay.serving.routing import RouterPart
 from stairquay.serving.state import BoxState
+from stairquay.serving.statements import told_limits
 from stairquay.serving.waking import Changes
 
 PING_S = 0.4
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -204,13 +204,27 @@
         """Tell whether something takes connections at an address."""
 
 
+class Topic(str, Enum):
+    """What an endpoint may say of its use."""
+
+    LIMIT = "limit"
+    LEAVING = "leaving"
+    REST = "rest"
+
+
 @dataclass(frozen=True)
-class LimitSaid:
-    """What an answer says of its endpoint's limit, in requests a second. `unreadable`: the text, where it
-    cannot be read; per_s says nothing then."""
+class Statement:
+    """What an answer says of its endpoint's use.
 
-    per_s: float = UNLIMITED
-    unreadable: str = ""
+    limit_per_s: requests a second that it takes from all callers together. leaving: it takes no new work any
+    more. rest_s: seconds for which it wants nothing from this box. None where what it says cannot be read;
+    unreadable gives the text then.
+    """
+
+    limit_per_s: float | None = UNLIMITED
+    leaving: bool | None = False
+    rest_s: float | None = 0.0
+    unreadable: tuple[tuple[Topic, str], ...] = ()
 
 
 @dataclass(frozen=True)
@@ -219,7 +233,7 @@
 
     status: the HTTP status it gave, 0 for none. misdirected: another endpoint or version is there now.
     fault: whether it speaks against the endpoint. broke: the connection ended before the answer did.
-    limit: None where no answer came, or one that may be another endpoint's.
+    said: None where no answer came, or one that may be another endpoint's.
     """
 
     kind: ErrorKind
@@ -229,7 +243,7 @@
     misdirected: bool = False
     fault: bool = True
     broke: bool = False
-    limit: LimitSaid | None = None
+    said: Statement | None = None
 
 
 @dataclass(frozen=True)
@@ -245,7 +259,7 @@
     close: Callable[[], None]
     streamed: bool = False
     version: int | None = None
-    limit: LimitSaid = LimitSaid()
+    said: Statement = Statement()
 
 
 class BrokenAnswer(Exception):
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -7,16 +7,25 @@
 from stairquay.serving.choosing import Choice
 from stairquay.serving.decisions import Decision
 from stairquay.serving.jobs import Begun, Job, Progress
-from stairquay.serving.limits import limit_of
-from stairquay.serving.ports import LimitSaid, Reply, SendFailure
+from stairquay.serving.ports import Reply, SendFailure, Statement
 from stairquay.serving.state import BoxState
+from stairquay.serving.statements import limit_of
 
 
-def limit_named(said: LimitSaid | None) -> float | str | None:
-    """Return the limit that an answer named, or the text that cannot be read as one; None for none."""
+def said_inputs(said: Statement | None) -> dict[str, object]:
+    """Return what an answer said of its endpoint's use, as lines give it."""
     if said is None:
-        return None
-    return said.unreadable or (None if said.per_s == UNLIMITED else said.per_s)
+        return {}
+    inputs: dict[str, object] = {}
+    if said.limit_per_s != UNLIMITED:
+        inputs["limit_per_s"] = said.limit_per_s
+    if said.leaving:
+        inputs["leaving"] = True
+    if said.rest_s:
+        inputs["rest_s"] = said.rest_s
+    if said.unreadable:
+        inputs["unreadable"] = {topic.value: text for topic, text in said.unreadable}
+    return inputs
 
 
 def record_sent(state: BoxState, job: Job, choice: Choice, progress: Progress) -> None:
@@ -91,8 +100,8 @@
         took_s=now - begun.sent_at,
         failing=begun.held.failing_share(now),
         broke=failure.broke,
-        limit_per_s=limit_named(failure.limit),
         digest=job.digest,
+        **said_inputs(failure.said),
     )
 
 
@@ -128,9 +137,9 @@
         endpoint=begun.choice.endpoint.id,
         version=reply.version,
         events=progress.stream.events,
-        limit_per_s=limit_named(reply.limit),
         first_s=None if begun.first_at is None else begun.first_at - job.arrived_at,
         took_s=now - job.arrived_at,
+        **said_inputs(reply.said),
     )
 
 
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -23,7 +23,6 @@
 from stairquay.serving.crash_rows import STALE_S
 from stairquay.serving.decisions import Decision
 from stairquay.serving.endpoint import FULL_PAUSE_S, EndpointState
-from stairquay.serving.limits import limit_told, take_told_limits, told_limits
 from stairquay.serving.links import Answers, serve
 from stairquay.serving.messages import (
     CrashesTold,
@@ -45,6 +44,7 @@
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
 from stairquay.serving.saving import choose_and_save
 from stairquay.serving.state import BoxState
+from stairquay.serving.statements import limit_told, take_told_limits, told_limits
 
 REVIEW_S = 0.25
 """Seconds between two looks at whether this box is a router, and of which engines."""
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -14,7 +14,6 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.core.crashes import Crash
 from stairquay.core.routers import routers_for
-from stairquay.serving.limits import take_told_limits, told_limits
 from stairquay.serving.links import Link, Links
 from stairquay.serving.messages import (
     CrashesTold,
@@ -28,6 +27,7 @@
 from stairquay.serving.ports import EndpointChanges, FeedFault, Feeds, OperatorChanges
 from stairquay.serving.quarantine import Told
 from stairquay.serving.state import BoxState
+from stairquay.serving.statements import take_told_limits, told_limits
 
 Reply = TypeVar("Reply")
 
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -55,7 +55,8 @@
     that this box routes for. suspected_until_by_id: boxes that lately did not answer.
     come_back_at_by_service: the latest time that a caller was told for whom all endpoints of a service had
     got what they take.
-    limited: ids of endpoints that have named a limit, also where it has ended.
+    limited: ids of endpoints that have named a limit, also where it has ended. resting: ids of those that
+    asked this box for rest, until it is known to be over.
     evacuated: data halls whose endpoints are to get nothing; evacuated_revision: the table service's revision
     up to which that is known; returned_at_by_hall: when such a hall might get work again.
     unreadable: ids whose entries in the list name no endpoint.
@@ -93,6 +94,7 @@
     come_back_at_by_service: dict[str, float] = field(default_factory=dict)
     suspected_until_by_id: dict[str, float] = field(default_factory=dict)
     limited: set[str] = field(default_factory=set)
+    resting: set[str] = field(default_factory=set)
     evacuated: frozenset[str] = frozenset()
     evacuated_revision: int = 0
     returned_at_by_hall: dict[str, float] = field(default_factory=dict)
@@ -330,3 +332,4 @@
             if endpoint_id not in self.fleet.by_id and state.in_flight == 0:
                 del self.endpoints_by_id[endpoint_id]
                 self.limited.discard(endpoint_id)
+                self.resting.discard(endpoint_id)
--- a/tests/loads/test_limits_of_endpoints.py
+++ b/tests/loads/test_limits_of_endpoints.py
@@ -21,10 +21,10 @@
 from stairquay.core.limits import UNLIMITED, LimitNews
 from stairquay.core.pace import LIMIT_SHARES, Pace
 from stairquay.serving.following import apply_endpoints
-from stairquay.serving.limits import limit_of, take_limit, take_told_limits, told_limits
 from stairquay.serving.pacing import count_sent, wait_s
 from stairquay.serving.ports import EndpointChanges
 from stairquay.serving.state import BoxState
+from stairquay.serving.statements import limit_of, take_limit, take_told_limits, told_limits
 from tests.states import box_state
 
 WAY_S = 0.003
--- a/tests/standins/dialect.py
+++ b/tests/standins/dialect.py
@@ -107,7 +107,8 @@
     the answer. unframed_reset: this many answers without a length end in a reset. surplus: this many
     answers are followed by bytes that belong to nothing. crashes_on: a request whose body holds that crashes
     the endpoint `crash_s` after it began, heard: after the head of its answer; on_poison hears of each
-    beginning and each crash. limit: named in every answer as what it takes from all callers, where it is set.
+    beginning and each crash. limit: named in every answer as what it takes from all callers, where it is set;
+    leaving: likewise, that it leaves. rest: the time that is named where a request is turned away.
     arrived, named: requests that were meant for it, and answers that named a limit, by the loop's clock.
     """
 
@@ -131,6 +132,8 @@
     crashed: bool = False
     keep_alive: str = ""
     limit: str | None = None
+    leaving: str | None = None
+    rest: str | None = None
     lose_orders: int = 0
     load_s: float = 0.1
     queued: int = 0
@@ -208,11 +211,15 @@
         self.version = version
         self.busy = False
 
-    def _limit(self, call_id: str) -> dict[str, str]:
-        if self.limit is None:
-            return {}
-        self.named.append((asyncio.get_running_loop().time(), call_id))
-        return {"Server-Limit": self.limit}
+    def _said(self, call_id: str) -> dict[str, str]:
+        """Return what each answer says of the endpoint's use."""
+        said = {}
+        if self.limit is not None:
+            self.named.append((asyncio.get_running_loop().time(), call_id))
+            said["Server-Limit"] = self.limit
+        if self.leaving is not None:
+            said["Server-Leaving"] = self.leaving
+        return said
 
     async def _run(self, request: web.Request) -> web.StreamResponse:
         call_id = request.headers.get("Request-Id", "")
@@ -223,7 +230,9 @@
         self.arrived.append((asyncio.get_running_loop().time(), call_id))
         if self.refuse:
             self.refuse -= 1
-            headers = {"Not-Executed": "1", "Request-Id": call_id, **self._limit(call_id)}
+            headers = {"Not-Executed": "1", "Request-Id": call_id, **self._said(call_id)}
+            if self.rest is not None:
+                headers["Retry-After"] = self.rest
             return web.Response(status=503, headers=headers)
         body = await request.read()
         assert request.transport is not None
@@ -274,7 +283,7 @@
             "Request-Id": call_id,
             "Response-Signature": f"sig-{self.id}",
             "Versions": str(self.version),
-            **self._limit(call_id),
+            **self._said(call_id),
         }
         if self.keep_alive:
             headers["Keep-Alive"] = self.keep_alive
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -291,6 +291,6 @@
             assert not here.logged("limit", outcome="ended")
             metrics = await here.metrics()
             assert f'stairquay_endpoint_limit_per_second{{endpoint="{endpoint.id}"}} 50.0' in metrics
-            assert "stairquay_unreadable_limits_total 4.0" in metrics
+            assert 'stairquay_unreadable_statements_total{topic="limit"} 4.0' in metrics
 
     asyncio.run(scenario())
--- a/tests/test_limits_named.py
+++ b/tests/test_limits_named.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from stairquay.core.limits import UNLIMITED, LimitNews, newer, read_limit
+from stairquay.core.limits import UNLIMITED, LimitNews, newer, read_decimal
 
 TIMES = st.integers(0, 50).map(float)
 
@@ -21,7 +21,7 @@
     [("2.8", 2.8), (" 4 ", 4.0), ("0", 0.0), ("0.25", 0.25), (".5", 0.5), ("3.", 3.0), ("1e-2", 0.01)],
 )
 def test_a_limit_is_a_decimal_number_of_requests_a_second(text, per_s):
-    assert read_limit(text) == per_s
+    assert read_decimal(text) == per_s
 
 
 @pytest.mark.parametrize(
@@ -29,7 +29,7 @@
     ["", "-1", "+2", "nan", "inf", "infinity", "1_000", "2,5", "0x10", "2.8/s", "1e999", "9" * 40, "٣"],
 )
 def test_what_is_no_decimal_number_is_no_limit(text):
-    assert read_limit(text) is None
+    assert read_decimal(text) is None
 
 
 def test_an_answer_to_a_request_that_was_sent_after_a_limit_was_heard_ends_it():
--- /dev/null
+++ b/tests/test_statements_read.py
@@ -0,0 +1,95 @@
+"""What an answer's head says of its endpoint's use: how it is read, and how long a rest lasts."""
+
+from datetime import UTC, datetime, timedelta
+from email.utils import format_datetime
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from stairquay.core.rest import LONGEST_REST_S, TRY_AGAIN_S, Rest, read_rest
+from stairquay.platform.statements import statement
+from stairquay.serving.ports import Statement, Topic
+
+NOON = datetime(2026, 1, 5, 12, 0, tzinfo=UTC)
+
+
+def said(status: int = 503, *headers: tuple[str, str]) -> Statement:
+    return statement(CIMultiDictProxy(CIMultiDict(headers)), status)
+
+
+@pytest.mark.parametrize(
+    ("text", "rest_s"),
+    [("3", 3.0), (" 0.25 ", 0.25), ("1.5", 1.5), ("0", 0.0), (".5", 0.5), ("99999999", LONGEST_REST_S)],
+)
+def test_a_rest_is_a_decimal_number_of_seconds(text, rest_s):
+    assert read_rest(text, NOON) == rest_s
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "-1",
+        "+2",
+        "nan",
+        "inf",
+        "2,5",
+        "3s",
+        "soon",
+        "1e999",
+        "9" * 40,
+        "٣",
+        "Mon, 99 Foo 2026",
+        "2026-01-05",
+    ],
+)
+def test_what_is_neither_seconds_nor_a_date_asks_for_nothing(text):
+    assert read_rest(text, NOON) is None
+
+
+@given(st.integers(-100_000, 100_000))
+def test_a_date_is_a_rest_until_then_and_one_that_is_over_none(ahead_s):
+    text = format_datetime(NOON + timedelta(seconds=ahead_s), usegmt=True)
+    assert read_rest(text, NOON) == min(max(0, ahead_s), LONGEST_REST_S)
+
+
+@given(st.text(max_size=40))
+def test_no_text_raises(text):
+    rest_s = read_rest(text, NOON)
+    assert rest_s is None or 0 <= rest_s <= LONGEST_REST_S
+
+
+def test_a_date_counts_by_the_clock_of_who_wrote_it():
+    until = format_datetime(NOON + timedelta(seconds=7), usegmt=True)
+    date = format_datetime(NOON, usegmt=True)
+    assert said(503, ("Retry-After", until), ("Date", date)).rest_s == 7
+
+
+def test_only_an_answer_that_turns_a_request_away_asks_for_rest():
+    assert [said(status, ("Retry-After", "3")).rest_s for status in (200, 429, 500, 503)] == [0, 0, 0, 3]
+
+
+def test_of_several_statements_the_strictest_holds():
+    limits = ("Server-Limit", "4"), ("Server-Limit", "2"), ("Server-Limit", "odd")
+    rests = ("Retry-After", "1"), ("Retry-After", "2.5"), ("Retry-After", "odd")
+    leaving = ("Server-Leaving", "odd"), ("Server-Leaving", "1")
+    assert said(503, *limits, *rests, *leaving) == Statement(2.0, True, 2.5)
+
+
+@pytest.mark.parametrize("text", ["", "0", "yes", "true", "2", "11"])
+def test_only_one_word_says_that_an_endpoint_leaves(text):
+    read = said(200, ("Server-Leaving", text))
+    assert read.leaving is None and read.unreadable == ((Topic.LEAVING, text or "(empty)"),)
+
+
+def test_an_answer_without_statements_says_nothing():
+    assert said(503) == Statement()
+
+
+def test_after_a_rest_one_request_goes_and_others_wait_for_it():
+    rest = Rest(until=10.0)
+    assert rest.wait_s(7.5) == 2.5 and rest.wait_s(10.0) == 0
+    assert Rest(10.0, tried_at=10.0).wait_s(10.0) == TRY_AGAIN_S
+    assert Rest(10.0, tried_at=10.0).wait_s(10.0 + TRY_AGAIN_S) == 0
