Send nothing to an endpoint that said that it leaves, nor to one that asked this box for rest

What endpoints and callers saw: an endpoint that said in its answers that it was leaving got requests more than two seconds later, while the table service was away and its entry said ready; one that asked a box for three seconds of rest got up to seven from it in that time. Cause, shown by the failing tests and by lines about both: no box used either statement; the router that places for all never sees an answer; what an endpoint had said went with its entry, a limit as well, where that lapsed in an outage. Ruled out: that boxes were not told (each test's boxes logged it and sent on). Change: one statement for all that an answer says of its endpoint, taken in at one place, bound to a life, told between boxes in one message. - Leaving is one fact in core/fleet.py, whoever said it: entry, report (never read before), answer, another box. It outlives the entry, and ends with a new life. So every way that asks the list obeys it: choices, routers' engines, orders, the last moment before bytes leave. - Rest binds the box that was asked, so that its question to a router says who wants rest from it, and the router places elsewhere. Choices, the last moment, waits and refusals ask it. Of rests that overlap the last end holds. After it one request goes, and the others wait for its answer, half a second at most. - Where all endpoints rest, callers are refused at once and told the time left, one after the other by places and time of an answer. - A box that heard what a router did not know tells it and asks again, as for limits. Limits and rests outlive an entry that lapses. Why this holds: no path reaches an endpoint but by a choice, and each is checked again right before bytes leave. Without the half-open end, 40 callers at the end of a rest reach the endpoint at once (a test). Two checks changed: the answers of a test of rest may fail where no budget lets a request that was turned away be sent again, and only then; a decision called without a box is given who wants rest from the sender, as its callers do.

--- a/stairquay/core/fleet.py
+++ b/stairquay/core/fleet.py
@@ -1,7 +1,8 @@
 """Endpoints that the platform lists, and which of them may get new work.
 
-Whoever is leaving stays so. An endpoint that starts again under its id is told from the one before by the
-time of its birth: nothing that held for the old one holds for it.
+Whoever is leaving stays so, whether its entry or its answers said it, and also where the entry lapses and
+returns. An endpoint that starts again under its id is told from the one before by the time of its birth:
+nothing that held for the old one holds for it.
 
 An endpoint that vanished from the list without a word may be one whose entry lapsed during an outage of the
 table service: it is a last resort for a short while, which counts from when it can have vanished, not from
@@ -15,6 +16,19 @@
 """Seconds for which a vanished endpoint is a last resort: entries that lapsed in an outage are back two
 seconds after it, and new work must stop two seconds after an endpoint left."""
 
+LEAVING_KEPT_S = 600.0
+"""Seconds for which an endpoint that left is remembered after its entry went: longer than any is away and
+serves on."""
+
+
+@dataclass(frozen=True)
+class LeavingLife:
+    """A life of an endpoint that leaves. born: as for Endpoint. at: monotonic seconds at which that was heard
+    of, or its entry went since."""
+
+    born: int
+    at: float
+
 
 @dataclass(frozen=True)
 class Endpoint:
@@ -47,10 +61,27 @@
 
 @dataclass
 class Fleet:
-    """All endpoints known, by id, and since when the list misses some (monotonic seconds)."""
+    """All endpoints known, by id, since when the list misses some (monotonic seconds), and which leave."""
 
     by_id: dict[str, Endpoint] = field(default_factory=dict)
     missing_since_by_id: dict[str, float] = field(default_factory=dict)
+    leaving_by_id: dict[str, LeavingLife] = field(default_factory=dict)
+
+    def say_leaving(self, endpoint_id: str, born: int, now: float) -> bool:
+        """Take in that a life of an endpoint leaves, whoever said so; tell whether that is news."""
+        known = self.leaving_by_id.get(endpoint_id)
+        if known is not None and born <= known.born:
+            return False
+        self.leaving_by_id[endpoint_id] = LeavingLife(born, now)
+        listed = self.by_id.get(endpoint_id)
+        if listed is not None and self.leaves(listed):
+            self.by_id[endpoint_id] = replace(listed, leaving=True)
+        return True
+
+    def leaves(self, endpoint: Endpoint) -> bool:
+        """Tell whether an endpoint leaves, whatever its entry says."""
+        left = self.leaving_by_id.get(endpoint.id)
+        return endpoint.leaving or (left is not None and endpoint.born <= left.born)
 
     def apply(
         self, present: Iterable[Endpoint], gone: Iterable[str], now: float, gone_since: float | None = None
@@ -60,12 +91,14 @@
             known = self.by_id.get(endpoint.id)
             if known is not None and endpoint.is_older(known):
                 continue
-            if known is not None and known.leaving and endpoint.born <= known.born:
+            if endpoint.leaving:
+                self.say_leaving(endpoint.id, endpoint.born, now)
+            elif self.leaves(endpoint):
                 endpoint = replace(endpoint, leaving=True)
             self.by_id[endpoint.id] = endpoint
             self.missing_since_by_id.pop(endpoint.id, None)
         for endpoint_id in gone:
-            self._miss(endpoint_id, now if gone_since is None else gone_since)
+            self._miss(endpoint_id, now if gone_since is None else gone_since, now)
         self._forget(now)
 
     def apply_whole(self, present: Iterable[Endpoint], now: float, gone_since: float | None = None) -> None:
@@ -86,13 +119,14 @@
         """Return all endpoints that the list has, leaving ones included."""
         return [item for item in self.by_id.values() if item.id not in self.missing_since_by_id]
 
-    def _miss(self, endpoint_id: str, since: float) -> None:
+    def _miss(self, endpoint_id: str, since: float, now: float) -> None:
         known = self.by_id.get(endpoint_id)
         if known is None:
             return
         if known.leaving:
             del self.by_id[endpoint_id]
             self.missing_since_by_id.pop(endpoint_id, None)
+            self.leaving_by_id[endpoint_id] = replace(self.leaving_by_id[endpoint_id], at=now)
             return
         self.missing_since_by_id.setdefault(endpoint_id, since)
 
@@ -101,3 +135,7 @@
         for endpoint_id in old:
             del self.missing_since_by_id[endpoint_id]
             self.by_id.pop(endpoint_id, None)
+        left = [key for key, life in self.leaving_by_id.items() if now - life.at > LEAVING_KEPT_S]
+        for endpoint_id in left:
+            if endpoint_id not in self.by_id:
+                del self.leaving_by_id[endpoint_id]
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -22,7 +22,6 @@
 from stairquay.serving.crashes import CrashWatch
 from stairquay.serving.decisions import Decision, DecisionLog
 from stairquay.serving.dispatch import Dispatcher
-from stairquay.serving.endpoint import NEVER
 from stairquay.serving.following import follow_endpoints, follow_operators
 from stairquay.serving.front import Front
 from stairquay.serving.links import Links
@@ -33,7 +32,7 @@
 from stairquay.serving.settings import BoxSettings
 from stairquay.serving.sharing import SharedFeeds
 from stairquay.serving.state import BoxState
-from stairquay.serving.statements import limit_of
+from stairquay.serving.statements import limit_of, rests_of
 from stairquay.serving.upkeep import Upkeep
 from stairquay.serving.watching import Watcher
 
@@ -236,11 +235,10 @@
         per_s = limit_of(state.of(endpoint))
         if per_s < UNLIMITED:
             metrics.limits.labels(endpoint.id).set(per_s)
-        if state.of(endpoint).said_leaving_at > NEVER:
+        if endpoint.leaving:
             metrics.leaving.labels(endpoint.id).set(1)
-        rest = state.of(endpoint).rest
-        if rest is not None and rest.until > now:
-            metrics.rests.labels(endpoint.id).set(rest.until - now)
+    for name, rest_s in rests_of(state, now).items():
+        metrics.rests.labels(name).set(rest_s)
 
 
 async def _finish(state: BoxState) -> None:
--- a/stairquay/serving/asking.py
+++ b/stairquay/serving/asking.py
@@ -27,7 +27,8 @@
 from stairquay.serving.routing import RouterPart
 from stairquay.serving.saving import choose_and_save
 from stairquay.serving.state import BoxState
-from stairquay.serving.statements import limit_of, take_told_limits, told_limits
+from stairquay.serving.statements import limit_of, rests_of
+from stairquay.serving.telling import take_told, told_rests, told_statements
 
 ASK_S = 0.08
 """Seconds for a router's answer: a way of 2 ms and 2 ms of a slow box's time, with room for a burst; a
@@ -69,7 +70,7 @@
         waits = False
         while True:
             may_wait = not progress.tried and monotonic() < wait_until
-            asked = _question(self.state.settings.id, job, prompt, progress, most_backlog_s, may_wait)
+            asked = self._question(job, prompt, progress, most_backlog_s, may_wait)
             best = await self._ask_routers(job, prompt, asked, progress)
             if best is None:
                 return self._choose_here(job, progress)
@@ -142,13 +143,13 @@
         return better
 
     async def _ask_knowing(self, router: Member, asked: PlaceRequest) -> PlaceReply | None:
-        """Ask a router, and once more where it did not know of a limit that this box was told: only a router
-        that knows of it counts what it places there, also right after it started or took an endpoint over."""
+        """Ask a router, and once more where it did not know what an endpoint had said to this box: only one
+        that knows of a limit counts what it places there, also right after it started or took it over."""
         reply = await self._ask(router, asked)
         if reply is None or not self._unaware(reply):
             return reply
-        told = told_limits(self.state, monotonic())
-        reply = await self._ask(router, structs.replace(asked, limits=told))
+        told = told_statements(self.state, monotonic(), frozenset((reply.endpoint,)))
+        reply = await self._ask(router, structs.replace(asked, said=told))
         if reply is not None and (not reply.endpoint or self._unaware(reply)):
             # What it placed at first is not sent.
             self.notices.add(router, Ended(asked.ticket, Outcome.NOT_SENT))
@@ -156,15 +157,20 @@
         return reply
 
     def _unaware(self, reply: PlaceReply) -> bool:
-        """Tell whether a router chose an endpoint without knowing the limit that this box knows of."""
-        endpoint = self.state.fleet.by_id.get(reply.endpoint)
-        if endpoint is None:
+        """Tell whether a router chose an endpoint without knowing what it said to this box: a limit, that it
+        leaves, or that it wants rest."""
+        state, now = self.state, monotonic()
+        if reply.said is not None:
+            take_told(state, (reply.said,), now)
+        if reply.again_s or not reply.endpoint:
             return False
-        by_router = UNLIMITED
-        if reply.limit is not None:
-            take_told_limits(self.state, (reply.limit,), monotonic())
-            by_router = reply.limit.per_s
-        return not reply.again_s and limit_of(self.state.of(endpoint)) < by_router
+        endpoint = state.fleet.by_id.get(reply.endpoint)
+        if endpoint is None:
+            return reply.endpoint in state.fleet.leaving_by_id
+        by_router = UNLIMITED if reply.said is None else reply.said.per_s
+        if limit_of(state.of(endpoint)) < by_router or state.fleet.leaves(endpoint):
+            return True
+        return endpoint.id in rests_of(state, now)
 
     async def _ask(self, router: Member, asked: PlaceRequest) -> PlaceReply | None:
         if router.id == self.state.settings.id:
@@ -187,7 +193,8 @@
         return None if too_old else usable
 
     def _choose_here(self, job: Job, progress: Progress) -> Choice | None:
-        wanted = Wanted(job.service, job.call.prompt, job.workspace, frozenset(progress.tried))
+        tried, rests_s = frozenset(progress.tried), rests_of(self.state, monotonic())
+        wanted = Wanted(job.service, job.call.prompt, job.workspace, tried, rests_s=rests_s)
         choice = choose_and_save(self.state, job.catalog, wanted, self.random)
         if choice is not None:
             count_sent(self.state, choice.endpoint, monotonic(), self.random)
@@ -195,34 +202,47 @@
 
     def come_back_s(self, job: Job, progress: Progress) -> float | None:
         """Return the seconds after which an endpoint takes a job that none takes now, as a router says, or
-        this box where none was asked; None where none is held back for having got what it takes."""
+        this box where none was asked; None where none is held back for having got what it takes, or for
+        wanting rest."""
         if progress.come_back_s is not None:
             return progress.come_back_s
-        return come_back_s(self.state, job.service.id, progress.tried, monotonic(), self.random)
-
-
-def _question(
-    box: str,
-    job: Job,
-    prompt: PromptShape,
-    progress: Progress,
-    most_backlog_s: float | None,
-    may_wait: bool,
-) -> PlaceRequest:
-    workspace: WorkspaceRule | None = job.workspace
-    return PlaceRequest(
-        ticket=f"{job.call.id} {len(progress.tried)}",
-        box=box,
-        service=job.service.id,
-        model=prompt.model,
-        parts=tuple(PartShape(part.id, part.tokens) for part in prompt.parts),
-        tokens=prompt.tokens,
-        max_output=prompt.max_output,
-        wall=workspace.id if workspace is not None and workspace.isolated else "",
-        tried=tuple(progress.tried),
-        most_backlog_s=most_backlog_s,
-        may_wait=may_wait,
-    )
+        now = monotonic()
+        rests_s = rests_of(self.state, now)
+        return come_back_s(self.state, job.service.id, progress.tried, rests_s, now, self.random)
+
+    def all_rest_s(self, job: Job) -> float | None:
+        """Return the seconds after which the caller of a job should come back that is refused while all
+        endpoints want rest from this box, those included that turned it away; None where one does not."""
+        state, now = self.state, monotonic()
+        rests_s = rests_of(state, now)
+        usable = [item for item in state.fleet.usable(job.service.id, now) if takes_work(state, item)]
+        if not usable or any(item.id not in rests_s for item in usable):
+            return None
+        return come_back_s(state, job.service.id, (), rests_s, now, self.random)
+
+    def _question(
+        self,
+        job: Job,
+        prompt: PromptShape,
+        progress: Progress,
+        most_backlog_s: float | None,
+        may_wait: bool,
+    ) -> PlaceRequest:
+        workspace: WorkspaceRule | None = job.workspace
+        return PlaceRequest(
+            ticket=f"{job.call.id} {len(progress.tried)}",
+            box=self.state.settings.id,
+            service=job.service.id,
+            model=prompt.model,
+            parts=tuple(PartShape(part.id, part.tokens) for part in prompt.parts),
+            tokens=prompt.tokens,
+            max_output=prompt.max_output,
+            wall=workspace.id if workspace is not None and workspace.isolated else "",
+            tried=tuple(progress.tried),
+            most_backlog_s=most_backlog_s,
+            may_wait=may_wait,
+            said=told_rests(self.state, monotonic()),
+        )
 
 
 def _choice(endpoint: Endpoint, reply: PlaceReply, router: str, ticket: str) -> Choice:
--- a/stairquay/serving/choosing.py
+++ b/stairquay/serving/choosing.py
@@ -1,7 +1,7 @@
 """Chooses the endpoint of a request from what the box believes."""
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 from math import ceil
 from random import Random
 
@@ -67,6 +67,7 @@
     """A request that needs an endpoint. prompt is None for plain services.
 
     tried: endpoints that it was sent to already. sender: the box that will send it, empty for this one.
+    rests_s: endpoints that want nothing from that box, and for how many seconds.
     """
 
     service: ServiceShape
@@ -74,12 +75,13 @@
     workspace: WorkspaceRule | None = None
     tried: frozenset[str] = frozenset()
     sender: str = ""
+    rests_s: Mapping[str, float] = field(default_factory=dict)
 
 
 def choose(state: BoxState, catalog: Catalog, wanted: Wanted, random: Random) -> Choice | None:
     """Return the best endpoint, or None where no endpoint can be used."""
     now = monotonic()
-    candidates = _candidates(state, wanted.service, wanted.tried, now, random)
+    candidates = _candidates(state, wanted, now, random)
     prompt, engine = wanted.prompt, wanted.service.engine
     if prompt is not None:
         model = prompt.model
@@ -100,13 +102,13 @@
     return Scope(wall, model, version).name
 
 
-def _candidates(
-    state: BoxState, service: ServiceShape, tried: frozenset[str], now: float, random: Random
-) -> list[Endpoint]:
+def _candidates(state: BoxState, wanted: Wanted, now: float, random: Random) -> list[Endpoint]:
     """Return usable endpoints; those tried, turning work away or silent only where there are no others.
 
-    None in an evacuated data hall, and none that has got as much as it takes: also where no other is.
+    None in an evacuated data hall, none that has got as much as it takes, and none that wants rest: also
+    where no other is.
     """
+    service, tried = wanted.service, wanted.tried
     most = service.max_connections * CONNECTION_SHARE
 
     def has_connection(item: Endpoint) -> bool:
@@ -115,7 +117,8 @@
         return state.of(item).in_flight < max(2, int(most / boxes))
 
     staying = [item for item in state.fleet.usable(service.id, now) if takes_work(state, item)]
-    usable = [item for item in staying if has_connection(item) and wait_s(state, item, now, random) <= 0]
+    awake = [item for item in staying if item.id not in wanted.rests_s]
+    usable = [item for item in awake if has_connection(item) and wait_s(state, item, now, random) <= 0]
     fresh = [item for item in usable if item.id not in tried]
     if tried and not fresh:
         return []
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -1,6 +1,7 @@
 """Runs a request: attempts at endpoints, one after the other, as far as truth, time and budget allow."""
 
 import asyncio
+from dataclasses import replace
 
 from aiohttp import web
 from result import Err, Ok, Result
@@ -30,7 +31,7 @@
 from stairquay.serving.refusals import RETRY_AFTER_S, all_held_back, overloaded, truthful
 from stairquay.serving.relay import cut, read_whole, relay_stream, whole_response
 from stairquay.serving.state import BoxState
-from stairquay.serving.statements import take_statement
+from stairquay.serving.statements import note_tried, rests, take_statement
 
 MAX_REFUSED = 4
 """Times that one request may be turned away by endpoints before it is refused."""
@@ -79,7 +80,8 @@
                 if come_back_s is not None and _may_wait(job, come_back_s):
                     await asyncio.sleep(come_back_s)
                     continue
-                return self._given_up(job, progress, _no_endpoint(progress, come_back_s), request)
+                refusal = self._told_when(job, _no_endpoint(progress, come_back_s))
+                return self._given_up(job, progress, refusal, request)
             outcome = Outcome.NOT_SENT
             try:
                 if most_backlog_s is not None and choice.backlog_s > most_backlog_s:
@@ -94,7 +96,7 @@
                 return Ok(response)
             refusal = self._may_repeat(job, progress)
             if refusal is not None:
-                return self._given_up(job, progress, refusal, request)
+                return self._given_up(job, progress, self._told_when(job, refusal), request)
 
     def _may_go_on(self, job: Job, progress: Progress) -> Refusal | None:
         """Return why nothing may be sent now, None where it may."""
@@ -107,6 +109,11 @@
             return Refusal(ErrorKind.QUARANTINED, progress.ran, f"digest {job.digest}", quarantined_s)
         return None
 
+    def _told_when(self, job: Job, refusal: Refusal) -> Refusal:
+        """Return a refusal that gives the end of the rest, where no endpoint takes anything before that."""
+        rest_s = None if refusal.kind == ErrorKind.OVERLOADED else self.chooser.all_rest_s(job)
+        return refusal if rest_s is None else replace(refusal, retry_after_s=rest_s)
+
     def _quarantined_s(self, job: Job) -> float:
         """Return for how many more seconds nothing is sent of a job, because it crashes endpoints."""
         quarantine = self.state.quarantine
@@ -154,6 +161,7 @@
         if choice.placement is not None and not counted:
             held.unread_tokens_by_request[job.call.id] = choice.placement.read
             held.on_sent(choice.placement.read + choice.placement.fetched, begun.sent_at)
+        note_tried(held, begun.sent_at)
         record_sent(self.state, job, choice, progress)
         try:
             sent = await self._send(job, begun, progress)
@@ -181,7 +189,9 @@
         def guard() -> bool:
             if not self._fresh(job) or job.deadline <= monotonic() or self._quarantined_s(job) > 0:
                 return False
-            return takes_work(self.state, begun.choice.endpoint) and not self._too_old(job, begun.choice)
+            if not takes_work(self.state, begun.choice.endpoint) or rests(begun.held, monotonic()):
+                return False
+            return not self._too_old(job, begun.choice)
 
         return await self.endpoints.send(job.call, job.body, dispatch, begun.attempt, guard, left_s)
 
--- a/stairquay/serving/endpoint.py
+++ b/stairquay/serving/endpoint.py
@@ -34,6 +34,9 @@
 REPORT_LAG_S = 0.2
 """Seconds by which an engine's report lags behind its state, as endpoints promise."""
 
+SAID_KEPT_S = 600.0
+"""Seconds for which a limit is remembered after its endpoint's entry went: longer than any is away."""
+
 
 @dataclass
 class EndpointState:
@@ -44,8 +47,8 @@
     another life that nobody has told of, NEVER where a report came since. router_pace, alone_pace: how this
     box spaces what it sends there while it takes only so much, as its router and where it decides alone.
     limit: what its answers last said of its limit, None before any named one; limit_ended_at: when the last
-    one ended; said_leaving_at: when it first said that it leaves; rest: what it last asked this box for, None
-    where none did or it is over; unreadable_by_topic: the last text of each kind that could not be read.
+    one ended; rest: what it last asked this box for, None where it asked for none or that is over;
+    unreadable_by_topic: the last text of each kind that could not be read.
     read_until: when the engine has read all that this box, as its router, placed there.
     """
 
@@ -57,7 +60,6 @@
     alone_pace: Pace | None = None
     limit: LimitNews | None = None
     limit_ended_at: float = NEVER
-    said_leaving_at: float = NEVER
     rest: Rest | None = None
     unreadable_by_topic: dict[Topic, str] = field(default_factory=dict)
 
@@ -117,6 +119,11 @@
             return 0.0
         return float(self.failing * 0.5 ** ((now - self.failing_at) / FAILURE_HALF_LIFE_S))
 
+    def bound(self, now: float) -> bool:
+        """Tell whether what the endpoint lately said still binds this box."""
+        limited = self.limit is not None and now - self.limit.heard_at < SAID_KEPT_S
+        return limited or (self.rest is not None and self.rest.wait_s(now) > 0)
+
     def silent(self, now: float) -> bool:
         """Tell whether reports that used to come have stopped."""
         return self.report is not None and now - self.reported_at > SILENT_AFTER * REPORT_S
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -1,9 +1,11 @@
 """What boxes say to each other where some of them route for all."""
 
 from enum import Enum
+from math import inf
 
 import msgspec
 
+from stairquay.core.limits import UNLIMITED
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
 
 
@@ -14,18 +16,21 @@
     tokens: int
 
 
-class LimitTold(msgspec.Struct, frozen=True, array_like=True):
-    """What a box heard of the limit that an endpoint names, in requests a second.
+class StatementTold(msgspec.Struct, frozen=True, array_like=True):
+    """What a box heard an endpoint say of its use.
 
-    born: of the life that named it, 0 where that is not known. sent_ago_s, heard_ago_s: as the times of
-    core.limits.LimitNews, before this was made.
+    born: of the life that said it, 0 where that is not known. per_s: its limit; sent_ago_s, heard_ago_s: as
+    the times of core.limits.LimitNews, before this was made, infinite where it named none. rest_s: seconds
+    for which it wants nothing from the box that tells this.
     """
 
     endpoint: str
     born: int
-    per_s: float
-    sent_ago_s: float
-    heard_ago_s: float
+    per_s: float = UNLIMITED
+    sent_ago_s: float = inf
+    heard_ago_s: float = inf
+    leaving: bool = False
+    rest_s: float = 0.0
 
 
 class PlaceRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -34,8 +39,8 @@
     ticket: names this attempt until it has ended. box: who asks, and will send it. wall: the workspace that
     shares no kept context, empty for the others. tried: endpoints that must not be chosen again.
     most_backlog_s: the sender gives the prompt up where it would wait longer; None where it does not.
-    may_wait: the sender can ask again a little later. limits: what the sender heard of limits, where a router
-    has just shown that it does not know of them.
+    may_wait: the sender can ask again a little later. said: who wants rest from the sender; and all else that
+    it heard endpoints say, where a router has just shown that it does not know of it.
     """
 
     ticket: str
@@ -49,15 +54,15 @@
     tried: tuple[str, ...]
     most_backlog_s: float | None = None
     may_wait: bool = False
-    limits: tuple[LimitTold, ...] = ()
+    said: tuple[StatementTold, ...] = ()
 
 
 class PlaceReply(msgspec.Struct, frozen=True, array_like=True):
     """Where a prompt should run; `endpoint` is empty where no endpoint can take it.
 
-    again_s: seconds after which the sender should ask again, 0 where this reply is the answer. limit: what
-    the router knows of the limit that the endpoint names, and counts by; None where it heard of none.
-    come_back_s: where all endpoints have got what they take, the seconds until one takes this prompt; else 0.
+    again_s: seconds after which the sender should ask again, 0 where this reply is the answer. said: what the
+    router heard of the endpoint's limit, and counts by; None where it heard of none. come_back_s: where all
+    endpoints have got what they take, or want rest, the seconds until one takes this prompt; else 0.
 
     The fields are those of serving.choosing.Choice and core.placement.Placement.
     """
@@ -75,7 +80,7 @@
     alternative_s: float | None = None
     backlog_s: float = 0.0
     again_s: float = 0.0
-    limit: LimitTold | None = None
+    said: StatementTold | None = None
     come_back_s: float = 0.0
 
 
@@ -107,11 +112,11 @@
 
 class FinishedNotice(msgspec.Struct, frozen=True, array_like=True):
     """Names attempts that have ended, and the tickets of those whose prompts have been read; none where a
-    router only asks whether another is there. limits: what the sender heard of limits that endpoints name."""
+    router only asks whether another is there. said: what the sender heard endpoints say."""
 
     ended: tuple[Ended, ...]
     read: tuple[str, ...] = ()
-    limits: tuple[LimitTold, ...] = ()
+    said: tuple[StatementTold, ...] = ()
 
 
 class CrashTold(msgspec.Struct, frozen=True, array_like=True):
@@ -137,13 +142,13 @@
     """Asks for operators' rows if they changed after a revision; waits up to `wait_s` for that.
 
     crashes_known: the revision at which boxes' rows about crashes last changed, as far as the asker was told.
-    limits: what the asker heard of limits that endpoints name.
+    said: what the asker heard endpoints say.
     """
 
     after: int
     wait_s: float
     crashes_known: int = -1
-    limits: tuple[LimitTold, ...] = ()
+    said: tuple[StatementTold, ...] = ()
 
 
 class OperatorsReply(msgspec.Struct, frozen=True, array_like=True):
@@ -151,8 +156,8 @@
     the router held the question.
 
     crashes_revision: the revision at which boxes' rows about crashes last changed, -1 where the router does
-    not follow them. crashes: what they tell, None where the question named that revision. limits: what the
-    router knows of limits that endpoints name.
+    not follow them. crashes: what they tell, None where the question named that revision. said: what the
+    router heard endpoints say.
     """
 
     changes: OperatorChanges
@@ -160,7 +165,7 @@
     held_s: float
     crashes_revision: int = -1
     crashes: CrashesTold | None = None
-    limits: tuple[LimitTold, ...] = ()
+    said: tuple[StatementTold, ...] = ()
 
 
 class EndpointsRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -74,7 +74,7 @@
         )
         self.leaving = Gauge(
             "stairquay_endpoint_leaving",
-            "1 for an endpoint that said that it leaves",
+            "1 for an endpoint that leaves, as its entry or its answers say",
             ["endpoint"],
             registry=registry,
         )
--- a/stairquay/serving/notices.py
+++ b/stairquay/serving/notices.py
@@ -1,4 +1,4 @@
-"""Tells routers which prompts have left their engines, and which limits endpoints name.
+"""Tells routers which prompts have left their engines, and what endpoints say of their use.
 
 Routers find by their notices that another is gone.
 
@@ -13,7 +13,7 @@
 from stairquay.serving.messages import Ended, FinishedNotice
 from stairquay.serving.routing import RouterPart
 from stairquay.serving.state import BoxState
-from stairquay.serving.statements import told_limits
+from stairquay.serving.telling import told_statements
 from stairquay.serving.waking import Changes
 
 PING_S = 0.4
@@ -92,7 +92,7 @@
     def _tell_all(self) -> None:
         """Send each router its notice, one at a time for each; those not heard lately wait."""
         live = set(self.state.live_routers())
-        limits = told_limits(self.state, monotonic())
+        said = told_statements(self.state, monotonic())
         for router in list(self.ended_by_router):
             if router not in self.state.routers:
                 del self.ended_by_router[router]
@@ -101,7 +101,7 @@
                 notice = FinishedNotice(
                     tuple(self.ended_by_router.pop(router)),
                     tuple(self.read_by_router.pop(router, ())),
-                    limits,
+                    said,
                 )
                 self.telling_by_router[router] = asyncio.create_task(self._tell(router, notice))
             elif router not in live:
--- a/stairquay/serving/pacing.py
+++ b/stairquay/serving/pacing.py
@@ -4,7 +4,7 @@
 a router places, what a box decides alone, plain requests, repeats and streams that go on elsewhere.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from random import Random
 
 from stairquay.core.fleet import Endpoint
@@ -24,6 +24,9 @@
 """Longest time after which a caller refused for cold endpoints should come back: starts take seconds, and one
 endpoint that is warm again takes all who wait."""
 
+LEAST_WORK_S = 0.01
+"""Shortest time that an answer is believed to take where callers are told when to come."""
+
 SPREAD_S = 3.0
 """Longest time by which callers that are refused together are told to come one after the other."""
 
@@ -78,35 +81,48 @@
 
 
 def come_back_s(
-    state: BoxState, service: str, tried: Collection[str], now: float, chance: Random
+    state: BoxState,
+    service: str,
+    tried: Collection[str],
+    rests_s: Mapping[str, float],
+    now: float,
+    chance: Random,
 ) -> float | None:
     """Return the seconds after which a caller that is refused should come back, None where no endpoint of the
-    service is held back by a bound.
+    service is held back by a bound, or wants rest.
 
-    tried: endpoints that the request was sent to already. Callers that are refused together are told times
-    one after the other, as the endpoints take them: all told the same time, all but the first would be
-    refused again.
+    tried: endpoints that the request was sent to already. rests_s: those that want nothing from the box that
+    would send it, and for how long. Callers that are refused together are told times one after the other, as
+    the endpoints take them: all told the same time, all but the first would be refused again.
     """
     usable = [
         item for item in state.fleet.usable(service, now) if takes_work(state, item) and item.id not in tried
     ]
     bounds_by_id = {item.id: bounds for item in usable if (bounds := bounds_of(state, item, now))}
-    held_back = [item for item in usable if item.id in bounds_by_id]
-    pauses_s = [_pause_s(state, item, now, chance) for item in held_back]
+    held_back = [item for item in usable if item.id in bounds_by_id or item.id in rests_s]
+    pauses_s = [max(_pause_s(state, item, now, chance), rests_s.get(item.id, 0.0)) for item in held_back]
     soonest_s = min((pause_s for pause_s in pauses_s if pause_s > 0), default=None)
     if soonest_s is None:
         return None
-    per_s = sum(own_per_s(state, item, bounds_by_id[item.id]) for item in held_back)
+    per_s = sum(_returning_per_s(state, item, bounds_by_id.get(item.id)) for item in held_back)
     told_s = max(soonest_s, state.come_back_at_by_service.get(service, NEVER) - now)
-    most_s = soonest_s + SPREAD_S
-    if all(limit_of(state.of(item)) == UNLIMITED for item in held_back):
-        most_s = max(soonest_s, COLD_RETRY_S)
+    only_cold = all(limit_of(state.of(item)) == UNLIMITED and item.id not in rests_s for item in held_back)
+    most_s = max(soonest_s, COLD_RETRY_S) if only_cold else soonest_s + SPREAD_S
     if told_s > most_s:
-        return most_s
+        return most_s if only_cold else soonest_s + SPREAD_S * chance.random()
     state.come_back_at_by_service[service] = now + told_s + 1 / per_s
     return told_s
 
 
+def _returning_per_s(state: BoxState, endpoint: Endpoint, bounds: list[Bound] | None) -> float:
+    """Return the requests a second that an endpoint takes later of those that this box refuses now: by its
+    bounds, or by its places and how long an answer takes."""
+    if bounds:
+        return own_per_s(state, endpoint, bounds)
+    boxes = 1 if endpoint.id in state.routed_engines else max(1, len(state.boxes))
+    return endpoint.slots / max(LEAST_WORK_S, state.of(endpoint).work_s) / boxes
+
+
 def _pause_s(state: BoxState, endpoint: Endpoint, now: float, chance: Random) -> float:
     """Return the seconds until an endpoint takes a request of this box: a cold one may be warm before."""
     pause_s = wait_s(state, endpoint, now, chance)
--- a/stairquay/serving/refusals.py
+++ b/stairquay/serving/refusals.py
@@ -24,12 +24,12 @@
 
 
 def all_held_back(come_back_s: float, ran: Ran) -> Refusal:
-    """Return the refusal of a request where each endpoint is cold, or names a limit, and has got all that it
-    takes.
+    """Return the refusal of a request where each endpoint wants rest, or has got all that it takes while it
+    is cold or names a limit.
 
     come_back_s: seconds after which one of them may take this request, after others refused before.
     """
-    detail = f"endpoints have got what they take, one takes the next request in {come_back_s:.2f} s"
+    detail = f"endpoints take no more now, one takes the next request in {come_back_s:.2f} s"
     return Refusal(ErrorKind.OVERLOADED, ran, detail, max(RETRY_AFTER_S, come_back_s))
 
 
--- a/stairquay/serving/routing.py
+++ b/stairquay/serving/routing.py
@@ -44,7 +44,7 @@
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
 from stairquay.serving.saving import choose_and_save
 from stairquay.serving.state import BoxState
-from stairquay.serving.statements import limit_told, take_told_limits, told_limits
+from stairquay.serving.telling import statement_told, take_told, told_statements
 
 REVIEW_S = 0.25
 """Seconds between two looks at whether this box is a router, and of which engines."""
@@ -106,13 +106,13 @@
     def place(self, asked: PlaceRequest) -> PlaceReply:
         """Choose an engine for a prompt, and count it there until the box that asked says that it ended."""
         now = monotonic()
-        take_told_limits(self.state, asked.limits, now)
-        choice = self._choose(asked)
+        take_told(self.state, asked.said, now)
+        rests_s = {item.endpoint: item.rest_s for item in asked.said if item.rest_s > 0}
+        choice = self._choose(asked, rests_s)
         if choice is None or choice.placement is None:
-            soonest_s = come_back_s(self.state, asked.service, asked.tried, now, self.random)
+            soonest_s = come_back_s(self.state, asked.service, asked.tried, rests_s, now, self.random)
             return PlaceReply(come_back_s=soonest_s or 0.0)
-        held = self.state.of(choice.endpoint)
-        limit = None if held.limit is None else limit_told(choice.endpoint, held, held.limit, now)
+        said = statement_told(choice.endpoint, self.state.of(choice.endpoint), now)
         given_up = asked.most_backlog_s is not None and choice.backlog_s > asked.most_backlog_s
         if not given_up and asked.may_wait and self._read_soon(choice, asked):
             return PlaceReply(endpoint=choice.endpoint.id, version=choice.version, again_s=READ_AGAIN_S)
@@ -132,7 +132,7 @@
             first_token_s=placement.first_token_s,
             alternative_s=choice.alternative_s,
             backlog_s=choice.backlog_s,
-            limit=limit,
+            said=said,
         )
 
     def was_read(self, ticket: str) -> None:
@@ -183,7 +183,7 @@
         if ended.outcome in (Outcome.DONE, Outcome.FAILED, Outcome.UNREACHED):
             held.on_outcome(ended.outcome != Outcome.DONE, now)
 
-    def _choose(self, asked: PlaceRequest) -> Choice | None:
+    def _choose(self, asked: PlaceRequest, rests_s: dict[str, float]) -> Choice | None:
         catalog = self.state.catalog
         service = None if catalog is None else catalog.services_by_id.get(asked.service)
         if catalog is None or service is None:
@@ -191,7 +191,7 @@
         parts = tuple(Part(part.id, part.tokens) for part in asked.parts)
         prompt = PromptShape(asked.model, parts, asked.tokens, asked.max_output)
         wall = WorkspaceRule(asked.wall, isolated=True) if asked.wall else None
-        wanted = Wanted(service, prompt, wall, frozenset(asked.tried), asked.box)
+        wanted = Wanted(service, prompt, wall, frozenset(asked.tried), asked.box, rests_s)
         return choose_and_save(self.state, catalog, wanted, self.random)
 
     def _count(self, asked: PlaceRequest, choice: Choice) -> None:
@@ -272,7 +272,7 @@
         return self.place(asked)
 
     async def _on_finished(self, notice: FinishedNotice) -> Nothing:
-        take_told_limits(self.state, notice.limits, monotonic())
+        take_told(self.state, notice.said, monotonic())
         for ticket in notice.read:
             self.was_read(ticket)
         for ended in notice.ended:
@@ -281,7 +281,7 @@
 
     async def _on_operators(self, asked: OperatorsRequest) -> OperatorsReply:
         began_at = monotonic()
-        take_told_limits(self.state, asked.limits, began_at)
+        take_told(self.state, asked.said, began_at)
         await self._hold(lambda: self._operators_last_s(asked), asked.wait_s)
         return self._operators_reply(asked, began_at)
 
@@ -291,7 +291,7 @@
 
     async def _on_views(self, asked: ViewsRequest) -> ViewsReply:
         began_at = monotonic()
-        take_told_limits(self.state, asked.operators.limits, began_at)
+        take_told(self.state, asked.operators.said, began_at)
 
         def last_s() -> float:
             return min(self._operators_last_s(asked.operators), self._endpoints_last_s(asked.endpoints))
@@ -320,8 +320,8 @@
             changes = OperatorChanges(revision, False)
         changed, crashes = self._crashes(asked.crashes_known)
         now = monotonic()
-        limits = told_limits(state, now, frozenset(item.endpoint for item in asked.limits))
-        return OperatorsReply(changes, state.view_age(), now - began_at, changed, crashes, limits)
+        said = told_statements(state, now, frozenset(item.endpoint for item in asked.said))
+        return OperatorsReply(changes, state.view_age(), now - began_at, changed, crashes, said)
 
     def _crashes(self, known: int) -> tuple[int, CrashesTold | None]:
         """Return the revision at which boxes' rows about crashes last changed, and what they tell where that
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -27,7 +27,7 @@
 from stairquay.serving.ports import EndpointChanges, FeedFault, Feeds, OperatorChanges
 from stairquay.serving.quarantine import Told
 from stairquay.serving.state import BoxState
-from stairquay.serving.statements import take_told_limits, told_limits
+from stairquay.serving.telling import take_told, told_statements
 
 Reply = TypeVar("Reply")
 
@@ -105,13 +105,13 @@
             self._take_crashes(-1, None)
             return None
         self._take_crashes(reply.crashes_revision, reply.crashes)
-        take_told_limits(self.state, reply.limits, monotonic())
+        take_told(self.state, reply.said, monotonic())
         # The answer was made `held_s` after the question came in, which was after it was asked.
         return replace(reply.changes, behind_s=reply.age_s - reply.held_s + waiting_s)
 
     def _operators_request(self, after: int, held_s: float) -> OperatorsRequest:
-        limits = told_limits(self.state, monotonic())
-        return OperatorsRequest(after, held_s, self.state.quarantine.passed_revision, limits)
+        said = told_statements(self.state, monotonic())
+        return OperatorsRequest(after, held_s, self.state.quarantine.passed_revision, said)
 
     def _take_crashes(self, revision: int, told: CrashesTold | None) -> None:
         """Take in what a router knows of crashes; a revision of -1 stands for nothing."""
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -326,10 +326,11 @@
         return self.budget(service).take(now, len(self.boxes), known_s)
 
     def forget_gone(self) -> None:
-        """Drop the state of endpoints that are no longer known."""
+        """Drop the state of endpoints that are no longer known, but for what they said that still binds."""
+        now = monotonic()
         for endpoint_id in list(self.endpoints_by_id):
             state = self.endpoints_by_id[endpoint_id]
-            if endpoint_id not in self.fleet.by_id and state.in_flight == 0:
+            if endpoint_id not in self.fleet.by_id and state.in_flight == 0 and not state.bound(now):
                 del self.endpoints_by_id[endpoint_id]
                 self.limited.discard(endpoint_id)
                 self.resting.discard(endpoint_id)
--- a/stairquay/serving/statements.py
+++ b/stairquay/serving/statements.py
@@ -1,26 +1,21 @@
 """What endpoints say of their use, in answers to requests: a limit, in requests a second from all callers
 together; that they leave; for how long they want nothing from this box.
 
-It is taken in here, whoever heard it and at whatever kind of request.
+It is taken in here, whoever heard it and at whatever kind of request. It binds one life of an endpoint, and
+outlives its entry in the list, which lapses where the table service is away.
 """
 
-from collections.abc import Iterable
+from dataclasses import replace
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.fleet import Endpoint
 from stairquay.core.limits import UNLIMITED, LimitNews, newer
 from stairquay.core.rest import Rest
 from stairquay.serving.decisions import Decision
-from stairquay.serving.endpoint import NEVER, EndpointState
-from stairquay.serving.messages import LimitTold
+from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.ports import Statement, Topic
 from stairquay.serving.state import BoxState
 
-ENDED_TOLD_S = 10.0
-"""Seconds for which boxes tell each other that a limit has ended: each asks twice a second or more."""
-
-PASSING_S = 0.5
-"""Seconds by which what another box heard may be older than it says: for the way of a message."""
-
 
 def limit_of(held: EndpointState) -> float:
     """Return the limit that an endpoint names, UNLIMITED where it names none."""
@@ -39,16 +34,25 @@
     if said.limit_per_s is not None:
         take_limit(state, endpoint, held, LimitNews(said.limit_per_s, sent_at, now))
     if said.leaving:
-        _take_leaving(state, endpoint, held, now)
+        take_leaving(state, endpoint.id, held.born, "answer")
     if said.rest_s is not None:
         _take_rest(state, endpoint, held, said.rest_s, sent_at, now)
 
 
-def _take_leaving(state: BoxState, endpoint: Endpoint, held: EndpointState, now: float) -> None:
-    if held.said_leaving_at > NEVER:
+def take_leaving(state: BoxState, endpoint_id: str, born: int, source: str) -> None:
+    """Take in that a life of an endpoint leaves: nothing new goes there. source: who said so, for the log."""
+    if not state.fleet.say_leaving(endpoint_id, born, monotonic()):
         return
-    held.said_leaving_at = now
-    state.log.line(Decision.LEAVING, endpoint=endpoint.id, service=endpoint.service, outcome="said")
+    listed = state.fleet.by_id.get(endpoint_id)
+    state.log.line(
+        Decision.LEAVING,
+        endpoint=endpoint_id,
+        service=None if listed is None else listed.service,
+        outcome="said",
+        source=source,
+        born=born,
+    )
+    state.changed.happened()
 
 
 def _take_rest(
@@ -114,34 +118,28 @@
         )
 
 
-def told_limits(state: BoxState, now: float, also: frozenset[str] = frozenset()) -> tuple[LimitTold, ...]:
-    """Return what other boxes should know of limits: those in force, and which have lately ended.
+def rests_of(state: BoxState, now: float) -> dict[str, float]:
+    """Return by id the seconds for which endpoints want nothing from this box.
 
-    also: endpoints of which to tell in any case, since the other box believes in a limit of theirs.
+    Where a rest is over and its first request is under way, that is about as long as its answer takes.
     """
-    told = []
-    for name in state.limited:
-        endpoint, held = state.fleet.by_id.get(name), state.endpoints_by_id.get(name)
-        if endpoint is None or held is None or held.limit is None:
+    rests_s: dict[str, float] = {}
+    for name in state.resting:
+        held = state.endpoints_by_id.get(name)
+        if held is None or held.rest is None:
             continue
-        if held.limit.per_s < UNLIMITED or now - held.limit_ended_at < ENDED_TOLD_S or endpoint.id in also:
-            told.append(limit_told(endpoint, held, held.limit, now))
-    return tuple(told)
+        wait_s = held.rest.wait_s(now)
+        if wait_s > 0:
+            rests_s[name] = wait_s if now < held.rest.until else min(wait_s, held.work_s)
+    return rests_s
 
 
-def limit_told(endpoint: Endpoint, held: EndpointState, limit: LimitNews, now: float) -> LimitTold:
-    """Return what this box heard of one endpoint's limit, for another box."""
-    return LimitTold(endpoint.id, held.born, limit.per_s, now - limit.sent_at, now - limit.heard_at)
+def rests(held: EndpointState, now: float) -> bool:
+    """Tell whether an endpoint has asked this box for rest that is not over."""
+    return held.rest is not None and now < held.rest.until
 
 
-def take_told_limits(state: BoxState, told: Iterable[LimitTold], now: float) -> None:
-    """Take in what another box heard of limits. One of another life of an endpoint says nothing."""
-    for item in told:
-        endpoint = state.fleet.by_id.get(item.endpoint)
-        if endpoint is None:
-            continue
-        held = state.of(endpoint)
-        if item.born and held.born and item.born != held.born:
-            continue
-        news = LimitNews(item.per_s, now - item.sent_ago_s - PASSING_S, now - item.heard_ago_s)
-        take_limit(state, endpoint, held, news)
+def note_tried(held: EndpointState, now: float) -> None:
+    """Take in that a request goes to an endpoint, which shows whether its rest is over."""
+    if held.rest is not None:
+        held.rest = replace(held.rest, tried_at=now)
