Soak several boxes before endpoints that leave and ask for rest, beside those that name limits

The soak of limits becomes one of all that endpoints say: they leave while their entry says ready, lapses and returns, or tells late, and start again under their id; they turn requests away and ask for rest in seconds, parts of one, dates and words that nobody can read. It judges from what endpoints saw, by the aim's own bounds; boxes are killed, stopped and started meanwhile, the table service is away. A limit is judged by lives: that of the last life binds nobody in the next one.

--- a/tests/soak_limits.py
+++ b/tests/soak_statements.py
@@ -1,10 +1,12 @@
-"""A soak of several boxes before endpoints that name limits, change and end them, alone and all at once.
+"""A soak of several boxes before endpoints that say of their use what they can, alone and all at once: limits
+that they name, change and end; that they leave; that they want rest.
 
 Boxes are killed, stopped for a while and started again meanwhile, and the table service is away. `python -m
-tests.soak_limits --seed 1 --seconds 60` plays one.
+tests.soak_statements --seed 1 --seconds 60` plays one.
 
-It holds that no endpoint gets in any window more than it bears from boxes that it had told, and that all
-endpoints get work again once they name no limit.
+It holds that no endpoint gets in any window more than it bears from boxes that it had told, nothing from
+boxes that it had told of its leaving, and no more than two requests from a box that it had asked for rest;
+and that all endpoints get work again afterwards. An endpoint that left starts again under its id.
 """
 
 import argparse
@@ -13,6 +15,8 @@
 import signal
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from datetime import UTC, datetime, timedelta
+from email.utils import format_datetime
 from random import Random
 from typing import Any
 
@@ -26,6 +30,11 @@
 IN_TOUCH_S = 3.0
 """Seconds after its start, or after it went on, from which a box counts."""
 
+DRAIN_S = 2.0
+REST_KNOWN_S, MOST_AT_REST = 0.5, 2
+"""As in tests.test_statements: when leaving binds a box that was told, when rest does, and what it bears."""
+
+RESTS = ("0.4", "1.5", "3", "4.25", "soon", "a date")
 REQUESTS_S = 60.0
 LIMITS = (0.0, 0.3, 1.0, 2.0, 4.0, 8.0)
 OUTAGE_S = 2.0
@@ -50,10 +59,14 @@
 class Outcome:
     """What a soak showed. broken: windows with more than the endpoint bears. windows: those looked at.
     highest_share: of what an endpoint bears, in the fullest of them. healed: endpoints that get work at the
-    end."""
+    end.
+    leavings, rests: answers that said so to boxes which counted.
+    """
 
     broken: list[str] = field(default_factory=list)
     windows: int = 0
+    leavings: int = 0
+    rests: int = 0
     highest_share: float = 0.0
     answered: int = 0
     refused: int = 0
@@ -75,6 +88,8 @@
         self.end = now_s() + seconds
         self.outcome = Outcome()
         self.box_by_call: dict[str, str] = {}
+        self.lives: dict[str, list[float]] = {endpoint.id: [NEVER] for endpoint in self.endpoints}
+        self.rest_until: dict[str, float] = {}
         self.namings: dict[str, list[Naming]] = {endpoint.id: [] for endpoint in self.endpoints}
         self.away: dict[str, list[tuple[float, float]]] = {box.name: [] for box in boxes}
         self.calls: set[asyncio.Task] = set()
@@ -82,7 +97,9 @@
     async def run(self) -> Outcome:
         """Play it to its end, and judge."""
         limits = [self._limits(endpoint) for endpoint in self.endpoints]
-        await asyncio.gather(self._press(), self._all_at_once(), self._faults(), *limits)
+        leaving = [self._leave(endpoint) for endpoint in self.endpoints]
+        resting = [self._rest(endpoint) for endpoint in self.endpoints]
+        await asyncio.gather(self._press(), self._all_at_once(), self._faults(), *limits, *leaving, *resting)
         for endpoint in self.endpoints:
             self._name(endpoint, None)
         await asyncio.gather(*self.calls)
@@ -90,6 +107,8 @@
         for endpoint in self.endpoints:
             for naming in self.namings[endpoint.id]:
                 self._judge(endpoint, naming)
+            self._judge_leaving(endpoint)
+            self._judge_rests(endpoint)
         return self.outcome
 
     def _left(self) -> bool:
@@ -145,6 +164,47 @@
                 await asyncio.sleep(self.chance.uniform(8.0, 14.0))
             self._name(endpoint, None)
 
+    async def _leave(self, endpoint: Endpoint) -> None:
+        """Have an endpoint leave from time to time, and start again. Its entry goes on saying that it is
+        ready, or lapses and returns meanwhile, or tells late that it leaves."""
+        chance = Random(self.chance.random())
+        while self._left():
+            await asyncio.sleep(chance.uniform(5.0, 18.0))
+            endpoint.leaving = "1"
+            await asyncio.sleep(chance.uniform(1.0, 3.0))
+            kind = chance.choice(("ready", "lapses", "draining"))
+            if kind == "lapses":
+                self.table.remove("servers", endpoint.id)
+            elif kind == "draining":
+                self.table.put("servers", endpoint.id, endpoint.entry("draining"))
+            await asyncio.sleep(chance.uniform(2.0, 4.0))
+            self.table.put("servers", endpoint.id, endpoint.entry())
+            await asyncio.sleep(chance.uniform(0.0, 3.0))
+            endpoint.leaving = None
+            endpoint.born += 1_000
+            self.lives[endpoint.id].append(now_s())
+            if endpoint.limit is not None:
+                # The limit of the last life binds nobody in this one, which names its own.
+                limit = float(endpoint.limit)
+                self._name(endpoint, None)
+                self._name(endpoint, limit)
+            self.table.put("servers", endpoint.id, endpoint.entry())
+
+    async def _rest(self, endpoint: Endpoint) -> None:
+        """Have an endpoint turn requests away from time to time, and ask for rest: in whole seconds, in parts
+        of one, by a date, in words that nobody understands."""
+        chance = Random(self.chance.random())
+        while self._left():
+            await asyncio.sleep(chance.uniform(2.0, 12.0))
+            endpoint.rest = chance.choice(RESTS)
+            if endpoint.rest == "a date":
+                until = datetime.now(UTC).replace(microsecond=0) + timedelta(seconds=4)
+                endpoint.rest = format_datetime(until, usegmt=True)
+                self.rest_until[endpoint.rest] = now_s() + (until - datetime.now(UTC)).total_seconds()
+            endpoint.refuse = 100_000
+            await asyncio.sleep(chance.uniform(0.5, 4.0))
+            endpoint.refuse = 0
+
     async def _all_at_once(self) -> None:
         """Once, have all endpoints name limits together."""
         await asyncio.sleep(self.chance.uniform(5.0, 15.0))
@@ -187,6 +247,51 @@
     def _in_touch(self, box: str, at: float) -> bool:
         return not any(began <= at <= ended + IN_TOUCH_S for began, ended in self.away[box])
 
+    def _away_between(self, box: str, start: float, end: float) -> bool:
+        return any(began <= end and ended >= start for began, ended in self.away[box])
+
+    def _judge_leaving(self, endpoint: Endpoint) -> None:
+        """Nothing comes from a box later than it may after the same life told it that it leaves."""
+        told: dict[tuple[str, float], float] = {}
+        for at, call_id in endpoint.told_leaving:
+            box = self.box_by_call.get(call_id)
+            if box is not None:
+                self.outcome.leavings += 1
+                told.setdefault((box, self._life_at(endpoint, at)), at)
+        for at, call_id in endpoint.arrived:
+            box = self.box_by_call.get(call_id)
+            if box is None:
+                continue
+            told_at = told.get((box, self._life_at(endpoint, at)), float("inf"))
+            if at > told_at + DRAIN_S and not self._away_between(box, told_at, at):
+                late = f"{at - told_at:.2f} s after it said that it leaves"
+                self.outcome.broken.append(f"{endpoint.id}: from {box} {late}")
+
+    def _life_at(self, endpoint: Endpoint, at: float) -> float:
+        return max(began for began in self.lives[endpoint.id] if began <= at)
+
+    def _judge_rests(self, endpoint: Endpoint) -> None:
+        """No more than two come from a box while an endpoint has asked it for rest."""
+        for at, call_id, text in endpoint.rested:
+            box = self.box_by_call.get(call_id)
+            until = self._rest_until(at, text)
+            if box is None or self._away_between(box, at, until):
+                continue
+            if self._life_at(endpoint, at) != self._life_at(endpoint, until):
+                continue
+            self.outcome.rests += 1
+            got = sum(
+                at + REST_KNOWN_S < sent < until and self.box_by_call.get(other) == box
+                for sent, other in endpoint.arrived
+            )
+            if got > MOST_AT_REST:
+                self.outcome.broken.append(f"{endpoint.id}: {got} from {box} in {until - at:.2f} s of rest")
+
+    def _rest_until(self, at: float, text: str) -> float:
+        if text in self.rest_until:
+            return self.rest_until[text]
+        return NEVER if text == "soon" else at + float(text)
+
     def _told_at(self, endpoint: Endpoint, naming: Naming, box: str, at: float) -> float:
         """Return when a box was first told of a limit, in the life that it had at a time."""
         lives = [ended for _, ended in self.away[box] if ended <= at]
@@ -226,7 +331,8 @@
     """Play a soak, and return what it showed."""
     async with several_boxes(boxes) as sites:
         for endpoint in sites[0].endpoints:
-            endpoint.hold_s = 0.03
+            endpoint.hold_s, endpoint.born = 0.03, 1_000
+            sites[0].table.put("servers", endpoint.id, endpoint.entry())
             endpoint.events_made, endpoint.event_s = 6, 0.02
         return await Soak(sites, Random(seed), seconds).run()
 
--- a/tests/standins/dialect.py
+++ b/tests/standins/dialect.py
@@ -148,7 +148,7 @@
     arrived: list[tuple[float, str]] = field(default_factory=list)
     named: list[tuple[float, str]] = field(default_factory=list)
     told_leaving: list[tuple[float, str]] = field(default_factory=list)
-    rested: list[tuple[float, str]] = field(default_factory=list)
+    rested: list[tuple[float, str, str]] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     ports: list[int] = field(default_factory=list)
     left: int = 0
@@ -236,7 +236,7 @@
             self.refuse -= 1
             headers = {"Not-Executed": "1", "Request-Id": call_id, **self._said(call_id)}
             if self.rest is not None:
-                self.rested.append((asyncio.get_running_loop().time(), call_id))
+                self.rested.append((asyncio.get_running_loop().time(), call_id, self.rest))
                 headers["Retry-After"] = self.rest
             return web.Response(status=503, headers=headers)
         body = await request.read()
--- a/tests/test_limit_soak.py
+++ b/tests/test_statement_soak.py
@@ -1,15 +1,17 @@
-"""A short soak of several boxes before endpoints that name limits; by hand it is played for longer."""
+"""A short soak of several boxes before endpoints that name limits, leave, or ask for rest; by hand it is
+played for longer."""
 
 import asyncio
 
-from tests.soak_limits import soak
+from tests.soak_statements import soak
 
 SEED = 1
 SECONDS = 30.0
 
 
-def test_endpoints_that_name_limits_get_no_more_than_they_bear_and_work_again_afterwards():
+def test_endpoints_get_no_more_than_they_said_that_they_bear_and_work_again_afterwards():
     outcome = asyncio.run(soak(SEED, SECONDS))
     assert not outcome.broken, outcome
     assert outcome.windows > 50 and outcome.highest_share > 0.2, outcome
+    assert outcome.leavings > 20 and outcome.rests > 10, outcome
     assert outcome.healed == 8, outcome
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -60,7 +60,7 @@
             box_of(sent) == box_of(told) and asked_at + KNOWN_AFTER_S < at < asked_at + rest_s
             for at, sent in endpoint.arrived
         )
-        for asked_at, told in endpoint.rested
+        for asked_at, told, _ in endpoint.rested
     ]
     return max(counts, default=0)
 
@@ -147,7 +147,7 @@
             turn_away(resting, "3")
             answers = await press(lambda n: boxes[n % 2].prompt("/again/x", call_id=f"{n % 2} {n}"), 20, 5.0)
             assert resting.rested and most_at_rest(resting, 3.0) <= MOST_AT_REST
-            turned_away = {call_id for _, call_id in resting.rested}
+            turned_away = {call_id for _, call_id, _ in resting.rested}
             failed = {f"{n % 2} {n}" for n, answer in enumerate(answers) if answer.status != 200}
             assert failed <= turned_away, "only those may fail that no budget lets be sent again"
 
@@ -200,7 +200,7 @@
             turn_away(resting, "0.05")
             other.hold_s = 0.4
             await press(lambda n: here.call("/plain/x", call_id=f"box {n}"), 20, 3.0)
-            again = {item.id for item in other.taken} & {call_id for _, call_id in resting.rested}
+            again = {item.id for item in other.taken} & {call_id for _, call_id, _ in resting.rested}
             assert len(again) >= 2
             assert f'stairquay_repeats_total{{service="plain"}} {len(again)}.0' in await here.metrics()
 
