Tell other boxes that a life leaves only where it is that life, not one heard of since

Cause, shown by a test that failed: a box that had the new life's report before its entry told others of the last life's leaving under the new life's birth. Ruled out: a birth that answers gave wrongly (answers are taken in under the birth known when their request was sent). Change: leaving is told under a birth only up to the one that was said to leave. Figures: the test fails before and passes after.

--- a/stairquay/serving/telling.py
+++ b/stairquay/serving/telling.py
@@ -83,4 +83,6 @@
         return StatementTold(name, 0 if left is None else left.born, leaving=left is not None, rest_s=rest_s)
     held = state.of(endpoint)
     told = statement_told(endpoint, held, now) or StatementTold(name, held.born)
-    return structs.replace(told, leaving=state.fleet.leaves(endpoint), rest_s=rest_s)
+    # A newer life may have been heard of before its entry came: it does not leave as the last one does.
+    leaving = left is not None and held.born <= left.born
+    return structs.replace(told, leaving=leaving, rest_s=rest_s)
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -19,9 +19,10 @@
 from stairquay.serving.choosing import Wanted, choose
 from stairquay.serving.following import apply_endpoints
 from stairquay.serving.messages import Outcome, PlaceReply
-from stairquay.serving.ports import EndpointChanges, Statement
+from stairquay.serving.ports import EndpointChanges, EngineReport, Statement
 from stairquay.serving.state import BoxState
 from stairquay.serving.statements import limit_of, rests_of, take_statement
+from stairquay.serving.telling import take_told, told_statements
 from tests.loads.test_limits_of_endpoints import CATALOG
 from tests.many_boxes import placed_prompt, routed, two_boxes
 from tests.site import Answer, Site, eventually, site
@@ -342,6 +343,17 @@
         assert chosen(state)
 
 
+def test_a_life_that_was_only_reported_yet_is_not_told_to_be_leaving_as_the_last_one_is():
+    """Its entry is that of the last life still, which said that it leaves. Found by the soak, seed 5."""
+    state, other = knowing(), knowing()
+    apply_endpoints(state, EndpointChanges(2, True, (born(1_000),)), monotonic())
+    hears(state, Statement(leaving=True))
+    state.take_report(state.fleet.by_id[PLAIN.id], EngineReport(born=2_000), monotonic())
+    take_told(other, told_statements(state, monotonic()), monotonic())
+    apply_endpoints(other, EndpointChanges(3, True, (born(2_000),)), monotonic())
+    assert chosen(other)
+
+
 def born(at_ms: int) -> Listed:
     return Listed(PLAIN.id, PLAIN.service, PLAIN.address, PLAIN.data_hall, PLAIN.slots, born=at_ms)
 
