Never tell a caller to come back sooner than an answer takes, also where the first request after a rest is under way

Cause, by reading: where all endpoints' rests are over and one request shows whether they are, the time told was that of an answer, 50 ms. Change: a quarter of a second at least, as for all other refusals; a predicate is named as one.

--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -31,7 +31,7 @@
 from stairquay.serving.refusals import RETRY_AFTER_S, all_held_back, overloaded, truthful
 from stairquay.serving.relay import cut, read_whole, relay_stream, whole_response
 from stairquay.serving.state import BoxState
-from stairquay.serving.statements import note_tried, rests, take_statement
+from stairquay.serving.statements import is_resting, note_tried, take_statement
 
 MAX_REFUSED = 4
 """Times that one request may be turned away by endpoints before it is refused."""
@@ -112,7 +112,7 @@
     def _told_when(self, job: Job, refusal: Refusal) -> Refusal:
         """Return a refusal that gives the end of the rest, where no endpoint takes anything before that."""
         rest_s = None if refusal.kind == ErrorKind.OVERLOADED else self.chooser.all_rest_s(job)
-        return refusal if rest_s is None else replace(refusal, retry_after_s=rest_s)
+        return refusal if rest_s is None else replace(refusal, retry_after_s=max(RETRY_AFTER_S, rest_s))
 
     def _quarantined_s(self, job: Job) -> float:
         """Return for how many more seconds nothing is sent of a job, because it crashes endpoints."""
@@ -189,7 +189,7 @@
         def guard() -> bool:
             if not self._fresh(job) or job.deadline <= monotonic() or self._quarantined_s(job) > 0:
                 return False
-            if not takes_work(self.state, begun.choice.endpoint) or rests(begun.held, monotonic()):
+            if not takes_work(self.state, begun.choice.endpoint) or is_resting(begun.held, monotonic()):
                 return False
             return not self._too_old(job, begun.choice)
 
--- a/stairquay/serving/statements.py
+++ b/stairquay/serving/statements.py
@@ -134,7 +134,7 @@
     return rests_s
 
 
-def rests(held: EndpointState, now: float) -> bool:
+def is_resting(held: EndpointState, now: float) -> bool:
     """Tell whether an endpoint has asked this box for rest that is not over."""
     return held.rest is not None and now < held.rest.until
 
