--- a/stairquay/boxes.py
+++ b/stairquay/boxes.py
@@ -27,6 +27,8 @@
 AGE = re.compile(rb"^stairquay_view_age_seconds (\S+)$", re.M)
 EVACUATED = re.compile(rb'^stairquay_evacuated_data_hall{data_hall="([^"]*)"} 1\.0$', re.M)
 LIMITED = re.compile(rb'^stairquay_endpoint_limit_per_second{endpoint="([^"]*)"} (\S+)$', re.M)
+LEAVING = re.compile(rb'^stairquay_endpoint_leaving{endpoint="([^"]*)"} 1\.0$', re.M)
+RESTING = re.compile(rb'^stairquay_endpoint_rest_seconds_left{endpoint="([^"]*)"} (\S+)$', re.M)
 COLD = re.compile(rb'^stairquay_cold_seconds_left{endpoint="([^"]*)"} (\S+)$', re.M)
 
 AGE_STEPS_S = (0.5, 1.0, 2.0, 5.0)
@@ -39,7 +41,8 @@
 
     readable: its row could be read; another release may write what this one cannot read. evacuated: data
     halls that it sends nothing to. cold_s_by_endpoint: for how long it takes endpoints to be cold.
-    limit_by_endpoint: the limits that it knows endpoints to name, in requests a second.
+    limit_by_endpoint: the limits that it knows endpoints to name, in requests a second. leaving: endpoints
+    that it knows to leave. rest_s_by_endpoint: for how long endpoints want nothing from it.
     """
 
     member: Member
@@ -48,6 +51,8 @@
     evacuated: frozenset[str] = frozenset()
     cold_s_by_endpoint: dict[str, float] = field(default_factory=dict)
     limit_by_endpoint: dict[str, float] = field(default_factory=dict)
+    leaving: frozenset[str] = frozenset()
+    rest_s_by_endpoint: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -90,7 +95,7 @@
         f"following:  {', '.join(fleet.following) or 'none'}",
         f"views:      {_views(fleet)}",
     ]
-    lines += _halls_away(fleet) + _cold(fleet) + _limited(fleet)
+    lines += _halls_away(fleet) + _cold(fleet) + _limited(fleet) + _leaving(fleet) + _resting(fleet)
     lines += [f"silent:     {', '.join(silent)}"] if silent else []
     lines += [f"unreadable: {', '.join(unreadable)}"] if unreadable else []
     return lines
@@ -134,6 +139,25 @@
     return [f"limited:    {told}"] if told else []
 
 
+def _leaving(fleet: FleetSight) -> list[str]:
+    """Return a line with the endpoints that leave, and how many boxes know of each."""
+    known = Counter(endpoint for sight in fleet.boxes for endpoint in sight.leaving)
+    told = ", ".join(f"{endpoint}, known at {count}" for endpoint, count in sorted(known.items()))
+    return [f"leaving:    {told}"] if told else []
+
+
+def _resting(fleet: FleetSight) -> list[str]:
+    """Return a line with the endpoints that want rest: the longest that is left, and from how many boxes."""
+    rests_s: dict[str, list[float]] = {}
+    for sight in fleet.boxes:
+        for endpoint, rest_s in sight.rest_s_by_endpoint.items():
+            rests_s.setdefault(endpoint, []).append(rest_s)
+    told = ", ".join(
+        f"{endpoint} {max(left_s):.1f} s, from {len(left_s)}" for endpoint, left_s in sorted(rests_s.items())
+    )
+    return [f"resting:    {told}"] if told else []
+
+
 def _views(fleet: FleetSight) -> str:
     ages_s = [sight.view_age_s for sight in fleet.boxes if sight.view_age_s is not None]
     if not ages_s:
@@ -159,7 +183,9 @@
     evacuated = frozenset(hall.decode() for hall in EVACUATED.findall(told))
     cold_s = {endpoint.decode(): float(left_s) for endpoint, left_s in COLD.findall(told)}
     limits = {endpoint.decode(): float(per_s) for endpoint, per_s in LIMITED.findall(told)}
-    return BoxSight(member, readable, _view_age_s(told), evacuated, cold_s, limits)
+    leaving = frozenset(endpoint.decode() for endpoint in LEAVING.findall(told))
+    rests_s = {endpoint.decode(): float(left_s) for endpoint, left_s in RESTING.findall(told)}
+    return BoxSight(member, readable, _view_age_s(told), evacuated, cold_s, limits, leaving, rests_s)
 
 
 def _view_age_s(told: bytes) -> float | None:
--- a/tests/test_boxes.py
+++ b/tests/test_boxes.py
@@ -77,6 +77,21 @@
     asyncio.run(scenario())
 
 
+def test_boxes_shows_which_endpoints_leave_and_which_want_rest():
+    async def scenario():
+        async with site(plain=1, engines=1) as here:
+            await until_written(here)
+            plain, engine = here.endpoints
+            plain.refuse, plain.rest, engine.leaving = 1, "30", "1"
+            assert (await here.call("/plain/x")).status == 503
+            assert (await here.prompt()).status == 200
+            out = (await shown(here))[1]
+            assert "leaving:    e-0, known at 1" in out and "resting:    p-0 29." in out
+            assert out.count(", from 1") == 1
+
+    asyncio.run(scenario())
+
+
 def test_boxes_names_those_that_are_silent_and_rows_that_cannot_be_read():
     async def scenario():
         async with site() as here:
