Fail a test in which all boxes send to an endpoint in the same tenth of a second when its rest is over

Symptom, on virtual time: an endpoint that asked 71, 195 or 330 boxes for rest within a tenth of a second gets one request from each of them in the tenth after it, 71 to 330 where it does 13 in that time. One box alone sends one at a time already. Found by reading: each box keeps its own rest, and all of them end together.

--- /dev/null
+++ b/tests/loads/test_rests_that_end.py
@@ -0,0 +1,63 @@
+"""Pattern: an endpoint asks all boxes for rest at about the same time, and all of them have work for it when
+that is over.
+
+The product's own decisions on virtual time. An endpoint with 6 places that answers in 45 ms, and one with 64
+that takes a second, as the deployments' plain services and engines; 6, 71 and 195 boxes are the deployments',
+330 the largest that is planned. Each box is asked once within a tenth of a second.
+"""
+
+from random import Random
+
+import pytest
+
+from stairquay.core.fleet import Endpoint
+from stairquay.serving.following import apply_endpoints
+from stairquay.serving.ports import EndpointChanges, Statement
+from stairquay.serving.state import BoxState
+from stairquay.serving.statements import note_tried, rests_of, take_statement
+from tests.states import box_state
+
+REST_S = 3.0
+ASKED_WITHIN_S = 0.1
+WINDOW_S = 0.1
+BURST = 2.0
+"""Times what an endpoint does in a window that may come in one: its queue bears as much again."""
+
+LATEST_S = 2 * REST_S
+"""Seconds from when a box was asked within which it sends again."""
+
+FLEETS = (1, 6, 71, 195, 330)
+SHAPES = ((6, 0.045), (64, 1.0))
+
+
+def box_of(number: int, boxes: int, endpoint: Endpoint, work_s: float) -> BoxState:
+    state = box_state(f"b-{number:03}")
+    apply_endpoints(state, EndpointChanges(1, True, (endpoint,)), 0.0)
+    state.boxes, state.boxes_known_at = tuple(f"b-{other:03}" for other in range(boxes)), 0.0
+    state.of(endpoint).work_s = work_s
+    return state
+
+
+def sends_again_at(state: BoxState, endpoint: Endpoint, asked_at: float) -> float:
+    """Return when a box that always has work for an endpoint sends it the next request."""
+    take_statement(state, endpoint, state.of(endpoint), Statement(rest_s=REST_S), asked_at, asked_at)
+    steps = range(int(LATEST_S * 200) + 1)
+    return next(asked_at + step / 200 for step in steps if not rests_of(state, asked_at + step / 200))
+
+
+@pytest.mark.parametrize("boxes", FLEETS)
+@pytest.mark.parametrize(("slots", "work_s"), SHAPES)
+def test_boxes_that_were_asked_for_rest_together_come_back_as_the_endpoint_takes_them(boxes, slots, work_s):
+    chance = Random(boxes)
+    endpoint = Endpoint("e", "plain", "10.0.1.1:1", "hall-a", slots)
+    times = []
+    for number in range(boxes):
+        state = box_of(number, boxes, endpoint, work_s)
+        asked_at = 100.0 + chance.random() * ASKED_WITHIN_S
+        again_at = sends_again_at(state, endpoint, asked_at)
+        assert again_at >= asked_at + REST_S
+        note_tried(state.of(endpoint), again_at)
+        assert rests_of(state, again_at + 0.01), "the next one waits for the answer"
+        times.append(again_at)
+    fullest = max(sum(start <= at < start + WINDOW_S for at in times) for start in times)
+    assert fullest <= max(1, slots, BURST * WINDOW_S * slots / work_s)
