Have boxes come back one after the other to an endpoint that asked all of them for rest

What endpoints saw, on virtual time: one request of each box in the tenth of a second after a rest, 71 to 330 where it does 13. Cause: each box kept its own rest, and all ended together. Change: a box adds its turn among all boxes to a rest, spread by the endpoint's places and its time for an answer, over the length of the rest once more at most; nothing is added where there is one box. Why this holds: boxes know how many they are, and their order, without asking; one that believes in fewer comes a little sooner. Ways weighed, not run: a moment drawn by chance, whose fullest tenth of a second is fuller than that of an even turn; rest told to other boxes, which would bar those that were not asked.

--- a/stairquay/serving/statements.py
+++ b/stairquay/serving/statements.py
@@ -69,13 +69,31 @@
         return
     if rest is not None and rest.until >= now + rest_s:
         return
-    held.rest = Rest(now + rest_s)
+    later_s = _own_turn_s(state, endpoint, held, rest_s)
+    held.rest = Rest(now + rest_s + later_s)
     state.resting.add(endpoint.id)
     state.log.line(
-        Decision.REST, endpoint=endpoint.id, service=endpoint.service, outcome="asked", for_s=rest_s
+        Decision.REST,
+        endpoint=endpoint.id,
+        service=endpoint.service,
+        outcome="asked",
+        for_s=rest_s,
+        later_s=later_s,
     )
 
 
+def _own_turn_s(state: BoxState, endpoint: Endpoint, held: EndpointState, rest_s: float) -> float:
+    """Return the seconds after a rest at which this box comes back, in a turn of all boxes.
+
+    An endpoint in need asks many boxes at once, whose rests end together. They come one after the other, as
+    its places and the time of an answer allow, and within the length of the rest once more.
+    """
+    boxes = len(state.boxes)
+    before = sum(other < state.settings.id for other in state.boxes)
+    spread_s = min(rest_s, boxes * held.work_s / endpoint.slots)
+    return spread_s * before / max(1, boxes)
+
+
 def take_limit(state: BoxState, endpoint: Endpoint, held: EndpointState, told: LimitNews) -> None:
     """Take in what an answer said of its endpoint's limit, here or at another box."""
     if held.limit is None and told.per_s == UNLIMITED:
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -236,7 +236,7 @@
     async def scenario():
         async with two_boxes(plain=2) as (first, second):
             leaving, other = first.endpoints
-            leaving.leaving = "1"
+            leaving.leaving, other.hold_s = "1", 0.3
             await eventually(lambda: told_by(first, leaving))
             known = f'stairquay_endpoint_leaving{{endpoint="{leaving.id}"}} 1.0'
 
