--- a/tests/soak_statements.py
+++ b/tests/soak_statements.py
@@ -61,8 +61,8 @@
 
     broken: windows with more than the endpoint bears, and requests that came in spite of leaving or rest.
     windows: those looked at. highest_share: of what an endpoint bears, in the fullest of them, which
-    `fullest` tells. healed: endpoints that get work at the end. leavings, rests: answers that said so to boxes which
-    counted.
+    `fullest` tells. healed: endpoints that get work at the end. leavings, rests: answers that said so to
+    boxes which counted.
     """
 
     broken: list[str] = field(default_factory=list)
