--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -13,13 +13,21 @@
 import asyncio
 from random import Random
 
+from result import Err
+
 from stairquay.adapters.clock import monotonic
+from stairquay.core.call import Call
+from stairquay.core.catalog import Route
+from stairquay.core.errors import ErrorKind, Ran
 from stairquay.core.fleet import Endpoint as Listed
 from stairquay.explain import Logs, story
-from stairquay.serving.choosing import Wanted, choose
+from stairquay.serving.choosing import Choice, Wanted, choose
+from stairquay.serving.crashes import CrashWatch
+from stairquay.serving.dispatch import Dispatcher
 from stairquay.serving.following import apply_endpoints
+from stairquay.serving.jobs import Job, Progress
 from stairquay.serving.messages import Outcome, PlaceReply
-from stairquay.serving.ports import EndpointChanges, EngineReport, Statement
+from stairquay.serving.ports import EndpointChanges, EngineReport, SendFailure, Statement
 from stairquay.serving.state import BoxState
 from stairquay.serving.statements import limit_of, rests_of, take_statement
 from stairquay.serving.telling import take_told, told_statements
@@ -354,6 +362,43 @@
     assert chosen(other)
 
 
+class LateNews:
+    """Ports of a request that learns, while its connection opens, what its endpoint said of its use."""
+
+    def __init__(self, state: BoxState, said: Statement) -> None:
+        self.state, self.said = state, said
+        self.may_go: list[bool] = []
+
+    async def choose(self, job: Job, progress: Progress, most_backlog_s: float | None) -> Choice | None:
+        return None if self.may_go else Choice(PLAIN)
+
+    def come_back_s(self, job: Job, progress: Progress) -> float | None:
+        return None
+
+    def all_rest_s(self, job: Job) -> float | None:
+        return None
+
+    def finished(self, choice: Choice, outcome: Outcome) -> None:
+        assert outcome == Outcome.NOT_SENT
+
+    async def send(self, call, body, dispatch, attempt, guard, wait_s) -> Err[SendFailure]:
+        hears(self.state, self.said)
+        self.may_go.append(guard())
+        return Err(SendFailure(ErrorKind.ENDPOINT_FAILED, Ran.NOT_RUN, "not sent", fault=False))
+
+
+def test_a_request_is_stopped_right_before_its_bytes_leave_where_its_endpoint_leaves_or_rests_by_then():
+    route = Route("plain", "svc", "/", (), timeout_s=5.0)
+    call = Call("call-1", "GET", "svc", "/x", "/x", ())
+    for said, goes in ((Statement(), True), (Statement(leaving=True), False), (Statement(rest_s=9), False)):
+        state = knowing()
+        ports = LateNews(state, said)
+        now = monotonic()
+        job = Job(call, b"", CATALOG, route, CATALOG.services_by_id["plain"], None, now, now + 5.0)
+        ended = asyncio.run(Dispatcher(state, ports, ports, CrashWatch(state, None)).run(job, None))
+        assert ports.may_go == [goes] and ended.err_value.ran == Ran.NOT_RUN
+
+
 def born(at_ms: int) -> Listed:
     return Listed(PLAIN.id, PLAIN.service, PLAIN.address, PLAIN.data_hall, PLAIN.slots, born=at_ms)
 
