Have endpoints turn requests away slowly at the end of a rest, so that the test of it can fail

Change: the stand-in may turn away late; at the end of the rest it takes 0.2 s. The bound is the same.

--- a/tests/standins/dialect.py
+++ b/tests/standins/dialect.py
@@ -102,8 +102,8 @@
 class Endpoint(Holder):
     """A plain service's endpoint, or an engine. Faults are fields:
 
-    refuse: this many requests are turned away. errors: this many runs end in 500. stray: this many answers
-    carry another request's id. break_after: streams are reset after that many events. hold_s: time before
+    refuse: this many requests are turned away, each after refuse_s. errors: this many runs end in 500.
+    stray: this many answers carry another request's id. break_after: streams are reset after that many events. hold_s: time before
     the answer. unframed_reset: this many answers without a length end in a reset. surplus: this many
     answers are followed by bytes that belong to nothing. crashes_on: a request whose body holds that crashes
     the endpoint `crash_s` after it began, heard: after the head of its answer; on_poison hears of each
@@ -120,6 +120,7 @@
     events_made: int = 5
     event_s: float = 0.005
     refuse: int = 0
+    refuse_s: float = 0.0
     errors: int = 0
     stray: int = 0
     unsigned: int = 0
@@ -234,6 +235,7 @@
         self.arrived.append((asyncio.get_running_loop().time(), call_id))
         if self.refuse:
             self.refuse -= 1
+            await asyncio.sleep(self.refuse_s)
             headers = {"Not-Executed": "1", "Request-Id": call_id, **self._said(call_id)}
             if self.rest is not None:
                 self.rested.append((asyncio.get_running_loop().time(), call_id, self.rest))
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -178,8 +178,10 @@
             assert min(told) >= 2.4 - (clock() - began) and len(set(told)) >= 20
             for endpoint in here.endpoints:
                 assert most_at_rest(endpoint, 2.5) <= MOST_AT_REST
-            # All callers come back at the very end of the rest, whatever they were told.
+            # All callers come back at the very end of the rest, before one is answered.
             await asyncio.sleep(began + 2.6 - clock())
+            for endpoint in here.endpoints:
+                endpoint.refuse_s = 0.2
             before = [len(endpoint.arrived) for endpoint in here.endpoints]
             herd = (here.call("/plain/x", call_id=f"box herd-{n}") for n in range(40))
             await asyncio.gather(*herd)
