--- a/tests/standins/dialect.py
+++ b/tests/standins/dialect.py
@@ -102,15 +102,15 @@
 class Endpoint(Holder):
     """A plain service's endpoint, or an engine. Faults are fields:
 
-    refuse: this many requests are turned away, each after refuse_s. errors: this many runs end in 500.
-    stray: this many answers carry another request's id. break_after: streams are reset after that many
-    events. hold_s: time before the answer. unframed_reset: this many answers without a length end in a reset.
-    surplus: this many answers are followed by bytes that belong to nothing. crashes_on: a request whose body holds that crashes
-    the endpoint `crash_s` after it began, heard: after the head of its answer; on_poison hears of each
-    beginning and each crash. limit: named in every answer as what it takes from all callers, where it is set;
-    leaving: likewise, that it leaves. rest: the time that is named where a request is turned away.
-    arrived, named: requests that were meant for it, and answers that named a limit, by the loop's clock;
-    told_leaving, rested: answers that said that it leaves, and that asked for rest.
+    refuse: this many requests are turned away, each after refuse_s. errors: this many runs end in 500. stray:
+    this many answers carry another request's id. break_after: streams are reset after that many events.
+    hold_s: time before the answer. unframed_reset: this many answers without a length end in a reset.
+    surplus: this many answers are followed by bytes that belong to nothing. crashes_on: a request whose body
+    holds that crashes the endpoint `crash_s` after it began, heard: after the head of its answer; on_poison
+    hears of each beginning and each crash. limit: named in every answer as what it takes from all callers,
+    where it is set; leaving: likewise, that it leaves. rest: the time that is named where a request is turned
+    away. arrived, named: requests that were meant for it, and answers that named a limit, by the loop's
+    clock; told_leaving, rested: answers that said that it leaves, and that asked for rest.
     """
 
     id: str = "i-1"
