--- /dev/null
+++ b/tests/test_statements_held.py
@@ -0,0 +1,153 @@
+"""What a box holds of what endpoints said: for how long, for which life, and that each decision asks it.
+
+The decisions alone, without processes: what tests with real boxes cannot time, as an entry that lapses, a
+rest that ends, news that comes between a choice and its sending.
+"""
+
+import asyncio
+from random import Random
+
+from result import Err
+
+from stairquay.adapters.clock import monotonic
+from stairquay.core.call import Call
+from stairquay.core.catalog import Route
+from stairquay.core.errors import ErrorKind, Ran
+from stairquay.core.fleet import Endpoint as Listed
+from stairquay.serving.choosing import Choice, Wanted, choose
+from stairquay.serving.crashes import CrashWatch
+from stairquay.serving.dispatch import Dispatcher
+from stairquay.serving.following import apply_endpoints
+from stairquay.serving.jobs import Job, Progress
+from stairquay.serving.messages import Outcome
+from stairquay.serving.ports import EndpointChanges, EngineReport, SendFailure, Statement
+from stairquay.serving.state import BoxState
+from stairquay.serving.statements import limit_of, rests_of, take_statement
+from stairquay.serving.telling import take_told, told_statements
+from tests.loads.test_limits_of_endpoints import CATALOG
+from tests.states import box_state
+
+PLAIN = Listed("p", "plain", "10.0.1.2:1", "hall-a", 8)
+
+
+def hears(state: BoxState, said: Statement, ago_s: float = 0.0) -> None:
+    """Take in an answer that came so long ago, to a request sent right before."""
+    at = monotonic() - ago_s
+    take_statement(state, PLAIN, state.of(PLAIN), said, at, at)
+
+
+def knowing() -> BoxState:
+    state = box_state("b-0")
+    state.catalog = CATALOG
+    apply_endpoints(state, EndpointChanges(1, True, (PLAIN,)), monotonic())
+    return state
+
+
+def chosen(state: BoxState) -> bool:
+    wanted = Wanted(CATALOG.services_by_id["plain"], rests_s=rests_of(state, monotonic()))
+    return choose(state, CATALOG, wanted, Random(1)) is not None
+
+
+def lapse_and_return(state: BoxState) -> None:
+    """Have the endpoint's entry vanish for longer than it is a last resort, and stand again as ready."""
+    apply_endpoints(state, EndpointChanges(2, True, (PLAIN,)), monotonic() - 100)
+    apply_endpoints(state, EndpointChanges(3, True, ()), monotonic())
+    assert not state.fleet.by_id
+    apply_endpoints(state, EndpointChanges(4, True, (PLAIN,)), monotonic())
+
+
+def test_what_an_endpoint_said_holds_where_its_entry_lapses_and_returns():
+    for said in (Statement(leaving=True), Statement(rest_s=30.0)):
+        state = knowing()
+        hears(state, said)
+        lapse_and_return(state)
+        assert not chosen(state)
+
+
+def test_a_limit_holds_where_its_entry_lapses_and_returns():
+    state = knowing()
+    hears(state, Statement(limit_per_s=2.0))
+    lapse_and_return(state)
+    assert limit_of(state.of(PLAIN)) == 2.0
+
+
+def test_rests_that_overlap_last_until_the_last_one_ends():
+    state = knowing()
+    for rest_s, ago_s in ((30.0, 3.0), (0.5, 2.0), (0.0, 1.0)):
+        hears(state, Statement(rest_s=rest_s), ago_s)
+        assert not chosen(state)
+
+
+def test_after_a_rest_one_request_goes_and_its_answer_ends_the_rest_or_prolongs_it():
+    state = knowing()
+    hears(state, Statement(rest_s=2.0), 3.0)
+    assert chosen(state)
+    hears(state, Statement(rest_s=2.0), 0.5)
+    assert not chosen(state)
+    state = knowing()
+    hears(state, Statement(rest_s=2.0), 3.0)
+    hears(state, Statement(), 0.5)
+    assert chosen(state) and not state.resting
+
+
+def test_a_new_life_under_the_same_id_is_bound_by_nothing_that_the_last_one_said():
+    for said in (Statement(leaving=True), Statement(rest_s=30.0)):
+        state = knowing()
+        apply_endpoints(state, EndpointChanges(2, True, (born(1_000),)), monotonic())
+        hears(state, said)
+        apply_endpoints(state, EndpointChanges(3, True, (born(1_000),)), monotonic())
+        assert not chosen(state)
+        apply_endpoints(state, EndpointChanges(4, True, (born(2_000),)), monotonic())
+        assert chosen(state)
+
+
+def test_a_life_that_was_only_reported_yet_is_not_told_to_be_leaving_as_the_last_one_is():
+    """Its entry is that of the last life still, which said that it leaves. Found by the soak, seed 5."""
+    state, other = knowing(), knowing()
+    apply_endpoints(state, EndpointChanges(2, True, (born(1_000),)), monotonic())
+    hears(state, Statement(leaving=True))
+    state.take_report(state.fleet.by_id[PLAIN.id], EngineReport(born=2_000), monotonic())
+    take_told(other, told_statements(state, monotonic()), monotonic())
+    apply_endpoints(other, EndpointChanges(3, True, (born(2_000),)), monotonic())
+    assert chosen(other)
+
+
+class LateNews:
+    """Ports of a request that learns, while its connection opens, what its endpoint said of its use."""
+
+    def __init__(self, state: BoxState, said: Statement) -> None:
+        self.state, self.said = state, said
+        self.may_go: list[bool] = []
+
+    async def choose(self, job: Job, progress: Progress, most_backlog_s: float | None) -> Choice | None:
+        return None if self.may_go else Choice(PLAIN)
+
+    def come_back_s(self, job: Job, progress: Progress) -> float | None:
+        return None
+
+    def all_rest_s(self, job: Job) -> float | None:
+        return None
+
+    def finished(self, choice: Choice, outcome: Outcome) -> None:
+        assert outcome == Outcome.NOT_SENT
+
+    async def send(self, call, body, dispatch, attempt, guard, wait_s) -> Err[SendFailure]:
+        hears(self.state, self.said)
+        self.may_go.append(guard())
+        return Err(SendFailure(ErrorKind.ENDPOINT_FAILED, Ran.NOT_RUN, "not sent", fault=False))
+
+
+def test_a_request_is_stopped_right_before_its_bytes_leave_where_its_endpoint_leaves_or_rests_by_then():
+    route = Route("plain", "svc", "/", (), timeout_s=5.0)
+    call = Call("call-1", "GET", "svc", "/x", "/x", ())
+    for said, goes in ((Statement(), True), (Statement(leaving=True), False), (Statement(rest_s=9), False)):
+        state = knowing()
+        ports = LateNews(state, said)
+        now = monotonic()
+        job = Job(call, b"", CATALOG, route, CATALOG.services_by_id["plain"], None, now, now + 5.0)
+        ended = asyncio.run(Dispatcher(state, ports, ports, CrashWatch(state, None)).run(job, None))
+        assert ports.may_go == [goes] and ended.err_value.ran == Ran.NOT_RUN
+
+
+def born(at_ms: int) -> Listed:
+    return Listed(PLAIN.id, PLAIN.service, PLAIN.address, PLAIN.data_hall, PLAIN.slots, born=at_ms)
