Fail a test in which a limit falls and each box sends one request at once

Symptom, on virtual time: an endpoint that lowers its limit from 25 to 1 a second gets 71, 195 or 330 requests in four seconds, one of each box, where 11 are borne; six boxes stay below. Cause, by reading: a pace that has been idle keeps its past moment when its rate falls, and counts as due. It has been so since limits are kept; the load tests press all the time, so that no pace is ever idle there.

--- /dev/null
+++ b/tests/loads/test_limits_that_fall.py
@@ -0,0 +1,48 @@
+"""Pattern: an endpoint's limit falls while most boxes have had nothing for it for a while, and then all have.
+
+The product's own decisions on virtual time. Each box sent one request under the old limit, is told of the new
+one, and has a request for the endpoint at some moment of the four seconds that begin three seconds later; what
+may come then is one and a half times the new limit and five more. 6, 71 and 195 boxes are the deployments', 330
+the largest that is planned. Seen first as a window four fifths full in a soak of four boxes (seed 56).
+"""
+
+from random import Random
+
+import pytest
+
+from stairquay.core.limits import LimitNews
+from stairquay.serving.pacing import count_sent, wait_s
+from stairquay.serving.state import BoxState
+from stairquay.serving.statements import take_limit
+from tests.loads.test_limits_of_endpoints import PLAIN, box_of
+
+WINDOW_S = 4.0
+KNOWN_S = 3.0
+BEFORE, AFTER = 25.0, 1.0
+SENT_AT, FELL_AT = 100.0, 130.0
+
+
+def names(state: BoxState, per_s: float, at: float) -> None:
+    take_limit(state, PLAIN, state.of(PLAIN), LimitNews(per_s, at, at))
+
+
+def sends(state: BoxState, at: float, chance: Random) -> bool:
+    if wait_s(state, PLAIN, at, chance) > 0:
+        return False
+    count_sent(state, PLAIN, at, chance)
+    return True
+
+
+@pytest.mark.parametrize("boxes", (6, 71, 195, 330))
+def test_boxes_that_had_nothing_to_send_keep_to_a_limit_that_fell(boxes):
+    chance = Random(boxes)
+    came = 0
+    for number in range(boxes):
+        state = box_of(f"b-{number}", boxes)
+        names(state, BEFORE, SENT_AT)
+        at = SENT_AT
+        while not sends(state, at, chance):
+            at += 0.1
+        names(state, AFTER, FELL_AT)
+        came += sends(state, FELL_AT + KNOWN_S + chance.random() * WINDOW_S, chance)
+    assert came <= 1.5 * AFTER * WINDOW_S + 5
