--- a/stairquay/adapters/ports.py
+++ b/stairquay/adapters/ports.py
@@ -6,6 +6,7 @@
 
 from result import Result
 
+from stairquay.core.position import Positioned
 from stairquay.core.row import Row
 
 if TYPE_CHECKING:
@@ -56,18 +57,20 @@
 
 
 @dataclass(frozen=True)
-class Committed:
+class Committed(Positioned):
     """The revision at which a commit's rows were written."""
 
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True)
-class Changes:
+class Changes(Positioned):
     """Rows with a key prefix that changed after a given revision, complete up to `revision`."""
 
     revision: int
     rows: tuple[Row, ...]
+    era: int = 0
 
 
 class Table(Protocol):
--- a/stairquay/control/leader.py
+++ b/stairquay/control/leader.py
@@ -60,7 +60,7 @@
         current = _decode_lease(row)
         if row is not None and current is not None and not self._is_own_row(row, current):
             self.held = None
-            self.observed = observe(self.observed, current, row.revision, monotonic())
+            self.observed = observe(self.observed, current, row.position, monotonic())
             if not self.observed.expired(monotonic()):
                 return
         await self._write(row, current)
@@ -71,14 +71,14 @@
         if held is None:
             return
         released = LeaseRow("", held.row.token, 0.0, held.row.renewal + 1)
-        await self.table.commit(_lease_commit(released, held.revision))
+        await self.table.commit(_lease_commit(released, held.position.revision))
 
     def _is_own_row(self, row: Row, current: LeaseRow) -> bool:
         """Tell whether this process wrote the row last and still holds the lease."""
         return (
             self.held is not None
             and current.holder == self.name
-            and row.revision == self.held.revision
+            and row.position == self.held.position
             and self.held.may_act(monotonic())
         )
 
@@ -92,7 +92,7 @@
         if not renewing:
             self.acquired_at = monotonic()
             logging.info("control lease acquired, fencing token %d", new_row.token)
-        self.held = HeldLease(new_row, outcome.ok_value.revision, sent_at)
+        self.held = HeldLease(new_row, outcome.ok_value.position, sent_at)
 
 
 def _decode_lease(row: Row | None) -> LeaseRow | None:
--- a/stairquay/core/lease.py
+++ b/stairquay/core/lease.py
@@ -6,13 +6,26 @@
 
 from dataclasses import dataclass
 
+from stairquay.core.position import Position
+
 HOLDER_SHARE = 0.6
 """Share of the lease in which the holder may act; the rest covers pauses and orders in transit."""
 
 
+FIRST_ERA = 1
+"""Era of a table service that was never restored."""
+
+ERA_BITS = 32
+"""Bits of a token below its era."""
+
+
 @dataclass(frozen=True)
 class LeaseRow:
-    """The stored lease: `token` increments with every change of holder, `renewal` with every write."""
+    """The stored lease: `token` increments with every change of holder, `renewal` with every write.
+
+    A token is higher than all of earlier eras of the table service, since a restore may have lost the row
+    with the last one.
+    """
 
     holder: str
     token: int
@@ -25,7 +38,7 @@
     """The holder's view; `sent_at` is the monotonic time just before its last write."""
 
     row: LeaseRow
-    revision: int
+    position: Position
     sent_at: float
 
     def may_act(self, now: float) -> bool:
@@ -35,10 +48,10 @@
 
 @dataclass(frozen=True)
 class ObservedLease:
-    """Another process's view; `first_seen` is its monotonic time when it first read this revision."""
+    """Another process's view; `first_seen` is its monotonic time when it first read this position."""
 
     row: LeaseRow
-    revision: int
+    position: Position
     first_seen: float
 
     def expired(self, now: float) -> bool:
@@ -46,17 +59,23 @@
         return now >= self.first_seen + self.row.duration_s
 
 
-def observe(previous: ObservedLease | None, row: LeaseRow, revision: int, now: float) -> ObservedLease:
+def observe(previous: ObservedLease | None, row: LeaseRow, position: Position, now: float) -> ObservedLease:
     """Return the view after a read; an unchanged row keeps its `first_seen`."""
-    if previous is not None and previous.revision == revision:
+    if previous is not None and previous.position == position:
         return previous
-    return ObservedLease(row, revision, now)
+    return ObservedLease(row, position, now)
+
+
+def first_token(era: int) -> int:
+    """Return the lowest token of an era; those of the first era begin at 1."""
+    return (max(0, era - FIRST_ERA) << ERA_BITS) + 1
 
 
-def next_lease_row(current: LeaseRow | None, holder: str, duration_s: float) -> LeaseRow:
-    """Return the row by which `holder` acquires or renews the lease."""
+def next_lease_row(current: LeaseRow | None, holder: str, duration_s: float, era: int = 0) -> LeaseRow:
+    """Return the row by which `holder` acquires or renews the lease in an era."""
+    lowest = first_token(era)
     if current is None:
-        return LeaseRow(holder, 1, duration_s)
-    if current.holder == holder:
+        return LeaseRow(holder, lowest, duration_s)
+    if current.holder == holder and current.token >= lowest:
         return LeaseRow(holder, current.token, duration_s, current.renewal + 1)
-    return LeaseRow(holder, current.token + 1, duration_s, current.renewal + 1)
+    return LeaseRow(holder, max(lowest, current.token + 1), duration_s, current.renewal + 1)
--- a/stairquay/platform/feeds.py
+++ b/stairquay/platform/feeds.py
@@ -20,6 +20,7 @@
 )
 from stairquay.core.cold import ColdLimit
 from stairquay.core.fleet import Endpoint
+from stairquay.core.position import Position
 from stairquay.platform.names import (
     CONFIG_KEY,
     ENDPOINT_TABLE,
@@ -167,8 +168,8 @@
             return Err(FeedFault.UNREACHED)
         return Ok(operator_changes(found.ok_value, whole=True))
 
-    async def follow_operators(self, after: int, wait_s: float) -> Result[OperatorChanges, FeedFault]:
-        """Long-poll for changes after a revision."""
+    async def follow_operators(self, after: Position, wait_s: float) -> Result[OperatorChanges, FeedFault]:
+        """Long-poll for changes after a position."""
         found = await self.client.feed(OPERATOR_TABLE, after, wait_s)
         return found.map(lambda rows: operator_changes(rows, whole=False))
 
@@ -179,8 +180,8 @@
             return Err(FeedFault.UNREACHED)
         return Ok(endpoint_changes(found.ok_value, whole=True))
 
-    async def follow_endpoints(self, after: int, wait_s: float) -> Result[EndpointChanges, FeedFault]:
-        """Long-poll for changes of the list after a revision."""
+    async def follow_endpoints(self, after: Position, wait_s: float) -> Result[EndpointChanges, FeedFault]:
+        """Long-poll for changes of the list after a position."""
         found = await self.client.feed(ENDPOINT_TABLE, after, wait_s)
         return found.map(lambda rows: endpoint_changes(rows, whole=False))
 
@@ -217,6 +218,7 @@
         versions,
         evacuated=tuple(halls_by_removed[False]),
         returned=tuple(halls_by_removed[True]),
+        era=rows.era,
     )
 
 
@@ -235,7 +237,7 @@
         except DECODE_ERRORS as error:
             unreadable[row.key] = str(error)
             gone.append(row.key)
-    return EndpointChanges(rows.ver, whole, tuple(present), tuple(gone), unreadable=unreadable)
+    return EndpointChanges(rows.ver, whole, tuple(present), tuple(gone), unreadable=unreadable, era=rows.era)
 
 
 def _decode_endpoint(row: WireRow, text: str) -> Endpoint:
--- a/stairquay/platform/rows.py
+++ b/stairquay/platform/rows.py
@@ -2,18 +2,22 @@
 
 import asyncio
 from base64 import b64decode, b64encode
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
-from aiohttp import ClientError, ClientSession
+from absl import logging
+from aiohttp import ClientError, ClientResponse, ClientSession
 from result import Err, Ok, Result
 
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.ports import Changes, Commit, Committed, Conflict, PlatformFault
 from stairquay.core.clock import ClockOffset
+from stairquay.core.position import Position
 from stairquay.core.row import Row
-from stairquay.platform.names import COMMIT_PATH, FEED_PATH, OWN_TABLE, ROWS_PATH
+from stairquay.platform.names import COMMIT_PATH, ERA, FEED_PATH, OWN_TABLE, ROWS_PATH
 from stairquay.serving.ports import FeedFault
 
 RESPONSE_TIMEOUT_S = 0.7
@@ -47,12 +51,25 @@
 
 
 class WireRows(msgspec.Struct):
-    """A page of rows. ver: revision up to which it is complete. now_ms: the service's monotonic clock."""
+    """A page of rows. ver: revision up to which it is complete. now_ms: the service's monotonic clock.
+
+    era: from a header, since the body does not name it.
+    """
 
     rows: list[WireRow] = []
     more: bool = False
     ver: int = 0
     now_ms: float = 0.0
+    era: int = 0
+
+
+@dataclass(frozen=True)
+class Answer:
+    """An answer of the table service. era: 0 if it names none, or one that is not a number."""
+
+    status: int
+    content: bytes
+    era: int
 
 
 class TableClient:
@@ -62,11 +79,12 @@
         self.url = f"http://{address}"
         self.session = session
         self.clock_offset: ClockOffset | None = None
+        self.newest_era = 0
 
     async def rows(self, table: str, start: str = "") -> Result[WireRows, PlatformFault]:
-        """Read all pages of a table from a key on; the revision returned is that of the first page."""
+        """Read all pages of a table from a key on; the position returned is that of the first page."""
         found: list[WireRow] = []
-        revision: int | None = None
+        first: WireRows | None = None
         start_at = start
         while True:
             query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
@@ -75,16 +93,23 @@
             page = await self._get(ROWS_PATH, query, RESPONSE_TIMEOUT_S)
             if isinstance(page, Err):
                 return Err(PlatformFault.UNREACHED)
-            revision = page.ok_value.ver if revision is None else revision
+            first = page.ok_value if first is None else first
+            if page.ok_value.era != first.era:
+                # Restored between two pages, which do not belong together.
+                return Err(PlatformFault.UNREACHED)
             found.extend(page.ok_value.rows)
             if not page.ok_value.more or not page.ok_value.rows:
-                return Ok(WireRows(found, False, revision))
+                return Ok(WireRows(found, False, first.ver, era=first.era))
             start_at = page.ok_value.rows[-1].key + "\0"
 
-    async def feed(self, table: str, after: int, wait_s: float) -> Result[WireRows, FeedFault]:
-        """Long-poll for the rows of a table that changed after a revision."""
-        query = {"table": table, "after": str(after), "wait_ms": str(int(wait_s * 1000))}
-        return await self._get(FEED_PATH, query, wait_s + RESPONSE_TIMEOUT_S)
+    async def feed(self, table: str, after: Position, wait_s: float) -> Result[WireRows, FeedFault]:
+        """Long-poll for the rows of a table that changed after a position."""
+        query = {"table": table, "after": str(after.revision), "wait_ms": str(int(wait_s * 1000))}
+        changes = await self._get(FEED_PATH, query, wait_s + RESPONSE_TIMEOUT_S)
+        if not isinstance(changes, Err) and changes.ok_value.era != after.era:
+            # The revision asked for names another state in this era.
+            return Err(FeedFault.HISTORY_GONE)
+        return changes
 
     async def commit(
         self, commit: Commit, table: str = OWN_TABLE
@@ -100,42 +125,55 @@
             "remove": [_row_id(table, item.key) for item in commit.writes if item.value is None],
         }
         requested_at = monotonic()
-        try:
-            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                async with self.session.post(self.url + COMMIT_PATH, json=body) as response:
-                    content = await response.read()
-        except (ClientError, TimeoutError, OSError):
+        answer = await self._exchange(
+            lambda: self.session.post(self.url + COMMIT_PATH, json=body), RESPONSE_TIMEOUT_S
+        )
+        if answer is None:
             return Err(PlatformFault.UNKNOWN)
-        if response.status == HTTP_OK:
-            return Ok(Committed(self._decode(content, requested_at).ver))
-        if response.status == HTTP_CONFLICT:
-            rows = msgspec.json.decode(content, type=WireRows).rows
-            return Ok(Conflict(tuple(decode_row(row) for row in rows)))
-        refused = response.status in (HTTP_TOO_MANY, HTTP_UNAVAILABLE)
+        if answer.status == HTTP_OK:
+            return Ok(Committed(self._decode(answer, requested_at).ver, answer.era))
+        if answer.status == HTTP_CONFLICT:
+            rows = msgspec.json.decode(answer.content, type=WireRows).rows
+            return Ok(Conflict(tuple(decode_row(row, answer.era) for row in rows)))
+        refused = answer.status in (HTTP_TOO_MANY, HTTP_UNAVAILABLE)
         return Err(PlatformFault.UNREACHED if refused else PlatformFault.UNKNOWN)
 
     async def _get(
         self, path: str, query: Mapping[str, str], timeout_s: float
     ) -> Result[WireRows, FeedFault]:
         requested_at = monotonic()
-        try:
-            async with asyncio.timeout(timeout_s):
-                async with self.session.get(self.url + path, params=query) as response:
-                    content = await response.read()
-        except (ClientError, TimeoutError, OSError):
+        answer = await self._exchange(lambda: self.session.get(self.url + path, params=query), timeout_s)
+        if answer is None:
             return Err(FeedFault.UNREACHED)
-        if response.status == HTTP_GONE:
+        if answer.status == HTTP_GONE:
             return Err(FeedFault.HISTORY_GONE)
-        if response.status != HTTP_OK:
+        if answer.status != HTTP_OK:
             return Err(FeedFault.UNREACHED)
         try:
-            return Ok(self._decode(content, requested_at))
+            return Ok(self._decode(answer, requested_at))
         except msgspec.MsgspecError:
             return Err(FeedFault.UNREACHED)
 
-    def _decode(self, content: bytes, requested_at: float) -> WireRows:
+    async def _exchange(
+        self, call: Callable[[], AbstractAsyncContextManager[ClientResponse]], timeout_s: float
+    ) -> Answer | None:
+        """Return the answer to a call, or None if none came in time, or one of an era that is over."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with call() as response:
+                    content = await response.read()
+        except (ClientError, TimeoutError, OSError):
+            return None
+        answer = Answer(response.status, content, decode_era(response.headers.get(ERA)))
+        if 0 < answer.era < self.newest_era:
+            return None
+        self.newest_era = max(self.newest_era, answer.era)
+        return answer
+
+    def _decode(self, answer: Answer, requested_at: float) -> WireRows:
         """Decode a page of rows and update the clock offset from it."""
-        found = msgspec.json.decode(content, type=WireRows)
+        found = msgspec.json.decode(answer.content, type=WireRows)
+        found.era = answer.era
         if found.now_ms > 0:
             measured = ClockOffset.from_exchange(found.now_ms / 1000, requested_at, monotonic())
             self.clock_offset = (
@@ -150,17 +188,21 @@
     def __init__(self, client: TableClient) -> None:
         self.client = client
 
-    async def get(self, key: str) -> Result[Row | None, PlatformFault]:
-        """Return a row, or None if there is none."""
-        found = await self.list_prefix(key)
-        return found.map(lambda rows: next((row for row in rows if row.key == key), None))
+    async def get(self, key: str) -> Result[Row, PlatformFault]:
+        """Return a row; its value is None if there is none."""
+        found = await self.client.rows(OWN_TABLE, key)
+        if isinstance(found, Err):
+            return found
+        era = found.ok_value.era
+        rows = (decode_row(row, era) for row in found.ok_value.rows)
+        return Ok(next((row for row in rows if row.key == key), Row(key, None, 0, era)))
 
     async def list_prefix(self, prefix: str) -> Result[tuple[Row, ...], PlatformFault]:
         """Return all rows whose keys have a prefix."""
         found = await self.client.rows(OWN_TABLE, prefix)
         if isinstance(found, Err):
             return found
-        rows = (decode_row(row) for row in found.ok_value.rows)
+        rows = (decode_row(row, found.ok_value.era) for row in found.ok_value.rows)
         return Ok(tuple(row for row in rows if row.key.startswith(prefix)))
 
     async def commit(self, commit: Commit) -> Result[Committed | Conflict, PlatformFault]:
@@ -184,8 +226,8 @@
         found = await self.client.rows(self.table)
         return Err(FeedFault.UNREACHED) if isinstance(found, Err) else Ok(_changes(found.ok_value))
 
-    async def follow(self, after: int, wait_s: float) -> Result[Changes, FeedFault]:
-        """Long-poll for rows that changed after a revision."""
+    async def follow(self, after: Position, wait_s: float) -> Result[Changes, FeedFault]:
+        """Long-poll for rows that changed after a position."""
         return (await self.client.feed(self.table, after, wait_s)).map(_changes)
 
     async def commit(self, commit: Commit) -> Result[Committed | Conflict, PlatformFault]:
@@ -198,15 +240,25 @@
 
 
 def _changes(found: WireRows) -> Changes:
-    return Changes(found.ver, tuple(decode_row(row) for row in found.rows))
+    return Changes(found.ver, tuple(decode_row(row, found.era) for row in found.rows), found.era)
+
+
+def decode_era(header: str | None) -> int:
+    """Return the era that an answer names, or 0 if it names none or one that is not a number."""
+    if header is None:
+        return 0
+    if not header.isascii() or not header.isdecimal():
+        logging.log_first_n(logging.WARNING, "the table service names the era %r", 1, header)
+        return 0
+    return int(header)
 
 
-def decode_row(row: WireRow) -> Row:
+def decode_row(row: WireRow, era: int = 0) -> Row:
     """Decode a row of our own tables; an undecodable value becomes empty, which all readers reject."""
     try:
-        return Row(row.key, row.text(), row.ver)
+        return Row(row.key, row.text(), row.ver, era)
     except ValueError:
-        return Row(row.key, "", row.ver)
+        return Row(row.key, "", row.ver, era)
 
 
 def _row_id(table: str, key: str) -> dict[str, Any]:
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -10,6 +10,7 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.ports import Commit, Committed, Condition, Write
 from stairquay.core.clock import ClockOffset
+from stairquay.core.position import Position
 from stairquay.core.routers import Member, pick_routers
 from stairquay.core.row import Row
 from stairquay.serving.endpoint import NEVER
@@ -71,7 +72,11 @@
         self.random = random
         self.revision: int | None = None
         self.beat = 0
-        self.last_change_by_key: dict[str, tuple[int, float]] = {}
+        self.last_change_by_key: dict[str, tuple[Position, float]] = {}
+        self.era = 0
+        self.rows_by_key: dict[str, Row] = {}
+        # Rows that a restore of the table service lost, until they are written again.
+        self.lost_rows_by_key: dict[str, Row] = {}
         self.published_versions: dict[str, int] = {}
 
     async def run(self) -> None:
@@ -87,15 +92,18 @@
             pause_s = self._next_pause_s() * (1 + JITTER * (self.random.random() - 0.5))
             await self.state.changed.wait_for(self._has_unpublished_versions, pause_s)
 
-    def _apply_rows(self, rows: tuple[Row, ...]) -> None:
+    def _apply_rows(self, found: tuple[Row, ...]) -> None:
         now = monotonic()
+        self.revision = next(
+            (row.revision for row in found if row.key == KEY_PREFIX + self.state.settings.id), 0
+        )
+        rows = (*found, *self._lost_rows(found))
         self.last_change_by_key = {row.key: self._last_change(row, now) for row in rows}
         own = KEY_PREFIX + self.state.settings.id
         timeout_s = MISSED_HEARTBEATS * self._heartbeat_interval_s()
         alive = [
             row for row in rows if now - self.last_change_by_key[row.key][1] < timeout_s and row.key != own
         ]
-        self.revision = next((row.revision for row in rows if row.key == own), 0)
         members = [_member(row) for row in alive] + [self.state.member]
         self.state.boxes = tuple(sorted(member.id for member in members))
         if self.state.boxes_known_at == NEVER:
@@ -103,6 +111,19 @@
         self._use_routers(pick_routers(members) or (self.state.member,))
         self._learn_target_versions(rows)
 
+    def _lost_rows(self, found: tuple[Row, ...]) -> tuple[Row, ...]:
+        """Return the rows that a restore lost and that are not back yet.
+
+        Their boxes write them again with the next heartbeat, and count as gone only if that fails to come.
+        """
+        self.state.observe_era(max((row.position for row in found), default=Position()))
+        if self.state.era > self.era:
+            self.lost_rows_by_key, self.era = dict(self.rows_by_key), self.state.era
+        self.rows_by_key = {row.key: row for row in found}
+        for key in self.rows_by_key:
+            self.lost_rows_by_key.pop(key, None)
+        return tuple(self.lost_rows_by_key.values())
+
     def _use_routers(self, routers: tuple[Member, ...]) -> None:
         if routers == self.state.routers:
             return
@@ -120,11 +141,11 @@
             FIRST_HEARTBEAT_INTERVAL_S * HEARTBEAT_INTERVAL_GROWTH ** max(0, self.beat - 1),
         )
 
-    def _last_change(self, row: Row, now: float) -> tuple[int, float]:
+    def _last_change(self, row: Row, now: float) -> tuple[Position, float]:
         before = self.last_change_by_key.get(row.key)
-        if before is not None and before[0] == row.revision:
+        if before is not None and before[0] == row.position:
             return before
-        return row.revision, now
+        return row.position, now
 
     async def _write_heartbeat(self) -> bool:
         """Write this box's row; tell whether it was written."""
--- a/stairquay/serving/crash_rows.py
+++ b/stairquay/serving/crash_rows.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from random import random
 
 import msgspec
 from absl import logging
@@ -14,6 +15,7 @@
 from stairquay.adapters.ports import Changes, Commit, Committed, Condition, Write
 from stairquay.core.clock import ClockOffset
 from stairquay.core.crashes import CRASH_TTL_S, Crash
+from stairquay.core.position import NO_POSITION
 from stairquay.core.row import Row
 from stairquay.serving.ports import CrashTable, FeedFault
 from stairquay.serving.quarantine import CrashReport
@@ -22,6 +24,9 @@
 BATCH_S = 0.2
 """Seconds for which crashes are collected before a write, since a crash breaks many connections."""
 
+REWRITE_SPREAD_S = 0.8
+"""Seconds over which boxes write their rows again after a restore of the table service."""
+
 WRITE_PAUSE_S = 0.8
 """Seconds between two writes of a box, since calls to the table service are billed."""
 
@@ -59,13 +64,15 @@
         self.state = state
         self.table = table
         self.revision = 0
+        self.written_era = 0
 
     async def publish(self) -> None:
         """Write this box's row whenever it is out of date, until cancelled."""
         quarantine = self.state.quarantine
         while True:
             await quarantine.changed.wait_for(lambda: quarantine.unpublished)
-            await asyncio.sleep(BATCH_S)
+            restored = 0 < self.written_era < self.state.era
+            await asyncio.sleep(random() * REWRITE_SPREAD_S if restored else BATCH_S)
             while quarantine.unpublished:
                 quarantine.unpublished = False
                 written = await self._write()
@@ -76,21 +83,22 @@
     async def follow(self) -> None:
         """Apply the rows of all boxes while this box has to read them itself, until cancelled."""
         quarantine = self.state.quarantine
+        history_gone = False
         while True:
             if not self._must_follow():
                 quarantine.clear_rows()
                 await self.state.changed.wait_for(self._must_follow)
             asked_at = monotonic()
-            whole = quarantine.rows_revision < 0
+            whole = history_gone or quarantine.rows_position == NO_POSITION
             answer = await (
-                self.table.read() if whole else self.table.follow(quarantine.rows_revision, LONG_POLL_S)
+                self.table.read() if whole else self.table.follow(quarantine.rows_position, LONG_POLL_S)
             )
             if isinstance(answer, Err):
-                if answer.err_value == FeedFault.HISTORY_GONE:
-                    quarantine.rows_revision = -1
-                    continue
-                await asyncio.sleep(RETRY_S)
+                history_gone = answer.err_value == FeedFault.HISTORY_GONE
+                if not history_gone:
+                    await asyncio.sleep(RETRY_S)
                 continue
+            history_gone = False
             self._apply(answer.ok_value, whole)
             quarantine.rows_asked_at = asked_at
             await self._remove_old(answer.ok_value)
@@ -105,10 +113,13 @@
             return
         reports = {row.key: None if row.value is None else decode(row, offset) for row in changes.rows}
         quarantine = self.state.quarantine
-        quarantine.rows_revision = changes.revision
+        self.state.observe_era(changes.position)
+        # Boxes write rows again that a restore has lost; until then, what was read of them holds.
+        restored = quarantine.rows_position != NO_POSITION and changes.era != quarantine.rows_position.era
+        quarantine.rows_position = changes.position
         if whole or reports:
-            quarantine.rows_changed_revision = changes.revision
-            quarantine.apply_rows(reports, whole)
+            quarantine.rows_changed_position = changes.position
+            quarantine.apply_rows(reports, whole and not restored)
 
     async def _remove_old(self, changes: Changes) -> None:
         """Delete rows whose entries have all expired, such as those of boxes that are gone."""
@@ -137,7 +148,7 @@
             return False
         outcome = answer.ok_value
         if isinstance(outcome, Committed):
-            self.revision = outcome.revision
+            self.revision, self.written_era = outcome.revision, outcome.era
             return True
         # An earlier process wrote the row, or a write whose answer was lost succeeded.
         current = next((item for item in outcome.rows if item.key == key and item.value is not None), None)
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -9,12 +9,13 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.catalog import Catalog
+from stairquay.core.position import NO_POSITION, Position
 from stairquay.serving.cold import cold_for_s
 from stairquay.serving.endpoint import NEVER
 from stairquay.serving.evacuation import apply_evacuations
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.ports import EndpointChanges, FeedFault, Feeds, OperatorChanges
-from stairquay.serving.state import BoxState
+from stairquay.serving.state import RESTORE_GRACE_S, BoxState
 
 Changes = TypeVar("Changes", OperatorChanges, EndpointChanges)
 
@@ -58,7 +59,7 @@
             follow=feeds.follow_operators,
             apply=apply,
             on_unreachable=lambda: None,
-            snapshot_needed=lambda: False,
+            snapshot_needed=lambda: _operators_provisional(state),
             snapshot_interval_s=OPERATORS_SNAPSHOT_INTERVAL_S,
             pause_s=lambda: 0.0,
         ),
@@ -99,7 +100,7 @@
 
     name: str
     read: Callable[[], Awaitable[Result[Changes, FeedFault]]]
-    follow: Callable[[int, float], Awaitable[Result[Changes, FeedFault]]]
+    follow: Callable[[Position, float], Awaitable[Result[Changes, FeedFault]]]
     apply: Callable[[Changes, float], None]
     on_unreachable: Callable[[], None]
     snapshot_needed: Callable[[], bool]
@@ -109,22 +110,24 @@
 
 async def _follow(state: BoxState, feed: Feed[Changes]) -> None:
     """Read a snapshot, then follow changes, with further snapshots."""
-    revision: int | None = None
+    position = NO_POSITION
     snapshot_at = float("-inf")
     lost = False
     failures = 0
     while True:
         asked_at = monotonic()
         whole = (
-            revision is None or feed.snapshot_needed() or asked_at - snapshot_at > feed.snapshot_interval_s
+            position == NO_POSITION
+            or feed.snapshot_needed()
+            or asked_at - snapshot_at > feed.snapshot_interval_s
         )
         wait_s = ROUTER_LONG_POLL_S if state.is_follower else LONG_POLL_S
-        answer = await (feed.read() if whole or revision is None else feed.follow(revision, wait_s))
+        answer = await (feed.read() if whole else feed.follow(position, wait_s))
         outcome = answer.err_value.value if isinstance(answer, Err) else "ok"
         state.metrics.table_calls.labels(feed.name, outcome).inc()
         if isinstance(answer, Err):
             if answer.err_value == FeedFault.HISTORY_GONE:
-                revision = None
+                position = NO_POSITION
                 continue
             feed.on_unreachable()
             lost = _log_lost(state, feed.name, lost)
@@ -134,7 +137,7 @@
         failures = 0
         lost = _log_regained(state, feed.name, lost)
         feed.apply(answer.ok_value, asked_at)
-        revision = answer.ok_value.revision
+        position = answer.ok_value.position
         snapshot_at = asked_at if whole else snapshot_at
         await asyncio.sleep(feed.pause_s())
 
@@ -153,13 +156,16 @@
 
 
 def apply_operators(state: BoxState, changes: OperatorChanges, asked_at: float) -> None:
-    """Apply a newer configuration, and record new target versions."""
+    """Apply a newer configuration, and record new target versions. A view of an earlier era is ignored."""
+    if changes.era < state.operators_position.era:
+        return
+    state.observe_era(changes.position)
     if changes.unreadable:
         state.log.line(LogEvent.CONFIGURATION, outcome="kept", unreadable=changes.unreadable)
     before = _operators_state(state)
     apply_evacuations(state, changes)
     if changes.catalog is not None:
-        _apply_catalog(state, changes.catalog)
+        _apply_catalog(state, changes.catalog, changes)
     if state.view_asked_at == NEVER:
         state.target_versions_at_start = dict(changes.versions_by_model)
     # A version may have been set right after the last view without it was requested.
@@ -170,24 +176,47 @@
             state.target_version_by_model[model] = version
             state.record_target_version(model, version, named_at, "operators")
     after = _operators_state(state)
-    if before != after:
-        state.operators_changed_revision = changes.revision
-    state.operators_revision = changes.revision
+    # Boxes that know an earlier era have to get all of this one.
+    if before != after or changes.era > state.operators_position.era:
+        state.operators_changed_position = changes.position
+    state.operators_position = changes.position
+    if changes.whole and not changes.forwarded:
+        state.operators_snapshot_at = asked_at
     state.view_asked_at = max(state.view_asked_at, asked_at - changes.behind_s)
     if before != after:
         state.changed.notify_all()
 
 
-def _operators_state(state: BoxState) -> tuple[int | None, dict[str, int], frozenset[str]]:
-    version = None if state.catalog is None else state.catalog.version
-    return version, dict(state.target_version_by_model), state.evacuated
+def _operators_provisional(state: BoxState) -> bool:
+    """Tell whether the last snapshot was read shortly after a restore, and may be complete by now."""
+    return state.operators_snapshot_at < state.restored_at + RESTORE_GRACE_S and not state.in_restore_grace()
+
+
+def _operators_state(state: BoxState) -> tuple[Catalog | None, dict[str, int], frozenset[str]]:
+    return state.catalog, dict(state.target_version_by_model), state.evacuated
+
+
+def _supersedes(state: BoxState, catalog: Catalog, changes: OperatorChanges) -> bool:
+    """Tell whether a configuration that was read replaces the one in force.
+
+    Operators' version numbers rise, except that they may be issued again after a restore of the table
+    service. There, an older one is held back for as long as the newest may have to be written again.
+    """
+    previous = state.catalog
+    if previous is None or catalog.version > previous.version:
+        return True
+    if changes.era <= state.catalog_era or catalog == previous:
+        return False
+    return catalog.version == previous.version or changes.forwarded or not state.in_restore_grace()
 
 
-def _apply_catalog(state: BoxState, catalog: Catalog) -> None:
+def _apply_catalog(state: BoxState, catalog: Catalog, changes: OperatorChanges) -> None:
     previous = state.catalog
-    if previous is not None and catalog.version <= previous.version:
+    if not _supersedes(state, catalog, changes):
+        if catalog == previous:
+            state.catalog_era = changes.era
         return
-    state.catalog = catalog
+    state.catalog, state.catalog_era = catalog, changes.era
     state.log.line(
         LogEvent.CONFIGURATION,
         outcome="in_force",
@@ -200,7 +229,13 @@
 
 
 def apply_endpoints(state: BoxState, changes: EndpointChanges, asked_at: float) -> None:
-    """Apply changes of the list, and log those of an endpoint's status."""
+    """Apply changes of the list, and log those of an endpoint's status.
+
+    A view of an earlier era is ignored.
+    """
+    if changes.era < state.list_position.era:
+        return
+    state.observe_era(changes.position)
     before = _status_by_id(state)
     live_before = state.fleet.live()
     now = monotonic()
@@ -210,14 +245,15 @@
     else:
         state.fleet.apply(changes.present, changes.gone, now, earliest_removal)
     state.list_asked_at = asked_at - changes.behind_s
-    if not state.fleet_known or state.fleet.live() != live_before:
-        state.list_changed_revision = changes.revision
-    state.list_revision = changes.revision
+    # Boxes that know an earlier era have to get all of this one.
+    if not state.fleet_known or state.fleet.live() != live_before or changes.era > state.list_position.era:
+        state.list_changed_position = changes.position
+    state.list_position = changes.position
     state.fleet_known = True
     state.drop_removed_endpoints()
     _apply_cold(state, changes, now)
     _report_unreadable(state, changes)
-    if state.list_changed_revision == state.list_revision:
+    if state.list_changed_position == state.list_position:
         state.changed.notify_all()
     after = _status_by_id(state)
     for endpoint_id, status in after.items():
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -16,6 +16,7 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.holdings import PartKey
 from stairquay.core.placement import prefill_s
+from stairquay.core.position import NO_POSITION, Position
 from stairquay.core.routers import Engine, engines_of
 from stairquay.serving.cold import cold_for_s
 from stairquay.serving.crash_rows import STALE_S
@@ -312,7 +313,7 @@
         state = self.state
         return (
             0.0
-            if state.operators_changed_revision > request.after
+            if state.operators_changed_position > request.known_in(state.operators_position.era)
             else state.view_valid_for_s(state.view_age())
         )
 
@@ -320,28 +321,34 @@
         """Return the seconds until the list of endpoints needs a new reply, 0 if it has changed."""
         state = self.state
         return (
-            0.0 if state.list_changed_revision > request.after else state.list_valid_for_s(state.list_age())
+            0.0
+            if state.list_changed_position > request.known_in(state.list_position.era)
+            else state.list_valid_for_s(state.list_age())
         )
 
     def _operators_reply(self, request: OperatorsRequest, received_at: float) -> OperatorsReply:
         state = self.state
-        revision = state.operators_revision
-        if state.operators_changed_revision > request.after:
+        position = state.operators_position
+        if state.operators_changed_position > request.known_in(position.era):
             named, evacuated = dict(state.target_version_by_model), tuple(sorted(state.evacuated))
-            changes = OperatorChanges(revision, True, state.catalog, "", named, evacuated=evacuated)
+            changes = OperatorChanges(
+                position.revision, True, state.catalog, "", named, evacuated=evacuated, era=position.era
+            )
         else:
-            changes = OperatorChanges(revision, False)
-        changed, crashes = self._crashes_since(request.crashes_known)
+            changes = OperatorChanges(position.revision, False, era=position.era)
+        changed, crashes = self._crashes_since(request.crashes_known_in(position.era))
         now = monotonic()
         said = feedback_for_peers(state, now, frozenset(item.endpoint for item in request.said))
-        return OperatorsReply(changes, state.view_age(), now - received_at, changed, crashes, said)
+        return OperatorsReply(
+            changes, state.view_age(), now - received_at, changed.revision, crashes, said, changed.era
+        )
 
-    def _crashes_since(self, known: int) -> tuple[int, PeerCrashes | None]:
-        """Return the revision of the last change to the crash rows, and the crashes if that isn't `known`."""
+    def _crashes_since(self, known: Position) -> tuple[Position, PeerCrashes | None]:
+        """Return the position of the last change to the crash rows, and the crashes if that isn't `known`."""
         quarantine, now = self.state.quarantine, monotonic()
-        if quarantine.rows_revision < 0 or now - quarantine.rows_asked_at > STALE_S:
-            return -1, None
-        if quarantine.rows_changed_revision == known:
+        if quarantine.rows_position == NO_POSITION or now - quarantine.rows_asked_at > STALE_S:
+            return NO_POSITION, None
+        if quarantine.rows_changed_position == known:
             return known, None
         report = quarantine.report_to_forward()
         crashes = tuple(
@@ -349,14 +356,15 @@
             for crash in report.crashes
         )
         cleared = tuple((digest, now - at) for digest, at in report.cleared.items())
-        return quarantine.rows_changed_revision, PeerCrashes(crashes, cleared)
+        return quarantine.rows_changed_position, PeerCrashes(crashes, cleared)
 
     def _endpoints_reply(self, request: EndpointsRequest) -> EndpointsReply:
         state = self.state
-        if state.list_changed_revision > request.after:
-            changes = EndpointChanges(state.list_revision, True, self._listed_endpoints())
+        position = state.list_position
+        if state.list_changed_position > request.known_in(position.era):
+            changes = EndpointChanges(position.revision, True, self._listed_endpoints(), era=position.era)
         else:
-            changes = EndpointChanges(state.list_revision, False)
+            changes = EndpointChanges(position.revision, False, era=position.era)
         return EndpointsReply(changes, state.list_age())
 
     def _listed_endpoints(self) -> tuple[Endpoint, ...]:
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from stairquay.core.limits import UNLIMITED
+from stairquay.core.position import Position
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
 
 
@@ -141,23 +142,34 @@
 
 
 class OperatorsRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Asks for operators' rows that changed after a revision, waiting up to `wait_s` seconds.
+    """Asks for operators' rows that changed after a position, waiting up to `wait_s` seconds.
 
-    crashes_known: the last revision of crash rows that the sender knows. said: feedback of endpoints.
+    crashes_known: the last revision of crash rows that the sender knows. said: feedback of endpoints. era,
+    crashes_era: of both revisions; None from a sender that does not know eras.
     """
 
     after: int
     wait_s: float
     crashes_known: int = -1
     said: tuple[PeerFeedback, ...] = ()
+    era: int | None = None
+    crashes_era: int | None = None
+
+    def known_in(self, era: int) -> Position:
+        """Return the position that the sender knows. era: assumed if it does not name one."""
+        return Position(era if self.era is None else self.era, self.after)
+
+    def crashes_known_in(self, era: int) -> Position:
+        """Return the position of the crash rows that the sender knows, likewise."""
+        return Position(era if self.crashes_era is None else self.crashes_era, self.crashes_known)
 
 
 class OperatorsReply(msgspec.Struct, frozen=True, array_like=True):
     """A router's view of operators' rows.
 
     age_s: age of the view when this was sent, in seconds. held_s: seconds for which the router held the
-    request. crashes_revision: last revision of crash rows, -1 where the router does not follow them. crashes:
-    None where the request named that revision. said: feedback of endpoints.
+    request. crashes_revision: last revision of crash rows, -1 where the router does not follow them.
+    crashes_era: its era. crashes: None where the request named that revision. said: feedback of endpoints.
     """
 
     changes: OperatorChanges
@@ -166,13 +178,22 @@
     crashes_revision: int = -1
     crashes: PeerCrashes | None = None
     said: tuple[PeerFeedback, ...] = ()
+    crashes_era: int = 0
 
 
 class EndpointsRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Asks for the list of endpoints if it changed after a revision, waiting up to `wait_s` seconds."""
+    """Asks for the list of endpoints if it changed after a position, waiting up to `wait_s` seconds.
+
+    era: as in OperatorsRequest.
+    """
 
     after: int
     wait_s: float
+    era: int | None = None
+
+    def known_in(self, era: int) -> Position:
+        """Return the position that the sender knows. era: assumed if it does not name one."""
+        return Position(era if self.era is None else self.era, self.after)
 
 
 class EndpointsReply(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -45,6 +45,14 @@
         self.table_calls = Counter(
             "stairquay_table_calls", "Calls to the table service", ["call", "outcome"], registry=registry
         )
+        self.era = Gauge(
+            "stairquay_table_era",
+            "Era of the table service, which rises with each restore",
+            registry=registry,
+        )
+        self.restores = Counter(
+            "stairquay_table_restores", "Restores of the table service that were seen", registry=registry
+        )
         self.peer_calls = Counter(
             "stairquay_peer_calls", "Calls to engines and store boxes", ["call", "outcome"], registry=registry
         )
--- a/stairquay/serving/orders.py
+++ b/stairquay/serving/orders.py
@@ -8,13 +8,22 @@
 from dataclasses import replace
 
 import msgspec
-from result import Err
+from result import Err, Result
 
 from stairquay.adapters.clock import monotonic
-from stairquay.adapters.ports import Commit, Committed, Condition, Write
+from stairquay.adapters.ports import Commit, Committed, Condition, Conflict, PlatformFault, Write
 from stairquay.core.fleet import Endpoint
-from stairquay.core.lease import HeldLease, LeaseRow, ObservedLease, next_lease_row, observe
+from stairquay.core.lease import (
+    FIRST_ERA,
+    HeldLease,
+    LeaseRow,
+    ObservedLease,
+    next_lease_row,
+    observe,
+)
+from stairquay.core.position import Position
 from stairquay.core.rollout import EngineState, IssuedOrder, Order, next_orders, outdated
+from stairquay.serving.endpoint import NEVER
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.ports import OrderAnswer, OwnTable, Peers, VersionOrder
 from stairquay.serving.state import BoxState
@@ -38,6 +47,8 @@
         self.peers = peers
         self.held_lease: HeldLease | None = None
         self.observed_lease: ObservedLease | None = None
+        # Position of the lease's row when it was last read, with revision 0 if there was none.
+        self.lease_position = Position()
         self.issued: dict[tuple[str, int], IssuedOrder] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -131,10 +142,9 @@
         if self.held_lease is not None:
             if self.held_lease.may_act(monotonic()):
                 return True
-            return await self._write_lease(self.held_lease.row, self.held_lease.revision)
-        if self.observed_lease is None:
-            return await self._write_lease(None, 0)
-        return await self._write_lease(self.observed_lease.row, self.observed_lease.revision)
+            return await self._write_lease(self.held_lease.row, self.held_lease.position)
+        current = None if self.observed_lease is None else self.observed_lease.row
+        return await self._write_lease(current, self.lease_position)
 
     async def _may_acquire(self) -> bool:
         """Read the lease; tell whether this box may acquire it."""
@@ -142,39 +152,53 @@
         if isinstance(found, Err):
             await asyncio.sleep(LEASE_POLL_INTERVAL_S)
             return False
-        row = found.ok_value
-        if row is None or row.value is None:
+        row, now = found.ok_value, monotonic()
+        self.state.observe_era(row.position)
+        self.lease_position = row.position
+        if row.value is None:
             self.observed_lease = None
-            return True
-        current = msgspec.json.decode(row.value, type=LeaseRow)
-        now = monotonic()
-        self.observed_lease = observe(self.observed_lease, current, row.revision, now)
-        # To the endpoints, a box that held the lease before its restart is the same holder.
-        if current.holder == self.state.settings.id:
-            return True
-        handover_s = self.state.settings.lease.handover_s
-        if now >= self.observed_lease.first_seen + current.duration_s + handover_s:
+        else:
+            current = msgspec.json.decode(row.value, type=LeaseRow)
+            self.observed_lease = observe(self.observed_lease, current, row.position, now)
+        if now >= self._acquirable_at():
             return True
         await asyncio.sleep(LEASE_POLL_INTERVAL_S)
         return False
 
-    async def _write_lease(self, current: LeaseRow | None, revision: int) -> bool:
+    def _acquirable_at(self) -> float:
+        """Return the time from which no other box can act under a lease, also if its row was lost.
+
+        To the endpoints, a box that held the lease before its restart is the same holder.
+        """
+        state, observed, lease = self.state, self.observed_lease, self.state.settings.lease
+        at = state.era_since + lease.duration_s + lease.handover_s if state.era > FIRST_ERA else NEVER
+        if observed is None or observed.row.holder == state.settings.id:
+            return at
+        return max(at, observed.first_seen + observed.row.duration_s + lease.handover_s)
+
+    async def _write_lease(self, current: LeaseRow | None, position: Position) -> bool:
         holder = self.state.settings.id
-        row = next_lease_row(current, holder, self.state.settings.lease.duration_s)
+        row = next_lease_row(current, holder, self.state.settings.lease.duration_s, position.era)
         if self.held_lease is None and current is not None and current.holder == holder:
-            row = replace(row, token=current.token + 1)
+            row = replace(row, token=max(row.token, current.token + 1))
         sent_at = monotonic()
         value = msgspec.json.encode(row).decode()
-        commit = Commit("", (Condition(LEASE_KEY, revision),), (Write(LEASE_KEY, value),))
+        commit = Commit("", (Condition(LEASE_KEY, position.revision),), (Write(LEASE_KEY, value),))
         answer = await self.own.commit(commit)
-        if not isinstance(answer, Err) and isinstance(answer.ok_value, Committed):
+        cause = _write_failure(answer, position.era)
+        if not isinstance(answer, Err) and isinstance(answer.ok_value, Committed) and not cause:
             if self.held_lease is None:
-                self.state.log.line(LogEvent.LEASE, outcome="taken", fence=row.token, revision=revision)
-            self.held_lease = HeldLease(row, answer.ok_value.revision, sent_at)
+                self.state.log.line(
+                    LogEvent.LEASE,
+                    outcome="taken",
+                    fence=row.token,
+                    era=position.era,
+                    revision=position.revision,
+                )
+            self.held_lease = HeldLease(row, answer.ok_value.position, sent_at)
             self.state.metrics.leading.set(1)
             return self.held_lease.may_act(monotonic())
         if self.held_lease is not None:
-            cause = answer.err_value.value if isinstance(answer, Err) else "conflict"
             self.state.log.line(LogEvent.LEASE, outcome="lost", fence=self.held_lease.row.token, cause=cause)
         self.held_lease = None
         self.state.metrics.leading.set(0)
@@ -219,3 +243,13 @@
             lease_age_s=monotonic() - lease.sent_at,
             outcome=answer.value,
         )
+
+
+def _write_failure(answer: Result[Committed | Conflict, PlatformFault], era: int) -> str:
+    """Return why a write gives no lease, or an empty text. era: in which the write's condition was read."""
+    if isinstance(answer, Err):
+        return answer.err_value.value
+    if isinstance(answer.ok_value, Conflict):
+        return "conflict"
+    # The condition's revision names another state in another era.
+    return "restored" if answer.ok_value.era != era else ""
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -17,6 +17,7 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.holdings import PartEvent, PartKey
 from stairquay.core.limits import UNLIMITED
+from stairquay.core.position import Position, Positioned
 from stairquay.core.row import Row
 
 
@@ -26,11 +27,12 @@
     UNREACHED = "unreached"
 
     HISTORY_GONE = "history_gone"
-    """The changes after that revision are no longer kept: a snapshot has to be read."""
+    """The changes after that position are no longer kept, or the table service was restored since: a
+    snapshot has to be read."""
 
 
 @dataclass(frozen=True)
-class OperatorChanges:
+class OperatorChanges(Positioned):
     """Changes of the operators' configuration, or a snapshot of it (`whole`).
 
     catalog: None if it did not change, or is invalid (`unreadable` says why).
@@ -48,10 +50,13 @@
     evacuated: tuple[str, ...] = ()
     # Data halls whose evacuation has ended.
     returned: tuple[str, ...] = ()
+    era: int = 0
+    # A router sent this, not the table service.
+    forwarded: bool = False
 
 
 @dataclass(frozen=True)
-class EndpointChanges:
+class EndpointChanges(Positioned):
     """Changed entries of the list of endpoints, and the ids of removed ones; or a snapshot (`whole`).
 
     behind_s: as in OperatorChanges. unreadable: errors by id of invalid entries, which `gone` also lists.
@@ -63,6 +68,7 @@
     gone: tuple[str, ...] = ()
     behind_s: float = 0.0
     unreadable: dict[str, str] = field(default_factory=dict)
+    era: int = 0
 
 
 class Feeds(Protocol):
@@ -71,21 +77,21 @@
     async def read_operators(self) -> Result[OperatorChanges, FeedFault]:
         """Read the configuration and the target versions."""
 
-    async def follow_operators(self, after: int, wait_s: float) -> Result[OperatorChanges, FeedFault]:
-        """Wait for changes after a revision."""
+    async def follow_operators(self, after: Position, wait_s: float) -> Result[OperatorChanges, FeedFault]:
+        """Wait for changes after a position."""
 
     async def read_endpoints(self) -> Result[EndpointChanges, FeedFault]:
         """Read the list of endpoints."""
 
-    async def follow_endpoints(self, after: int, wait_s: float) -> Result[EndpointChanges, FeedFault]:
-        """Wait for changes of the list after a revision."""
+    async def follow_endpoints(self, after: Position, wait_s: float) -> Result[EndpointChanges, FeedFault]:
+        """Wait for changes of the list after a position."""
 
 
 class OwnTable(Protocol):
     """The table for rows of the boxes: the lease and the heartbeats."""
 
-    async def get(self, key: str) -> Result[Row | None, PlatformFault]:
-        """Return a row, or None where there is none."""
+    async def get(self, key: str) -> Result[Row, PlatformFault]:
+        """Return a row; its value is None where there is none."""
 
     async def list_prefix(self, prefix: str) -> Result[tuple[Row, ...], PlatformFault]:
         """Return all rows whose keys begin with a prefix."""
@@ -103,8 +109,8 @@
     async def read(self) -> Result[Changes, FeedFault]:
         """Read all rows."""
 
-    async def follow(self, after: int, wait_s: float) -> Result[Changes, FeedFault]:
-        """Wait for rows that change after a revision."""
+    async def follow(self, after: Position, wait_s: float) -> Result[Changes, FeedFault]:
+        """Wait for rows that change after a position."""
 
     async def commit(self, commit: Commit) -> Result[Committed | Conflict, PlatformFault]:
         """Write all rows if all conditions hold."""
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -16,6 +16,7 @@
     find_quarantined,
     unexplained_crashes,
 )
+from stairquay.core.position import NO_POSITION, Position
 from stairquay.serving.change_notifier import ChangeNotifier
 from stairquay.serving.endpoint import NEVER
 from stairquay.serving.event_log import EventLog, LogEvent
@@ -68,15 +69,15 @@
         self.cleared: dict[str, float] = {}
         # Reports in the rows of all boxes, empty while this box does not follow them.
         self.reports_by_key: dict[str, CrashReport] = {}
-        # Revision of the view of the rows, and of its last change; -1 for none.
-        self.rows_revision = -1
-        self.rows_changed_revision = -1
+        # Position of the view of the rows, and of its last change.
+        self.rows_position = NO_POSITION
+        self.rows_changed_position = NO_POSITION
         self.rows_asked_at = NEVER
         # Latest report from a router, kept until the rows are read.
         self.router_report = CrashReport()
         self.router_reporting = False
-        # `rows_changed_revision` of the router that reported.
-        self.router_revision = -1
+        # `rows_changed_position` of the router that reported.
+        self.router_position = NO_POSITION
         # When this box last served a request, by digest.
         self.served_at: OrderedDict[str, float] = OrderedDict()
         # Whether this box's row is out of date.
@@ -135,22 +136,27 @@
         self._mark_unpublished()
         self._on_reports_changed()
 
+    def republish(self) -> None:
+        """Have this box's row written again, since the table service may have lost it."""
+        if self.own_crashes or self.cleared:
+            self._mark_unpublished()
+
     def clear_rows(self) -> None:
         """Drop all rows, as this box no longer follows them."""
         self.reports_by_key.clear()
-        self.rows_revision = -1
+        self.rows_position = NO_POSITION
 
-    def apply_router_report(self, report: CrashReport, revision: int) -> None:
-        """Replace the router's report. revision: its `rows_changed_revision`."""
+    def apply_router_report(self, report: CrashReport, position: Position) -> None:
+        """Replace the router's report. position: its `rows_changed_position`."""
         self.router_reporting = True
         self.router_report = report
-        self.router_revision = revision
+        self.router_position = position
         self._on_reports_changed()
 
     def end_router_reports(self) -> None:
         """Note that no router reports now; its last report is kept until the rows are read."""
         self.router_reporting = False
-        self.router_revision = -1
+        self.router_position = NO_POSITION
 
     def report_to_forward(self) -> CrashReport:
         """Return clearances, and crashes of requests that are quarantined or present at several crashes."""
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -13,6 +13,7 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.crashes import Crash
+from stairquay.core.position import NO_POSITION, Position
 from stairquay.core.routers import routers_for
 from stairquay.serving.links import RouterClient, RouterClients
 from stairquay.serving.messages import (
@@ -63,13 +64,13 @@
     async def read_operators(self) -> Result[OperatorChanges, FeedFault]:
         """Read the configuration and the target versions."""
         timeout_s = self._timeout_s()
-        request = self._operators_request(self.state.operators_revision, 0.0)
+        request = self._operators_request(self.state.operators_position, 0.0)
         reply = await self._request(lambda link: link.operators(request, timeout_s), "operators' rows")
         changes = self._accept_operators(reply, 0.0)
         return Ok(changes) if changes is not None else await self.feeds.read_operators()
 
-    async def follow_operators(self, after: int, wait_s: float) -> Result[OperatorChanges, FeedFault]:
-        """Wait for changes of operators' rows after a revision."""
+    async def follow_operators(self, after: Position, wait_s: float) -> Result[OperatorChanges, FeedFault]:
+        """Wait for changes of operators' rows after a position."""
         hold_s = self._hold_s(wait_s)
         if self.state.list_from_router:
             views, pending_s = await self._follow_both_views(hold_s)
@@ -83,19 +84,19 @@
     async def read_endpoints(self) -> Result[EndpointChanges, FeedFault]:
         """Read the list of endpoints."""
         timeout_s = self._timeout_s()
-        request = EndpointsRequest(self.state.list_revision, 0.0)
+        request = _endpoints_request(self.state.list_position, 0.0)
         reply = await self._request(lambda link: link.endpoints(request, timeout_s), "the list of endpoints")
         changes = self._accept_endpoints(reply, 0.0)
         return Ok(changes) if changes is not None else await self.feeds.read_endpoints()
 
-    async def follow_endpoints(self, after: int, wait_s: float) -> Result[EndpointChanges, FeedFault]:
-        """Wait for changes of the list after a revision."""
+    async def follow_endpoints(self, after: Position, wait_s: float) -> Result[EndpointChanges, FeedFault]:
+        """Wait for changes of the list after a position."""
         hold_s = self._hold_s(wait_s)
         if self.operators_from_router:
             views, pending_s = await self._follow_both_views(hold_s)
             reply = None if views is None else views.endpoints
         else:
-            request, timeout_s, pending_s = EndpointsRequest(after, hold_s), self._timeout_s(), 0.0
+            request, timeout_s, pending_s = _endpoints_request(after, hold_s), self._timeout_s(), 0.0
             reply = await self._request(
                 lambda link: link.endpoints(request, timeout_s), "the list of endpoints"
             )
@@ -105,26 +106,35 @@
     def _accept_operators(self, reply: OperatorsReply | None, pending_s: float) -> OperatorChanges | None:
         """Return a router's changes, None without a reply or if the view has expired.
 
+        A router that has not heard of a restore of the table service has no view either for a box that has.
         pending_s: age of the request when the caller began to wait for it.
         """
-        self.operators_from_router = reply is not None and not self.state.view_expired(reply.age_s)
+        state, known = self.state, self.state.operators_position
+        self.operators_from_router = (
+            reply is not None
+            and not state.view_expired(reply.age_s)
+            and _era_of(reply.changes, known) >= known.era
+        )
         if reply is None or not self.operators_from_router:
-            self._apply_crash_report(-1, None)
+            self._apply_crash_report(NO_POSITION, None)
             return None
-        self._apply_crash_report(reply.crashes_revision, reply.crashes)
+        self._apply_crash_report(Position(reply.crashes_era, reply.crashes_revision), reply.crashes)
         apply_peer_feedback(self.state, reply.said, monotonic())
         # `age_s` is the age when the reply was made; `behind_s` is the age when the caller began to wait.
-        return replace(reply.changes, behind_s=reply.age_s - reply.held_s + pending_s)
+        behind_s = reply.age_s - reply.held_s + pending_s
+        era = _era_of(reply.changes, known)
+        return replace(reply.changes, behind_s=behind_s, forwarded=True, era=era)
 
-    def _operators_request(self, after: int, hold_s: float) -> OperatorsRequest:
+    def _operators_request(self, after: Position, hold_s: float) -> OperatorsRequest:
         feedback = feedback_for_peers(self.state, monotonic())
-        return OperatorsRequest(after, hold_s, self.state.quarantine.router_revision, feedback)
+        crashes = self.state.quarantine.router_position
+        return OperatorsRequest(after.revision, hold_s, crashes.revision, feedback, after.era, crashes.era)
 
-    def _apply_crash_report(self, revision: int, report: PeerCrashes | None) -> None:
-        """Apply a router's crash report. revision: -1 for none; report: None if unchanged."""
+    def _apply_crash_report(self, position: Position, report: PeerCrashes | None) -> None:
+        """Apply a router's crash report. position: NO_POSITION for none; report: None if unchanged."""
         quarantine, now = self.state.quarantine, monotonic()
         was_reporting = quarantine.router_reporting
-        if revision < 0:
+        if position.revision < 0:
             quarantine.end_router_reports()
         elif report is not None:
             crashes = tuple(
@@ -132,15 +142,20 @@
                 for item in report.crashes
             )
             cleared = {digest: now - ago_s for digest, ago_s in report.cleared}
-            quarantine.apply_router_report(CrashReport(crashes, cleared), revision)
+            quarantine.apply_router_report(CrashReport(crashes, cleared), position)
         if was_reporting != quarantine.router_reporting:
             self.state.changed.notify_all()
 
     def _accept_endpoints(self, reply: EndpointsReply | None, pending_s: float) -> EndpointChanges | None:
-        self.state.list_from_router = reply is not None and not self.state.list_expired(reply.age_s)
-        if reply is None or not self.state.list_from_router:
+        state, known = self.state, self.state.list_position
+        state.list_from_router = (
+            reply is not None
+            and not state.list_expired(reply.age_s)
+            and _era_of(reply.changes, known) >= known.era
+        )
+        if reply is None or not state.list_from_router:
             return None
-        return replace(reply.changes, behind_s=reply.age_s + pending_s)
+        return replace(reply.changes, behind_s=reply.age_s + pending_s, era=_era_of(reply.changes, known))
 
     async def _follow_both_views(self, hold_s: float) -> tuple[ViewsReply | None, float]:
         """Return a router's reply with both views, and the age of its request when this call began.
@@ -157,8 +172,8 @@
     async def _request_views(self, hold_s: float) -> ViewsReply | None:
         state = self.state
         request = ViewsRequest(
-            self._operators_request(state.operators_revision, hold_s),
-            EndpointsRequest(state.list_revision, hold_s),
+            self._operators_request(state.operators_position, hold_s),
+            _endpoints_request(state.list_position, hold_s),
         )
         return await self._request(lambda link: link.views(request, self._timeout_s()), "both views")
 
@@ -183,3 +198,12 @@
         if router is None:
             return None
         return self.links.record_answer(router, await ask(self.links.client_for(router)), question)
+
+
+def _era_of(changes: OperatorChanges | EndpointChanges, known: Position) -> int:
+    """Return the era of a router's view, the known one for a router of an earlier release, which names none."""
+    return changes.era or known.era
+
+
+def _endpoints_request(after: Position, hold_s: float) -> EndpointsRequest:
+    return EndpointsRequest(after.revision, hold_s, after.era)
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -7,6 +7,7 @@
 from stairquay.core.catalog import Catalog
 from stairquay.core.fleet import Endpoint, Fleet
 from stairquay.core.holdings import Holdings
+from stairquay.core.position import Position
 from stairquay.core.routers import Member, capacity, pick_followers, pick_placing_routers
 from stairquay.core.versions import VersionHistory
 from stairquay.serving.change_notifier import ChangeNotifier
@@ -34,6 +35,10 @@
 MAX_LIST_AGE_SHARE = 0.5
 """Share of the drain time up to which a router's list of endpoints is used."""
 
+RESTORE_GRACE_S = 2.0
+"""Seconds after a restore of the table service in which operators repeat writes that were lost. A snapshot of
+their rows that was read in that time takes nothing back."""
+
 
 @dataclass
 class BoxState:
@@ -62,18 +67,27 @@
     # Ids of boxes believed alive.
     boxes: tuple[str, ...] = ()
     boxes_known_at: float = NEVER
-    # Revision up to which the view of the configuration is complete, and that of its last change.
-    operators_revision: int = 0
-    operators_changed_revision: int = 0
+    # Era of the table service, 0 until it has answered; when this box first saw it, and whether that was at a
+    # restore.
+    era: int = 0
+    era_since: float = NEVER
+    restored_at: float = NEVER
+    # Position up to which the view of the configuration is complete, and that of its last change.
+    operators_position: Position = Position()
+    operators_changed_position: Position = Position()
+    # When the last snapshot of operators' rows was requested from the table service.
+    operators_snapshot_at: float = NEVER
+    # Era in which the table service last returned the configuration in force.
+    catalog_era: int = 0
     # When the newest list of endpoints was requested.
     list_asked_at: float = NEVER
     # When the table service last gave no answer about the list.
     list_unreachable_at: float = NEVER
     # Whether a router forwarded the newest list.
     list_from_router: bool = False
-    # Revision up to which the list is complete, and that of its last change.
-    list_revision: int = 0
-    list_changed_revision: int = 0
+    # Position up to which the list is complete, and that of its last change.
+    list_position: Position = Position()
+    list_changed_position: Position = Position()
     # Boxes that route prompts for all boxes.
     routers: tuple[Member, ...] = ()
     # Ids of engines that this box routes for.
@@ -86,9 +100,9 @@
     limited: set[str] = field(default_factory=set)
     # Ids of endpoints that asked this box to back off.
     backing_off: set[str] = field(default_factory=set)
-    # Data halls that get no new work, as of a revision of the configuration.
+    # Data halls that get no new work, as of a position of the configuration.
     evacuated: frozenset[str] = frozenset()
-    evacuated_revision: int = 0
+    evacuated_position: Position = Position()
     evacuation_ended_at_by_hall: dict[str, float] = field(default_factory=dict)
     # Ids of malformed list entries.
     unreadable: set[str] = field(default_factory=set)
@@ -130,6 +144,33 @@
         box_capacity = capacity(settings.cores, settings.link_mbps)
         return Member(settings.id, settings.peer_address, box_capacity, settings.data_hall)
 
+    def observe_era(self, position: Position) -> None:
+        """Record the era of a position that was read; a later one than known means a restore."""
+        if position.era <= self.era:
+            return
+        before = max(self.operators_position, self.list_position)
+        restored = self.era > 0
+        self.era, self.era_since = position.era, monotonic()
+        self.metrics.era.set(position.era)
+        if not restored:
+            return
+        self.restored_at = self.era_since
+        self.metrics.restores.inc()
+        self.log.line(
+            LogEvent.DEPENDENCY,
+            name="table service",
+            outcome="restored",
+            era=position.era,
+            revision=position.revision,
+            era_before=before.era,
+            revision_before=before.revision,
+        )
+        self.quarantine.republish()
+
+    def in_restore_grace(self) -> bool:
+        """Tell whether the table service may still lack rows that are about to be written again."""
+        return monotonic() - self.restored_at < RESTORE_GRACE_S
+
     def suspect(self, router: str, for_s: float) -> None:
         """Skip a router that did not answer, for a number of seconds."""
         now = monotonic()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -25,6 +25,7 @@
 from stairquay.core.membership import Membership
 from stairquay.core.models import Box, BoxKind, BoxList, BoxState, EngineCosts, Workspace
 from stairquay.core.ownership import rank_owners
+from stairquay.core.position import Position
 from stairquay.core.residency import EngineCache, Segment, StoredBlock, StoredBlockIndex
 from stairquay.core.retention import KEEP_THRESHOLD, ReturnRates, TurnCounter, choose_evictions, excess_bytes
 from stairquay.core.retry import Ejector, RetryBudget
@@ -275,9 +276,9 @@
 
 def test_a_holder_stops_before_a_rival_may_start():
     row = LeaseRow("a", 3, 10.0)
-    held_lease = HeldLease(row, 7, sent_at=100.0)
-    rival = observe(None, row, 7, 100.5)
-    rival = observe(rival, row, 7, 104.0)
+    held_lease = HeldLease(row, Position(1, 7), sent_at=100.0)
+    rival = observe(None, row, Position(1, 7), 100.5)
+    rival = observe(rival, row, Position(1, 7), 104.0)
     assert not held_lease.may_act(100.0 + 10.0 * HOLDER_SHARE)
     assert not rival.expired(110.0) and rival.expired(110.5)
 
--- a/tests/test_crash_rows.py
+++ b/tests/test_crash_rows.py
@@ -9,6 +9,7 @@
 from stairquay.adapters.ports import Changes, Committed, Conflict, PlatformFault
 from stairquay.core.clock import ClockOffset
 from stairquay.core.crashes import CRASH_TTL_S, Crash
+from stairquay.core.position import NO_POSITION, Position
 from stairquay.core.row import Row
 from stairquay.serving.crash_rows import CrashRowSync, decode
 from stairquay.serving.local_router import LocalRouter
@@ -129,7 +130,7 @@
     async def follow(self, after, wait_s):
         self.polls += 1
         await asyncio.sleep(wait_s)
-        return Ok(Changes(after, ()))
+        return Ok(Changes(after.revision, (), after.era))
 
 
 def test_a_router_that_follows_the_rows_tells_of_them_all_the_time():
@@ -143,7 +144,7 @@
         follower = asyncio.create_task(row_sync.follow())
         await asyncio.sleep(0.1)
         while table.polls < 4:
-            assert router._crashes_since(-1)[0] == 1
+            assert router._crashes_since(NO_POSITION)[0] == Position(0, 1)
             await asyncio.sleep(0.02)
         follower.cancel()
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -7,6 +7,7 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.fleet import Endpoint
+from stairquay.core.position import Position
 from stairquay.core.routers import Member
 from stairquay.serving.following import follow_endpoints
 from stairquay.serving.messages import (
@@ -24,6 +25,7 @@
 
 LONG_POLL_S = 0.3
 AGE_S = 0.1
+KNOWN_OPERATORS, KNOWN_LIST = Position(0, 5), Position(0, 6)
 
 
 class StubRouter:
@@ -69,7 +71,7 @@
 def shared_feeds(router: StubRouter) -> SharedFeeds:
     state = box_state("b-9")
     state.routers = (Member("r-1", "one"), Member("r-2", "two"))
-    state.operators_revision, state.list_revision = 5, 6
+    state.operators_position, state.list_position = KNOWN_OPERATORS, KNOWN_LIST
     state.list_from_router = True
     feeds = SharedFeeds(state, TableService(), router)
     feeds.operators_from_router = True
@@ -82,7 +84,7 @@
         feeds = shared_feeds(router)
         for round_number in (1, 2):
             operators, endpoints = await asyncio.gather(
-                feeds.follow_operators(5, 0.7), feeds.follow_endpoints(6, 0.7)
+                feeds.follow_operators(KNOWN_OPERATORS, 0.7), feeds.follow_endpoints(KNOWN_LIST, 0.7)
             )
             assert len(router.asked) == round_number
             assert operators.ok_value.revision == 7 and endpoints.ok_value.revision == 8
@@ -95,12 +97,12 @@
     async def scenario():
         router = StubRouter(held_s=1.5)
         feeds = shared_feeds(router)
-        first = asyncio.create_task(feeds.follow_operators(5, 0.7))
+        first = asyncio.create_task(feeds.follow_operators(KNOWN_OPERATORS, 0.7))
         await asyncio.sleep(0)
         began = monotonic()
         await asyncio.sleep(0.2)
         late_s = monotonic() - began
-        late = await feeds.follow_endpoints(6, 0.7)
+        late = await feeds.follow_endpoints(KNOWN_LIST, 0.7)
         assert len(router.asked) == 1
         assert late.ok_value.behind_s == pytest.approx(AGE_S + late_s, abs=0.05)
         assert late.ok_value.behind_s >= AGE_S + late_s
@@ -113,7 +115,7 @@
     async def scenario():
         feeds = shared_feeds(StubRouter(age_s=10.0))
         operators, endpoints = await asyncio.gather(
-            feeds.follow_operators(5, 0.7), feeds.follow_endpoints(6, 0.7)
+            feeds.follow_operators(KNOWN_OPERATORS, 0.7), feeds.follow_endpoints(KNOWN_LIST, 0.7)
         )
         assert (operators.ok_value.revision, endpoints.ok_value.revision) == (7, 99)
 
@@ -129,10 +131,10 @@
         router.answers_at_once = True
         feeds = shared_feeds(router)
         feeds.feeds.wait_s = 5.0
-        following = asyncio.create_task(feeds.follow_endpoints(6, 0.7))
+        following = asyncio.create_task(feeds.follow_endpoints(KNOWN_LIST, 0.7))
         end = monotonic() + 1.0
         while monotonic() < end:
-            assert (await feeds.follow_operators(5, 0.7)).ok_value.revision == 7
+            assert (await feeds.follow_operators(KNOWN_OPERATORS, 0.7)).ok_value.revision == 7
         assert router.request_count <= 6
         following.cancel()
 
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -8,6 +8,7 @@
 
 from stairquay.box import start_box
 from stairquay.core.lease import HeldLease, LeaseRow
+from stairquay.core.position import Position
 from stairquay.serving.following import apply_endpoints, apply_operators
 from stairquay.serving.orders import RolloutController
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
@@ -44,7 +45,7 @@
     apply_endpoints(state, EndpointChanges(1, True), now_of("following"))
     state.suspect("box-2", 3.0)
     controller = RolloutController(state, None, None)
-    controller.held_lease = HeldLease(LeaseRow("b-1", 1, 3.0), 1, now_of("orders"))
+    controller.held_lease = HeldLease(LeaseRow("b-1", 1, 3.0), Position(1, 1), now_of("orders"))
     assert state.keys_fresh() and controller.held_lease.may_act(now_of("orders"))
     suspend()
     assert not state.keys_fresh()
