Take no requests before the crashes that other boxes reported are known

Cause: readiness asked for configuration and endpoints only; the rows about crashes are read beside them. A second cause behind it: calls timed out after 0.7 s, so that rows that take 1 s were never read.

Change: ready() and the front end ask for both, for 2 s from the first configuration at most; the read of these rows has 1.5 s. The rows are requested at the start as before, so that calls do not rise.

--- a/stairquay/platform/rows.py
+++ b/stairquay/platform/rows.py
@@ -23,6 +23,9 @@
 RESPONSE_TIMEOUT_S = 0.7
 """Timeout of a call in seconds, on top of the wait of a long poll."""
 
+SNAPSHOT_TIMEOUT_S = 1.5
+"""Timeout of a call for rows that boxes wait for at their start, also of a slow table service."""
+
 PAGE_ROWS = 500
 """Rows requested per page."""
 
@@ -81,7 +84,9 @@
         self.clock_offset: ClockOffset | None = None
         self.newest_era = 0
 
-    async def rows(self, table: str, start: str = "") -> Result[WireRows, PlatformFault]:
+    async def rows(
+        self, table: str, start: str = "", timeout_s: float = RESPONSE_TIMEOUT_S
+    ) -> Result[WireRows, PlatformFault]:
         """Read all pages of a table from a key on; the position returned is that of the first page."""
         found: list[WireRow] = []
         first: WireRows | None = None
@@ -90,7 +95,7 @@
             query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
             if start_at:
                 query["from"] = start_at
-            page = await self._get(ROWS_PATH, query, RESPONSE_TIMEOUT_S)
+            page = await self._get(ROWS_PATH, query, timeout_s)
             if isinstance(page, Err):
                 return Err(PlatformFault.UNREACHED)
             first = page.ok_value if first is None else first
@@ -223,7 +228,7 @@
 
     async def read(self) -> Result[Changes, FeedFault]:
         """Read all rows."""
-        found = await self.client.rows(self.table)
+        found = await self.client.rows(self.table, timeout_s=SNAPSHOT_TIMEOUT_S)
         return Err(FeedFault.UNREACHED) if isinstance(found, Err) else Ok(_changes(found.ok_value))
 
     async def follow(self, after: Position, wait_s: float) -> Result[Changes, FeedFault]:
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -167,6 +167,7 @@
     if changes.catalog is not None:
         _apply_catalog(state, changes.catalog, changes)
     if state.view_asked_at == NEVER:
+        state.first_view_at = monotonic()
         state.target_versions_at_start = dict(changes.versions_by_model)
     # A version may have been set right after the last view without it was requested.
     last_view_at = state.last_view_at()
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -84,6 +84,8 @@
         catalog = self.state.catalog
         if catalog is None or not self.state.fleet_known:
             return Err(self._not_ready_refusal("no configuration yet"))
+        if not self.state.crashes_known():
+            return Err(self._not_ready_refusal("crashes that other boxes reported are not known yet"))
         if self._is_overloaded(request):
             return Err(Refusal(ErrorKind.OVERLOADED, detail="this box has as many requests as it can hold"))
         resolved = self._route_and_authenticate(catalog, call)
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -73,6 +73,8 @@
         self.rows_position = NO_POSITION
         self.rows_changed_position = NO_POSITION
         self.rows_asked_at = NEVER
+        # Whether the rows were read, or a router reported them, since this box started.
+        self.informed = False
         # Latest report from a router, kept until the rows are read.
         self.router_report = CrashReport()
         self.router_reporting = False
@@ -115,6 +117,7 @@
 
     def apply_rows(self, reports_by_key: Mapping[str, CrashReport | None], whole: bool) -> None:
         """Apply changed rows, None for a deleted one. whole: these are all rows."""
+        self.informed = True
         if whole:
             self.reports_by_key.clear()
             if not self.router_reporting:
@@ -148,7 +151,7 @@
 
     def apply_router_report(self, report: CrashReport, position: Position) -> None:
         """Replace the router's report. position: its `rows_changed_position`."""
-        self.router_reporting = True
+        self.informed = self.router_reporting = True
         self.router_report = report
         self.router_position = position
         self._on_reports_changed()
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -201,7 +201,7 @@
 
 
 def _era_of(changes: OperatorChanges | EndpointChanges, known: Position) -> int:
-    """Return the era of a router's view, the known one for a router of an earlier release, which names none."""
+    """Return the era of a router's view; the known one if a router of an earlier release names none."""
     return changes.era or known.era
 
 
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -35,6 +35,10 @@
 MAX_LIST_AGE_SHARE = 0.5
 """Share of the drain time up to which a router's list of endpoints is used."""
 
+MAX_CRASH_ROWS_WAIT_S = 2.0
+"""Seconds from the first configuration for which a box that has just started takes no requests until it knows
+the crashes that other boxes reported."""
+
 RESTORE_GRACE_S = 2.0
 """Seconds after a restore of the table service in which operators repeat writes that were lost. A snapshot of
 their rows that was read in that time takes nothing back."""
@@ -48,8 +52,9 @@
     log: EventLog
     metrics: BoxMetrics = field(default_factory=BoxMetrics)
     catalog: Catalog | None = None
-    # When the newest configuration was requested.
+    # When the newest configuration was requested, and when the first one was there.
     view_asked_at: float = NEVER
+    first_view_at: float = NEVER
     fleet: Fleet = field(default_factory=Fleet)
     fleet_known: bool = False
     # When any box last requested a view before this one started.
@@ -232,9 +237,14 @@
         """Tell whether requests with a key may be sent, that is, a revoked key would be known."""
         return self.view_age() < self.settings.freshness.keyed_s
 
+    def crashes_known(self) -> bool:
+        """Tell whether crashes that other boxes reported are known, or were waited for long enough."""
+        waited_s = monotonic() - self.first_view_at
+        return self.quarantine.informed or waited_s > MAX_CRASH_ROWS_WAIT_S
+
     def ready(self) -> bool:
         """Tell whether the load balancer should send callers here."""
-        known = self.catalog is not None and self.fleet_known
+        known = self.catalog is not None and self.fleet_known and self.crashes_known()
         return known and not self.stopping and self.view_age() < self.settings.freshness.ready_s
 
     def should_close_connections(self) -> bool:
--- a/tests/test_crash_rows.py
+++ b/tests/test_crash_rows.py
@@ -6,14 +6,19 @@
 
 from result import Err, Ok
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.ports import Changes, Committed, Conflict, PlatformFault
+from stairquay.core.catalog import Catalog
 from stairquay.core.clock import ClockOffset
 from stairquay.core.crashes import CRASH_TTL_S, Crash
 from stairquay.core.position import NO_POSITION, Position
 from stairquay.core.row import Row
 from stairquay.serving.crash_rows import CrashRowSync, decode
+from stairquay.serving.following import apply_endpoints, apply_operators
 from stairquay.serving.local_router import LocalRouter
-from stairquay.serving.state import BoxState
+from stairquay.serving.ports import EndpointChanges, OperatorChanges
+from stairquay.serving.quarantine import CrashReport
+from stairquay.serving.state import MAX_CRASH_ROWS_WAIT_S, BoxState
 from tests.states import box_state
 
 NOW = 1_000.0
@@ -149,3 +154,18 @@
         follower.cancel()
 
     asyncio.run(scenario())
+
+
+def test_a_box_that_has_just_started_takes_requests_once_it_knows_crashes_or_has_waited():
+    first_view = OperatorChanges(1, True, Catalog(1))
+    for learn in (
+        lambda state: state.quarantine.apply_rows({}, whole=True),
+        lambda state: state.quarantine.apply_router_report(CrashReport(), Position(1, 1)),
+        lambda state: setattr(state, "first_view_at", monotonic() - MAX_CRASH_ROWS_WAIT_S - 0.1),
+    ):
+        state = box_state()
+        apply_operators(state, first_view, monotonic())
+        apply_endpoints(state, EndpointChanges(1, True), monotonic())
+        assert not state.ready()
+        learn(state)
+        assert state.ready()
