Void the unused turns of idle boxes when an endpoint's limit falls

Cause: a turn that came up unused stays valid for one interval, and the interval was taken from the new, lower rate. Change: such a turn is void when the rate drops by more than a fifth, and the box draws a new one. Ruled out: the routers' burst (the test has no router).

--- a/stairquay/core/pace.py
+++ b/stairquay/core/pace.py
@@ -13,6 +13,10 @@
 limit has ended."""
 
 
+MAX_RATE_DROP = 0.2
+"""Relative drop of a rate up to which a box keeps an unused turn, as limits may vary a little all the time."""
+
+
 @dataclass(frozen=True)
 class RateShares:
     """Shares of a rate bound, by who decides.
@@ -79,9 +83,15 @@
 
 def standalone_pacer(previous: Pacer | None, now: float, per_s: float, rng: Random) -> Pacer:
     """Return the pacer of a standalone box: the previous one, or after a long pause a new one with a random
-    start."""
+    start.
+
+    A turn that came up unused under a higher rate is void: most boxes may have one, more than the lower rate
+    allows together.
+    """
     if previous is not None:
+        rate_dropped = per_s < previous.per_s * (1 - MAX_RATE_DROP)
+        turn_unused = previous.next_at <= now
         previous.change_rate(now, per_s)
-        if now < previous.next_at + 1 / per_s:
+        if now < previous.next_at + 1 / per_s and not (rate_dropped and turn_unused):
             return previous
     return Pacer(now + rng.random() / per_s, per_s)
