--- a/stairquay/core/pace.py
+++ b/stairquay/core/pace.py
@@ -14,7 +14,7 @@
 
 
 MAX_RATE_DROP = 0.2
-"""Relative drop of a rate up to which a box keeps an unused turn, as limits may vary a little all the time."""
+"""Relative drop of a rate up to which a box keeps an unused turn, as limits may vary a little all along."""
 
 
 @dataclass(frozen=True)
--- a/tests/loads/test_limits_of_idle_boxes.py
+++ b/tests/loads/test_limits_of_idle_boxes.py
@@ -1,4 +1,4 @@
-"""Pattern: boxes that have sent one request each under a limit that stays are idle, and then all have another.
+"""Pattern: boxes that have sent one request each under a steady limit are idle, and then all have another.
 
 Guards against turns that boxes keep while they are idle and all use at once. Figures: 6, 71 and 195 boxes are
 the deployments', 330 the largest planned; the endpoint takes one and a half times its limit and five more.
