Tell apart prompts that run under one request id

Cause: a router knows a prompt by a ticket made of the caller's request id and the number of attempts. The soak sends all its last prompts under one id. The router took each for the one before, gave up the count of that, and held busy engines for idle, so that the cheapest ones got all. Ruled out: a limit, leaving or backoff that was kept (logs of all four boxes: none after its last start), a stale entry (usable at all boxes).

Change: tickets name box and job too; the tokens that wait for an engine are counted by job. Looked for elsewhere: the crash detector and the rate accounting go by attempt, the digest or the endpoint.

--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -158,7 +158,7 @@
         counted_by_local_router = choice.router == self.state.settings.id
         endpoint_state.in_flight += not counted_by_local_router
         if choice.placement is not None and not counted_by_local_router:
-            endpoint_state.waiting_tokens_by_request[job.call.id] = choice.placement.read
+            endpoint_state.waiting_tokens_by_job[job.number] = choice.placement.read
             endpoint_state.on_sent(choice.placement.read + choice.placement.fetched, started_attempt.sent_at)
         record_probe(endpoint_state, started_attempt.sent_at)
         record_sent(self.state, job, choice, progress)
@@ -172,7 +172,7 @@
             return await self._relay(job, started_attempt, progress, sent.ok_value, request)
         finally:
             endpoint_state.in_flight -= not counted_by_local_router
-            endpoint_state.waiting_tokens_by_request.pop(job.call.id, None)
+            endpoint_state.waiting_tokens_by_job.pop(job.number, None)
 
     def _apply_feedback(self, started_attempt: StartedAttempt, sent: Result[Reply, SendFailure]) -> None:
         """Apply the endpoint's feedback in the head of a reply."""
@@ -292,7 +292,7 @@
         if started_attempt.first_byte_at is not None:
             return
         started_attempt.first_byte_at = monotonic()
-        started_attempt.endpoint_state.waiting_tokens_by_request.pop(job.call.id, None)
+        started_attempt.endpoint_state.waiting_tokens_by_job.pop(job.number, None)
         record_first_byte(self.state, job, started_attempt.first_byte_at)
         placement = started_attempt.choice.placement
         if placement is None or job.call.prompt is None:
--- a/stairquay/serving/endpoint.py
+++ b/stairquay/serving/endpoint.py
@@ -59,7 +59,7 @@
     unreadable_by_topic: dict[Topic, str] = field(default_factory=dict)
 
     in_flight: int = 0
-    waiting_tokens_by_request: dict[str, int] = field(default_factory=dict)
+    waiting_tokens_by_job: dict[int, int] = field(default_factory=dict)
     sent_prompts: deque[tuple[float, int]] = field(default_factory=deque)
     report: EngineReport | None = None
     reported_at: float = NEVER
--- a/stairquay/serving/endpoint_chooser.py
+++ b/stairquay/serving/endpoint_chooser.py
@@ -235,7 +235,7 @@
     ) -> PlaceRequest:
         workspace: WorkspacePolicy | None = job.workspace
         return PlaceRequest(
-            ticket=f"{job.call.id} {len(progress.tried)}",
+            ticket=f"{job.call.id} {len(progress.tried)} {self.state.settings.id} {job.number}",
             box=self.state.settings.id,
             service=job.service.id,
             model=prompt.model,
--- a/stairquay/serving/engine_views.py
+++ b/stairquay/serving/engine_views.py
@@ -68,7 +68,7 @@
     """Return the prompt tokens whose prefill an engine has not finished."""
     if endpoint.id in state.routed_engines:
         return max(0.0, endpoint_state.prefill_until - now) * PREFILL_TOKENS_PER_S
-    return sum(endpoint_state.waiting_tokens_by_request.values())
+    return sum(endpoint_state.waiting_tokens_by_job.values())
 
 
 def _queued_memory_tokens(report: EngineReport | None) -> float:
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from functools import cached_property
+from itertools import count
 
 from stairquay.core.attempt import Attempt
 from stairquay.core.call import Call, request_digest
@@ -12,12 +13,15 @@
 from stairquay.serving.ports import Reply, SendFailure
 from stairquay.serving.relay import StreamProgress
 
+job_numbers = count(1)
+
 
 @dataclass(frozen=True)
 class Job:
     """A caller's request with its resolved route, service and workspace.
 
-    arrived_at, deadline: monotonic seconds.
+    arrived_at, deadline: monotonic seconds. number: identifies the job in this process; callers may use one
+    request id for several requests at a time.
     """
 
     call: Call
@@ -28,6 +32,7 @@
     workspace: WorkspacePolicy | None
     arrived_at: float
     deadline: float
+    number: int = field(default_factory=lambda: next(job_numbers))
 
     @property
     def workspace_id(self) -> str:
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -37,8 +37,8 @@
 class PlaceRequest(msgspec.Struct, frozen=True, array_like=True):
     """Asks where a prompt should run.
 
-    ticket: id of the attempt. box: the sender, which will also send the prompt. tried: endpoints to exclude.
-    may_wait: the sender can ask again later.
+    ticket: id of the attempt among those of all boxes. box: the sender, which will also send the prompt.
+    tried: endpoints to exclude. may_wait: the sender can ask again later.
     """
 
     ticket: str
