Write the stacks of all threads on SIGUSR1, and in the logs of scenarios that fail

For a start that hung once (holds_config, box-2's entry alive, ready and silent for 10 s): the log could not tell an event loop that stands still from a round of its view that hangs, and the end of it that was kept is 1,500 characters. All programs write stacks on the signal; the launcher asks for them when a scenario fails, and keeps 6,000 characters.

--- a/stairquay/adapters/program.py
+++ b/stairquay/adapters/program.py
@@ -1,6 +1,7 @@
 """What all programs share: background tasks, graceful stop, HTTP listeners, health checks and TLS."""
 
 import asyncio
+import faulthandler
 import signal
 import ssl
 from collections.abc import Callable, Coroutine
@@ -14,6 +15,12 @@
     from stairquay.adapters.settings import TlsSettings
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+STACKS_SIGNAL = signal.SIGUSR1
+
+
+def write_stacks_on_signal() -> None:
+    """Write the stacks of all threads to standard error on STACKS_SIGNAL, also while the event loop hangs."""
+    faulthandler.register(STACKS_SIGNAL, all_threads=True)
 
 
 class BackgroundTasks:
--- a/stairquay/box.py
+++ b/stairquay/box.py
@@ -29,6 +29,7 @@
     """Run a box until it is stopped, with the settings at `path` or at the path that the platform sets."""
     _reduce_import_cost()
     from stairquay.adapters.clock import run
+    from stairquay.adapters.program import write_stacks_on_signal
     from stairquay.platform.boot import load_boot_settings
     from stairquay.platform.names import SETTINGS_VARIABLE
     from stairquay.platform.surroundings import open_clients
@@ -42,6 +43,7 @@
             env.write_error(f"{settings_path}: {mistake}")
         return ExitStatus.BAD_SETTINGS
     configure_logging()
+    write_stacks_on_signal()
     table_address = boot.ok_value.table_address
     run(
         run_box(
--- a/stairquay/cli.py
+++ b/stairquay/cli.py
@@ -14,6 +14,7 @@
 
 from stairquay import __version__
 from stairquay.adapters.clock import run
+from stairquay.adapters.program import write_stacks_on_signal
 from stairquay.box import configure_logging, start_box
 from stairquay.environment import Environment
 from stairquay.status import ExitStatus, run_command
@@ -96,6 +97,7 @@
             env.write_error(f"{settings}: $.{program.section}: required by this program, but missing")
             return ExitStatus.BAD_SETTINGS
         configure_logging()
+        write_stacks_on_signal()
         run(_import_main(program.name)(loaded, section))
         return ExitStatus.SUCCESS
 
--- a/tests/launcher.py
+++ b/tests/launcher.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 from typing import Any
 
+from stairquay.adapters.program import STACKS_SIGNAL
 from stairquay.core.decode import encode
 from stairquay.core.models import Box, BoxKind, BoxState
 from tests.ports import free_port
@@ -59,6 +60,11 @@
         return Answer(0, {}, repr(error).encode())
 
 
+LOG_TAIL_CHARS = 6_000
+STACKS_WRITTEN_S = 0.3
+PROGRAM_SUFFIXES = ("-router", "-entry", "-control")
+
+
 @dataclass
 class Process:
     """A child process and its log."""
@@ -364,9 +370,14 @@
         self.until(lambda: http("GET", url, timeout_s=2.0).status > 0, what=url)
 
     def log_tails(self) -> str:
+        """Return the ends of all logs, with the stacks of the programs, which show where one hangs."""
+        for process in self.processes.values():
+            if process.alive() and process.name.endswith(PROGRAM_SUFFIXES):
+                process.popen.send_signal(STACKS_SIGNAL)
+        time.sleep(STACKS_WRITTEN_S)
         parts = []
         for process in self.processes.values():
-            text = process.log.read_text(errors="replace")[-1500:]
+            text = process.log.read_text(errors="replace")[-LOG_TAIL_CHARS:]
             parts.append(f"--- {process.name} (alive: {process.alive()})\n{text}")
         return "\n".join(parts)
 
