--- a/tests/loads/test_limits_of_idle_boxes.py
+++ b/tests/loads/test_limits_of_idle_boxes.py
@@ -8,8 +8,11 @@
 
 import pytest
 
-from stairquay.serving.pacing import box_rate_per_s, rate_bounds, wait_s
-from tests.loads.test_limits_of_endpoints import PLAIN, make_box
+from stairquay.core.limits import LimitReport
+from stairquay.serving.pacing import box_rate_per_s, count_sent, rate_bounds, wait_s
+from stairquay.serving.state import BoxState
+from stairquay.serving.statements import apply_limit
+from tests.loads.test_limits_of_endpoints import ENGINE, MAX_PROPAGATION_S, PLAIN, make_box
 from tests.loads.test_limits_that_fall import WINDOW_S, receive_limit, try_send
 
 STARTED_AT = 100.0
@@ -57,3 +60,39 @@
     waited_s = wait_s(state, PLAIN, STARTED_AT, random)
     assert waited_s > 0
     assert try_send(state, STARTED_AT + waited_s + TIMER_DELAY_S, random)
+
+
+FALLS_AT = STARTED_AT + 30.0
+FEW_BOXES = 4
+
+
+def try_place(state: BoxState, at: float, random: Random) -> bool:
+    if wait_s(state, ENGINE, at, random) > 0:
+        return False
+    count_sent(state, ENGINE, at, random)
+    return True
+
+
+def receive_engine_limit(state: BoxState, per_s: float, at: float) -> None:
+    apply_limit(state, ENGINE, state.endpoint_state(ENGINE), LimitReport(per_s, at, at))
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_few_boxes_keep_to_a_limit_that_fell_to_0_while_their_router_changes(seed):
+    """Each of two routers uses its burst, and boxes that no router answers choose for themselves."""
+    random = Random(seed)
+    boxes = [make_box(f"b-{number}", FEW_BOXES) for number in range(FEW_BOXES)]
+    routers = [make_box(f"r-{number}", FEW_BOXES) for number in range(2)]
+    for state in routers:
+        state.routed_engines = frozenset({ENGINE.id})
+    for state in (*boxes, *routers):
+        receive_engine_limit(state, 8.0, STARTED_AT)
+        at = STARTED_AT
+        while not try_place(state, at, random):
+            at += 0.1
+        receive_engine_limit(state, 0.0, FALLS_AT)
+    surge_at = FALLS_AT + MAX_PROPAGATION_S
+    sent = 0
+    for step in range(30):
+        sent += sum(try_place(state, surge_at + step / 100, random) for state in (*routers, *boxes))
+    assert sent <= 5
