--- a/stairquay/core/lease.py
+++ b/stairquay/core/lease.py
@@ -11,7 +11,6 @@
 HOLDER_SHARE = 0.6
 """Share of the lease in which the holder may act; the rest covers pauses and orders in transit."""
 
-
 FIRST_ERA = 1
 """Era of a table service that was never restored."""
 
--- a/stairquay/core/pace.py
+++ b/stairquay/core/pace.py
@@ -12,11 +12,9 @@
 """Minimum requests per second to an endpoint even if its limit is lower, since only an answer tells that the
 limit has ended."""
 
-
 MAX_RATE_DROP = 0.2
 """Relative drop of a rate up to which a box keeps an unused turn, as limits may vary a little all along."""
 
-
 MIN_TURN_S = 0.25
 """Shortest time for which a turn stays valid: a busy box may wake up late for a request that waits for it."""
 
--- a/stairquay/platform/names.py
+++ b/stairquay/platform/names.py
@@ -10,6 +10,7 @@
 """Marks a response as coming from an endpoint; without it, only a refusal is valid."""
 
 NOT_RUN = "Not-Executed"
+
 ERA = "Store-Era"
 """In all responses of the table service: a number that rises by one each time it is restored from an older
 copy."""
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -181,7 +181,7 @@
     if before != after or changes.era > state.operators_position.era:
         state.operators_changed_position = changes.position
     state.operators_position = changes.position
-    if changes.whole and not changes.forwarded:
+    if changes.whole or changes.forwarded:
         state.operators_snapshot_at = asked_at
     state.view_asked_at = max(state.view_asked_at, asked_at - changes.behind_s)
     if before != after:
@@ -240,7 +240,7 @@
     before = _status_by_id(state)
     live_before = state.fleet.live()
     now = monotonic()
-    earliest_removal = _earliest_removal(state, now)
+    earliest_removal = _earliest_removal(state, changes, now)
     if changes.whole:
         state.fleet.apply_snapshot(changes.present, now, earliest_removal)
     else:
@@ -285,13 +285,15 @@
     state.unreadable.difference_update(item.id for item in changes.present)
 
 
-def _earliest_removal(state: BoxState, now: float) -> float:
+def _earliest_removal(state: BoxState, changes: EndpointChanges, now: float) -> float:
     """Return the earliest time at which entries missing from a new view can have been removed.
 
-    That is when the last view was requested. After an outage of the table service it is now, since entries
-    may just have expired and would else all be dropped at once; a router without an answer is no outage.
+    That is when the last view was requested. After an outage or a restore of the table service it is now,
+    since entries may just have expired or been lost, and would else all be dropped at once; a router without
+    an answer is no outage.
     """
-    return now if state.list_unreachable_at > state.list_asked_at else state.list_asked_at
+    outage = state.list_unreachable_at > state.list_asked_at
+    return now if outage or changes.era > state.list_position.era else state.list_asked_at
 
 
 def _status_by_id(state: BoxState) -> dict[str, str]:
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -80,7 +80,7 @@
     # Position up to which the view of the configuration is complete, and that of its last change.
     operators_position: Position = Position()
     operators_changed_position: Position = Position()
-    # When the last snapshot of operators' rows was requested from the table service.
+    # When the last snapshot of operators' rows was requested, or a router's view of them.
     operators_snapshot_at: float = NEVER
     # Era in which the table service last returned the configuration in force.
     catalog_era: int = 0
--- a/tests/test_positions.py
+++ b/tests/test_positions.py
@@ -26,7 +26,7 @@
 from stairquay.platform.rows import TableClient, decode_era
 from stairquay.serving.boxes import BoxRegistry
 from stairquay.serving.crash_rows import CrashRowSync
-from stairquay.serving.following import apply_endpoints, apply_operators
+from stairquay.serving.following import apply_endpoints, apply_operators, follow_operators
 from stairquay.serving.local_router import LocalRouter
 from stairquay.serving.messages import EndpointsRequest, OperatorsReply, OperatorsRequest
 from stairquay.serving.orders import RolloutController
@@ -316,3 +316,40 @@
     assert (line["era_before"], line["revision_before"]) == (1, 50)
     text = state.metrics.text().decode()
     assert "stairquay_table_era 2.0" in text and "stairquay_table_restores_total 1.0" in text
+
+
+class ForwardedFeed:
+    """Stub of operators' rows behind a router after a restore: nothing differs."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+
+    async def read_operators(self):
+        self.reads += 1
+        await asyncio.sleep(0.002)
+        return Ok(OperatorChanges(20, False, era=2, forwarded=True))
+
+    async def follow_operators(self, after, wait_s):
+        await asyncio.sleep(0.1)
+        return Ok(OperatorChanges(20, False, era=2, forwarded=True))
+
+
+def test_a_box_behind_a_router_reads_a_snapshot_once_after_a_restore():
+    async def scenario():
+        state, feed = box_state(), ForwardedFeed()
+        for era, revision in ((1, 50), (2, 20)):
+            apply(state, era, revision, version=1, forwarded=True)
+        end_grace(state)
+        following = asyncio.create_task(follow_operators(state, feed))
+        await asyncio.sleep(0.5)
+        following.cancel()
+        assert feed.reads == 1
+
+    asyncio.run(scenario())
+
+
+def test_entries_that_a_restore_lost_are_used_until_they_can_have_been_written_again():
+    state, now = box_state(), monotonic()
+    apply_endpoints(state, EndpointChanges(50, True, (ENDPOINT,), era=1), now - 10.0)
+    apply_endpoints(state, EndpointChanges(20, True, (), era=2), now)
+    assert state.fleet.usable("s", monotonic()) == [ENDPOINT]
