--- a/stairquay/serving/crash_rows.py
+++ b/stairquay/serving/crash_rows.py
@@ -57,7 +57,7 @@
 class CrashRowSync:
     """Writes this box's row, and follows all rows as a follower or while no router forwards them.
 
-    revision: of this box's row, 0 if there is none.
+    revision: of this box's row, 0 if there is none. written_era: of the last write of it, 0 for none.
     """
 
     def __init__(self, state: BoxState, table: CrashTable) -> None:
