Keep idle links between boxes open, and notice silent peers in time

What callers saw: a call to a router that was under way failed, and the death of a router was noticed later and later, up to 60 s.

Cause, two faults in the options handed to gRPC: - `grpc.http2.min_recv_ping_interval_without_data_ms` is not known to the installed library (1.85.3), which ignores unknown names. The server kept its default, counted each keepalive ping of an idle link as misuse and ended the link with GOAWAY too_many_pings after 3 s, upon which the client doubles its interval. - `grpc.keepalive_timeout_ms` no longer bounds the wait for an answer to a ping: `grpc.http2.ping_timeout_ms` does, 60 s by default ("Set ping timeout timer of 60000ms" in the library's trace). Only links whose kernel stops acknowledging were noticed, by TCP_USER_TIMEOUT.

Change: the names that this library knows, unlimited ping strikes (a box that was frozen gets all pings at once), and an interval of 900 ms, so that interval and timeout stay below 1.5 s. gRPC's own lines are off in a box; the reason of a failed call is in the event log's line of a lost router.

--- a/stairquay/box.py
+++ b/stairquay/box.py
@@ -28,6 +28,7 @@
 def start_box(path: Path | None, metrics_port: int, env: Environment) -> ExitStatus:
     """Run a box until it is stopped, with the settings at `path` or at the path that the platform sets."""
     _reduce_import_cost()
+    _silence_grpc_core()
     from stairquay.adapters.clock import run
     from stairquay.adapters.program import write_stacks_on_signal
     from stairquay.platform.boot import load_boot_settings
@@ -70,6 +71,12 @@
     os.environ.setdefault("SSL_CERT_FILE", os.devnull)
 
 
+def _silence_grpc_core() -> None:
+    """Keep gRPC's C core from writing unstructured lines without bound. The event log has the reason of each
+    lost router."""
+    os.environ.setdefault("GRPC_VERBOSITY", "NONE")
+
+
 def _resume_garbage_collection() -> None:
     """Resume garbage collection, without scanning the imported modules."""
     gc.freeze()
--- a/stairquay/serving/links.py
+++ b/stairquay/serving/links.py
@@ -31,11 +31,15 @@
 
 SERVICE = "stairquay.Boxes"
 
-KEEPALIVE_INTERVAL_MS = 1_000
+KEEPALIVE_INTERVAL_MS = 900
+"""Together with the timeout below 1.5 s, within which a box has to notice that a router fell silent."""
 
 KEEPALIVE_TIMEOUT_MS = 500
 """Time after which an unanswered ping closes a channel: a box without power sends no reset."""
 
+UNLIMITED_PING_STRIKES = 0
+"""A router that was frozen gets all pings sent meanwhile in one burst, which is not misuse."""
+
 SUSPECT_S = 1.0
 """How long a router that did not answer is skipped."""
 
@@ -43,9 +47,12 @@
     *CHANNEL_OPTIONS,
     ("grpc.keepalive_time_ms", KEEPALIVE_INTERVAL_MS),
     ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    # Without it, a ping to a peer whose kernel still acknowledges bytes is waited for a minute.
+    ("grpc.http2.ping_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
-    ("grpc.http2.min_recv_ping_interval_without_data_ms", KEEPALIVE_INTERVAL_MS // 2),
+    ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_INTERVAL_MS // 2),
+    ("grpc.http2.max_ping_strikes", UNLIMITED_PING_STRIKES),
     ("grpc.so_reuseport", 0),
 ]
 
@@ -90,6 +97,8 @@
 
     def __init__(self, address: str) -> None:
         self.channel = grpc.aio.insecure_channel(address, options=GRPC_OPTIONS)
+        # Why the last call that failed got no answer.
+        self.last_failure = ""
         self._place = self._method("Place", PlaceReply)
         self._finished = self._method("Finished", Empty)
         self._operators = self._method("Operators", OperatorsReply)
@@ -98,29 +107,43 @@
 
     async def place(self, request: PlaceRequest, limit_s: float) -> PlaceReply | None:
         """Ask where a prompt should run."""
-        return await _reply_or_none(self._place(request, timeout=limit_s))
+        return await self._reply_or_none(self._place(request, timeout=limit_s))
 
     async def finished(self, notice: FinishedNotice, limit_s: float) -> Empty | None:
         """Report attempts that have ended."""
-        return await _reply_or_none(self._finished(notice, timeout=limit_s))
+        return await self._reply_or_none(self._finished(notice, timeout=limit_s))
 
     async def operators(self, request: OperatorsRequest, limit_s: float) -> OperatorsReply | None:
         """Ask for the router's view of operators' rows."""
-        return await _reply_or_none(self._operators(request, timeout=request.wait_s + limit_s))
+        return await self._reply_or_none(self._operators(request, timeout=request.wait_s + limit_s))
 
     async def endpoints(self, request: EndpointsRequest, limit_s: float) -> EndpointsReply | None:
         """Ask for the router's view of the list of endpoints."""
-        return await _reply_or_none(self._endpoints(request, timeout=request.wait_s + limit_s))
+        return await self._reply_or_none(self._endpoints(request, timeout=request.wait_s + limit_s))
 
     async def views(self, request: ViewsRequest, limit_s: float) -> ViewsReply | None:
         """Ask for both views as soon as one of them changes."""
         wait_s = max(request.operators.wait_s, request.endpoints.wait_s)
-        return await _reply_or_none(self._views(request, timeout=wait_s + limit_s))
+        return await self._reply_or_none(self._views(request, timeout=wait_s + limit_s))
 
     async def close(self) -> None:
         """Close the channel."""
         await self.channel.close()
 
+    async def _reply_or_none(self, call: Awaitable[Reply]) -> Reply | None:
+        try:
+            return await call
+        except grpc.aio.AioRpcError as error:
+            # The caller records it and asks another router.
+            self.last_failure = f"{error.code().name}: {error.details()}"
+            return None
+        except asyncio.CancelledError:
+            # gRPC also cancels pending calls when their channel is closed; that counts as no reply.
+            if being_cancelled():
+                raise
+            self.last_failure = "the channel was closed"
+            return None
+
     def _method(self, name: str, reply: type[Any]) -> Callable[..., Awaitable[Any]]:
         call: Callable[..., Awaitable[Any]] = self.channel.unary_unary(
             f"/{SERVICE}/{name}",
@@ -156,12 +179,13 @@
         self.state.metrics.unanswered_router_calls.inc()
         if router.id not in self.lost_ids:
             self.lost_ids.add(router.id)
-            self._log(router, "lost", question)
+            client = self.clients_by_address.get(router.address)
+            self._log(router, "lost", question, "" if client is None else client.last_failure)
         return None
 
-    def _log(self, router: Member, outcome: str, question: str) -> None:
+    def _log(self, router: Member, outcome: str, question: str, detail: str = "") -> None:
         name = f"router {router.id}"
-        self.state.log.line(LogEvent.DEPENDENCY, name=name, outcome=outcome, question=question)
+        self.state.log.line(LogEvent.DEPENDENCY, name=name, outcome=outcome, question=question, detail=detail)
 
     async def run(self) -> None:
         """Close the channels to former routers, until cancelled."""
@@ -182,19 +206,6 @@
         self.lost_ids &= ids
 
 
-async def _reply_or_none(call: Awaitable[Reply]) -> Reply | None:
-    try:
-        return await call
-    except grpc.aio.AioRpcError:
-        # The caller records it and asks another router.
-        return None
-    except asyncio.CancelledError:
-        # gRPC also cancels pending calls when their channel is closed; that counts as no reply.
-        if being_cancelled():
-            raise
-        return None
-
-
 def _handler(answer: Callable[[Request], Awaitable[Reply]], kind: type[Request]) -> Any:
     async def handle(request: Request, _: Any) -> Reply:
         return await answer(request)
