--- a/stairquay/core/holdings.py
+++ b/stairquay/core/holdings.py
@@ -4,7 +4,7 @@
 may be used only while its events are followed without a gap.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 PartKey = tuple[str, str]
@@ -87,6 +87,14 @@
         holding = self.by_address.get(address)
         return 0 if holding is None else holding.tokens_by_key.get((scope, part), 0)
 
+    def resident(self, address: str, keys: Sequence[PartKey]) -> tuple[int, ...]:
+        """Return how many tokens of each of several parts a holder is believed to have."""
+        holding = self.by_address.get(address)
+        if holding is None:
+            return (0,) * len(keys)
+        tokens_by_key = holding.tokens_by_key
+        return tuple([tokens_by_key.get(key, 0) for key in keys])
+
     def holders(self, scope: str, part: str) -> set[str]:
         """Return the addresses believed to have some of a part."""
         return self.holders_by_key.get((scope, part), set())
--- a/stairquay/core/placement.py
+++ b/stairquay/core/placement.py
@@ -4,9 +4,11 @@
 """
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from operator import attrgetter
 from random import Random
 
+import msgspec
+
 from stairquay.core.call import Part
 
 PREFILL_TOKENS_PER_S = 112_000.0
@@ -44,9 +46,9 @@
 """Seconds added for an endpoint in another data hall: one round trip."""
 
 
-@dataclass(frozen=True)
-class EngineView:
-    """What is known of one engine now.
+class EngineView(msgspec.Struct, frozen=True):
+    """What is known of one engine now. A struct, which is created ten times as fast as a frozen data class:
+    every placement creates one for each engine.
 
     resident: tokens cached of each part of the prompt. waiting_tokens: prompt tokens queued or in prefill.
     failing: share of recent requests that failed. outdated: it runs replaced weights. preferred: the sender
@@ -68,8 +70,7 @@
     slots: int = 1_000_000
 
 
-@dataclass(frozen=True)
-class Source:
+class Source(msgspec.Struct, frozen=True):
     """Where one part of a prompt can be fetched from. durable: the source will not evict the part before the
     fetch, as an engine may."""
 
@@ -80,8 +81,7 @@
     durable: bool = False
 
 
-@dataclass(frozen=True)
-class Placement:
+class Placement(msgspec.Struct, frozen=True):
     """An engine for a prompt, and the predicted time to the first token.
 
     fetch_from: an address for each part, or empty. reused: tokens cached by the engine. fetched: tokens to
@@ -109,7 +109,8 @@
 ) -> list[Placement]:
     """Return a placement on every engine, the shortest time to the first token first."""
     placements = [_place_on(engine, parts, tokens, source_of, bytes_per_token) for engine in engines]
-    return sorted(placements, key=lambda placement: placement.first_token_s)
+    placements.sort(key=attrgetter("first_token_s"))
+    return placements
 
 
 def backlog_s(engine: EngineView) -> float:
@@ -138,8 +139,9 @@
         source = source_of(index, engine.address)
         if resident >= part.tokens:
             reused += part.tokens
-            # The engine may evict the part before the request starts.
-            fetch_from[index] = source.address if source is not None and source.tokens >= part.tokens else ""
+            if source is not None and source.tokens >= part.tokens:
+                # The engine may evict the part before the request starts.
+                fetch_from[index] = source.address
             continue
         if source is None or source.tokens <= resident:
             reused += resident
--- a/stairquay/serving/endpoint.py
+++ b/stairquay/serving/endpoint.py
@@ -4,6 +4,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
+from stairquay.core.fleet import Endpoint
 from stairquay.core.limits import LimitReport
 from stairquay.core.pace import Pacer
 from stairquay.core.rest import Backoff
@@ -80,6 +81,12 @@
         if report.cold_s is not None:
             self.cold_until = now + report.cold_s
 
+    def version_of(self, endpoint: Endpoint, model: str) -> int:
+        """Return the version of a model's weights that the endpoint runs."""
+        report = self.report
+        reported = 0 if report is None else report.versions_by_model.get(model, 0)
+        return max(endpoint.versions_by_model.get(model, 0), reported, self.version)
+
     def on_placed(self, prefill_s: float, now: float) -> None:
         """As the engine's router, add the prefill time of a placed prompt to its queue."""
         self.prefill_until = max(self.prefill_until, now) + prefill_s
@@ -101,8 +108,10 @@
             self.sent_prompts.popleft()
         while self.sent_prompts and self.sent_prompts[0][0] < now - SENT_PROMPT_TTL_S:
             self.sent_prompts.popleft()
-        reported = 0 if self.report is None else self.report.used_tokens
-        return float(reported + sum(tokens for _, tokens in self.sent_prompts))
+        used = 0 if self.report is None else self.report.used_tokens
+        for _, tokens in self.sent_prompts:
+            used += tokens
+        return float(used)
 
     def on_outcome(self, failed: bool, now: float) -> None:
         """Update the failure rate with the outcome of an attempt."""
--- a/stairquay/serving/endpoint_choice.py
+++ b/stairquay/serving/endpoint_choice.py
@@ -9,9 +9,11 @@
 from stairquay.core.call import PromptShape
 from stairquay.core.catalog import Catalog, EngineSpec, ServiceSpec, WorkspacePolicy
 from stairquay.core.fleet import Endpoint
+from stairquay.core.holdings import PartKey
 from stairquay.core.ownership import rank_owners
-from stairquay.core.placement import EngineView, Placement, Source, backlog_s, pick_quickest, rank_placements
+from stairquay.core.placement import Placement, Source, backlog_s, pick_quickest, rank_placements
 from stairquay.core.scope import Scope
+from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.engine_views import best_sources, engine_view, usable_sources
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.pacing import wait_s
@@ -79,17 +81,16 @@
     now = monotonic()
     candidates = _candidates(state, request, now, random)
     prompt, engine = request.prompt, request.service.engine
+    versions: dict[str, int] = {}
     if prompt is not None:
-        model = prompt.model
-        candidates = [
-            item for item in candidates if not state.version_too_old(model, state.version_of(item, model))
-        ]
+        versions = {item.id: state.version_of(item, prompt.model) for item in candidates}
+        candidates = _on_current_versions(state, prompt.model, candidates, versions)
     if not candidates:
         return None
     if prompt is None or engine is None:
         return Choice(_least_busy(state, candidates, now, random))
     candidates = _routed_or_sampled(state, candidates, random)
-    placements = _placements(state, catalog, request, prompt, engine, candidates, now)
+    placements = _placements(state, catalog, request, prompt, engine, candidates, versions, now)
     return _best_choice(state, request, prompt, placements, random, now) if placements else None
 
 
@@ -99,6 +100,16 @@
     return Scope(isolated_workspace, model, version).name
 
 
+def _on_current_versions(
+    state: BoxState, model: str, candidates: list[Endpoint], versions: Mapping[str, int]
+) -> list[Endpoint]:
+    """Return the candidates whose version, by endpoint id, is not too old to start a prompt on."""
+    too_old = {version for version in set(versions.values()) if state.version_too_old(model, version)}
+    if not too_old:
+        return candidates
+    return [item for item in candidates if versions[item.id] not in too_old]
+
+
 def _candidates(state: BoxState, request: ChoiceRequest, now: float, random: Random) -> list[Endpoint]:
     """Return usable endpoints: neither busy nor silent ones if there are any, else those not busy, else all.
 
@@ -106,24 +117,33 @@
     """
     service, tried = request.service, request.tried
     max_connections = service.max_connections * CONNECTION_SHARE
-
-    def has_connection(item: Endpoint) -> bool:
-        # A router counts the requests of all boxes at its engines, any other box only its own.
-        boxes = 1 if item.id in state.routed_engines else max(1, len(state.boxes))
-        return state.endpoint_state(item).in_flight < max(2, int(max_connections / boxes))
-
-    accepting = [item for item in state.fleet.usable(service.id, now) if takes_work(state, item)]
-    available = [item for item in accepting if item.id not in request.backoffs_s]
-    usable = [item for item in available if has_connection(item) and wait_s(state, item, now, random) <= 0]
-    untried = [item for item in usable if item.id not in tried]
-    if tried and not untried:
-        return []
-    not_busy = [
-        item
-        for item in untried
-        if state.endpoint_state(item).refused_until <= now and not _is_busy(state, item)
-    ]
-    reporting = [item for item in not_busy if not state.endpoint_state(item).silent(now)]
+    # A router counts the requests of all boxes at its engines, any other box only its own.
+    max_routed = max(2, int(max_connections))
+    max_unrouted = max(2, int(max_connections / max(1, len(state.boxes))))
+    routed_engines = state.routed_engines
+    current_spec = None if state.catalog is None else state.catalog.services_by_id.get(service.id)
+    may_be_cold = current_spec is not None and current_spec.cold is not None
+
+    untried: list[Endpoint] = []
+    not_busy: list[Endpoint] = []
+    reporting: list[Endpoint] = []
+    for item in state.fleet.usable(service.id, now):
+        if item.id in request.backoffs_s or not takes_work(state, item):
+            continue
+        endpoint_state = state.endpoint_state(item)
+        if endpoint_state.in_flight >= (max_routed if item.id in routed_engines else max_unrouted):
+            continue
+        # Only a cold endpoint or one with a rate limit makes a request wait.
+        if (may_be_cold or endpoint_state.limit is not None) and wait_s(state, item, now, random) > 0:
+            continue
+        if item.id in tried:
+            continue
+        untried.append(item)
+        if endpoint_state.refused_until > now or _is_busy(endpoint_state):
+            continue
+        not_busy.append(item)
+        if not endpoint_state.silent(now):
+            reporting.append(item)
     return reporting or not_busy or untried
 
 
@@ -142,8 +162,8 @@
     return frozenset(rank_owners(sender.encode(), [item.id for item in candidates], count))
 
 
-def _is_busy(state: BoxState, endpoint: Endpoint) -> bool:
-    report = state.endpoint_state(endpoint).report
+def _is_busy(endpoint_state: EndpointState) -> bool:
+    report = endpoint_state.report
     return report is not None and report.busy
 
 
@@ -163,38 +183,71 @@
     prompt: PromptShape,
     engine: EngineSpec,
     candidates: Sequence[Endpoint],
+    versions: Mapping[str, int],
     now: float,
 ) -> list[Placement]:
-    """Return placements on candidates that can start before their version is too old, the best first."""
+    """Return placements on candidates that can start before their version is too old, the best first.
+
+    versions: of the model at each candidate, by endpoint id.
+    """
     model = prompt.model
     preferred = _preferred_engines(request.sender, candidates) if request.sender else None
-    versions = {item.address: state.version_of(item, model) for item in candidates}
-    scopes = {key: context_scope(request.workspace, model, version) for key, version in versions.items()}
-
-    def view_of(item: Endpoint) -> EngineView:
-        outdated = state.replaced_for_s(model, versions[item.address]) > OUTDATED_AFTER_S
-        return engine_view(state, item, prompt, scopes[item.address], engine.slots, outdated, preferred, now)
-
-    views = [view_of(item) for item in candidates]
     usable = usable_sources(state, catalog, engine, now)
-
-    best_by_part: dict[tuple[int, str], list[Source]] = {}
+    groups: dict[int, _VersionGroup] = {}
+    sources_by_address: dict[str, list[list[Source]]] = {}
+    views = []
+    for item in candidates:
+        version = versions[item.id]
+        group = groups.get(version)
+        if group is None:
+            group = groups[version] = _version_group(state, request.workspace, prompt, version, usable)
+        sources_by_address[item.address] = group.sources
+        endpoint_state = state.endpoint_state(item)
+        views.append(
+            engine_view(state, item, endpoint_state, group.keys, engine.slots, group.outdated, preferred, now)
+        )
 
     def source_of(index: int, address: str) -> Source | None:
-        scope = scopes[address]
-        best = best_by_part.get((index, scope))
-        if best is None:
-            best = best_by_part[index, scope] = best_sources(state, usable, scope, prompt.parts[index])
-        return next((source for source in best if source.address != address), None)
+        for source in sources_by_address[address][index]:
+            if source.address != address:
+                return source
+        return None
 
     found = rank_placements(prompt.parts, prompt.tokens, views, source_of, engine.bytes_per_token)
+    target_version = state.target_version_by_model.get(model, 0)
+    if min(groups) >= target_version:
+        return found
     return [
         item
         for item in found
-        if not state.version_too_old(model, versions[item.engine.address], item.first_token_s)
+        if not state.version_too_old(model, versions[item.engine.id], item.first_token_s)
     ]
 
 
+@dataclass(frozen=True)
+class _VersionGroup:
+    """What engines on one version have in common: the keys and the best sources of the prompt's parts."""
+
+    outdated: bool
+    keys: list[PartKey]
+    sources: list[list[Source]]
+
+
+def _version_group(
+    state: BoxState,
+    workspace: WorkspacePolicy | None,
+    prompt: PromptShape,
+    version: int,
+    usable: dict[str, Source],
+) -> _VersionGroup:
+    scope = context_scope(workspace, prompt.model, version)
+    return _VersionGroup(
+        outdated=state.replaced_for_s(prompt.model, version) > OUTDATED_AFTER_S,
+        keys=[(scope, part.id) for part in prompt.parts],
+        sources=[best_sources(state, usable, scope, part) for part in prompt.parts],
+    )
+
+
 def _best_choice(
     state: BoxState,
     request: ChoiceRequest,
--- a/stairquay/serving/engine_views.py
+++ b/stairquay/serving/engine_views.py
@@ -1,12 +1,14 @@
 """Views of engines and sources of cached context, the input for placing a prompt."""
 
-from dataclasses import replace
-from heapq import nlargest
+from collections.abc import Sequence
+
+from msgspec.structs import replace
 
 from stairquay.adapters.clock import monotonic
-from stairquay.core.call import Part, PromptShape
+from stairquay.core.call import Part
 from stairquay.core.catalog import Catalog, EngineSpec, StoreSpec
 from stairquay.core.fleet import Endpoint
+from stairquay.core.holdings import PartKey
 from stairquay.core.placement import PREFILL_TOKENS_PER_S, EngineView, Source
 from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.ports import EngineReport
@@ -16,12 +18,15 @@
 """Seconds without an answer after which a store box's content counts as unknown: it may have restarted, and
 it does not verify what it serves."""
 
+LOWEST_RANK = (-1, False, 0.0)
+"""Rank of a source below that of any other: tokens, durability and bandwidth."""
+
 
 def engine_view(
     state: BoxState,
     endpoint: Endpoint,
-    prompt: PromptShape,
-    scope: str,
+    endpoint_state: EndpointState,
+    keys: Sequence[PartKey],
     slots: int,
     outdated: bool,
     preferred: frozenset[str] | None,
@@ -29,44 +34,46 @@
 ) -> EngineView:
     """Return the current view of an engine for one prompt.
 
-    preferred: ids of the engines that the sender prefers, None if it has no preference.
+    keys: of the prompt's parts in the engine's scope. preferred: ids of the engines that the sender prefers,
+    None if it has no preference.
     """
-    endpoint_state = state.endpoint_state(endpoint)
-    used_tokens = endpoint_state.used_tokens(now) + _queued_memory_tokens(endpoint_state.report)
+    report = endpoint_state.report
+    routed = endpoint.id in state.routed_engines
+    # Before _running, since it removes expired prompts, which that counts.
+    used_tokens = endpoint_state.used_tokens(now) + _queued_memory_tokens(report)
     return EngineView(
         id=endpoint.id,
         address=endpoint.address,
-        resident=tuple(state.holdings.tokens(endpoint.address, scope, part.id) for part in prompt.parts),
-        waiting_tokens=_waiting_tokens(state, endpoint, endpoint_state, now),
-        running=_running(state, endpoint, endpoint_state),
+        resident=state.holdings.resident(endpoint.address, keys),
+        waiting_tokens=_waiting_tokens(endpoint_state, routed, now),
+        running=_running(endpoint_state, routed),
         failing=endpoint_state.current_failure_rate(now),
         outdated=outdated,
         same_hall=endpoint.data_hall == state.settings.data_hall,
         preferred=preferred is None or endpoint.id in preferred,
         used_tokens=used_tokens,
         slots=slots,
-        total_tokens=0.0 if endpoint_state.report is None else endpoint_state.report.total_tokens,
+        total_tokens=0.0 if report is None else report.total_tokens,
     )
 
 
-def _running(state: BoxState, endpoint: Endpoint, endpoint_state: EndpointState) -> int:
+def _running(endpoint_state: EndpointState, routed: bool) -> int:
     """Return the estimated number of runs at an engine.
 
     A router may miss the end of a run, so its count is capped by the last report plus the prompts sent since.
     """
-    if endpoint_state.report is None:
+    report = endpoint_state.report
+    if report is None:
         return endpoint_state.in_flight
-    if endpoint.id in state.routed_engines:
-        return min(
-            endpoint_state.in_flight,
-            endpoint_state.report.running + endpoint_state.report.queued + len(endpoint_state.sent_prompts),
-        )
-    return max(endpoint_state.report.running, endpoint_state.in_flight)
+    if routed:
+        most_running = report.running + report.queued + len(endpoint_state.sent_prompts)
+        return min(endpoint_state.in_flight, most_running)
+    return max(report.running, endpoint_state.in_flight)
 
 
-def _waiting_tokens(state: BoxState, endpoint: Endpoint, endpoint_state: EndpointState, now: float) -> float:
+def _waiting_tokens(endpoint_state: EndpointState, routed: bool, now: float) -> float:
     """Return the prompt tokens whose prefill an engine has not finished."""
-    if endpoint.id in state.routed_engines:
+    if routed:
         return max(0.0, endpoint_state.prefill_until - now) * PREFILL_TOKENS_PER_S
     return sum(endpoint_state.waiting_tokens_by_job.values())
 
@@ -106,10 +113,19 @@
 
     Of equal sources a store box comes first, since engines evict parts that are not in use.
     """
-    found = []
+    first: Source | None = None
+    second: Source | None = None
+    first_rank = second_rank = LOWEST_RANK
     for holder in state.holdings.holders(scope, part.id):
         source = usable.get(holder)
-        if source is not None:
-            tokens = min(part.tokens, state.holdings.tokens(holder, scope, part.id))
-            found.append(replace(source, tokens=tokens))
-    return nlargest(2, found, key=lambda source: (source.tokens, source.durable, source.bytes_s))
+        if source is None:
+            continue
+        tokens = min(part.tokens, state.holdings.tokens(holder, scope, part.id))
+        rank = tokens, source.durable, source.bytes_s
+        if rank > first_rank:
+            second, second_rank = first, first_rank
+            first, first_rank = source, rank
+        elif rank > second_rank:
+            second, second_rank = source, rank
+    best = ((first, first_rank), (second, second_rank))
+    return [replace(source, tokens=rank[0]) for source, rank in best if source is not None]
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -297,9 +297,7 @@
 
     def version_of(self, endpoint: Endpoint, model: str) -> int:
         """Return the version of a model's weights that an endpoint runs; it never decreases."""
-        state = self.endpoint_state(endpoint)
-        reported = 0 if state.report is None else state.report.versions_by_model.get(model, 0)
-        return max(endpoint.versions_by_model.get(model, 0), reported, state.version)
+        return self.endpoint_state(endpoint).version_of(endpoint, model)
 
     def record_target_version(self, model: str, version: int, at: float, source: str) -> None:
         """Record when a version became the target; the earliest time that any box saw counts."""
--- a/tests/test_serving_core.py
+++ b/tests/test_serving_core.py
@@ -5,6 +5,7 @@
 
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
+from msgspec import structs
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.budget import RetryAllowance, WindowedRetryBudget
@@ -196,7 +197,7 @@
 def test_an_engine_that_keeps_the_prompt_wins_unless_its_queue_is_longer_than_reading():
     keeps, idle = engine("keeps", (500, 8_000, 0)), engine("idle")
     assert rank_placements(PARTS, 10_500, [idle, keeps], no_source, 35_000)[0].engine is keeps
-    waits = replace(keeps, waiting_tokens=40_000.0)
+    waits = structs.replace(keeps, waiting_tokens=40_000.0)
     assert rank_placements(PARTS, 10_500, [idle, waits], no_source, 35_000)[0].engine is idle
 
 
