Count the runs at each engine, and prefer engines with room

Cause: a router ranks engines by predicted time to first token, in which a full engine that keeps a shared part can come before one with free slots. Under hard load the busiest engine bears three times the mean, and runs are preempted for lack of memory while other engines have some left.

The choice of an engine ranks as before and takes the first with a free slot and enough memory; if none has them, the first of all. PlaceRequest gets the priority, the workspace and the times of a request, which the account uses to learn durations by priority; all have defaults.

--- a/stairquay/serving/endpoint_choice.py
+++ b/stairquay/serving/endpoint_choice.py
@@ -1,6 +1,6 @@
 """Chooses the endpoint of a request by load, health and cached context."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from math import ceil
 from random import Random
@@ -61,7 +61,8 @@
     """A request that needs an endpoint; prompt is None for plain services.
 
     tried: ids of endpoints that it was sent to. sender: the box that will send it, empty for this one.
-    backoffs_s: by endpoint id, the seconds of back-off left for the sender.
+    backoffs_s: by endpoint id, the seconds of back-off left for the sender. has_room: tells whether an engine
+    has a free slot and enough memory; engines that have go before all others.
     """
 
     service: ServiceSpec
@@ -70,6 +71,7 @@
     tried: frozenset[str] = frozenset()
     sender: str = ""
     backoffs_s: Mapping[str, float] = field(default_factory=dict)
+    has_room: Callable[[str], bool] | None = None
 
 
 def choose_endpoint(
@@ -90,6 +92,8 @@
         return Choice(_least_busy(state, candidates, now, random))
     candidates = _routed_or_sampled(state, candidates, random)
     placements = _placements(state, catalog, request, prompt, engine, candidates, now)
+    if request.has_room is not None:
+        placements = _with_room_first(placements, request.has_room)
     return _best_choice(state, request, prompt, placements, random, now) if placements else None
 
 
@@ -195,6 +199,18 @@
     ]
 
 
+def _with_room_first(placements: list[Placement], has_room: Callable[[str], bool]) -> list[Placement]:
+    """Return the placements from the quickest with room on, or all if none has room.
+
+    Few engines are asked for their room, since the quickest ones usually have it.
+    """
+    first = next((n for n, item in enumerate(placements) if has_room(item.engine.id)), None)
+    if first is None:
+        return placements
+    quickest = placements[first].first_token_s
+    return [item for item in placements[first:] if item.first_token_s > quickest or has_room(item.engine.id)]
+
+
 def _best_choice(
     state: BoxState,
     request: ChoiceRequest,
--- /dev/null
+++ b/stairquay/serving/engine_accounts.py
@@ -0,0 +1,105 @@
+"""Accounts of the engines that this box routes for, corrected by the engines' reports."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from stairquay.core.catalog import EngineSpec
+from stairquay.core.fleet import Endpoint
+from stairquay.core.placement import RUN_DURATION_S, USABLE_MEMORY_SHARE
+from stairquay.core.room import EngineAccount, Room
+from stairquay.serving.endpoint import EndpointState
+from stairquay.serving.evacuation import takes_work
+from stairquay.serving.messages import PlaceRequest
+from stairquay.serving.state import BoxState
+
+DURATION_WEIGHT = 0.05
+"""Weight of the newest run in the moving average of durations: some twenty runs count."""
+
+RunKind = tuple[str, int]
+"""A service, and the priority of a run: runs of one kind last about as long as each other."""
+
+
+class EngineAccounts:
+    """One account for each engine that prompts were placed on, or that this box routes for."""
+
+    def __init__(self, state: BoxState) -> None:
+        self.state = state
+        self.accounts_by_engine: dict[str, tuple[EndpointState, EngineAccount]] = {}
+        self.duration_s_by_kind: dict[RunKind, float] = {}
+
+    def has_room(self, engine: str, peak_tokens: int, spec: EngineSpec, now: float) -> bool:
+        """Tell whether an engine can start a prompt now; yes for one of which this box keeps no account."""
+        endpoint = self.state.fleet.by_id.get(engine)
+        if endpoint is None or engine not in self.state.routed_engines:
+            return True
+        return self._account(endpoint, spec).has_room(peak_tokens, now)
+
+    def rooms(self, request: PlaceRequest, spec: EngineSpec, now: float) -> list[Room]:
+        """Return the room for a prompt at each engine of its service that this box routes for."""
+        peak_tokens = request.tokens + request.max_output
+        return [
+            self._account(endpoint, spec).room(endpoint.id, peak_tokens, now)
+            for endpoint in self._routed(request.service)
+            if endpoint.id not in request.tried and takes_work(self.state, endpoint)
+        ]
+
+    def place(self, request: PlaceRequest, endpoint: Endpoint, now: float) -> None:
+        """Count a placed prompt."""
+        catalog = self.state.catalog
+        spec = None if catalog is None else catalog.engine_of(endpoint.service)
+        if spec is None:
+            return
+        expected_s = self.duration_s(request.service, request.priority)
+        peak_tokens = request.tokens + request.max_output
+        self._account(endpoint, spec).place(request.ticket, peak_tokens, expected_s, now)
+
+    def end(self, ticket: str, engine: str, kind: RunKind, completed: bool, now: float) -> None:
+        """Stop counting a prompt. completed: it ran, so that its duration is worth learning."""
+        _, account = self.accounts_by_engine.get(engine, (None, None))
+        run = None if account is None else account.end(ticket)
+        if run is not None and completed:
+            known_s = self.duration_s(*kind)
+            self.duration_s_by_kind[kind] = known_s + DURATION_WEIGHT * (now - run.placed_at - known_s)
+
+    def duration_s(self, service: str, priority: int) -> float:
+        """Return how long runs of a kind last, as observed."""
+        return self.duration_s_by_kind.get((service, priority), RUN_DURATION_S)
+
+    def observe_metrics(self) -> None:
+        """Write the free slots of each service to the metrics, and drop accounts of engines that left."""
+        free_slots: Counter[str] = Counter()
+        for engine, (_, account) in list(self.accounts_by_engine.items()):
+            endpoint = self.state.fleet.by_id.get(engine)
+            if endpoint is None or engine not in self.state.routed_engines:
+                if endpoint is None or not account.runs_by_ticket:
+                    del self.accounts_by_engine[engine]
+                continue
+            free_slots[endpoint.service] += max(0, account.slots - account.taken)
+        for service, slots in free_slots.items():
+            self.state.metrics.room.labels(service).set(slots)
+
+    def _routed(self, service: str) -> Iterator[Endpoint]:
+        fleet = self.state.fleet
+        for engine in self.state.routed_engines:
+            endpoint = fleet.by_id.get(engine)
+            if (
+                endpoint is not None
+                and endpoint.service == service
+                and engine not in fleet.missing_since_by_id
+            ):
+                yield endpoint
+
+    def _account(self, endpoint: Endpoint, spec: EngineSpec) -> EngineAccount:
+        """Return an engine's account, a new one for a new incarnation, with the last report applied."""
+        endpoint_state = self.state.endpoint_state(endpoint)
+        known_state, account = self.accounts_by_engine.get(endpoint.id, (None, None))
+        if account is None or known_state is not endpoint_state:
+            account = EngineAccount(spec.slots, spec.memory_tokens * USABLE_MEMORY_SHARE)
+            self.accounts_by_engine[endpoint.id] = endpoint_state, account
+        report = endpoint_state.report
+        if report is not None and endpoint_state.reported_at > account.reported_at:
+            usable_tokens = report.total_tokens * USABLE_MEMORY_SHARE
+            runs = report.running + report.queued
+            account.on_report(runs, report.used_tokens, usable_tokens, endpoint_state.reported_at)
+        account.slots = spec.slots
+        return account
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -5,23 +5,20 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from random import Random
 
 import grpc
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.call import Part, PromptShape
-from stairquay.core.catalog import WorkspacePolicy
-from stairquay.core.fleet import Endpoint
+from stairquay.core.catalog import LOWEST_PRIORITY, EngineSpec, WorkspacePolicy
 from stairquay.core.holdings import PartKey
 from stairquay.core.placement import prefill_s
-from stairquay.core.position import NO_POSITION, Position
 from stairquay.core.routers import Engine, engines_of
-from stairquay.serving.cold import cold_for_s
-from stairquay.serving.crash_rows import STALE_S
 from stairquay.serving.endpoint import BUSY_BACKOFF_S, EndpointState
 from stairquay.serving.endpoint_choice import Choice, ChoiceRequest
+from stairquay.serving.engine_accounts import EngineAccounts
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.links import RouterHandlers, serve
 from stairquay.serving.messages import (
@@ -33,18 +30,16 @@
     OperatorsReply,
     OperatorsRequest,
     Outcome,
-    PeerCrash,
-    PeerCrashes,
     PlaceReply,
     PlaceRequest,
     ViewsReply,
     ViewsRequest,
 )
 from stairquay.serving.pacing import count_sent, refund_sent, retry_after_s
-from stairquay.serving.ports import EndpointChanges, OperatorChanges
 from stairquay.serving.saving import choose_with_save_targets
 from stairquay.serving.state import BoxState
-from stairquay.serving.telling import apply_peer_feedback, feedback_for_peers, limit_feedback
+from stairquay.serving.telling import apply_peer_feedback, limit_feedback
+from stairquay.serving.view_replies import endpoints_reply, operators_reply
 
 ROLE_CHECK_INTERVAL_S = 0.25
 """Seconds between two updates of this box's role and its share of the engines."""
@@ -68,7 +63,7 @@
     """A prompt placed on an endpoint.
 
     at: when, in monotonic seconds. shared_parts: parts that other prompts may reuse, with their tokens.
-    rate_limited: it was counted against the endpoint's rate limit.
+    rate_limited: it was counted against the endpoint's rate limit. engine: the endpoint's id.
     """
 
     at: float
@@ -78,6 +73,9 @@
     address: str = ""
     shared_parts: tuple[tuple[PartKey, int], ...] = ()
     rate_limited: bool = False
+    engine: str = ""
+    service: str = ""
+    priority: int = LOWEST_PRIORITY
 
 
 class LocalRouter:
@@ -88,6 +86,7 @@
         self.random = random
         self.placed_by_ticket: dict[str, PlacedPrompt] = {}
         self.prefill_ticket_by_key: dict[PartKey, str] = {}
+        self.accounts = EngineAccounts(state)
         self.server: grpc.aio.Server | None = None
 
     async def run(self) -> None:
@@ -174,6 +173,8 @@
         if placed is None:
             return
         endpoint_state, now = placed.endpoint_state, monotonic()
+        kind = placed.service, placed.priority
+        self.accounts.end(ended.ticket, placed.engine, kind, ended.outcome == Outcome.DONE, now)
         endpoint_state.in_flight = max(0, endpoint_state.in_flight - 1)
         if ended.outcome in (Outcome.NOT_SENT, Outcome.TURNED_AWAY, Outcome.UNREACHED):
             endpoint_state.revert_placed(placed.expected_prefill_s, placed.tokens, placed.at)
@@ -194,9 +195,21 @@
         parts = tuple(Part(part.id, part.tokens) for part in request.parts)
         prompt = PromptShape(request.model, parts, request.tokens, request.max_output)
         workspace = WorkspacePolicy(request.wall, isolated=True) if request.wall else None
-        wanted = ChoiceRequest(service, prompt, workspace, frozenset(request.tried), request.box, backoffs_s)
+        wanted = ChoiceRequest(
+            service,
+            prompt,
+            workspace,
+            frozenset(request.tried),
+            request.box,
+            backoffs_s,
+            None if service.engine is None else self._room_test(request, service.engine),
+        )
         return choose_with_save_targets(self.state, catalog, wanted, self.random)
 
+    def _room_test(self, request: PlaceRequest, spec: EngineSpec) -> Callable[[str], bool]:
+        peak_tokens, now = request.tokens + request.max_output, monotonic()
+        return lambda engine: self.accounts.has_room(engine, peak_tokens, spec, now)
+
     def _record_placement(self, request: PlaceRequest, choice: Choice) -> None:
         now = monotonic()
         placement = choice.placement
@@ -208,8 +221,18 @@
         endpoint_state = self.state.endpoint_state(choice.endpoint)
         rate_limited = count_sent(self.state, choice.endpoint, now, self.random)
         placed = PlacedPrompt(
-            now, endpoint_state, expected_prefill_s, request.tokens, address, shared_parts, rate_limited
+            now,
+            endpoint_state,
+            expected_prefill_s,
+            request.tokens,
+            address,
+            shared_parts,
+            rate_limited,
+            choice.endpoint.id,
+            request.service,
+            request.priority,
         )
+        self.accounts.place(request, choice.endpoint, now)
         self.placed_by_ticket[request.ticket] = placed
         for key, _ in shared_parts:
             self.prefill_ticket_by_key.setdefault(key, request.ticket)
@@ -227,6 +250,7 @@
             await self._close()
         state.routed_engines = self._engines() if is_router else frozenset()
         self._expire(monotonic())
+        self.accounts.observe_metrics()
 
     def _engines(self) -> frozenset[str]:
         """Return the engines assigned to this router, with its share of those of suspected routers.
@@ -327,56 +351,10 @@
         )
 
     def _operators_reply(self, request: OperatorsRequest, received_at: float) -> OperatorsReply:
-        state = self.state
-        position = state.operators_position
-        if state.operators_changed_position > request.known_in(position.era):
-            named, evacuated = dict(state.target_version_by_model), tuple(sorted(state.evacuated))
-            changes = OperatorChanges(
-                position.revision, True, state.catalog, "", named, evacuated=evacuated, era=position.era
-            )
-        else:
-            changes = OperatorChanges(position.revision, False, era=position.era)
-        changed, crashes = self._crashes_since(request.crashes_known_in(position.era))
-        now = monotonic()
-        said = feedback_for_peers(state, now, frozenset(item.endpoint for item in request.said))
-        return OperatorsReply(
-            changes, state.view_age(), now - received_at, changed.revision, crashes, said, changed.era
-        )
-
-    def _crashes_since(self, known: Position) -> tuple[Position, PeerCrashes | None]:
-        """Return the position of the last change to the crash rows, and the crashes if that isn't `known`."""
-        quarantine, now = self.state.quarantine, monotonic()
-        if quarantine.rows_position == NO_POSITION or now - quarantine.rows_asked_at > STALE_S:
-            return NO_POSITION, None
-        if quarantine.rows_changed_position == known:
-            return known, None
-        report = quarantine.report_to_forward()
-        crashes = tuple(
-            PeerCrash(crash.digest, crash.incarnation, now - crash.at, crash.ran_s, crash.events)
-            for crash in report.crashes
-        )
-        cleared = tuple((digest, now - at) for digest, at in report.cleared.items())
-        return quarantine.rows_changed_position, PeerCrashes(crashes, cleared)
+        return operators_reply(self.state, request, received_at)
 
     def _endpoints_reply(self, request: EndpointsRequest) -> EndpointsReply:
-        state = self.state
-        position = state.list_position
-        if state.list_changed_position > request.known_in(position.era):
-            changes = EndpointChanges(position.revision, True, self._listed_endpoints(), era=position.era)
-        else:
-            changes = EndpointChanges(position.revision, False, era=position.era)
-        return EndpointsReply(changes, state.list_age())
-
-    def _listed_endpoints(self) -> tuple[Endpoint, ...]:
-        """Return the live endpoints, with the seconds for which cold ones remain cold."""
-        now = monotonic()
-
-        def as_of_now(endpoint: Endpoint) -> Endpoint:
-            if not endpoint.cold:
-                return endpoint
-            return replace(endpoint, cold_s=cold_for_s(self.state, endpoint, now))
-
-        return tuple(as_of_now(item) for item in self.state.fleet.live())
+        return endpoints_reply(self.state, request)
 
     async def _long_poll(self, valid_for_s: Callable[[], float], limit_s: float) -> None:
         """Wait until the reply would differ or expire, at most `limit_s` seconds."""
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from stairquay.core.catalog import LOWEST_PRIORITY
 from stairquay.core.limits import UNLIMITED
 from stairquay.core.position import Position
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
@@ -38,7 +39,10 @@
     """Asks where a prompt should run.
 
     ticket: id of the attempt among those of all boxes. box: the sender, which will also send the prompt.
-    tried: endpoints to exclude. may_wait: the sender can ask again later.
+    tried: endpoints to exclude. may_wait: the sender can ask again later. priority: as at engines, 0 for the
+    most urgent. workspace: the one whose share of the capacity counts. objective_left_s, deadline_left_s:
+    until the first token is due and until the time limit, None from a sender that leaves admission to the
+    engines. waited_s: since the request arrived at the sender.
     """
 
     ticket: str
@@ -56,6 +60,11 @@
     may_wait: bool = False
     # Backoffs that the sender has to observe, and feedback that the router has shown not to know.
     said: tuple[PeerFeedback, ...] = ()
+    priority: int = LOWEST_PRIORITY
+    workspace: str = ""
+    objective_left_s: float | None = None
+    deadline_left_s: float | None = None
+    waited_s: float = 0.0
 
 
 class PlaceReply(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -40,6 +40,12 @@
             buckets=TOKEN_BUCKETS,
             registry=registry,
         )
+        self.room = Gauge(
+            "stairquay_room",
+            "Free slots of the engines that this box routes for",
+            ["service"],
+            registry=registry,
+        )
         self.orders = Counter("stairquay_orders", "Orders by answer", ["answer"], registry=registry)
         self.freed = Counter("stairquay_freed_parts", "Parts freed at store boxes", registry=registry)
         self.table_calls = Counter(
--- a/tests/test_crash_rows.py
+++ b/tests/test_crash_rows.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-from random import Random
 
 from result import Err, Ok
 
@@ -15,10 +14,10 @@
 from stairquay.core.row import Row
 from stairquay.serving.crash_rows import CrashRowSync, decode
 from stairquay.serving.following import apply_endpoints, apply_operators
-from stairquay.serving.local_router import LocalRouter
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
 from stairquay.serving.quarantine import CrashReport
 from stairquay.serving.state import MAX_CRASH_ROWS_WAIT_S, BoxState
+from stairquay.serving.view_replies import crashes_since
 from tests.site import eventually
 from tests.states import box_state
 
@@ -146,11 +145,11 @@
         state = box_state()
         state.routers = (state.member,)
         table = LongPollTable()
-        row_sync, router = CrashRowSync(state, table), LocalRouter(state, Random(1))
+        row_sync = CrashRowSync(state, table)
         follower = asyncio.create_task(row_sync.follow())
         await asyncio.sleep(0.1)
         while table.polls < 4:
-            assert router._crashes_since(NO_POSITION)[0] == Position(0, 1)
+            assert crashes_since(state, NO_POSITION)[0] == Position(0, 1)
             await asyncio.sleep(0.02)
         follower.cancel()
 
