--- a/tests/site.py
+++ b/tests/site.py
@@ -103,6 +103,7 @@
     session: ClientSession | None = None
     bounds: dict[str, float] = field(default_factory=dict)
     limits: dict[str, int] = field(default_factory=dict)
+    module: str = "stairquay"
 
     async def start(self, ready: bool = True) -> None:
         for part in (self.table, *self.endpoints, *self.stores):
@@ -123,7 +124,7 @@
         self.metrics_port = free_port()
         self.peer_address = f"127.0.0.1:{free_port()}"
         path = self.write_settings()
-        command = [sys.executable, "-m", "stairquay", "box", "--metrics-port", str(self.metrics_port)]
+        command = [sys.executable, "-m", self.module, "box", "--metrics-port", str(self.metrics_port)]
         self.box = await asyncio.create_subprocess_exec(
             *command,
             cwd=ROOT,
@@ -286,6 +287,7 @@
     ready: bool = True,
     limits: dict[str, int] | None = None,
     halls: tuple[str, ...] = ("hall-a",),
+    module: str = "stairquay",
     **bounds: float,
 ) -> AsyncIterator[Site]:
     """Run a box and its stand-ins. The endpoints of a service are spread over the data halls in turn."""
@@ -295,7 +297,9 @@
         endpoint.hall = halls[int(endpoint.id.partition("-")[2]) % len(halls)]
     with tempfile.TemporaryDirectory() as folder:
         boxes = [StoreBox() for _ in range(stores)]
-        made = Site(TableService(), endpoints, boxes, Path(folder), bounds=bounds, limits=limits or {})
+        made = Site(
+            TableService(), endpoints, boxes, Path(folder), bounds=bounds, limits=limits or {}, module=module
+        )
         try:
             await made.start(ready)
             yield made
