Send requests to endpoints without the client session

Of a plain request's time, 29% went into sending it: a session that prepares redirects, cookies, traces and authentication, a URL that is parsed for each request, a header map that is copied twice, and a context variable that carries the last check to the connector. A box needs the connection, the parser and a pool.

Requests to endpoints now use a small pool of the same checked connections, and write head and body at once. Kept: the check right before the first byte, one time limit, answers without a length that end in a reset, the endpoints' Keep-Alive times, and that a method that is safe to take again doesn't count against an endpoint that closes an idle connection. Other calls keep the session.

--- /dev/null
+++ b/stairquay/platform/connection_pool.py
@@ -0,0 +1,148 @@
+"""Connections to endpoints: opened, reused while they are not stale, and closed when idle for long.
+
+aiohttp's client session does the same for any request. Its requests, redirects, cookies and traces take more
+processor time than all else that a box does for a plain request, and a box needs none of them.
+"""
+
+import asyncio
+import socket
+from collections import deque
+from dataclasses import dataclass, field
+
+from aiohttp import StreamReader
+from aiohttp.http import RawResponseMessage
+
+from stairquay.adapters.clock import monotonic
+from stairquay.platform.connections import (
+    CONNECT_TIMEOUT_S,
+    IDLE_TIMEOUT_S,
+    MAX_FIELD_BYTES,
+    CheckedProtocol,
+    set_socket_options,
+)
+
+READ_BUFFER_BYTES = 65_536
+"""Bytes of an answer that wait to be read before reading from the connection pauses."""
+
+NO_BODY_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE"))
+"""Methods of requests whose length is not named if they have no body."""
+
+SWITCHING_PROTOCOLS = 101
+FIRST_FINAL_STATUS = 200
+
+
+@dataclass(eq=False)
+class PooledConnection:
+    """One connection to an endpoint.
+
+    reused: it has carried a request before. idle_since: monotonic seconds.
+    """
+
+    address: str
+    protocol: CheckedProtocol
+    reused: bool = False
+    idle_since: float = 0.0
+
+    def send(self, method: str, target: str, headers: list[tuple[str, str]], body: bytes) -> None:
+        """Write a request. Raises ValueError if a header has a line break."""
+        head = encode_head(method, target, headers, len(body))
+        self.protocol.set_response_params(
+            skip_payload=method == "HEAD",
+            read_until_eof=True,
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
+            max_line_size=MAX_FIELD_BYTES,
+            max_field_size=MAX_FIELD_BYTES,
+        )
+        transport = self.protocol.transport
+        if transport is None:
+            raise ConnectionResetError("the connection was closed")
+        transport.write(head + body)
+
+    async def read_head(self) -> tuple[RawResponseMessage, StreamReader]:
+        """Return the head of the answer and the reader of its body, without interim answers."""
+        while True:
+            message, payload = await self.protocol.read()
+            if message.code >= FIRST_FINAL_STATUS or message.code == SWITCHING_PROTOCOLS:
+                return message, payload
+
+
+def encode_head(method: str, target: str, headers: list[tuple[str, str]], body_bytes: int) -> bytes:
+    """Return the head of a request. Raises ValueError if a part of it has a line break."""
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body_bytes or method not in NO_BODY_METHODS:
+        lines.append(f"Content-Length: {body_bytes}")
+    text = "\r\n".join(lines)
+    if text.count("\n") != len(lines) - 1 or text.count("\r") != len(lines) - 1 or "\0" in text:
+        raise ValueError("a line break in a header")
+    return f"{text}\r\n\r\n".encode(errors="surrogateescape")
+
+
+@dataclass(eq=False)
+class ConnectionPool:
+    """Idle connections by address, the one that has been idle for longest first."""
+
+    connect_s: float = CONNECT_TIMEOUT_S
+    idle_s: float = IDLE_TIMEOUT_S
+    idle_by_address: dict[str, deque[PooledConnection]] = field(default_factory=dict)
+    closed: bool = False
+    expiry: asyncio.TimerHandle | None = None
+
+    async def acquire(self, address: str) -> PooledConnection:
+        """Return an idle connection, or a new one.
+
+        Raises OSError if none can be opened, and TimeoutError if that takes too long.
+        """
+        idle = self.idle_by_address.get(address)
+        oldest = monotonic() - self.idle_s
+        while idle:
+            connection = idle.popleft()
+            if connection.idle_since > oldest and connection.protocol.is_connected():
+                return connection
+            connection.protocol.close()
+        return await self._open(address)
+
+    def release(self, connection: PooledConnection) -> None:
+        """Keep a connection for the next request if its last answer was complete, else close it."""
+        if self.closed or connection.protocol.should_close:
+            connection.protocol.close()
+            return
+        connection.reused = True
+        connection.idle_since = monotonic()
+        self.idle_by_address.setdefault(connection.address, deque()).append(connection)
+        if self.expiry is None:
+            self.expiry = asyncio.get_running_loop().call_later(self.idle_s, self._close_expired)
+
+    async def close(self) -> None:
+        """Close all idle connections, and the others as they are released."""
+        self.closed = True
+        if self.expiry is not None:
+            self.expiry.cancel()
+        for idle in self.idle_by_address.values():
+            for connection in idle:
+                connection.protocol.close()
+        self.idle_by_address.clear()
+
+    async def _open(self, address: str) -> PooledConnection:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(self.connect_s):
+            transport, protocol = await loop.create_connection(
+                lambda: CheckedProtocol(loop), host.strip("[]"), int(port)
+            )
+        opened: socket.socket = transport.get_extra_info("socket")
+        set_socket_options(opened)
+        return PooledConnection(address, protocol)
+
+    def _close_expired(self) -> None:
+        oldest = monotonic() - self.idle_s
+        for address, idle in list(self.idle_by_address.items()):
+            while idle and (idle[0].idle_since <= oldest or not idle[0].protocol.is_connected()):
+                idle.popleft().protocol.close()
+            if not idle:
+                del self.idle_by_address[address]
+        self.expiry = None
+        if self.idle_by_address:
+            next_s = min(idle[0].idle_since for idle in self.idle_by_address.values()) - oldest
+            self.expiry = asyncio.get_running_loop().call_later(max(0.1, next_s), self._close_expired)
--- a/stairquay/platform/connections.py
+++ b/stairquay/platform/connections.py
@@ -3,15 +3,11 @@
 import asyncio
 import re
 import socket
-from collections.abc import Callable
-from contextvars import ContextVar
-from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
-from aiohttp import ClientError, ClientSession, ClientTimeout, DummyCookieJar, TCPConnector
+from aiohttp import ClientSession, ClientTimeout, DummyCookieJar, TCPConnector
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.connector import Connection
 
 from stairquay.adapters.clock import monotonic
 
@@ -41,10 +37,6 @@
 """Maximum size of a header field and of the status line of a response."""
 
 
-class SendRefused(ClientError):
-    """The request must not be sent any more, so no bytes of it were."""
-
-
 class CheckedProtocol(ResponseHandler):
     """A connection that records whether it broke, and is not reused if stale or after unexpected data.
 
@@ -73,44 +65,11 @@
         return not idle or not (self._buffer or self._tail or monotonic() > self.stale_at)
 
 
-@dataclass
-class PendingSend:
-    """A request to send. may_send: called right before its first bytes are written."""
-
-    may_send: Callable[[], bool]
-    protocol: CheckedProtocol | None = None
-
-
-PENDING_SEND: ContextVar[PendingSend | None] = ContextVar("pending_send", default=None)
-"""The request that the current task is sending."""
-
-
-class CheckedConnector(TCPConnector):
-    """Opens checked connections, and checks before each use that the request may still be sent."""
-
-    def __init__(self, **options: Any) -> None:
-        super().__init__(**options)
-        factory: Any = partial(CheckedProtocol, loop=asyncio.get_running_loop())
-        self._factory = factory
-
-    async def connect(self, *args: Any, **options: Any) -> Connection:
-        """Return a connection for the pending request of the current task."""
-        connection = await super().connect(*args, **options)
-        pending = PENDING_SEND.get()
-        if pending is None:
-            return connection
-        if not pending.may_send():
-            connection.close()
-            raise SendRefused("the request may no longer be sent")
-        protocol = connection.protocol
-        assert isinstance(protocol, CheckedProtocol)
-        pending.protocol = protocol
-        return connection
-
-
 def open_session(connect_s: float = CONNECT_TIMEOUT_S, idle_s: float = IDLE_TIMEOUT_S) -> ClientSession:
     """Return a session without cookies and decompression that detects dead connections quickly."""
-    connector = CheckedConnector(limit=0, keepalive_timeout=idle_s, socket_factory=_open_socket)
+    connector = TCPConnector(limit=0, keepalive_timeout=idle_s, socket_factory=_open_socket)
+    factory: Any = partial(CheckedProtocol, loop=asyncio.get_running_loop())
+    connector._factory = factory
     return ClientSession(
         connector=connector,
         cookie_jar=DummyCookieJar(),
@@ -125,10 +84,15 @@
 def _open_socket(address: tuple[Any, ...]) -> socket.socket:
     family, kind, protocol = address[0], address[1], address[2]
     opened = socket.socket(family, kind, protocol)
+    set_socket_options(opened)
+    return opened
+
+
+def set_socket_options(opened: socket.socket) -> None:
+    """Make a connection send without delay, and end soon after its other side is gone."""
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_KEEPALIVE_PROBES)
-    return opened
--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -3,15 +3,16 @@
 import asyncio
 from collections.abc import AsyncIterator
 
-from aiohttp import ClientError, ClientResponse, ClientSession
-from multidict import CIMultiDict
+from aiohttp import ClientError, StreamReader
+from aiohttp.hdrs import CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING
+from aiohttp.http import RawResponseMessage
+from aiohttp.http_exceptions import HttpProcessingError
 from result import Err, Ok, Result
-from yarl import URL
 
-from stairquay.core.attempt import Attempt, AttemptState
+from stairquay.core.attempt import Attempt
 from stairquay.core.call import Call, Dispatch
 from stairquay.core.errors import ErrorKind, ExecutionStatus
-from stairquay.platform.connections import PENDING_SEND, CheckedProtocol, PendingSend, SendRefused
+from stairquay.platform.connection_pool import ConnectionPool, PooledConnection
 from stairquay.platform.names import (
     EXPECT_VERSION,
     FETCH,
@@ -36,6 +37,10 @@
 NO_ADDRESS = "-"
 """Placeholder for a part that is not fetched or not saved."""
 
+NOT_SENT_DETAIL = "the request may no longer be sent"
+
+IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"))
+
 HTTP_MISDIRECTED = 421
 STREAM_TYPE = "text/event-stream"
 
@@ -43,55 +48,114 @@
 class EndpointClient:
     """Sends callers' requests to endpoints."""
 
-    def __init__(self, session: ClientSession) -> None:
-        self.session = session
+    def __init__(self, pool: ConnectionPool) -> None:
+        self.pool = pool
 
     async def send(
         self, call: Call, body: bytes, dispatch: Dispatch, attempt: Attempt, guard: Guard, wait_s: float
     ) -> Result[Reply, SendFailure]:
         """Send a request and return its response, body not read yet, or the reason of the failure."""
-
-        def may_send() -> bool:
-            # aiohttp may retry on its own; the state of the attempt prevents a second send.
-            return guard() and attempt.state == AttemptState.PLANNED and attempt.send()
-
-        pending = PendingSend(may_send)
-        token = PENDING_SEND.set(pending)
+        connection: PooledConnection | None = None
         try:
             async with asyncio.timeout(wait_s):
-                response = await self.session.request(
-                    call.method,
-                    URL(f"http://{dispatch.address}{call.target}", encoded=True),
-                    headers=_request_headers(call, dispatch),
-                    data=body or None,
-                    allow_redirects=False,
-                )
+                connection = await self.pool.acquire(dispatch.address)
+                if not (guard() and attempt.send()):
+                    self.pool.release(connection)
+                    return _not_sent(attempt)
+                connection.send(call.method, _target(call), _request_headers(call, dispatch), body)
+                message, payload = await connection.read_head()
         except TimeoutError:
+            _close(connection)
             attempt.lose()
             return Err(SendFailure(ErrorKind.DEADLINE, attempt.ran, "no answer in time"))
-        except (ClientError, OSError, ValueError) as error:
+        except (ClientError, HttpProcessingError, OSError, ValueError) as error:
+            _close(connection)
             attempt.lose()
-            fault = not isinstance(error, SendRefused)
-            detail = type(error).__name__
-            return Err(
-                SendFailure(
-                    ErrorKind.ENDPOINT_FAILED,
-                    attempt.ran,
-                    detail,
-                    fault=fault,
-                    connection_broken=attempt.ran != ExecutionStatus.NOT_RUN,
-                )
-            )
-        finally:
-            PENDING_SEND.reset(token)
-        if pending.protocol is not None:
-            pending.protocol.set_keep_alive(response.headers.get(KEEP_ALIVE, ""))
-        return _validate_response(call, response, attempt, pending.protocol)
+            return Err(_broken_send(call, connection, attempt, error))
+        except BaseException:
+            _close(connection)
+            raise
+        connection.protocol.set_keep_alive(message.headers.get(KEEP_ALIVE, ""))
+        return _validate_response(call, Response(message, payload, connection, self.pool), attempt)
+
+
+class Response:
+    """An endpoint's response whose head was read. Its connection is kept once the body is complete."""
+
+    def __init__(
+        self,
+        message: RawResponseMessage,
+        payload: StreamReader,
+        connection: PooledConnection,
+        pool: ConnectionPool,
+    ) -> None:
+        self.status = message.code
+        self.headers = message.headers
+        self.payload = payload
+        self.connection: PooledConnection | None = connection
+        self.protocol = connection.protocol
+        self.pool = pool
+        payload.on_eof(self._release)
+
+    def close(self) -> None:
+        """Close the connection if the body isn't complete."""
+        connection, self.connection = self.connection, None
+        _close(connection)
+
+    def _release(self) -> None:
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            self.pool.release(connection)
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives; raise an error if it is incomplete.
+
+        aiohttp takes a connection reset for the end of a body without a length, so that is checked here.
+        """
+        framed = CONTENT_LENGTH in self.headers or "chunked" in self.headers.get(TRANSFER_ENCODING, "")
+        try:
+            while chunk := await self.payload.readany():
+                yield chunk
+        except (ClientError, OSError) as error:
+            raise IncompleteResponseError(type(error).__name__) from error
+        if not framed and self.protocol.broken:
+            raise IncompleteResponseError("the connection was reset")
+
+
+def _close(connection: PooledConnection | None) -> None:
+    if connection is not None:
+        connection.protocol.close()
+
+
+def _not_sent(attempt: Attempt) -> Err[SendFailure]:
+    """Return the failure of a request that may not be sent any more."""
+    attempt.lose()
+    return Err(SendFailure(ErrorKind.ENDPOINT_FAILED, attempt.ran, NOT_SENT_DETAIL, fault=False))
+
+
+def _broken_send(
+    call: Call, connection: PooledConnection | None, attempt: Attempt, error: Exception
+) -> SendFailure:
+    """Return the failure of a request whose connection could not be opened, or ended without a response."""
+    sent = attempt.ran != ExecutionStatus.NOT_RUN
+    # An endpoint may close an idle connection just then; other methods are not known to be safe to take so.
+    closed_when_idle = connection is not None and connection.reused and call.method in IDEMPOTENT_METHODS
+    return SendFailure(
+        ErrorKind.ENDPOINT_FAILED,
+        attempt.ran,
+        type(error).__name__,
+        fault=not (sent and closed_when_idle),
+        connection_broken=sent,
+    )
 
 
-def _request_headers(call: Call, dispatch: Dispatch) -> CIMultiDict[str]:
-    headers = CIMultiDict(call.headers)
-    headers["Host"] = call.host
+def _target(call: Call) -> str:
+    return call.target.partition("#")[0]
+
+
+def _request_headers(call: Call, dispatch: Dispatch) -> list[tuple[str, str]]:
+    """Return the caller's headers, none of which has the name of one that a box sets, and the box's."""
+    headers = {"Host": call.host}
     headers[TIME_LEFT] = str(max(1, int(dispatch.time_left_s * 1000)))
     headers[INSTANCE] = dispatch.endpoint
     if dispatch.workspace:
@@ -110,16 +174,14 @@
         headers[SAVE] = _addresses(dispatch.save_to)
     if dispatch.resume_after is not None:
         headers[LAST_EVENT_ID] = dispatch.resume_after
-    return headers
+    return [*headers.items(), *call.headers]
 
 
 def _addresses(by_part: tuple[str, ...]) -> str:
     return ",".join(address or NO_ADDRESS for address in by_part)
 
 
-def _validate_response(
-    call: Call, response: ClientResponse, attempt: Attempt, protocol: CheckedProtocol | None
-) -> Result[Reply, SendFailure]:
+def _validate_response(call: Call, response: Response, attempt: Attempt) -> Result[Reply, SendFailure]:
     """Return the response if it belongs to this request and was signed by an endpoint."""
     status = response.status
     if NOT_RUN in response.headers or status == HTTP_MISDIRECTED:
@@ -152,31 +214,21 @@
         Reply(
             status=status,
             headers=_response_headers(response),
-            chunks=lambda: _body_chunks(response, protocol),
+            chunks=response.chunks,
             close=response.close,
-            streamed=response.content_type == STREAM_TYPE,
+            streamed=_media_type(response.headers.get(CONTENT_TYPE, "")) == STREAM_TYPE,
             version=int(version) if version.isdecimal() else None,
             feedback=parse_feedback(response.headers, status),
         )
     )
 
 
-def _response_headers(response: ClientResponse) -> tuple[tuple[str, str], ...]:
+def _media_type(content_type: str) -> str:
+    """Return the type of a Content-Type header without its parameters."""
+    return content_type.partition(";")[0].strip().lower()
+
+
+def _response_headers(response: Response) -> tuple[tuple[str, str], ...]:
     connection_options = {item.strip().lower() for item in response.headers.get("Connection", "").split(",")}
     dropped = (HOP_BY_HOP_HEADERS | connection_options) - {SIGNATURE.lower(), REQUEST_ID.lower()}
     return tuple((name, value) for name, value in response.headers.items() if name.lower() not in dropped)
-
-
-async def _body_chunks(response: ClientResponse, protocol: CheckedProtocol | None) -> AsyncIterator[bytes]:
-    """Yield the body as it arrives; raise an error if it is incomplete.
-
-    aiohttp takes a connection reset for the end of a body without a length, so that is checked here.
-    """
-    framed = response.content_length is not None or "chunked" in response.headers.get("Transfer-Encoding", "")
-    try:
-        while chunk := await response.content.readany():
-            yield chunk
-    except (ClientError, OSError) as error:
-        raise IncompleteResponseError(type(error).__name__) from error
-    if not framed and (protocol is None or protocol.broken):
-        raise IncompleteResponseError("the connection was reset")
--- a/stairquay/platform/surroundings.py
+++ b/stairquay/platform/surroundings.py
@@ -1,6 +1,7 @@
 """Creates all of the platform's clients, as the ports of the one-process program."""
 
 from stairquay.platform.callers import PlatformCallerCodec
+from stairquay.platform.connection_pool import ConnectionPool
 from stairquay.platform.connections import open_session
 from stairquay.platform.endpoints import EndpointClient
 from stairquay.platform.feeds import Feeds
@@ -12,19 +13,19 @@
 
 def open_clients(table_address: str) -> Ports:
     """Open the clients; an event loop must be running."""
-    request_session = open_session()
+    request_pool = ConnectionPool()
     control_session = open_session()
     table = TableClient(table_address, control_session)
 
     async def close() -> None:
-        await request_session.close()
+        await request_pool.close()
         await control_session.close()
 
     return Ports(
         feeds=Feeds(table),
         own=OwnRows(table),
         peers=PeerClient(control_session),
-        endpoints=EndpointClient(request_session),
+        endpoints=EndpointClient(request_pool),
         callers=PlatformCallerCodec(),
         ready_path=READY_PATH,
         close=close,
