Write events to the caller right when they are read

Each event of a stream took two turns of the event loop: one that read it and woke the task, and one in which the task wrote it. Each piece that the task read also resumed a connection that was not paused, which ran the parser once more.

A reply now passes its body to a function as it is read. The task waits for the stream's end, its time limit, and a caller that reads slowly. What a caller gets is the same: whole events, the head with the first one.

--- a/stairquay/platform/connections.py
+++ b/stairquay/platform/connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 import socket
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -40,9 +41,10 @@
 class CheckedProtocol(ResponseHandler):
     """A connection that records whether it broke, and is not reused if stale or after unexpected data.
 
-    stale_at: monotonic seconds.
+    stale_at: monotonic seconds. listener: called after data was parsed, and after the connection ended.
     """
 
+    listener: Callable[[], None] | None = None
     broken = False
     stale_at = float("inf")
 
@@ -56,6 +58,19 @@
         """Record whether the connection ended with an error."""
         self.broken = exc is not None
         super().connection_lost(exc)
+        if self.listener is not None:
+            self.listener()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse data, and tell the listener."""
+        super().data_received(data)
+        if self.listener is not None and data:
+            self.listener()
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Resume reading if it was paused; a reader calls this after each piece that it takes."""
+        if self._reading_paused or self._buffer_paused:
+            super().resume_reading(resume_parser)
 
     def is_connected(self) -> bool:
         """Tell whether the connection can be used."""
--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -1,7 +1,7 @@
 """Sends callers' requests to endpoints, and validates the responses."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 
 from aiohttp import ClientError, StreamReader
 from aiohttp.hdrs import CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING
@@ -32,7 +32,7 @@
     WORKSPACE,
 )
 from stairquay.platform.statements import parse_feedback
-from stairquay.serving.ports import Guard, IncompleteResponseError, Reply, SendFailure
+from stairquay.serving.ports import Guard, IncompleteResponseError, Reply, SendFailure, Take
 
 NO_ADDRESS = "-"
 """Placeholder for a part that is not fetched or not saved."""
@@ -107,20 +107,61 @@
         if connection is not None:
             self.pool.release(connection)
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives; raise an error if it is incomplete.
+    async def forward(self, take: Take) -> None:
+        """Pass the body on as it arrives; raise an error if it is incomplete.
 
         aiohttp takes a connection reset for the end of a body without a length, so that is checked here.
         """
         framed = CONTENT_LENGTH in self.headers or "chunked" in self.headers.get(TRANSFER_ENCODING, "")
         try:
-            while chunk := await self.payload.readany():
-                yield chunk
+            while not self.payload.at_eof():
+                blocked = await self._forward_arriving(take)
+                if blocked is not None:
+                    await blocked
         except (ClientError, OSError) as error:
+            if error is not self.payload.exception():
+                # The caller's connection failed, not the endpoint's.
+                raise
             raise IncompleteResponseError(type(error).__name__) from error
         if not framed and self.protocol.broken:
             raise IncompleteResponseError("the connection was reset")
 
+    async def _forward_arriving(self, take: Take) -> Awaitable[None] | None:
+        """Pass on what is there and what arrives, until the body ends or `take` has to be waited for.
+
+        Nothing is awaited between reading from the connection and `take`, which saves a turn of the event
+        loop for each event of a stream.
+        """
+        stopped: asyncio.Future[Awaitable[None] | None] = asyncio.get_running_loop().create_future()
+
+        def on_data() -> None:
+            if stopped.done():
+                return
+            try:
+                blocked = self._take_available(take)
+            except Exception as error:
+                stopped.set_exception(error)
+                return
+            if blocked is not None or self.payload.at_eof():
+                stopped.set_result(blocked)
+
+        on_data()
+        if stopped.done():
+            return stopped.result()
+        self.protocol.listener = on_data
+        try:
+            return await stopped
+        finally:
+            self.protocol.listener = None
+
+    def _take_available(self, take: Take) -> Awaitable[None] | None:
+        """Pass on what has arrived. Raises the payload's error if the body has ended with one."""
+        while data := self.payload.read_nowait():
+            blocked = take(data)
+            if blocked is not None:
+                return blocked
+        return None
+
 
 def _close(connection: PooledConnection | None) -> None:
     if connection is not None:
@@ -214,7 +255,7 @@
         Reply(
             status=status,
             headers=_response_headers(response),
-            chunks=response.chunks,
+            forward=response.forward,
             close=response.close,
             streamed=_media_type(response.headers.get(CONTENT_TYPE, "")) == STREAM_TYPE,
             version=int(version) if version.isdecimal() else None,
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -1,6 +1,6 @@
 """Ports of the box process: the interfaces that adapters of a platform implement."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -251,16 +251,21 @@
     feedback: Feedback | None = None
 
 
+Take = Callable[[bytes], Awaitable[None] | None]
+"""Takes bytes of a body right when they are read from the connection. It must not block; what it returns, if
+anything, is awaited before it is called again."""
+
+
 @dataclass(frozen=True)
 class Reply:
     """An endpoint's answer whose head was read. version: the weights it ran, where the answer names them.
 
-    chunks yields the body as it arrives, and raises IncompleteResponseError where the body ends early.
+    forward passes the body on as it arrives, and raises IncompleteResponseError where the body ends early.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    chunks: Callable[[], AsyncIterator[bytes]]
+    forward: Callable[[Take], Awaitable[None]]
     close: Callable[[], None]
     streamed: bool = False
     version: int | None = None
--- a/stairquay/serving/relay.py
+++ b/stairquay/serving/relay.py
@@ -5,10 +5,12 @@
 
 import asyncio
 import re
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 from aiohttp import web
+from aiohttp.http import StreamWriter
 
 from stairquay.adapters.clock import monotonic
 from stairquay.serving.ports import IncompleteResponseError, Reply
@@ -37,11 +39,14 @@
     Raises IncompleteResponseError if it breaks off or is too large, and TimeoutError at the deadline.
     """
     body = bytearray()
+
+    def take(data: bytes) -> None:
+        body.extend(data)
+        if len(body) > MAX_RESPONSE_BYTES:
+            raise IncompleteResponseError("the answer is too large")
+
     async with asyncio.timeout(deadline - monotonic()):
-        async for chunk in reply.chunks():
-            body += chunk
-            if len(body) > MAX_RESPONSE_BYTES:
-                raise IncompleteResponseError("the answer is too large")
+        await reply.forward(take)
     return bytes(body)
 
 
@@ -66,17 +71,70 @@
 
     The head is sent with the first event, so that a stream that breaks off earlier can still be retried.
     """
+    relay = EventRelay(request, reply, progress, on_first_event, should_close)
     async with asyncio.timeout(deadline - monotonic()):
-        async for events in _complete_events(reply.chunks()):
-            if progress.response is None:
-                progress.response = await _send_head(request, reply, should_close())
-            if progress.events == 0:
-                on_first_event()
-            await progress.response.write(events)
-            _record_events(progress, events)
-        if progress.response is None:
-            progress.response = await _send_head(request, reply, should_close())
-        await progress.response.write_eof()
+        await reply.forward(relay.take)
+        await relay.finish()
+
+
+class EventRelay:
+    """Writes the events of one reply to the caller as they arrive."""
+
+    def __init__(
+        self,
+        request: web.Request,
+        reply: Reply,
+        progress: StreamProgress,
+        on_first_event: Callable[[], None],
+        should_close: Callable[[], bool],
+    ) -> None:
+        self.request = request
+        self.reply = reply
+        self.progress = progress
+        self.on_first_event = on_first_event
+        self.should_close = should_close
+        self.writer: StreamWriter | None = None
+        self.incomplete = b""
+
+    def take(self, data: bytes) -> Awaitable[None] | None:
+        """Write the events that are complete now. Return what to wait for before more is taken."""
+        data = self.incomplete + data
+        end = data.rfind(EVENT_END) + len(EVENT_END)
+        if end < len(EVENT_END):
+            self.incomplete = data
+            if len(data) > MAX_EVENT_BYTES:
+                raise IncompleteResponseError("an event is too large")
+            return None
+        self.incomplete = data[end:]
+        events = data[:end] if self.incomplete else data
+        if self.writer is None:
+            return self._write_first(events)
+        self._write(self.writer, events)
+        return self.writer.drain() if self.request.protocol.writing_paused else None
+
+    async def finish(self) -> None:
+        """Write the rest of a stream that has ended as it should."""
+        if self.incomplete or self.writer is None:
+            await self._write_first(self.incomplete)
+        assert self.progress.response is not None
+        await self.progress.response.write_eof()
+
+    async def _write_first(self, events: bytes) -> None:
+        """Write the head, unless an earlier attempt did, and events."""
+        if self.progress.response is None:
+            self.progress.response = await _send_head(self.request, self.reply, self.should_close())
+        writer = await self.progress.response.prepare(self.request)
+        assert isinstance(writer, StreamWriter)
+        self.writer = writer
+        if events:
+            self._write(self.writer, events)
+            await self.writer.drain()
+
+    def _write(self, writer: StreamWriter, events: bytes) -> None:
+        if self.progress.events == 0:
+            self.on_first_event()
+        _run_now(writer.write(events, drain=False))
+        _record_events(self.progress, events)
 
 
 def abort_connection(request: web.Request) -> None:
@@ -85,23 +143,6 @@
         request.transport.abort()
 
 
-async def _complete_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
-    """Yield the bytes up to the end of the last complete event, and at a clean end of the stream the rest."""
-    buffer = b""
-    async for chunk in chunks:
-        buffer += chunk
-        end = buffer.rfind(EVENT_END)
-        if end < 0:
-            if len(buffer) > MAX_EVENT_BYTES:
-                raise IncompleteResponseError("an event is too large")
-            continue
-        end += len(EVENT_END)
-        yield buffer[:end]
-        buffer = buffer[end:]
-    if buffer:
-        yield buffer
-
-
 async def _send_head(request: web.Request, reply: Reply, close: bool) -> web.StreamResponse:
     response = web.StreamResponse(status=reply.status)
     for name, value in reply.headers:
@@ -119,3 +160,13 @@
     ids = EVENT_ID.findall(events)
     if ids:
         progress.last_event_id = ids[-1].decode(errors="replace")
+
+
+def _run_now(write: Coroutine[Any, Any, None]) -> None:
+    """Run a coroutine that doesn't wait for anything, without a turn of the event loop."""
+    try:
+        write.send(None)
+    except StopIteration:
+        return
+    write.close()
+    raise RuntimeError("a write without draining waited")
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,135 @@
+"""How a stream is relayed while the caller's connection is slow, gone, or gets events in pieces."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any
+
+import pytest
+from aiohttp import ClientSession, web
+
+from stairquay.adapters.clock import monotonic
+from stairquay.serving.ports import IncompleteResponseError, Reply, Take
+from stairquay.serving.relay import MAX_EVENT_BYTES, StreamProgress, relay_stream
+from tests.standins.table import serve_app
+
+Forward = Callable[[Take], Awaitable[None]]
+
+
+def reply_of(forward: Forward) -> Reply:
+    return Reply(200, (("Content-Type", "text/event-stream"),), forward, lambda: None, True)
+
+
+async def relayed(forward: Forward, read: Callable[[Any], Awaitable[Any]], deadline_s: float = 5.0) -> Any:
+    """Relay a reply to a real caller. Return progress, counts at first events, errors and what was read."""
+    progress, first_at, errors = StreamProgress(), [], []
+    done = asyncio.Event()
+
+    async def handle(request: web.Request) -> web.StreamResponse:
+        try:
+            await relay_stream(
+                request,
+                reply_of(forward),
+                progress,
+                monotonic() + deadline_s,
+                on_first_event=lambda: first_at.append(progress.events),
+                should_close=lambda: False,
+            )
+        except (Exception, asyncio.CancelledError) as error:
+            errors.append(error)
+            raise
+        finally:
+            done.set()
+        assert progress.response is not None
+        return progress.response
+
+    runner, address = await serve_app(handle)
+    try:
+        async with ClientSession() as session, session.get(f"http://{address}/x") as response:
+            result = await read(response)
+        await asyncio.wait_for(done.wait(), 5)
+    finally:
+        await runner.cleanup()
+    return progress, first_at, errors, result
+
+
+def test_events_that_come_in_pieces_are_written_whole_and_counted():
+    """A caller that resumes names the last whole event; half of one must not count."""
+    written: list[int] = []
+
+    async def forward(take: Take) -> None:
+        for piece in (b"id: 1\nda", b"ta: x\n", b"\nid: 2\ndata: y\n\nid: 3", b"\ndata: z"):
+            blocked = take(piece)
+            if blocked is not None:
+                await blocked
+            written.append(len(piece))
+
+    async def run() -> None:
+        progress, first_at, errors, body = await relayed(forward, lambda response: response.read())
+        assert body == b"id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z"
+        assert (progress.events, progress.last_event_id) == (2, "3") and first_at == [0] and not errors
+
+    asyncio.run(run())
+
+
+def test_a_slow_caller_holds_the_stream_back():
+    """Events for callers that don't read would otherwise take any amount of a box's memory."""
+    event = b"data: " + b"x" * 50_000 + b"\n\n"
+    taken = 0
+
+    async def forward(take: Take) -> None:
+        nonlocal taken
+        for _ in range(1_000):
+            blocked = take(event)
+            if blocked is not None:
+                await blocked
+            taken += 1
+
+    async def read_late(response: Any) -> bytes:
+        await asyncio.sleep(0.5)
+        assert taken < 900
+        return await response.read()
+
+    async def run() -> None:
+        progress, _, errors, body = await relayed(forward, read_late)
+        assert len(body) == 1_000 * len(event) and progress.events == 1_000 and not errors
+
+    asyncio.run(run())
+
+
+def test_a_caller_that_is_gone_ends_the_relay():
+    async def forward(take: Take) -> None:
+        while True:
+            blocked = take(b"data: x\n\n")
+            if blocked is not None:
+                await blocked
+            await asyncio.sleep(0.001)
+
+    async def leave(response: Any) -> None:
+        await response.content.readany()
+        response.close()
+
+    async def run() -> None:
+        _, _, errors, _ = await relayed(forward, leave)
+        assert len(errors) == 1 and isinstance(errors[0], (asyncio.CancelledError, ConnectionError))
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("first", [b"", b"data: x\n\n"])
+def test_an_event_that_is_too_large_ends_the_stream(first: bytes):
+    async def forward(take: Take) -> None:
+        for piece in (first, b"x" * (MAX_EVENT_BYTES + 1)):
+            blocked = take(piece)
+            if blocked is not None:
+                await blocked
+
+    async def read(response: Any) -> None:
+        with suppress(Exception):
+            await response.read()
+
+    async def run() -> None:
+        _, _, errors, _ = await relayed(forward, read)
+        assert len(errors) == 1 and isinstance(errors[0], IncompleteResponseError)
+
+    asyncio.run(run())
