Limit the load of a box whose event loop is late

Cause: a box that gets more requests than its CPU time bears served none of them in time.

Change: core/overload.py derives a load level from the lateness of a timer, a limit of requests in progress, whom to refuse, Retry-After and readiness; serving/overload.py runs the timer. A busy box drops optional work and tells other boxes, which prefer other routers for a second.

--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -28,6 +28,7 @@
 from stairquay.serving.local_router import LocalRouter
 from stairquay.serving.notices import NoticeSender
 from stairquay.serving.orders import RolloutController
+from stairquay.serving.overload import measure_lateness
 from stairquay.serving.ports import Ports
 from stairquay.serving.settings import BoxSettings
 from stairquay.serving.sharing import SharedFeeds
@@ -68,6 +69,7 @@
     log = EventLog(settings.id)
     state = BoxState(settings, log)
     state.boxes = (settings.id,)
+    state.load.readiness.jitter = random.random()
     surroundings = open_surroundings()
     rng = random.Random()
     links = RouterClients(state)
@@ -109,6 +111,7 @@
     return {
         "log": state.log.run,
         "links": links.run,
+        "load": partial(measure_lateness, state),
         "router": router.run,
         "asking": notices.run,
         "pings": notices.ping_routers,
--- a/stairquay/serving/endpoint_chooser.py
+++ b/stairquay/serving/endpoint_chooser.py
@@ -23,6 +23,7 @@
 from stairquay.serving.local_router import LocalRouter
 from stairquay.serving.messages import EndedAttempt, Outcome, PlaceReply, PlaceRequest, PromptPart
 from stairquay.serving.notices import NoticeSender
+from stairquay.serving.overload import order_by_lateness, record_router_lateness
 from stairquay.serving.pacing import count_sent, retry_after_s
 from stairquay.serving.saving import choose_with_save_targets
 from stairquay.serving.state import BoxState
@@ -94,10 +95,14 @@
     ) -> Choice | None:
         best: Choice | None = None
         progress.retry_after_s = None
-        for router in routers_for(self.state.member, self.state.placing_routers())[:ROUTERS_ASKED]:
+        ordered = routers_for(self.state.member, self.state.placing_routers())
+        for router in order_by_lateness(self.state, ordered)[:ROUTERS_ASKED]:
             choice = await self._place(router, request, prompt, progress)
             best = self._keep_shorter_wait(best, choice)
-            if best is not None and best.backlog_s <= SECOND_ROUTER_BACKLOG_SHARE * job.route.objective_s:
+            if best is None:
+                continue
+            short = best.backlog_s <= SECOND_ROUTER_BACKLOG_SHARE * job.route.objective_s
+            if short or self.state.load.is_busy:
                 return best
         return best
 
@@ -179,7 +184,9 @@
             return self.local_router.place(request)
         answer = await self.links.client_for(router).place(request, ROUTER_TIMEOUT_S)
         reply = self.links.record_answer(router, answer, "where a prompt runs")
-        if reply is None:
+        if reply is not None:
+            record_router_lateness(self.state, router.id, reply.late_s)
+        else:
             # It may have placed the prompt and only answered too late.
             self.notices.add_ended(router, EndedAttempt(request.ticket, Outcome.NOT_SENT))
         return reply
--- a/stairquay/serving/event_log.py
+++ b/stairquay/serving/event_log.py
@@ -62,6 +62,7 @@
     QUARANTINE = "quarantine"
     PART_FAILED = "part_failed"
     LEFT_OUT = "left_out"
+    LOAD = "load"
 
 
 NonBlockingWrite = Callable[[bytes], int]
@@ -95,6 +96,10 @@
             return
         self._enqueue(kind, request, fields)
 
+    def leave_out(self, kind: LogEvent) -> None:
+        """Count a line that is not written because the box is short of CPU time."""
+        self._drop(kind)
+
     async def run(self) -> None:
         """Write lines until cancelled."""
         os.set_blocking(1, False)
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -8,11 +8,12 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.call import Call
-from stairquay.core.catalog import Catalog, Route, WorkspacePolicy, pick_service
+from stairquay.core.catalog import Catalog, Route, WorkspacePolicy, engine_priority, pick_service
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
 from stairquay.serving.dispatch import Dispatcher
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.jobs import Job
+from stairquay.serving.overload import refuse_overloaded
 from stairquay.serving.ports import CallerCodec
 from stairquay.serving.state import BoxState
 
@@ -49,6 +50,8 @@
         """Handle one request."""
         arrived_at = monotonic()
         self.state.in_flight += 1
+        if self.state.in_flight == 1:
+            self.state.load_wakeup.notify_all()
         try:
             return await self._handle(request, arrived_at)
         finally:
@@ -86,12 +89,32 @@
             return Err(self._not_ready_refusal("no configuration yet"))
         if not self.state.crashes_known():
             return Err(self._not_ready_refusal("crashes that other boxes reported are not known yet"))
-        if self._is_overloaded(request):
+        exhausted = self._exhausted_resource(request)
+        if exhausted:
+            self.state.metrics.box_refusals.labels(exhausted).inc()
             return Err(Refusal(ErrorKind.OVERLOADED, detail="this box has as many requests as it can hold"))
         resolved = self._route_and_authenticate(catalog, call)
         if isinstance(resolved, Err):
             return resolved
         route, workspace = resolved.ok_value
+        priority = engine_priority(route, workspace)
+        if not self.state.load.admits(priority):
+            return Ok(refuse_overloaded(self.state, self.callers, call.id, priority, route.objective_s))
+        self.state.load.started(priority)
+        try:
+            return await self._serve_admitted(request, call, catalog, route, workspace, arrived_at)
+        finally:
+            self.state.load.finished(priority)
+
+    async def _serve_admitted(
+        self,
+        request: web.Request,
+        call: Call,
+        catalog: Catalog,
+        route: Route,
+        workspace: WorkspacePolicy | None,
+        arrived_at: float,
+    ) -> Result[web.StreamResponse, Refusal]:
         body = await self._read_body(request, catalog)
         if isinstance(body, Err):
             return body
@@ -124,16 +147,14 @@
             return Err(Refusal(ErrorKind.UNAUTHENTICATED))
         return Ok((route, workspace))
 
-    def _is_overloaded(self, request: web.Request) -> bool:
-        """Return whether this request exceeds the limits on file descriptors or memory."""
+    def _exhausted_resource(self, request: web.Request) -> str:
+        """Return which limit this request exceeds, `descriptors` or `memory`, or an empty string."""
         settings = self.state.settings
         if self.state.in_flight > settings.max_descriptors * MAX_REQUESTS_PER_DESCRIPTOR:
-            return True
+            return "descriptors"
         body_memory_bytes = settings.memory_mb * 1_000_000 * BODY_MEMORY_SHARE
-        return (
-            body_memory_bytes > 0
-            and self.state.body_bytes + (request.content_length or 0) > body_memory_bytes
-        )
+        body_bytes = self.state.body_bytes + (request.content_length or 0)
+        return "memory" if 0 < body_memory_bytes < body_bytes else ""
 
     def _not_ready_refusal(self, detail: str) -> Refusal:
         return Refusal(ErrorKind.NOT_READY, ExecutionStatus.NOT_RUN, detail, NOT_READY_RETRY_S)
--- a/stairquay/serving/links.py
+++ b/stairquay/serving/links.py
@@ -16,10 +16,10 @@
 from stairquay.core.routers import Member
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.messages import (
-    Empty,
     EndpointsReply,
     EndpointsRequest,
     FinishedNotice,
+    NoticeReply,
     OperatorsReply,
     OperatorsRequest,
     PlaceReply,
@@ -65,7 +65,7 @@
     """A router's handlers, by RPC method."""
 
     place: Callable[[PlaceRequest], Awaitable[PlaceReply]]
-    finished: Callable[[FinishedNotice], Awaitable[Empty]]
+    finished: Callable[[FinishedNotice], Awaitable[NoticeReply]]
     operators: Callable[[OperatorsRequest], Awaitable[OperatorsReply]]
     endpoints: Callable[[EndpointsRequest], Awaitable[EndpointsReply]]
     views: Callable[[ViewsRequest], Awaitable[ViewsReply]]
@@ -100,7 +100,7 @@
         # Why the last call that failed got no answer.
         self.last_failure = ""
         self._place = self._method("Place", PlaceReply)
-        self._finished = self._method("Finished", Empty)
+        self._finished = self._method("Finished", NoticeReply)
         self._operators = self._method("Operators", OperatorsReply)
         self._endpoints = self._method("Endpoints", EndpointsReply)
         self._views = self._method("Views", ViewsReply)
@@ -109,7 +109,7 @@
         """Ask where a prompt should run."""
         return await self._reply_or_none(self._place(request, timeout=limit_s))
 
-    async def finished(self, notice: FinishedNotice, limit_s: float) -> Empty | None:
+    async def finished(self, notice: FinishedNotice, limit_s: float) -> NoticeReply | None:
         """Report attempts that have ended."""
         return await self._reply_or_none(self._finished(notice, timeout=limit_s))
 
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -9,6 +9,7 @@
 from random import Random
 
 import grpc
+from msgspec import structs
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.call import Part, PromptShape
@@ -25,11 +26,11 @@
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.links import RouterHandlers, serve
 from stairquay.serving.messages import (
-    Empty,
     EndedAttempt,
     EndpointsReply,
     EndpointsRequest,
     FinishedNotice,
+    NoticeReply,
     OperatorsReply,
     OperatorsRequest,
     Outcome,
@@ -275,15 +276,16 @@
         self.state.log.line(LogEvent.ROUTER, outcome="closed")
 
     async def _on_place(self, request: PlaceRequest) -> PlaceReply:
-        return self.place(request)
+        reply, late_s = self.place(request), self.state.load.reported_late_s
+        return reply if late_s == 0 else structs.replace(reply, late_s=late_s)
 
-    async def _on_finished(self, notice: FinishedNotice) -> Empty:
+    async def _on_finished(self, notice: FinishedNotice) -> NoticeReply:
         apply_peer_feedback(self.state, notice.said, monotonic())
         for ticket in notice.read:
             self.prefill_finished(ticket)
         for ended in notice.ended:
             self.finished(ended)
-        return Empty()
+        return NoticeReply(self.state.load.reported_late_s)
 
     async def _on_operators(self, request: OperatorsRequest) -> OperatorsReply:
         received_at = monotonic()
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -82,6 +82,8 @@
     said: PeerFeedback | None = None
     # Seconds until an endpoint accepts this prompt if all are at their limits or asked for a backoff, else 0.
     come_back_s: float = 0.0
+    # Seconds by which the router's event loop is late, 0 unless it is busy.
+    late_s: float = 0.0
 
 
 class Outcome(str, Enum):
@@ -121,6 +123,12 @@
     said: tuple[PeerFeedback, ...] = ()
 
 
+class NoticeReply(msgspec.Struct, frozen=True, array_like=True):
+    """The reply to a FinishedNotice. late_s: as in PlaceReply."""
+
+    late_s: float = 0.0
+
+
 class PeerCrash(msgspec.Struct, frozen=True, array_like=True):
     """A crash of an endpoint `ago_s` seconds ago; the other fields are those of core.crashes.Crash."""
 
@@ -216,7 +224,3 @@
 
     operators: OperatorsReply
     endpoints: EndpointsReply
-
-
-class Empty(msgspec.Struct, frozen=True, array_like=True):
-    """An empty message."""
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -4,6 +4,8 @@
 
 from stairquay.adapters.metrics import TIME_BUCKETS, TOKEN_BUCKETS, LabelLimiter
 
+LATENESS_BUCKETS = (0.001, 0.003, 0.01, 0.02, 0.035, 0.06, 0.09, 0.15, 0.3, 0.6, 1.2, 2.5)
+
 
 class BoxMetrics:
     """All metrics of a box. Workspaces and routes beyond a maximum number share one label."""
@@ -107,6 +109,22 @@
         self.quarantined = Gauge(
             "stairquay_quarantined_requests", "Requests that crash endpoints, not sent now", registry=registry
         )
+        self.loop_lateness = Histogram(
+            "stairquay_loop_lateness_seconds",
+            "Seconds by which ticks of a periodic timer are late",
+            buckets=LATENESS_BUCKETS,
+            registry=registry,
+        )
+        self.load_level = Gauge("stairquay_load_level", "0 normal, 1 busy, 2 overloaded", registry=registry)
+        self.box_refusals = Counter(
+            "stairquay_box_refusals",
+            "Requests that this box has no capacity for",
+            ["reason"],
+            registry=registry,
+        )
+        # Looked up once, since refusals have to be cheap.
+        self.late_refusals = self.refusals.labels("overloaded", "not run")
+        self.late_refusal_reasons = self.box_refusals.labels("late")
         self.in_flight = Gauge("stairquay_in_flight", "Requests under way", registry=registry)
         self.view_age = Gauge(
             "stairquay_view_age_seconds", "Age of the configuration's view", registry=registry
--- a/stairquay/serving/notices.py
+++ b/stairquay/serving/notices.py
@@ -12,6 +12,7 @@
 from stairquay.serving.links import RouterClients
 from stairquay.serving.local_router import LocalRouter
 from stairquay.serving.messages import EndedAttempt, FinishedNotice
+from stairquay.serving.overload import record_router_lateness
 from stairquay.serving.state import BoxState
 from stairquay.serving.telling import feedback_for_peers
 
@@ -121,6 +122,8 @@
         finally:
             del self.sending_by_router[router]
             self.queue_changed.notify_all()
+        if answer is not None:
+            record_router_lateness(self.state, router.id, answer.late_s)
         if self.links.record_answer(router, answer, "ended prompts") is None:
             # Retried once the router is back; notices are idempotent.
             for item in notice.ended:
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -11,6 +11,9 @@
 from stairquay.serving.state import BoxState
 from stairquay.serving.statements import limit_of
 
+MIN_ERROR_STATUS = 400
+"""Lowest HTTP status of an error."""
+
 
 def feedback_fields(feedback: Feedback | None) -> dict[str, object]:
     """Return the log fields for an endpoint's feedback."""
@@ -29,7 +32,10 @@
 
 
 def record_sent(state: BoxState, job: Job, choice: Choice, progress: JobProgress) -> None:
-    """Log an attempt's endpoint and the inputs of that choice."""
+    """Log an attempt's endpoint and the inputs of that choice; a busy box does so for retries only."""
+    if state.load.is_busy and not progress.tried:
+        state.log.leave_out(LogEvent.SENT)
+        return
     fields: dict[str, object] = {
         "endpoint": choice.endpoint.id,
         "address": choice.endpoint.address,
@@ -129,12 +135,18 @@
     progress: JobProgress,
     now: float,
 ) -> None:
-    """Log and count a job whose response was relayed completely."""
+    """Log and count a job whose response was relayed completely.
+
+    A busy box writes no line about a success at the first attempt.
+    """
     metrics = state.metrics
     route = metrics.labels.of(job.route.id)
     metrics.attempts.labels(job.service.id, "ok").inc()
     metrics.ended.labels(route, "answered").inc()
     metrics.response_time.labels(route).observe(now - job.arrived_at)
+    if state.load.is_busy and not progress.tried and reply.status < MIN_ERROR_STATUS:
+        state.log.leave_out(LogEvent.ENDED)
+        return
     state.log.line(
         LogEvent.ENDED,
         job.call.id,
--- a/stairquay/serving/saving.py
+++ b/stairquay/serving/saving.py
@@ -28,8 +28,11 @@
 def save_targets(state: BoxState, catalog: Catalog, prompt: PromptShape, choice: Choice) -> tuple[str, ...]:
     """Return for each part the address of the store box to save it to, empty for none.
 
-    Only parts that other requests may share are saved, and each to one store box.
+    Only parts that other requests may share are saved, each to one store box. A busy box saves
+    none.
     """
+    if state.load.is_busy:
+        return ()
     stores = fresh_stores(state, catalog)
     if not stores:
         return ()
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -7,6 +7,7 @@
 from stairquay.core.catalog import Catalog
 from stairquay.core.fleet import Endpoint, Fleet
 from stairquay.core.holdings import Holdings
+from stairquay.core.overload import BoxLoad
 from stairquay.core.position import Position
 from stairquay.core.routers import Member, capacity, pick_followers, pick_placing_routers
 from stairquay.core.versions import VersionHistory
@@ -114,6 +115,12 @@
     # The endpoints' clock minus this box's.
     clock_offset_ms: float | None = None
     in_flight: int = 0
+    # How loaded this box is, from the lateness of its event loop.
+    load: BoxLoad = field(default_factory=BoxLoad)
+    # Notified when a request arrives while none is in progress.
+    load_wakeup: ChangeNotifier = field(default_factory=ChangeNotifier)
+    # Routers that recently said that they are late.
+    late_until_by_router: dict[str, float] = field(default_factory=dict)
     body_bytes: int = 0
     stopping: bool = False
     refusing: bool = False
@@ -245,7 +252,8 @@
     def ready(self) -> bool:
         """Tell whether the load balancer should send callers here."""
         known = self.catalog is not None and self.fleet_known and self.crashes_known()
-        return known and not self.stopping and self.view_age() < self.settings.freshness.ready_s
+        fresh = self.view_age() < self.settings.freshness.ready_s
+        return known and not self.stopping and fresh and self.load.ready(monotonic())
 
     def should_close_connections(self) -> bool:
         """Tell whether callers should move to another box."""
--- a/tests/many_boxes.py
+++ b/tests/many_boxes.py
@@ -11,11 +11,11 @@
 
 from stairquay.serving.links import RouterClient, RouterHandlers, serve
 from stairquay.serving.messages import (
-    Empty,
     EndedAttempt,
     EndpointsReply,
     EndpointsRequest,
     FinishedNotice,
+    NoticeReply,
     OperatorsReply,
     OperatorsRequest,
     PlaceReply,
@@ -65,11 +65,11 @@
             return PlaceReply(endpoint="e-0", version=1, again_s=0.02)
         return self.reply
 
-    async def finished(self, notice: FinishedNotice) -> Empty:
+    async def finished(self, notice: FinishedNotice) -> NoticeReply:
         self.ended += notice.ended
         self.prefill_finished += notice.read
         await self.wait_if_silent()
-        return Empty()
+        return NoticeReply()
 
     async def operators(self, request: OperatorsRequest) -> OperatorsReply:
         self.operators_requests += 1
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -19,7 +19,7 @@
     RouterHandlers,
     serve,
 )
-from stairquay.serving.messages import Empty, FinishedNotice
+from stairquay.serving.messages import FinishedNotice, NoticeReply
 from tests.ports import free_port
 from tests.states import box_state
 
@@ -57,9 +57,9 @@
 async def linked(hold_s: float = 0.0):
     """Yield a client, and the proxy between it and a server that holds each notice for some seconds."""
 
-    async def answer(_) -> Empty:
+    async def answer(_) -> NoticeReply:
         await asyncio.sleep(hold_s)
-        return Empty()
+        return NoticeReply()
 
     port = free_port()
     server = await serve(f"127.0.0.1:{port}", RouterHandlers(answer, answer, answer, answer, answer))
@@ -114,7 +114,7 @@
     async def scenario():
         async with linked() as (client, _):
             for _ in range(3):
-                assert await client.finished(NOTICE, 1.0) == Empty()
+                assert await client.finished(NOTICE, 1.0) == NoticeReply()
                 assert await states_over(client, 2.5 * INTERVAL_S) == {grpc.ChannelConnectivity.READY}
 
     asyncio.run(scenario())
--- a/tests/test_waking.py
+++ b/tests/test_waking.py
@@ -10,7 +10,7 @@
 from stairquay.serving.following import apply_operators
 from stairquay.serving.links import RouterClients
 from stairquay.serving.local_router import LocalRouter
-from stairquay.serving.messages import Empty, EndedAttempt, FinishedNotice, OperatorsRequest
+from stairquay.serving.messages import EndedAttempt, FinishedNotice, NoticeReply, OperatorsRequest
 from stairquay.serving.notices import NoticeSender
 from stairquay.serving.ports import OperatorChanges
 from stairquay.serving.state import BoxState
@@ -80,12 +80,12 @@
         self.clients = clients
         self.address = address
 
-    async def finished(self, notice: FinishedNotice, limit_s: float) -> Empty | None:
+    async def finished(self, notice: FinishedNotice, limit_s: float) -> NoticeReply | None:
         if self.address in self.clients.silent:
             await asyncio.sleep(0.05)
             return None
         self.clients.notices_received.append((self.address, notice))
-        return Empty()
+        return NoticeReply()
 
 
 def test_what_has_ended_is_told_soon_and_a_silent_router_hears_it_once_it_may_be_asked_again(monkeypatch):
