Tell routers of a prefill only if it read shared parts

Cause: each prompt cost its router three calls, to place it, to tell that its prefill has finished and to tell that it has ended. The second is for prompts that wait until a shared part has been read, and most prompts read their own part only: their shared parts were cached or fetched.

Change: a box tells of a prefill only if more than the prompt's own part was read, and a router lets no prompt wait for one that reads no shared part.

--- a/stairquay/core/call.py
+++ b/stairquay/core/call.py
@@ -33,6 +33,10 @@
         """Return the parts that other requests may share."""
         return self.parts[:-1]
 
+    def reads_shared(self, read: int) -> bool:
+        """Tell whether an engine that prefills `read` tokens prefills some of the shared parts."""
+        return read > self.tokens - sum(part.tokens for part in self.shared)
+
 
 @dataclass(frozen=True)
 class Call:
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -298,7 +298,9 @@
         if placement is None or job.call.prompt is None:
             return
         record_prompt_tokens(self.state, job, placement)
-        self.chooser.prefill_finished(started_attempt.choice)
+        if job.call.prompt.reads_shared(placement.read):
+            # Otherwise no prompt waits for it, and the router knows who holds the parts.
+            self.chooser.prefill_finished(started_attempt.choice)
 
     def _on_failed(
         self, job: Job, started_attempt: StartedAttempt, progress: JobProgress, failure: SendFailure
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -235,8 +235,9 @@
         )
         self.accounts.place(request, choice.endpoint, now)
         self.placed_by_ticket[request.ticket] = placed
-        for key, _ in shared_parts:
-            self.prefill_ticket_by_key.setdefault(key, request.ticket)
+        if placement.read > request.tokens - sum(tokens for _, tokens in shared_parts):
+            for key, _ in shared_parts:
+                self.prefill_ticket_by_key.setdefault(key, request.ticket)
         endpoint_state.in_flight += 1
         endpoint_state.on_placed(placed.expected_prefill_s, now)
         # Cached parts count as well, since they can't be evicted while the prompt runs.
