Take callers' requests without the application's router, and small bodies without waiting

There is one handler for all paths, so that the router and the hooks of an application only took time; the front now is the low-level server of the same library. The application answered Expect headers; the front does it now. A body that came with the head, of a request or of an endpoint's answer, is taken at once, without a timer and without a task that waits. Limits, errors and time limits are as they were.

--- a/stairquay/platform/callers.py
+++ b/stairquay/platform/callers.py
@@ -34,7 +34,7 @@
 class PlatformCallerCodec:
     """Decodes requests and encodes refusals."""
 
-    def decode(self, request: web.Request) -> Result[Call, Refusal]:
+    def decode(self, request: web.BaseRequest) -> Result[Call, Refusal]:
         """Decode a request, or return a refusal if it is malformed."""
         headers = request.headers
         call_id = headers.get(REQUEST_ID, "")
@@ -126,7 +126,7 @@
     return int(value) if int(value) <= MAX_TOKENS else None
 
 
-def _forwarded_headers(request: web.Request) -> tuple[tuple[str, str], ...]:
+def _forwarded_headers(request: web.BaseRequest) -> tuple[tuple[str, str], ...]:
     """Return the headers to forward, without reserved and hop-by-hop ones."""
     connection_options = {item.strip().lower() for item in request.headers.get("Connection", "").split(",")}
     dropped = (
--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -107,12 +107,25 @@
         if connection is not None:
             self.pool.release(connection)
 
+    def whole_body(self) -> bytes | None:
+        """Return the body if it is there as a whole, which is usual for a small one.
+
+        A large one never is: reading from the connection pauses before.
+        """
+        if not self.payload.is_eof() or self.payload.exception() is not None or not self._is_framed():
+            return None
+        return self.payload.read_nowait()
+
+    def _is_framed(self) -> bool:
+        """Return whether the body's end doesn't depend on the end of the connection."""
+        headers = self.headers
+        return CONTENT_LENGTH in headers or "chunked" in headers.get(TRANSFER_ENCODING, "")
+
     async def forward(self, take: Take) -> None:
         """Pass the body on as it arrives; raise an error if it is incomplete.
 
         aiohttp takes a connection reset for the end of a body without a length, so that is checked here.
         """
-        framed = CONTENT_LENGTH in self.headers or "chunked" in self.headers.get(TRANSFER_ENCODING, "")
         try:
             while not self.payload.at_eof():
                 blocked = await self._forward_arriving(take)
@@ -123,7 +136,7 @@
                 # The caller's connection failed, not the endpoint's.
                 raise
             raise IncompleteResponseError(type(error).__name__) from error
-        if not framed and self.protocol.broken:
+        if self.protocol.broken and not self._is_framed():
             raise IncompleteResponseError("the connection was reset")
 
     async def _forward_arriving(self, take: Take) -> Awaitable[None] | None:
@@ -256,6 +269,7 @@
             status=status,
             headers=_response_headers(response),
             forward=response.forward,
+            whole_body=response.whole_body,
             close=response.close,
             streamed=_media_type(response.headers.get(CONTENT_TYPE, "")) == STREAM_TYPE,
             version=int(version) if version.isdecimal() else None,
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -181,26 +181,32 @@
         await asyncio.sleep(RESTART_DELAY_S)
 
 
-async def _listen_all(state: BoxState, front: Frontend, ready_path: str) -> list[web.AppRunner]:
-    runners = [await _listen_front(state.settings, front), await _listen_readiness(state, ready_path)]
+async def _listen_all(state: BoxState, front: Frontend, ready_path: str) -> list[web.BaseRunner]:
+    runners: list[web.BaseRunner] = [
+        await _listen_front(state.settings, front),
+        await _listen_readiness(state, ready_path),
+    ]
     if state.settings.metrics_port:
         runners.append(await _listen_metrics(state))
     return runners
 
 
-async def _listen_front(settings: BoxSettings, front: Frontend) -> web.AppRunner:
-    app = web.Application(client_max_size=0)
-    app.router.add_route("*", "/{path:.*}", front.handle)
-    return await listen(
-        app,
-        settings.front,
+async def _listen_front(settings: BoxSettings, front: Frontend) -> web.ServerRunner:
+    # There is one handler for all paths, so that the application's router and hooks would only take time.
+    server = web.Server(
+        front.handle,
+        access_log=None,
         handler_cancellation=True,
         auto_decompress=False,
         keepalive_timeout=KEEP_ALIVE_S,
-        shutdown_timeout=CLOSE_TIMEOUT_S,
         max_field_size=MAX_FIELD_BYTES,
         max_line_size=MAX_FIELD_BYTES,
     )
+    host, _, port = settings.front.rpartition(":")
+    runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
+    await runner.setup()
+    await web.TCPSite(runner, host, int(port)).start()
+    return runner
 
 
 async def _listen_readiness(state: BoxState, path: str) -> web.AppRunner:
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -64,7 +64,7 @@
         self.chooser = chooser
         self.crashes = crashes
 
-    async def run(self, job: Job, request: web.Request) -> Result[web.StreamResponse, Refusal]:
+    async def run(self, job: Job, request: web.BaseRequest) -> Result[web.StreamResponse, Refusal]:
         """Run a job to its end. Return the response, already sent if it is a stream, or a refusal."""
         self.state.retry_budget(job.service.id).on_request(monotonic())
         progress = JobProgress()
@@ -148,7 +148,7 @@
         return None
 
     async def _attempt(
-        self, job: Job, choice: Choice, progress: JobProgress, request: web.Request
+        self, job: Job, choice: Choice, progress: JobProgress, request: web.BaseRequest
     ) -> web.StreamResponse | None:
         """Make one attempt. Return the caller's response, or None if it failed (`progress.last`)."""
         attempt = Attempt(job.call.id, choice.endpoint.id)
@@ -227,7 +227,7 @@
         started_attempt: StartedAttempt,
         progress: JobProgress,
         reply: Reply,
-        request: web.Request,
+        request: web.BaseRequest,
     ) -> web.StreamResponse | None:
         """Relay a reply. Return None if the attempt failed and the job may be retried."""
         try:
@@ -338,7 +338,7 @@
         record_answered(self.state, job, started_attempt, reply, progress, now)
 
     def _give_up(
-        self, job: Job, progress: JobProgress, refusal: Refusal, request: web.Request
+        self, job: Job, progress: JobProgress, refusal: Refusal, request: web.BaseRequest
     ) -> Result[web.StreamResponse, Refusal]:
         """End a failed job with the endpoint's own error, a refusal, or a truncated stream."""
         if progress.stream.response is not None:
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -3,7 +3,8 @@
 import asyncio
 from random import Random
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
+from aiohttp.hdrs import EXPECT
 from result import Err, Ok, Result
 
 from stairquay.adapters.clock import monotonic
@@ -32,6 +33,9 @@
 BODY_MEMORY_SHARE = 0.25
 """Share of the box's memory that request bodies may take."""
 
+CONTINUE = "100-continue"
+"""The only value of an Expect header that HTTP defines."""
+
 DEADLINE_MARGIN_S = 0.02
 """Seconds by which a job's deadline precedes the caller's, for sending the response."""
 
@@ -45,16 +49,18 @@
         self.dispatcher = dispatcher
         self.random = random
 
-    async def handle(self, request: web.Request) -> web.StreamResponse:
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request."""
         arrived_at = monotonic()
         self.state.in_flight += 1
         try:
+            if EXPECT in request.headers:
+                await _invite_body(request)
             return await self._handle(request, arrived_at)
         finally:
             self.state.in_flight -= 1
 
-    async def _handle(self, request: web.Request, arrived_at: float) -> web.StreamResponse:
+    async def _handle(self, request: web.BaseRequest, arrived_at: float) -> web.StreamResponse:
         decoded = self.callers.decode(request)
         if isinstance(decoded, Err):
             return self._refuse("", decoded.err_value, arrived_at)
@@ -77,7 +83,7 @@
         return response
 
     async def _serve(
-        self, request: web.Request, call: Call, arrived_at: float
+        self, request: web.BaseRequest, call: Call, arrived_at: float
     ) -> Result[web.StreamResponse, Refusal]:
         if self.state.refusing:
             return Err(Refusal(ErrorKind.STOPPING, ExecutionStatus.NOT_RUN, retry_after_s=STOPPING_RETRY_S))
@@ -124,7 +130,7 @@
             return Err(Refusal(ErrorKind.UNAUTHENTICATED))
         return Ok((route, workspace))
 
-    def _is_overloaded(self, request: web.Request) -> bool:
+    def _is_overloaded(self, request: web.BaseRequest) -> bool:
         """Return whether this request exceeds the limits on file descriptors or memory."""
         settings = self.state.settings
         if self.state.in_flight > settings.max_descriptors * MAX_REQUESTS_PER_DESCRIPTOR:
@@ -138,24 +144,23 @@
     def _not_ready_refusal(self, detail: str) -> Refusal:
         return Refusal(ErrorKind.NOT_READY, ExecutionStatus.NOT_RUN, detail, NOT_READY_RETRY_S)
 
-    async def _read_body(self, request: web.Request, catalog: Catalog) -> Result[bytes, Refusal]:
+    async def _read_body(self, request: web.BaseRequest, catalog: Catalog) -> Result[bytes, Refusal]:
         if not request.body_exists:
             return Ok(b"")
         limit = catalog.limits.max_body_bytes
         if request.content_length is not None and request.content_length > limit:
             return Err(Refusal(ErrorKind.BODY_TOO_LARGE))
-        body = bytearray()
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                async for chunk in request.content.iter_any():
-                    body += chunk
-                    if len(body) > limit:
-                        return Err(Refusal(ErrorKind.BODY_TOO_LARGE))
+            if request.content.is_eof():
+                # Usual, as a small body comes with the head: there is nothing to wait for.
+                body = request.content.read_nowait()
+            else:
+                body = await _receive_body(request, limit)
         except TimeoutError:
             return Err(Refusal(ErrorKind.SLOW_SENDER))
         except web.RequestPayloadError as error:
             return Err(Refusal(ErrorKind.BAD_REQUEST, detail=str(error)))
-        return Ok(bytes(body))
+        return Err(Refusal(ErrorKind.BODY_TOO_LARGE)) if len(body) > limit else Ok(body)
 
     def _create_job(
         self,
@@ -196,3 +201,26 @@
         if self.state.should_close_connections():
             response.force_close()
         return response
+
+
+async def _invite_body(request: web.BaseRequest) -> None:
+    """Answer the Expect header of a caller that waits before it sends the body."""
+    if request.version < HttpVersion11:
+        return
+    if request.headers[EXPECT].lower() != CONTINUE:
+        raise web.HTTPExpectationFailed
+    writer = request.writer
+    await writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    # The answer itself has not begun.
+    writer.output_size = 0
+
+
+async def _receive_body(request: web.BaseRequest, limit: int) -> bytes:
+    """Return the body, or a beginning of it that exceeds the limit. Raises TimeoutError if it is too slow."""
+    body = bytearray()
+    async with asyncio.timeout(BODY_TIMEOUT_S):
+        async for chunk in request.content.iter_any():
+            body += chunk
+            if len(body) > limit:
+                break
+    return bytes(body)
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -261,6 +261,7 @@
     """An endpoint's answer whose head was read. version: the weights it ran, where the answer names them.
 
     forward passes the body on as it arrives, and raises IncompleteResponseError where the body ends early.
+    whole_body returns the body if it is there as a whole already, else None.
     """
 
     status: int
@@ -270,6 +271,7 @@
     streamed: bool = False
     version: int | None = None
     feedback: Feedback = Feedback()
+    whole_body: Callable[[], bytes | None] = lambda: None
 
 
 class IncompleteResponseError(Exception):
@@ -292,7 +294,7 @@
 class CallerCodec(Protocol):
     """Decodes callers' requests and encodes refusals."""
 
-    def decode(self, request: web.Request) -> Result[Call, Refusal]:
+    def decode(self, request: web.BaseRequest) -> Result[Call, Refusal]:
         """Return the decoded request."""
 
     def refuse(self, call_id: str, refusal: Refusal) -> web.Response:
--- a/stairquay/serving/relay.py
+++ b/stairquay/serving/relay.py
@@ -38,6 +38,9 @@
 
     Raises IncompleteResponseError if it breaks off or is too large, and TimeoutError at the deadline.
     """
+    whole = reply.whole_body()
+    if whole is not None:
+        return whole
     body = bytearray()
 
     def take(data: bytes) -> None:
@@ -60,7 +63,7 @@
 
 
 async def relay_stream(
-    request: web.Request,
+    request: web.BaseRequest,
     reply: Reply,
     progress: StreamProgress,
     deadline: float,
@@ -82,7 +85,7 @@
 
     def __init__(
         self,
-        request: web.Request,
+        request: web.BaseRequest,
         reply: Reply,
         progress: StreamProgress,
         on_first_event: Callable[[], None],
@@ -137,13 +140,13 @@
         _record_events(self.progress, events)
 
 
-def abort_connection(request: web.Request) -> None:
+def abort_connection(request: web.BaseRequest) -> None:
     """Abort the caller's connection, so that a truncated response is not taken as complete."""
     if request.transport is not None:
         request.transport.abort()
 
 
-async def _send_head(request: web.Request, reply: Reply, close: bool) -> web.StreamResponse:
+async def _send_head(request: web.BaseRequest, reply: Reply, close: bool) -> web.StreamResponse:
     response = web.StreamResponse(status=reply.status)
     for name, value in reply.headers:
         response.headers.add(name, value)
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,74 @@
+"""How a box receives bodies: with the head, in pieces, and after it has invited them."""
+
+import asyncio
+
+from tests.site import HOST, KEY, Site, site
+
+HEAD = (
+    f"POST /plain/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r-1\r\nDeadline-Ms: 5000\r\n"
+    f"Authorization: Bearer {KEY}\r\n"
+).encode()
+
+
+async def connect(here: Site) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = here.front.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def status(reader: asyncio.StreamReader) -> int:
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+    return int(head.split()[1])
+
+
+def test_a_body_is_received_however_it_comes():
+    async def run() -> None:
+        async with site() as here:
+            await check_body_in_pieces(here)
+            await check_invited_body(here)
+            await check_unknown_expectation(here)
+            await check_large_body_in_pieces(here)
+            answer = await here.call("/plain/x", "POST", body=b"whole")
+            assert answer.status == 200 and here.endpoints[0].received[-1].body == b"whole"
+
+    asyncio.run(run())
+
+
+async def check_body_in_pieces(here: Site) -> None:
+    """Only a body that came with the head is there without waiting."""
+    reader, writer = await connect(here)
+    writer.write(HEAD + b"Content-Length: 6\r\n\r\nabc")
+    await asyncio.sleep(0.2)
+    writer.write(b"def")
+    assert await status(reader) == 200
+    assert here.endpoints[0].received[-1].body == b"abcdef"
+    writer.close()
+
+
+async def check_invited_body(here: Site) -> None:
+    """A caller that waits for the invitation would otherwise wait until its own time limit."""
+    reader, writer = await connect(here)
+    writer.write(HEAD + b"Expect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+    assert await status(reader) == 100
+    writer.write(b"abc")
+    assert await status(reader) == 200
+    assert here.endpoints[0].received[-1].body == b"abc"
+    assert "Expect" not in here.endpoints[0].received[-1].headers
+    writer.close()
+
+
+async def check_unknown_expectation(here: Site) -> None:
+    reader, writer = await connect(here)
+    writer.write(HEAD + b"Expect: something\r\nContent-Length: 3\r\n\r\n")
+    assert await status(reader) == 417
+    writer.close()
+
+
+async def check_large_body_in_pieces(here: Site) -> None:
+    """A chunked body names no length, so that only what came can be compared with the limit."""
+    reader, writer = await connect(here)
+    piece = b"1388\r\n" + b"x" * 0x1388 + b"\r\n"
+    writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + piece)
+    await asyncio.sleep(0.1)
+    writer.write(2 * piece + b"0\r\n\r\n")
+    assert await status(reader) == 413
+    writer.close()
