--- a/stairquay/adapters/program.py
+++ b/stairquay/adapters/program.py
@@ -6,7 +6,7 @@
 import ssl
 from collections.abc import Callable, Coroutine
 from logging import getLogger
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from aiohttp import web
 
@@ -16,6 +16,8 @@
 
 LOGGER = getLogger(__name__)
 
+Runner = TypeVar("Runner", bound=web.BaseRunner)
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 STACKS_SIGNAL = signal.SIGUSR1
 
@@ -88,11 +90,15 @@
 
 async def listen(app: web.Application, address: str, **options: Any) -> web.AppRunner:
     """Serve a web application at `IP:port`."""
-    host, _, port = address.rpartition(":")
     site_options = {key: options.pop(key) for key in ("ssl_context", "reuse_port") if key in options}
-    runner = web.AppRunner(app, access_log=None, **options)
+    return await start_site(web.AppRunner(app, access_log=None, **options), address, **site_options)
+
+
+async def start_site(runner: Runner, address: str, **options: Any) -> Runner:
+    """Set up a runner and let it listen at `IP:port`."""
+    host, _, port = address.rpartition(":")
     await runner.setup()
-    await web.TCPSite(runner, host, int(port), **site_options).start()
+    await web.TCPSite(runner, host, int(port), **options).start()
     return runner
 
 
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -12,7 +12,15 @@
 from result import Err, Result
 
 from stairquay.adapters.clock import monotonic
-from stairquay.adapters.program import BackgroundTasks, being_cancelled, listen, wait_for_stop, wait_until
+from stairquay.adapters.early_answer import EarlyAnswerRunner
+from stairquay.adapters.program import (
+    BackgroundTasks,
+    being_cancelled,
+    listen,
+    start_site,
+    wait_for_stop,
+    wait_until,
+)
 from stairquay.core.limits import UNLIMITED
 from stairquay.core.mistake import Mistake
 from stairquay.serving.boxes import BoxRegistry
@@ -194,7 +202,7 @@
     return runners
 
 
-async def _listen_front(settings: BoxSettings, front: Frontend) -> web.ServerRunner:
+async def _listen_front(settings: BoxSettings, front: Frontend) -> EarlyAnswerRunner:
     # There is one handler for all paths, so that the application's router and hooks would only take time.
     server = web.Server(
         front.handle,
@@ -205,11 +213,13 @@
         max_field_size=MAX_FIELD_BYTES,
         max_line_size=MAX_FIELD_BYTES,
     )
-    host, _, port = settings.front.rpartition(":")
-    runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
-    await runner.setup()
-    await web.TCPSite(runner, host, int(port)).start()
-    return runner
+    runner = EarlyAnswerRunner(
+        server,
+        lambda: front.state.load.limit.is_active,
+        front.refuse_early,
+        shutdown_timeout=CLOSE_TIMEOUT_S,
+    )
+    return await start_site(runner, settings.front)
 
 
 async def _listen_readiness(state: BoxState, path: str) -> web.AppRunner:
