Encode requests' log lines when they are written, and look up less for each request

Lines of the kinds that each request has were encoded one by one between other work, with a call for each field. They are now encoded when a batch is written, up to 0.2 s later, with the same text, time and order. Text of a caller that is no valid text is written with the bytes escaped; before, it ended the request with an error. Children of metrics are looked up without the metric's lock, and the sets of headers that are never passed on are made once.

--- a/stairquay/platform/callers.py
+++ b/stairquay/platform/callers.py
@@ -19,8 +19,13 @@
     RETRY_AFTER,
     TIME_LEFT,
     TOKENS,
+    connection_options,
 )
 
+NEVER_FORWARDED = HOP_BY_HOP_HEADERS | RESERVED_HEADERS
+ALWAYS_FORWARDED = frozenset(name.lower() for name in (REQUEST_ID, MODEL, TOKENS, PARTS))
+"""Headers that a caller can't take out by naming them in its Connection header."""
+
 MAX_ID_CHARS = 200
 """Maximum length of the id of a request or prompt part."""
 
@@ -128,10 +133,8 @@
 
 def _forwarded_headers(request: web.BaseRequest) -> tuple[tuple[str, str], ...]:
     """Return the headers to forward, without reserved and hop-by-hop ones."""
-    connection_options = {item.strip().lower() for item in request.headers.get("Connection", "").split(",")}
-    dropped = (
-        HOP_BY_HOP_HEADERS
-        | RESERVED_HEADERS
-        | connection_options - {REQUEST_ID.lower(), MODEL.lower(), TOKENS.lower(), PARTS.lower()}
-    )
+    connection = request.headers.get("Connection")
+    dropped = NEVER_FORWARDED
+    if connection is not None:
+        dropped |= connection_options(connection) - ALWAYS_FORWARDED
     return tuple((name, value) for name, value in request.headers.items() if name.lower() not in dropped)
--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -30,6 +30,7 @@
     TIME_LEFT,
     VERSION,
     WORKSPACE,
+    connection_options,
 )
 from stairquay.platform.statements import parse_feedback
 from stairquay.serving.ports import Guard, IncompleteResponseError, Reply, SendFailure, Take
@@ -41,6 +42,9 @@
 
 IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"))
 
+ALWAYS_RETURNED = frozenset((SIGNATURE.lower(), REQUEST_ID.lower()))
+NEVER_RETURNED = HOP_BY_HOP_HEADERS - ALWAYS_RETURNED
+
 HTTP_MISDIRECTED = 421
 STREAM_TYPE = "text/event-stream"
 
@@ -284,6 +288,8 @@
 
 
 def _response_headers(response: Response) -> tuple[tuple[str, str], ...]:
-    connection_options = {item.strip().lower() for item in response.headers.get("Connection", "").split(",")}
-    dropped = (HOP_BY_HOP_HEADERS | connection_options) - {SIGNATURE.lower(), REQUEST_ID.lower()}
+    connection = response.headers.get("Connection")
+    dropped = NEVER_RETURNED
+    if connection is not None:
+        dropped |= connection_options(connection) - ALWAYS_RETURNED
     return tuple((name, value) for name, value in response.headers.items() if name.lower() not in dropped)
--- a/stairquay/platform/names.py
+++ b/stairquay/platform/names.py
@@ -119,3 +119,8 @@
 STATE_READY = "ready"
 
 SETTINGS_VARIABLE = "STAIRQUAY_BOOT"
+
+
+def connection_options(connection: str) -> frozenset[str]:
+    """Return the names, in lower case, of the headers that a Connection header declares hop-by-hop."""
+    return frozenset(item.strip().lower() for item in connection.split(","))
--- a/stairquay/serving/event_log.py
+++ b/stairquay/serving/event_log.py
@@ -64,6 +64,13 @@
     LEFT_OUT = "left_out"
 
 
+FREQUENT_KINDS = frozenset((LogEvent.SENT, LogEvent.ATTEMPT_FAILED, LogEvent.ENDED, LogEvent.REFUSED))
+"""Kinds of which each request has some. They are encoded when they are written, many in a row, which takes
+less time than one by one between other work. Their fields must not change after the call."""
+
+QueuedFields = tuple[float, LogEvent, str, dict[str, Any]]
+"""The time, kind, request and fields of a line that is not encoded yet."""
+
 NonBlockingWrite = Callable[[bytes], int]
 """Writes some of the bytes and returns how many; raises BlockingIOError if it would block."""
 
@@ -79,7 +86,7 @@
     def __init__(self, box: str, write: NonBlockingWrite = write_standard_output) -> None:
         self.box = box
         self.write = write
-        self.lines: deque[bytes] = deque()
+        self.lines: deque[bytes | QueuedFields] = deque()
         self.unwritten = b""
         self.current_second = 0
         self.lines_by_kind: Tally[LogEvent] = Tally()
@@ -126,17 +133,27 @@
         if self.closed or len(self.lines) >= MAX_QUEUED_LINES:
             self._drop(kind)
             return
-        record: dict[str, Any] = {"at": round(time(), 3), "box": self.box, "kind": kind.value}
+        queued = (time(), kind, request, fields)
+        self.lines.append(queued if kind in FREQUENT_KINDS else self._encode(*queued))
+        self.wakeup.notify_all()
+
+    def _encode(self, at: float, kind: LogEvent, request: str, fields: dict[str, Any]) -> bytes:
+        record: dict[str, Any] = {"at": round(at, 3), "box": self.box, "kind": kind}
         if request:
             record["request"] = request
-        record.update({key: _json_value(value) for key, value in fields.items()})
-        self.lines.append(msgspec.json.encode(record) + b"\n")
-        self.wakeup.notify_all()
+        for key, value in fields.items():
+            record[key] = _json_value(value) if isinstance(value, (float, str)) else value
+        try:
+            return msgspec.json.encode(record) + b"\n"
+        except UnicodeEncodeError:
+            # A caller's header that is no valid text must not cost the other lines of the batch.
+            return msgspec.json.encode({key: _valid_text(value) for key, value in record.items()}) + b"\n"
 
     def _next_chunk(self) -> bytes:
         chunk = bytearray()
         while self.lines and len(chunk) < CHUNK_BYTES:
-            chunk += self.lines.popleft()
+            line = self.lines.popleft()
+            chunk += line if isinstance(line, bytes) else self._encode(*line)
         return bytes(chunk)
 
     def _within_rate(self, kind: LogEvent) -> bool:
@@ -166,3 +183,10 @@
     if isinstance(value, str):
         return value[:MAX_TEXT_CHARS]
     return value
+
+
+def _valid_text(value: Any) -> Any:
+    """Return a value that can be encoded, with bytes that are no valid text replaced."""
+    if isinstance(value, LogEvent) or not isinstance(value, str):
+        return value
+    return value.encode(errors="backslashreplace").decode()
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -180,7 +180,8 @@
 
     def _count_request(self, job: Job) -> None:
         metrics = self.state.metrics
-        metrics.requests.labels(metrics.labels.of(job.workspace_id), metrics.labels.of(job.route.id)).inc()
+        labels = metrics.labels.of(job.workspace_id), metrics.labels.of(job.route.id)
+        metrics.child(metrics.requests, *labels).inc()
 
     def _refuse(self, call_id: str, refusal: Refusal, arrived_at: float) -> web.Response:
         catalog = self.state.catalog
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -1,9 +1,13 @@
 """Prometheus metrics of a box."""
 
+from typing import TypeVar, cast
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from stairquay.adapters.metrics import TIME_BUCKETS, TOKEN_BUCKETS, LabelLimiter
 
+LabelledMetric = TypeVar("LabelledMetric", Counter, Histogram)
+
 
 class BoxMetrics:
     """All metrics of a box. Workspaces and routes beyond a maximum number share one label."""
@@ -11,6 +15,7 @@
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
         self.labels = LabelLimiter()
+        self._children: dict[tuple[Counter | Histogram, tuple[str, ...]], Counter | Histogram] = {}
         registry = self.registry
         self.requests = Counter("stairquay_requests", "Requests", ["workspace", "route"], registry=registry)
         self.ended = Counter(
@@ -121,6 +126,17 @@
             "stairquay_log_lines_left_out", "Log lines left out", registry=registry
         )
 
+    def child(self, metric: LabelledMetric, *labels: str) -> LabelledMetric:
+        """Return a metric's child for labels, as `metric.labels` does, but without taking its lock each time.
+
+        For counters and histograms only, whose children are never removed.
+        """
+        key = (metric, labels)
+        found = self._children.get(key)
+        if found is None:
+            found = self._children[key] = metric.labels(*labels)
+        return cast(LabelledMetric, found)
+
     def text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -72,7 +72,7 @@
     """Observe the time from arrival to the first byte of the response."""
     metrics = state.metrics
     labels = metrics.labels.of(job.workspace_id), metrics.labels.of(job.route.id)
-    metrics.first_byte.labels(*labels).observe(first_byte_at - job.arrived_at)
+    metrics.child(metrics.first_byte, *labels).observe(first_byte_at - job.arrived_at)
 
 
 def record_prompt_tokens(state: BoxState, job: Job, placement: Placement) -> None:
@@ -83,7 +83,7 @@
         ("fetched", placement.fetched),
         ("read", placement.read),
     ):
-        metrics.prompt_tokens.labels(metrics.labels.of(job.route.id), way).observe(tokens)
+        metrics.child(metrics.prompt_tokens, metrics.labels.of(job.route.id), way).observe(tokens)
 
 
 def record_attempt_failed(
@@ -132,9 +132,9 @@
     """Log and count a job whose response was relayed completely."""
     metrics = state.metrics
     route = metrics.labels.of(job.route.id)
-    metrics.attempts.labels(job.service.id, "ok").inc()
-    metrics.ended.labels(route, "answered").inc()
-    metrics.response_time.labels(route).observe(now - job.arrived_at)
+    metrics.child(metrics.attempts, job.service.id, "ok").inc()
+    metrics.child(metrics.ended, route, "answered").inc()
+    metrics.child(metrics.response_time, route).observe(now - job.arrived_at)
     state.log.line(
         LogEvent.ENDED,
         job.call.id,
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -7,6 +7,7 @@
 from stairquay.environment import Environment
 from stairquay.explain import Logs, explain_request
 from stairquay.serving.event_log import MAX_LINES_PER_S, MAX_QUEUED_LINES, EventLog, LogEvent
+from stairquay.serving.metrics import BoxMetrics
 from stairquay.status import ExitStatus
 
 
@@ -42,6 +43,44 @@
     assert line == expected | {"view_age_s": 0.1235, "fetch": ["a", ""]}
 
 
+def test_a_text_that_is_no_valid_text_costs_no_other_line():
+    """Lines are encoded together, and a caller chooses the id of its request."""
+    reader = StubReader()
+    log = EventLog("box-1", reader.write)
+    log.line(LogEvent.SENT, "r-1", endpoint="e")
+    log.line(LogEvent.SENT, "r-\udcff", endpoint="e", detail="d\udc80", took_s=float("inf"))
+    log.line(LogEvent.ENDED, "r-2", outcome="answered")
+    log.flush()
+    lines = reader.lines()
+    assert [line["request"] for line in lines] == ["r-1", "r-\\udcff", "r-2"]
+    assert [line["kind"] for line in lines] == ["sent", "sent", "ended"]
+    assert lines[1]["detail"] == "d\\udc80" and lines[1]["took_s"] == "inf"
+
+
+def test_lines_keep_their_order_and_time_whether_or_not_they_are_encoded_at_once(monkeypatch):
+    """`explain` orders what boxes tell by the time in the lines."""
+    reader = StubReader()
+    log = EventLog("box-1", reader.write)
+    for number, kind in enumerate((LogEvent.SENT, LogEvent.ORDER, LogEvent.ENDED, LogEvent.LEASE)):
+        monkeypatch.setattr("stairquay.serving.event_log.time", lambda number=number: 100.0 + number)
+        log.line(kind, f"r-{number}")
+    monkeypatch.setattr("stairquay.serving.event_log.time", lambda: 500.0)
+    log.flush()
+    assert [line["at"] for line in reader.lines()] == [100, 101, 102, 103]
+
+
+def test_a_metrics_child_is_the_one_that_is_scraped():
+    metrics = BoxMetrics()
+    for _ in range(3):
+        metrics.child(metrics.ended, "r", "answered").inc()
+    metrics.child(metrics.ended, "r", "cut").inc()
+    metrics.child(metrics.first_byte, "w", "r").observe(0.1)
+    text = metrics.text().decode()
+    assert 'stairquay_ended_total{outcome="answered",route="r"} 3.0' in text
+    assert 'stairquay_ended_total{outcome="cut",route="r"} 1.0' in text
+    assert 'stairquay_first_byte_seconds_count{route="r",workspace="w"} 1.0' in text
+
+
 def test_a_stalled_reader_delays_nothing_and_what_is_left_out_is_told(monkeypatch):
     # The limit of lines is per second, so all lines must have the same second.
     monkeypatch.setattr("stairquay.serving.event_log.monotonic", lambda: 5.0)
