Learn which engines are slower than their peers, and keep runs from memory that they will lack

Cause: predictions assume one speed for all engines, so engines that take longer for everything get prompts as if they did not. Memory was counted for prompts only, by reports up to 0.45 s old, and was a penalty of time, so that runs went to engines which preempted one although others had room.

Change: boxes send the durations of streamed attempts with their ends (FinishedNotice.speeds). The engine's router compares them with its prediction and, once a second, learns the factor of each engine against the median of its peers; placement uses it for prefill, queue and step delay. Memory is counted at the peak of the placed runs, with a part that several runs share once, plus what a report shows beyond it; while an engine has a slot and memory for the whole run, engines without that memory come last. `stairquay explain` shows predicted and actual first token of each attempt.

Ruled out: factors against the assumed speed (all engines of a slower deployment would have one); step samples without the prefills placed meanwhile (factors of 0.68 to 1.35 among equal engines); memory by reports with all outputs added (no engine seemed to have room at 738 of 1,240 placements).

--- a/stairquay/core/placement.py
+++ b/stairquay/core/placement.py
@@ -53,7 +53,8 @@
     resident: tokens cached of each part of the prompt. waiting_tokens: prompt tokens queued or in prefill.
     failing: share of recent requests that failed. outdated: it runs replaced weights. preferred: the sender
     often sends there. used_tokens: memory in use, of total_tokens; both 0 if unknown. slots: requests that
-    it runs concurrently.
+    it runs concurrently. prefill_factor, step_factor: as in core.engine_speed.EngineSpeed. peak_tokens:
+    memory at the peak of its runs. tokens_in_use: those of the prompt's parts that its runs use already.
     """
 
     id: str
@@ -68,6 +69,10 @@
     used_tokens: float = 0.0
     total_tokens: float = 0.0
     slots: int = 1_000_000
+    prefill_factor: float = 1.0
+    step_factor: float = 1.0
+    peak_tokens: float = 0.0
+    tokens_in_use: int = 0
 
 
 class Source(msgspec.Struct, frozen=True):
@@ -85,7 +90,8 @@
     """An engine for a prompt, and the predicted time to the first token.
 
     fetch_from: an address for each part, or empty. reused: tokens cached by the engine. fetched: tokens to
-    fetch. read: tokens to prefill.
+    fetch. read: tokens to prefill. overcommits: the engine's runs may need more memory than it has, so that
+    it would preempt one.
     """
 
     engine: EngineView
@@ -94,6 +100,7 @@
     fetched: int
     read: int
     first_token_s: float
+    overcommits: bool = False
 
 
 SourceLookup = Callable[[int, str], Source | None]
@@ -106,10 +113,19 @@
     engines: Sequence[EngineView],
     source_of: SourceLookup,
     bytes_per_token: int,
+    max_output: int = 0,
 ) -> list[Placement]:
-    """Return a placement on every engine, the shortest time to the first token first."""
-    placements = [_place_on(engine, parts, tokens, source_of, bytes_per_token) for engine in engines]
+    """Return a placement on every engine, the shortest time to the first token first.
+
+    max_output: most tokens of the answer. While an engine has a slot and memory for the whole run, engines
+    that would preempt a run for it come last.
+    """
+    placements = [
+        _place_on(engine, parts, tokens, source_of, bytes_per_token, max_output) for engine in engines
+    ]
     placements.sort(key=attrgetter("first_token_s"))
+    if any(item.overcommits for item in placements) and any(_runs_at_once(item) for item in placements):
+        placements.sort(key=attrgetter("overcommits"))
     return placements
 
 
@@ -126,11 +142,24 @@
 def pick_quickest(placements: Sequence[Placement], random: Random) -> Placement:
     """Return a random one of the placements that are as quick as the first."""
     quickest = placements[0].first_token_s
-    return random.choice([item for item in placements if item.first_token_s <= quickest])
+    overcommits = placements[0].overcommits
+    return random.choice(
+        [item for item in placements if item.first_token_s <= quickest and item.overcommits == overcommits]
+    )
+
+
+def _runs_at_once(placement: Placement) -> bool:
+    """Return whether an engine has both a free slot and memory for a whole run."""
+    return not placement.overcommits and placement.engine.running < placement.engine.slots
 
 
 def _place_on(
-    engine: EngineView, parts: Sequence[Part], tokens: int, source_of: SourceLookup, bytes_per_token: int
+    engine: EngineView,
+    parts: Sequence[Part],
+    tokens: int,
+    source_of: SourceLookup,
+    bytes_per_token: int,
+    max_output: int,
 ) -> Placement:
     reused, fetched, fetch_s = 0, 0, 0.0
     fetch_from = [""] * len(parts)
@@ -156,18 +185,28 @@
         fetch_s += FETCH_SETUP_S
     read = max(1, tokens - reused - fetched)
     first_token_s = (
-        _expected_delay_s(engine) + _memory_delay_s(engine, tokens) + fetch_s + prefill_s(read, tokens)
+        _expected_delay_s(engine)
+        + _memory_delay_s(engine, tokens)
+        + fetch_s
+        + prefill_s(read, tokens) * engine.prefill_factor
     )
-    return Placement(engine, tuple(fetch_from), reused, fetched, read, first_token_s)
+    overcommits = _overcommits(engine, tokens + max_output)
+    return Placement(engine, tuple(fetch_from), reused, fetched, read, first_token_s, overcommits)
 
 
 def _queue_delay_s(engine: EngineView) -> float:
     excess = max(0, engine.running + 1 - engine.slots)
-    return engine.waiting_tokens / PREFILL_TOKENS_PER_S + excess / engine.slots * RUN_DURATION_S
+    waiting_s = engine.waiting_tokens / PREFILL_TOKENS_PER_S * engine.prefill_factor
+    return waiting_s + excess / engine.slots * RUN_DURATION_S * engine.step_factor
+
+
+def run_delay_s(engine: EngineView) -> float:
+    """Return the predicted delay of a prompt's first token by the engine's queue and running requests."""
+    return _queue_delay_s(engine) + engine.running * STEP_DELAY_S * engine.step_factor
 
 
 def _expected_delay_s(engine: EngineView) -> float:
-    delay_s = _queue_delay_s(engine) + engine.running * STEP_DELAY_S + engine.failing * FAILURE_PENALTY_S
+    delay_s = run_delay_s(engine) + engine.failing * FAILURE_PENALTY_S
     if engine.outdated:
         delay_s += OLD_VERSION_PENALTY_S
     if not engine.preferred:
@@ -183,6 +222,14 @@
     return _memory_wait_s(engine, tokens) + fill * MEMORY_FILL_PENALTY_S
 
 
+def _overcommits(engine: EngineView, run_tokens: int) -> bool:
+    """Return whether the memory at the peak of all runs, with one more, is above what may be used."""
+    if engine.total_tokens <= 0:
+        return False
+    peak_tokens = engine.peak_tokens + run_tokens - engine.tokens_in_use
+    return peak_tokens > engine.total_tokens * USABLE_MEMORY_SHARE
+
+
 def _memory_wait_s(engine: EngineView, tokens: int) -> float:
     """Return how long a prompt waits until enough requests have ended to free memory for it."""
     if engine.total_tokens <= 0:
--- a/stairquay/explain.py
+++ b/stairquay/explain.py
@@ -1,7 +1,8 @@
 """Explains one request from the logs of several boxes.
 
 The explanation lists the request's log lines, with the inputs of each decision and their ages, and the state
-changes of its boxes from shortly before to shortly after. Times are relative to the request's first line.
+changes of its boxes from shortly before to shortly after. Times are relative to the request's first line. For
+each attempt of a prompt it compares the predicted with the actual time to the first token.
 """
 
 from collections.abc import Iterable, Sequence
@@ -35,10 +36,12 @@
         "order",
         "store_view",
         "part_failed",
+        "engine_speed",
     )
 )
 """Kinds of lines that record a change of a box's state, which may explain later decisions."""
 
+ATTEMPT_END_KINDS = ("ended", "attempt_failed")
 DROPPED_KIND = "left_out"
 HEADER_FIELDS = ("at", "box", "kind", "request")
 
@@ -93,6 +96,7 @@
     ordered = sorted([*request_lines, *state_lines], key=lambda line: line["at"])
     lines = [f"request {request}, first seen at {first:.3f} by {min(request_lines, key=_timestamp)['box']}"]
     lines += [_format_line(line, first) for line in ordered]
+    lines += _prediction_lines(sorted(request_lines, key=_timestamp))
     lines += _missing_lines(logs, boxes, first, last)
     return lines
 
@@ -116,6 +120,32 @@
     return f"{mark} {line['at'] - first:+9.3f} s  {line['box']}  {line['kind']}  {inputs}"
 
 
+def _prediction_lines(request_lines: Sequence[Line]) -> list[str]:
+    """Return for each attempt of a prompt the predicted beside the actual time to the first token."""
+    lines = []
+    for index, sent in enumerate(request_lines):
+        predicted_s = sent.get("first_token_s")
+        if sent["kind"] != "sent" or predicted_s is None:
+            continue
+        actual_s = _actual_first_token_s(sent, request_lines[index + 1 :])
+        actual = "unknown" if actual_s is None else f"{actual_s:.4f} s"
+        lines.append(
+            f"= attempt {sent.get('attempt')} at {sent.get('endpoint')}: "
+            f"first token predicted {predicted_s:.4f} s, actual {actual}"
+        )
+    return lines
+
+
+def _actual_first_token_s(sent: Line, later_lines: Iterable[Line]) -> float | None:
+    """Return what the line that ended an attempt says, None if there is none or no token came."""
+    for line in later_lines:
+        if line["kind"] not in ATTEMPT_END_KINDS or line.get("endpoint") != sent.get("endpoint"):
+            continue
+        if line.get("box") == sent.get("box"):
+            return line.get("first_token_took_s")
+    return None
+
+
 def _escape(value: Any) -> str:
     return "-" if value is None else str(value).replace(" ", "_")
 
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -16,7 +16,7 @@
 from stairquay.serving.endpoint_choice import Choice
 from stairquay.serving.endpoint_chooser import Chooser
 from stairquay.serving.evacuation import takes_work
-from stairquay.serving.jobs import Job, JobProgress, StartedAttempt
+from stairquay.serving.jobs import Job, JobProgress, StartedAttempt, attempt_timing
 from stairquay.serving.messages import Outcome
 from stairquay.serving.ports import IncompleteResponseError, Reply, RequestSender, SendFailure
 from stairquay.serving.records import (
@@ -90,7 +90,7 @@
                 response = await self._attempt(job, choice, progress, request)
                 outcome = _attempt_outcome(response, progress)
             finally:
-                self.chooser.finished(choice, outcome)
+                self.chooser.finished(choice, outcome, progress.timing)
             if response is not None:
                 return Ok(response)
             refusal = self._refusal_after_failure(job, progress)
@@ -335,6 +335,8 @@
             started_attempt.endpoint_state.version = max(
                 started_attempt.endpoint_state.version, reply.version
             )
+        if reply.streamed and reply.status < SERVER_ERROR:
+            progress.timing = attempt_timing(job, started_attempt, progress, now)
         record_answered(self.state, job, started_attempt, reply, progress, now)
 
     def _give_up(
--- a/stairquay/serving/endpoint.py
+++ b/stairquay/serving/endpoint.py
@@ -1,15 +1,21 @@
 """The load, health and limits of one endpoint as this box sees them."""
 
 from collections import deque
+from collections.abc import Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 
+from stairquay.core.engine_speed import PRIOR, EngineSpeed, SpeedSamples
 from stairquay.core.fleet import Endpoint
+from stairquay.core.holdings import PartKey
 from stairquay.core.limits import LimitReport
 from stairquay.core.pace import Pacer
 from stairquay.core.rest import Backoff
 from stairquay.serving.ports import EngineReport, Topic
 
+SharedParts = Sequence[tuple[PartKey, int]]
+"""Parts of a prompt that others may share, with their tokens."""
+
 NEVER = float("-inf")
 """A time before any other."""
 
@@ -71,11 +77,20 @@
     response_time_s: float = 0.05
     # When the engine will have prefilled all that this box, as its router, placed there.
     prefill_until: float = NEVER
+    # Memory at the peak of all runs that this box placed as its router, and how many of them use each part.
+    peak_tokens: int = 0
+    # Memory in use beyond that peak, as last reported: by runs that others placed.
+    unplaced_tokens: int = 0
+    runs_by_part: dict[PartKey, int] = field(default_factory=dict)
+    # Learned by this box as router.
+    speed: EngineSpeed = PRIOR
+    speed_samples: SpeedSamples = field(default_factory=SpeedSamples)
 
     def on_report(self, report: EngineReport, now: float) -> None:
         """Record what the endpoint reported about itself."""
         self.report = report
         self.reported_at = now
+        self.unplaced_tokens = max(0, report.used_tokens - self.peak_tokens)
         if report.born:
             self.unreachable_at = NEVER
         if report.cold_s is not None:
@@ -98,6 +113,36 @@
             # It may have been removed already, by a report or by its age.
             self.sent_prompts.remove((sent_at, tokens))
 
+    def on_run_placed(self, parts: SharedParts, tokens: int, max_output: int) -> None:
+        """As the engine's router, count the memory of a run at its peak until on_run_ended.
+
+        parts: those of its prompt that runs in progress share, so that they count once.
+        """
+        self.peak_tokens += tokens + max_output
+        for key, part_tokens in parts:
+            runs = self.runs_by_part.get(key, 0)
+            self.runs_by_part[key] = runs + 1
+            if runs:
+                self.peak_tokens -= part_tokens
+
+    def on_run_ended(self, parts: SharedParts, tokens: int, max_output: int) -> None:
+        """Undo on_run_placed."""
+        self.peak_tokens -= tokens + max_output
+        for key, part_tokens in parts:
+            runs = self.runs_by_part.pop(key, 0) - 1
+            if runs > 0:
+                self.runs_by_part[key] = runs
+                self.peak_tokens += part_tokens
+
+    def tokens_in_use(self, parts: SharedParts) -> int:
+        """Return the tokens of a prompt's leading parts that placed runs use already."""
+        tokens = 0
+        for key, part_tokens in parts:
+            if key not in self.runs_by_part:
+                break
+            tokens += part_tokens
+        return tokens
+
     def on_sent(self, tokens: int, now: float) -> None:
         """Count the memory of a sent prompt until a report includes it."""
         self.sent_prompts.append((now, tokens))
--- a/stairquay/serving/endpoint_choice.py
+++ b/stairquay/serving/endpoint_choice.py
@@ -9,12 +9,11 @@
 from stairquay.core.call import PromptShape
 from stairquay.core.catalog import Catalog, EngineSpec, ServiceSpec, WorkspacePolicy
 from stairquay.core.fleet import Endpoint
-from stairquay.core.holdings import PartKey
 from stairquay.core.ownership import rank_owners
 from stairquay.core.placement import Placement, Source, backlog_s, pick_quickest, rank_placements
 from stairquay.core.scope import Scope
 from stairquay.serving.endpoint import EndpointState
-from stairquay.serving.engine_views import best_sources, engine_view, usable_sources
+from stairquay.serving.engine_views import VersionContext, best_sources, engine_view, usable_sources
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.pacing import wait_s
 from stairquay.serving.state import BoxState
@@ -193,19 +192,17 @@
     model = prompt.model
     preferred = _preferred_engines(request.sender, candidates) if request.sender else None
     usable = usable_sources(state, catalog, engine, now)
-    groups: dict[int, _VersionGroup] = {}
+    contexts: dict[int, VersionContext] = {}
     sources_by_address: dict[str, list[list[Source]]] = {}
     views = []
     for item in candidates:
         version = versions[item.id]
-        group = groups.get(version)
-        if group is None:
-            group = groups[version] = _version_group(state, request.workspace, prompt, version, usable)
-        sources_by_address[item.address] = group.sources
+        context = contexts.get(version)
+        if context is None:
+            context = contexts[version] = _version_context(state, request.workspace, prompt, version, usable)
+        sources_by_address[item.address] = context.sources
         endpoint_state = state.endpoint_state(item)
-        views.append(
-            engine_view(state, item, endpoint_state, group.keys, engine.slots, group.outdated, preferred, now)
-        )
+        views.append(engine_view(state, item, endpoint_state, context, engine.slots, preferred, now))
 
     def source_of(index: int, address: str) -> Source | None:
         for source in sources_by_address[address][index]:
@@ -213,9 +210,11 @@
                 return source
         return None
 
-    found = rank_placements(prompt.parts, prompt.tokens, views, source_of, engine.bytes_per_token)
+    found = rank_placements(
+        prompt.parts, prompt.tokens, views, source_of, engine.bytes_per_token, prompt.max_output
+    )
     target_version = state.target_version_by_model.get(model, 0)
-    if min(groups) >= target_version:
+    if min(contexts) >= target_version:
         return found
     return [
         item
@@ -224,26 +223,18 @@
     ]
 
 
-@dataclass(frozen=True)
-class _VersionGroup:
-    """What engines on one version have in common: the keys and the best sources of the prompt's parts."""
-
-    outdated: bool
-    keys: list[PartKey]
-    sources: list[list[Source]]
-
-
-def _version_group(
+def _version_context(
     state: BoxState,
     workspace: WorkspacePolicy | None,
     prompt: PromptShape,
     version: int,
     usable: dict[str, Source],
-) -> _VersionGroup:
+) -> VersionContext:
     scope = context_scope(workspace, prompt.model, version)
-    return _VersionGroup(
+    return VersionContext(
         outdated=state.replaced_for_s(prompt.model, version) > OUTDATED_AFTER_S,
         keys=[(scope, part.id) for part in prompt.parts],
+        shared_parts=[((scope, part.id), part.tokens) for part in prompt.shared],
         sources=[best_sources(state, usable, scope, part) for part in prompt.parts],
     )
 
--- a/stairquay/serving/endpoint_chooser.py
+++ b/stairquay/serving/endpoint_chooser.py
@@ -11,6 +11,7 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.core.call import PromptShape
 from stairquay.core.catalog import WorkspacePolicy
+from stairquay.core.engine_speed import is_useful
 from stairquay.core.fleet import Endpoint
 from stairquay.core.limits import UNLIMITED
 from stairquay.core.placement import EngineView, Placement
@@ -18,10 +19,17 @@
 from stairquay.serving.endpoint_choice import Choice, ChoiceRequest
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.event_log import LogEvent
-from stairquay.serving.jobs import Job, JobProgress
+from stairquay.serving.jobs import AttemptTiming, Job, JobProgress
 from stairquay.serving.links import RouterClients
 from stairquay.serving.local_router import LocalRouter
-from stairquay.serving.messages import EndedAttempt, Outcome, PlaceReply, PlaceRequest, PromptPart
+from stairquay.serving.messages import (
+    EndedAttempt,
+    Outcome,
+    PlaceReply,
+    PlaceRequest,
+    PromptPart,
+    SpeedSample,
+)
 from stairquay.serving.notices import NoticeSender
 from stairquay.serving.pacing import count_sent, retry_after_s
 from stairquay.serving.saving import choose_with_save_targets
@@ -107,11 +115,17 @@
         if router is not None:
             self.notices.add_prefill_finished(router, choice.ticket)
 
-    def finished(self, choice: Choice, outcome: Outcome = Outcome.DONE) -> None:
-        """Tell the router that a request has ended at its endpoint, and with which outcome."""
+    def finished(
+        self, choice: Choice, outcome: Outcome = Outcome.DONE, timing: AttemptTiming | None = None
+    ) -> None:
+        """Tell the router that a request has ended at its endpoint, how, and how long it took."""
         router = next((item for item in self.state.routers if item.id == choice.router), None)
-        if router is not None:
-            self.notices.add_ended(router, EndedAttempt(choice.ticket, outcome))
+        if router is None:
+            return
+        if timing is not None and is_useful(timing.first_token_s, timing.events):
+            sample = SpeedSample(choice.ticket, timing.first_token_s, timing.stream_s, timing.events)
+            self.notices.add_sample(router, sample)
+        self.notices.add_ended(router, EndedAttempt(choice.ticket, outcome))
 
     async def _place(
         self, router: Member, request: PlaceRequest, prompt: PromptShape, progress: JobProgress
--- a/stairquay/serving/engine_views.py
+++ b/stairquay/serving/engine_views.py
@@ -1,6 +1,6 @@
 """Views of engines and sources of cached context, the input for placing a prompt."""
 
-from collections.abc import Sequence
+from dataclasses import dataclass
 
 from msgspec.structs import replace
 
@@ -22,20 +22,33 @@
 """Rank of a source below that of any other: tokens, durability and bandwidth."""
 
 
+@dataclass(frozen=True)
+class VersionContext:
+    """What engines on one version have in common for one prompt.
+
+    outdated: the version was replaced. keys: of the prompt's parts. shared_parts: those that other prompts
+    may share. sources: the best of each part.
+    """
+
+    outdated: bool
+    keys: list[PartKey]
+    shared_parts: list[tuple[PartKey, int]]
+    sources: list[list[Source]]
+
+
 def engine_view(
     state: BoxState,
     endpoint: Endpoint,
     endpoint_state: EndpointState,
-    keys: Sequence[PartKey],
+    context: VersionContext,
     slots: int,
-    outdated: bool,
     preferred: frozenset[str] | None,
     now: float,
 ) -> EngineView:
     """Return the current view of an engine for one prompt.
 
-    keys: of the prompt's parts in the engine's scope. preferred: ids of the engines that the sender prefers,
-    None if it has no preference.
+    context: of the version that it runs. preferred: ids of the engines that the sender prefers, None if it
+    has no preference.
     """
     report = endpoint_state.report
     routed = endpoint.id in state.routed_engines
@@ -44,16 +57,20 @@
     return EngineView(
         id=endpoint.id,
         address=endpoint.address,
-        resident=state.holdings.resident(endpoint.address, keys),
+        resident=state.holdings.resident(endpoint.address, context.keys),
         waiting_tokens=_waiting_tokens(endpoint_state, routed, now),
         running=_running(endpoint_state, routed),
         failing=endpoint_state.current_failure_rate(now),
-        outdated=outdated,
+        outdated=context.outdated,
         same_hall=endpoint.data_hall == state.settings.data_hall,
         preferred=preferred is None or endpoint.id in preferred,
         used_tokens=used_tokens,
         slots=slots,
         total_tokens=0.0 if report is None else report.total_tokens,
+        prefill_factor=endpoint_state.speed.prefill_factor,
+        step_factor=endpoint_state.speed.step_factor,
+        peak_tokens=endpoint_state.peak_tokens + endpoint_state.unplaced_tokens if routed else used_tokens,
+        tokens_in_use=endpoint_state.tokens_in_use(context.shared_parts),
     )
 
 
@@ -74,7 +91,8 @@
 def _waiting_tokens(endpoint_state: EndpointState, routed: bool, now: float) -> float:
     """Return the prompt tokens whose prefill an engine has not finished."""
     if routed:
-        return max(0.0, endpoint_state.prefill_until - now) * PREFILL_TOKENS_PER_S
+        remaining_s = max(0.0, endpoint_state.prefill_until - now)
+        return remaining_s * PREFILL_TOKENS_PER_S / endpoint_state.speed.prefill_factor
     return sum(endpoint_state.waiting_tokens_by_job.values())
 
 
--- a/stairquay/serving/event_log.py
+++ b/stairquay/serving/event_log.py
@@ -60,6 +60,7 @@
     REST = "rest"
     CRASHED = "crashed"
     QUARANTINE = "quarantine"
+    ENGINE_SPEED = "engine_speed"
     PART_FAILED = "part_failed"
     LEFT_OUT = "left_out"
 
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -45,13 +45,23 @@
         return request_digest(self.call, self.body)
 
 
+@dataclass(frozen=True)
+class AttemptTiming:
+    """Seconds that a streamed attempt took from its start to the first event, and from there to its end."""
+
+    first_token_s: float
+    stream_s: float
+    events: int
+
+
 @dataclass
 class JobProgress:
     """Results of a job's attempts so far.
 
     tried: ids of endpoints. refused: attempts that did not run. runs: attempts that may have run. ran: the
     worst status of all attempts. last: the last failure. error_reply: the last 5xx reply, with its body.
-    retry_after_s: the routers' estimate of the seconds until an endpoint accepts the job.
+    retry_after_s: the routers' estimate of the seconds until an endpoint accepts the job. timing: of the
+    attempt that succeeded, where it is comparable to others.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -62,6 +72,7 @@
     last: SendFailure | None = None
     error_reply: tuple[Reply, bytes] | None = None
     retry_after_s: float | None = None
+    timing: AttemptTiming | None = None
 
 
 @dataclass
@@ -77,3 +88,13 @@
     sent_at: float
     head_received: bool = False
     first_byte_at: float | None = None
+
+
+def attempt_timing(
+    job: Job, started_attempt: StartedAttempt, progress: JobProgress, now: float
+) -> AttemptTiming | None:
+    """Return how long a streamed attempt took that ends now, None if it continued an earlier stream."""
+    first_byte_at = started_attempt.first_byte_at
+    if first_byte_at is None or progress.tried or job.call.resume_after is not None:
+        return None
+    return AttemptTiming(first_byte_at - started_attempt.sent_at, now - first_byte_at, progress.stream.events)
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -15,13 +15,13 @@
 from stairquay.core.catalog import WorkspacePolicy
 from stairquay.core.fleet import Endpoint
 from stairquay.core.holdings import PartKey
-from stairquay.core.placement import prefill_s
 from stairquay.core.position import NO_POSITION, Position
 from stairquay.core.routers import Engine, engines_of
 from stairquay.serving.cold import cold_for_s
 from stairquay.serving.crash_rows import STALE_S
 from stairquay.serving.endpoint import BUSY_BACKOFF_S, EndpointState
 from stairquay.serving.endpoint_choice import Choice, ChoiceRequest
+from stairquay.serving.engine_speeds import EngineSpeeds
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.links import RouterHandlers, serve
 from stairquay.serving.messages import (
@@ -68,7 +68,7 @@
     """A prompt placed on an endpoint.
 
     at: when, in monotonic seconds. shared_parts: parts that other prompts may reuse, with their tokens.
-    rate_limited: it was counted against the endpoint's rate limit.
+    rate_limited: it was counted against the endpoint's rate limit. max_output: most tokens of its answer.
     """
 
     at: float
@@ -78,6 +78,7 @@
     address: str = ""
     shared_parts: tuple[tuple[PartKey, int], ...] = ()
     rate_limited: bool = False
+    max_output: int = 0
 
 
 class LocalRouter:
@@ -89,6 +90,7 @@
         self.placed_by_ticket: dict[str, PlacedPrompt] = {}
         self.prefill_ticket_by_key: dict[PartKey, str] = {}
         self.server: grpc.aio.Server | None = None
+        self.speeds = EngineSpeeds(state)
 
     async def run(self) -> None:
         """Serve whenever this box is a router, until cancelled."""
@@ -168,6 +170,7 @@
 
     def finished(self, ended: EndedAttempt) -> None:
         """Stop counting a prompt on its engine, and record the outcome."""
+        self.speeds.forget(ended.ticket)
         placed = self.placed_by_ticket.pop(ended.ticket, None)
         if placed is not None:
             self._forget_prefill(ended.ticket, placed)
@@ -175,6 +178,7 @@
             return
         endpoint_state, now = placed.endpoint_state, monotonic()
         endpoint_state.in_flight = max(0, endpoint_state.in_flight - 1)
+        endpoint_state.on_run_ended(placed.shared_parts, placed.tokens, placed.max_output)
         if ended.outcome in (Outcome.NOT_SENT, Outcome.TURNED_AWAY, Outcome.UNREACHED):
             endpoint_state.revert_placed(placed.expected_prefill_s, placed.tokens, placed.at)
             if placed.rate_limited and ended.outcome != Outcome.TURNED_AWAY:
@@ -202,18 +206,20 @@
         placement = choice.placement
         assert placement is not None
         self.finished(EndedAttempt(request.ticket, Outcome.NOT_SENT))
-        expected_prefill_s = prefill_s(placement.read, request.tokens)
         address = choice.endpoint.address
         shared_parts = tuple(((choice.scope, part.id), part.tokens) for part in request.parts[:-1])
         endpoint_state = self.state.endpoint_state(choice.endpoint)
         rate_limited = count_sent(self.state, choice.endpoint, now, self.random)
+        expected_s = self.speeds.expect(request.ticket, choice.endpoint, placement, request.tokens, now)
+        tokens, most = request.tokens, request.max_output
         placed = PlacedPrompt(
-            now, endpoint_state, expected_prefill_s, request.tokens, address, shared_parts, rate_limited
+            now, endpoint_state, expected_s, tokens, address, shared_parts, rate_limited, most
         )
         self.placed_by_ticket[request.ticket] = placed
         for key, _ in shared_parts:
             self.prefill_ticket_by_key.setdefault(key, request.ticket)
         endpoint_state.in_flight += 1
+        endpoint_state.on_run_placed(shared_parts, request.tokens, request.max_output)
         endpoint_state.on_placed(placed.expected_prefill_s, now)
         # Cached parts count as well, since they can't be evicted while the prompt runs.
         endpoint_state.on_sent(request.tokens, now)
@@ -227,6 +233,7 @@
             await self._close()
         state.routed_engines = self._engines() if is_router else frozenset()
         self._expire(monotonic())
+        self.speeds.update(monotonic())
 
     def _engines(self) -> frozenset[str]:
         """Return the engines assigned to this router, with its share of those of suspected routers.
@@ -281,6 +288,8 @@
         apply_peer_feedback(self.state, notice.said, monotonic())
         for ticket in notice.read:
             self.prefill_finished(ticket)
+        for sample in notice.speeds:
+            self.speeds.observe(sample, monotonic())
         for ended in notice.ended:
             self.finished(ended)
         return Empty()
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -110,15 +110,26 @@
     outcome: Outcome = Outcome.DONE
 
 
+class SpeedSample(msgspec.Struct, frozen=True, array_like=True):
+    """How long an attempt that succeeded took: from sending it to the first event, and from there to the last
+    of its events."""
+
+    ticket: str
+    first_token_s: float
+    stream_s: float = 0.0
+    events: int = 0
+
+
 class FinishedNotice(msgspec.Struct, frozen=True, array_like=True):
     """Attempts that have ended, and tickets of those whose prefill has finished (`read`); empty for a ping.
 
-    said: feedback of endpoints.
+    said: feedback of endpoints. speeds: of attempts among those that have ended.
     """
 
     ended: tuple[EndedAttempt, ...]
     read: tuple[str, ...] = ()
     said: tuple[PeerFeedback, ...] = ()
+    speeds: tuple[SpeedSample, ...] = ()
 
 
 class PeerCrash(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -116,6 +116,12 @@
             "Seconds for which the oldest weights in use have been replaced",
             registry=registry,
         )
+        self.engine_speed = Gauge(
+            "stairquay_engine_speed_factor",
+            "Seconds that an engine takes over those of its peers, where the difference is used",
+            ["endpoint", "of"],
+            registry=registry,
+        )
         self.leading = Gauge("stairquay_leading", "1 while this box holds the lease", registry=registry)
         self.dropped_log_lines = Gauge(
             "stairquay_log_lines_left_out", "Log lines left out", registry=registry
--- a/stairquay/serving/notices.py
+++ b/stairquay/serving/notices.py
@@ -11,7 +11,7 @@
 from stairquay.serving.change_notifier import ChangeNotifier
 from stairquay.serving.links import RouterClients
 from stairquay.serving.local_router import LocalRouter
-from stairquay.serving.messages import EndedAttempt, FinishedNotice
+from stairquay.serving.messages import EndedAttempt, FinishedNotice, SpeedSample
 from stairquay.serving.state import BoxState
 from stairquay.serving.telling import feedback_for_peers
 
@@ -27,6 +27,9 @@
 MAX_QUEUED_ENDED = 2_000
 """Ended prompts queued for one router. Any more are dropped, and the router expires their placements."""
 
+MAX_QUEUED_SAMPLES = 200
+"""Speed samples queued for one router. Any more are dropped; a router uses a few of each engine a second."""
+
 
 class NoticeSender:
     """Queues ended and prefilled prompts by router, and sends them in notices."""
@@ -37,6 +40,7 @@
         self.local_router = local_router
         self.ended_by_router: dict[Member, list[EndedAttempt]] = {}
         self.prefilled_by_router: dict[Member, list[str]] = {}
+        self.samples_by_router: dict[Member, list[SpeedSample]] = {}
         self.sending_by_router: dict[Member, asyncio.Task[None]] = {}
         self.queue_changed = ChangeNotifier()
 
@@ -78,6 +82,15 @@
             queued.append(ended)
         self.queue_changed.notify_all()
 
+    def add_sample(self, router: Member, sample: SpeedSample) -> None:
+        """Queue how long an attempt took, before add_ended of the same attempt, which sends it."""
+        if router.id == self.state.settings.id:
+            self.local_router.speeds.observe(sample, monotonic())
+            return
+        queued = self.samples_by_router.setdefault(router, [])
+        if len(queued) < MAX_QUEUED_SAMPLES:
+            queued.append(sample)
+
     def add_prefill_finished(self, router: Member, ticket: str) -> None:
         """Queue that a prompt's prefill has finished; dropped if the router is unresponsive."""
         if router.id == self.state.settings.id:
@@ -98,15 +111,18 @@
             if router not in self.state.routers:
                 del self.ended_by_router[router]
                 self.prefilled_by_router.pop(router, None)
+                self.samples_by_router.pop(router, None)
             elif router in live and router not in self.sending_by_router:
                 notice = FinishedNotice(
                     tuple(self.ended_by_router.pop(router)),
                     tuple(self.prefilled_by_router.pop(router, ())),
                     feedback,
+                    tuple(self.samples_by_router.pop(router, ())),
                 )
                 self.sending_by_router[router] = asyncio.create_task(self._send(router, notice))
             elif router not in live:
                 self.prefilled_by_router.pop(router, None)
+                self.samples_by_router.pop(router, None)
 
     def _queue_pings(self) -> None:
         """Queue a notice, which may be empty, for every other live router."""
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -102,11 +102,19 @@
         took_s=now - started_attempt.sent_at,
         failing=started_attempt.endpoint_state.current_failure_rate(now),
         broke=failure.connection_broken,
+        first_token_took_s=_first_token_took_s(started_attempt),
         digest=job.digest,
         **feedback_fields(failure.feedback),
     )
 
 
+def _first_token_took_s(started_attempt: StartedAttempt) -> float | None:
+    """Return the seconds from sending an attempt to its first output, to compare with the prediction."""
+    if started_attempt.first_byte_at is None:
+        return None
+    return started_attempt.first_byte_at - started_attempt.sent_at
+
+
 def record_retry_denied(state: BoxState, job: Job) -> None:
     """Log that a failed job is not retried because the retry budget is exhausted."""
     budget = state.retry_budget(job.service.id)
@@ -147,6 +155,7 @@
         first_s=None
         if started_attempt.first_byte_at is None
         else started_attempt.first_byte_at - job.arrived_at,
+        first_token_took_s=_first_token_took_s(started_attempt),
         took_s=now - job.arrived_at,
         **feedback_fields(reply.feedback),
     )
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -117,6 +117,29 @@
     assert explain_request(logs, "r-9") == []
 
 
+ATTEMPTS_LOG = """
+{"at": 1, "box": "b", "kind": "sent", "request": "r-1", "endpoint": "e1", "attempt": 1, "first_token_s": 0.4}
+{"at": 1.2, "box": "b", "kind": "attempt_failed", "request": "r-1", "endpoint": "e1"}
+{"at": 2, "box": "b", "kind": "sent", "request": "r-1", "endpoint": "e2", "attempt": 2, "first_token_s": 0.3}
+{"at": 3, "box": "b", "kind": "ended", "request": "r-1", "endpoint": "e2", "first_token_took_s": 0.0512}
+{"at": 4, "box": "b", "kind": "sent", "request": "r-2", "endpoint": "p-1", "attempt": 1}
+{"at": 5, "box": "b", "kind": "ended", "request": "r-2", "endpoint": "p-1", "first_token_took_s": 0.01}
+"""
+
+
+def test_a_story_compares_the_predicted_with_the_actual_first_token_of_each_attempt():
+    """Guards against a slow engine that nobody can tell from a queue, and a failed attempt that takes the
+    figure of the next one."""
+    logs = Logs()
+    logs.read(ATTEMPTS_LOG.splitlines())
+    compared = [line for line in explain_request(logs, "r-1") if line.startswith("=")]
+    assert compared == [
+        "= attempt 1 at e1: first token predicted 0.4000 s, actual unknown",
+        "= attempt 2 at e2: first token predicted 0.3000 s, actual 0.0512 s",
+    ]
+    assert not any(line.startswith("=") for line in explain_request(logs, "r-2"))
+
+
 def run_cli(*args: str, stdin: str = "") -> tuple[int, str, str]:
     env = Environment(io.StringIO(stdin), io.StringIO(), io.StringIO(), {})
     status = main(args, env)
