--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -15,11 +15,11 @@
 from stairquay.core.call import Part, PromptShape
 from stairquay.core.catalog import LOWEST_PRIORITY, EngineSpec, WorkspacePolicy
 from stairquay.core.holdings import PartKey
-from stairquay.core.placement import prefill_s
 from stairquay.core.routers import Engine, engines_of
 from stairquay.serving.endpoint import BUSY_BACKOFF_S, EndpointState
 from stairquay.serving.endpoint_choice import Choice, ChoiceRequest
 from stairquay.serving.engine_accounts import EngineAccounts
+from stairquay.serving.engine_speeds import EngineSpeeds
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.links import RouterHandlers, serve
 from stairquay.serving.messages import (
@@ -64,7 +64,8 @@
     """A prompt placed on an endpoint.
 
     at: when, in monotonic seconds. shared_parts: parts that other prompts may reuse, with their tokens.
-    rate_limited: it was counted against the endpoint's rate limit. engine: the endpoint's id.
+    rate_limited: it was counted against the endpoint's rate limit. engine: the endpoint's id. max_output: of
+    its answer, in tokens.
     """
 
     at: float
@@ -77,6 +78,7 @@
     engine: str = ""
     service: str = ""
     priority: int = LOWEST_PRIORITY
+    max_output: int = 0
 
 
 class LocalRouter:
@@ -89,6 +91,7 @@
         self.prefill_ticket_by_key: dict[PartKey, str] = {}
         self.accounts = EngineAccounts(state)
         self.server: grpc.aio.Server | None = None
+        self.speeds = EngineSpeeds(state)
 
     async def run(self) -> None:
         """Serve whenever this box is a router, until cancelled."""
@@ -168,6 +171,7 @@
 
     def finished(self, ended: EndedAttempt) -> None:
         """Stop counting a prompt on its engine, and record the outcome."""
+        self.speeds.forget(ended.ticket)
         placed = self.placed_by_ticket.pop(ended.ticket, None)
         if placed is not None:
             self._forget_prefill(ended.ticket, placed)
@@ -177,6 +181,7 @@
         kind = placed.service, placed.priority
         self.accounts.end(ended.ticket, placed.engine, kind, ended.outcome == Outcome.DONE, now)
         endpoint_state.in_flight = max(0, endpoint_state.in_flight - 1)
+        endpoint_state.on_run_ended(placed.shared_parts, placed.tokens, placed.max_output)
         if ended.outcome in (Outcome.NOT_SENT, Outcome.TURNED_AWAY, Outcome.UNREACHED):
             endpoint_state.revert_placed(placed.expected_prefill_s, placed.tokens, placed.at)
             if placed.rate_limited and ended.outcome != Outcome.TURNED_AWAY:
@@ -216,22 +221,24 @@
         placement = choice.placement
         assert placement is not None
         self.finished(EndedAttempt(request.ticket, Outcome.NOT_SENT))
-        expected_prefill_s = prefill_s(placement.read, request.tokens)
         address = choice.endpoint.address
         shared_parts = tuple(((choice.scope, part.id), part.tokens) for part in request.parts[:-1])
         endpoint_state = self.state.endpoint_state(choice.endpoint)
         rate_limited = count_sent(self.state, choice.endpoint, now, self.random)
+        expected_s = self.speeds.expect(request.ticket, choice.endpoint, placement, request.tokens, now)
+        tokens, most = request.tokens, request.max_output
         placed = PlacedPrompt(
             now,
             endpoint_state,
-            expected_prefill_s,
-            request.tokens,
+            expected_s,
+            tokens,
             address,
             shared_parts,
             rate_limited,
             choice.endpoint.id,
             request.service,
             request.priority,
+            most,
         )
         self.accounts.place(request, choice.endpoint, now)
         self.placed_by_ticket[request.ticket] = placed
@@ -239,6 +246,7 @@
             for key, _ in shared_parts:
                 self.prefill_ticket_by_key.setdefault(key, request.ticket)
         endpoint_state.in_flight += 1
+        endpoint_state.on_run_placed(shared_parts, request.tokens, request.max_output)
         endpoint_state.on_placed(placed.expected_prefill_s, now)
         # Cached parts count as well, since they can't be evicted while the prompt runs.
         endpoint_state.on_sent(request.tokens, now)
@@ -253,6 +261,7 @@
         state.routed_engines = self._engines() if is_router else frozenset()
         self._expire(monotonic())
         self.accounts.observe_metrics()
+        self.speeds.update(monotonic())
 
     def _engines(self) -> frozenset[str]:
         """Return the engines assigned to this router, with its share of those of suspected routers.
@@ -308,6 +317,8 @@
         apply_peer_feedback(self.state, notice.said, monotonic())
         for ticket in notice.read:
             self.prefill_finished(ticket)
+        for sample in notice.speeds:
+            self.speeds.observe(sample, monotonic())
         for ended in notice.ended:
             self.finished(ended)
         return NoticeReply(self.state.load.reported_late_s)
