Let prompts wait, or refuse them in time, when all engines are full

Cause: a full engine was only the last in the ranking. Prompts of any priority went into the engines' queues, where those that were late anyway took room from others; the lowest priority was shed by the backlog alone, and its callers returned together.

Change: routers decide on prompts once no engine has room (core/prompt_queue.py). Order is by priority, then fair among workspaces, then by time due. A prompt waits for a tenth of its objective at most, then goes to the engine that is free first or is refused; priority 0 never waits at a router. What cannot be in time is refused at once, and refused callers are asked back one after another. Boxes send the times of a request, wait and ask again, ask up to four routers before they refuse, and pass on the planned Retry-After. The accounts of engines model the engine's queue, to predict when it has room.

--- a/stairquay/core/room.py
+++ b/stairquay/core/room.py
@@ -3,10 +3,13 @@
 The engine's router keeps it. Placements and ends are counted at once; the engine's reports correct it.
 """
 
+from bisect import insort
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from math import inf
 
+from stairquay.core.catalog import LOWEST_PRIORITY
+
 RUN_TTL_S = 20.0
 """Seconds after which a run counts as gone although nobody reported its end. Longer than the usual time
 limits of routes."""
@@ -17,6 +20,9 @@
 MIN_LEFT_S = 0.02
 """Predicted seconds left of a run that lasts longer than expected."""
 
+MIN_ENDS_PER_S = 0.5
+"""Ends of runs per second assumed for an engine of whose runs nothing is known."""
+
 
 @dataclass(frozen=True)
 class Room:
@@ -24,22 +30,30 @@
 
     free_slots: slots not taken by counted runs. free_tokens: memory left when all counted runs are at their
     peak, infinite if the engine's memory is unknown. free_in_s: predicted seconds until both suffice for the
-    prompt, 0 if they do.
+    prompt, 0 if they do. ends_per_s: predicted ends of runs per second.
     """
 
     engine: str
     free_slots: int
     free_tokens: float
     free_in_s: float
+    ends_per_s: float = 0.0
 
 
-@dataclass(frozen=True)
+@dataclass
 class CountedRun:
-    """A placed run. peak_tokens: memory for its prompt and longest output. ends_at: predicted."""
+    """A placed run. peak_tokens: memory for its prompt and longest output. started_at: infinite while it is
+    believed to be in the engine's queue."""
 
     placed_at: float
     peak_tokens: int
-    ends_at: float
+    expected_s: float
+    started_at: float = inf
+
+    @property
+    def ends_at(self) -> float:
+        """Return the predicted time of its end."""
+        return self.started_at + self.expected_s
 
 
 @dataclass
@@ -53,10 +67,16 @@
     slots: int
     memory_tokens: float = 0.0
     runs_by_ticket: dict[str, CountedRun] = field(default_factory=dict)
+    # Tickets of runs that wait in the engine's queue, in its order: by priority, then by age.
+    queue: list[tuple[int, float, str]] = field(default_factory=list)
     peak_tokens: int = 0
+    queued_tokens: int = 0
     unknown_runs: int = 0
     unknown_tokens: float = 0.0
     reported_at: float = -inf
+    # Runs that have a slot, the first to end first, and their predicted ends per second; None if out of date.
+    running_by_end: list[CountedRun] | None = None
+    ends_per_s: float = 0.0
     # Runs counted above the last report's number; below 0 if the report had more.
     surplus: int | None = None
 
@@ -65,17 +85,30 @@
         """Return the number of runs at the engine, those in its queue included."""
         return len(self.runs_by_ticket) + self.unknown_runs
 
-    def place(self, ticket: str, peak_tokens: int, expected_s: float, now: float) -> None:
-        """Count a run until its end; expected_s: how long it will probably last."""
-        self.end(ticket)
-        self.runs_by_ticket[ticket] = CountedRun(now, peak_tokens, now + expected_s)
+    def place(
+        self, ticket: str, peak_tokens: int, expected_s: float, now: float, priority: int = LOWEST_PRIORITY
+    ) -> None:
+        """Count a run until its end; expected_s: how long it will probably run once it has a slot."""
+        self.end(ticket, now)
+        run = self.runs_by_ticket[ticket] = CountedRun(now, peak_tokens, expected_s)
         self.peak_tokens += peak_tokens
+        self.queued_tokens += peak_tokens
+        insort(self.queue, (priority, now, ticket))
+        if not self._start(run, now):
+            return
+        self.queue.remove((priority, now, ticket))
 
-    def end(self, ticket: str) -> CountedRun | None:
+    def end(self, ticket: str, now: float) -> CountedRun | None:
         """Stop counting a run, and return it if it was counted."""
         run = self.runs_by_ticket.pop(ticket, None)
-        if run is not None:
-            self.peak_tokens -= run.peak_tokens
+        if run is None:
+            return None
+        self.peak_tokens -= run.peak_tokens
+        self.running_by_end = None
+        if run.started_at == inf:
+            self.queued_tokens -= run.peak_tokens
+            self.queue = [item for item in self.queue if item[2] != ticket]
+        self._start_queued(now)
         return run
 
     def on_report(self, runs: int, used_tokens: float, total_tokens: float, now: float) -> None:
@@ -93,11 +126,12 @@
         if previous is not None:
             settled = self._placed_before(previous_at - REPORT_LAG_S)
             lost = min(previous, self.surplus, settled)
-            self._end_oldest(lost)
+            self._end_oldest(lost, now)
             self.surplus -= max(0, lost)
         unknown = runs - len(self.runs_by_ticket)
         self.unknown_runs = max(0, unknown if previous is None else min(unknown, -previous))
         self.unknown_tokens = used_tokens * self.unknown_runs / max(1, runs)
+        self._start_queued(now)
 
     def expire(self, now: float) -> None:
         """Stop counting runs whose time to live has passed."""
@@ -106,39 +140,73 @@
             return
         expired = [ticket for ticket, _ in self._older_than(now - RUN_TTL_S)]
         for ticket in expired:
-            self.end(ticket)
+            self.end(ticket, now)
 
     def has_room(self, peak_tokens: int, now: float) -> bool:
         """Tell whether a prompt that needs a slot and `peak_tokens` of memory can start now."""
         self.expire(now)
         return self.slots > self.taken and self._free_tokens() >= peak_tokens
 
-    def room(self, engine: str, peak_tokens: int, now: float) -> Room:
-        """Return what is left for a prompt that needs a slot and `peak_tokens` of memory."""
+    def room(self, engine: str, peak_tokens: int, now: float, priority: int = LOWEST_PRIORITY) -> Room:
+        """Return what is left for a prompt that needs a slot and `peak_tokens` of memory.
+
+        priority: of the prompt, which the engine starts before less urgent ones of its queue.
+        """
         self.expire(now)
         free_slots = self.slots - self.taken
         free_tokens = self._free_tokens()
         free_in_s = 0.0
+        self._running()
         if free_slots < 1 or free_tokens < peak_tokens:
-            free_in_s = self._free_in_s(free_slots, free_tokens, peak_tokens, now)
-        return Room(engine, max(0, free_slots), max(0.0, free_tokens), free_in_s)
+            free_in_s = self._free_in_s(peak_tokens, priority, now)
+        return Room(engine, max(0, free_slots), max(0.0, free_tokens), free_in_s, self.ends_per_s)
 
     def _free_tokens(self) -> float:
         if self.memory_tokens <= 0:
             return inf
         return self.memory_tokens - self.peak_tokens - self.unknown_tokens
 
-    def _free_in_s(self, free_slots: int, free_tokens: float, peak_tokens: int, now: float) -> float:
-        """Return the seconds until enough counted runs have ended, infinite if that will never be enough."""
+    def _start_queued(self, now: float) -> None:
+        while self.queue and self._start(self.runs_by_ticket[self.queue[0][2]], now):
+            self.queue.pop(0)
+
+    def _start(self, run: CountedRun, now: float) -> bool:
+        """Count a queued run as running if a slot and memory are free for it."""
+        running = self.taken - len(self.queue)
+        fits = self._free_tokens() + self.queued_tokens >= run.peak_tokens
+        if running >= self.slots or not fits:
+            return False
+        run.started_at = now
+        self.running_by_end = None
+        self.queued_tokens -= run.peak_tokens
+        return True
+
+    def _running(self) -> list[CountedRun]:
+        """Return the running ones, the first to end first; kept until a run starts or ends."""
+        if self.running_by_end is None:
+            running = [run for run in self.runs_by_ticket.values() if run.started_at < inf]
+            self.running_by_end = sorted(running, key=lambda run: run.ends_at)
+            expected_s = sum(run.expected_s for run in running)
+            self.ends_per_s = len(running) ** 2 / max(MIN_LEFT_S, expected_s) if running else 0.0
+        return self.running_by_end
+
+    def _free_in_s(self, peak_tokens: int, priority: int, now: float) -> float:
+        """Return the seconds until a prompt can start, infinite if the engine is too small for it."""
+        if 0 < self.memory_tokens < peak_tokens:
+            return inf
+        ahead = [self.runs_by_ticket[ticket] for first, _, ticket in self.queue if first <= priority]
+        missing_slots = len(ahead) + 1 - (self.slots - self.taken + len(self.queue))
+        needed_tokens = sum(run.peak_tokens for run in ahead) + peak_tokens
+        missing_tokens = needed_tokens - self._free_tokens() - self.queued_tokens
         free_in_s = MIN_LEFT_S
-        for run in sorted(self.runs_by_ticket.values(), key=lambda run: run.ends_at):
-            free_slots += 1
-            free_tokens += run.peak_tokens
-            free_in_s = max(free_in_s, run.ends_at - now)
-            if free_slots >= 1 and free_tokens >= peak_tokens:
+        for run in self._running():
+            if missing_slots <= 0 and missing_tokens <= 0:
                 return free_in_s
-        # Nothing is known of the ends of the other runs; the next reports will show them.
-        return inf if 0 < self.memory_tokens < peak_tokens else free_in_s
+            missing_slots -= 1
+            missing_tokens -= run.peak_tokens
+            free_in_s = max(free_in_s, run.ends_at - now)
+        # More are ahead than run now. Each run that is ahead frees its slot in turn.
+        return free_in_s + max(0, missing_slots) / max(MIN_ENDS_PER_S, self.ends_per_s)
 
     def _older_than(self, at: float) -> Iterator[tuple[str, CountedRun]]:
         for ticket, run in self.runs_by_ticket.items():
@@ -149,9 +217,9 @@
     def _placed_before(self, at: float) -> int:
         return sum(1 for _ in self._older_than(at))
 
-    def _end_oldest(self, count: int) -> None:
+    def _end_oldest(self, count: int, now: float) -> None:
         for ticket in list(self.runs_by_ticket)[: max(0, count)]:
-            self.end(ticket)
+            self.end(ticket, now)
 
 
 def standalone_share(slots: int, engines: int, boxes: int) -> int:
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -28,7 +28,7 @@
     record_retry_denied,
     record_sent,
 )
-from stairquay.serving.refusals import RETRY_AFTER_S, all_throttled, overloaded, reconcile_status
+from stairquay.serving.refusals import RETRY_AFTER_S, all_throttled, no_room, overloaded, reconcile_status
 from stairquay.serving.relay import abort_connection, buffered_response, read_body, relay_stream
 from stairquay.serving.state import BoxState
 from stairquay.serving.statements import apply_feedback, is_backing_off, record_probe
@@ -76,14 +76,14 @@
             choice = await self.chooser.choose(job, progress, most_backlog_s)
             if choice is None:
                 retry_after_s = self.chooser.retry_after_s(job, progress)
-                if retry_after_s is not None and _can_wait(job, retry_after_s):
+                if retry_after_s is not None and not progress.rejected and _can_wait(job, retry_after_s):
                     await asyncio.sleep(retry_after_s)
                     continue
                 refusal = self._with_retry_after(job, _no_endpoint_refusal(progress, retry_after_s))
                 return self._give_up(job, progress, refusal, request)
             outcome = Outcome.NOT_SENT
             try:
-                if most_backlog_s is not None and choice.backlog_s > most_backlog_s:
+                if most_backlog_s is not None and not choice.decided and choice.backlog_s > most_backlog_s:
                     return self._give_up(job, progress, overloaded(choice), request)
                 # If the caller disconnects, the engine may have prefilled the prompt already.
                 outcome = Outcome.DONE
@@ -361,6 +361,8 @@
 def _no_endpoint_refusal(progress: JobProgress, retry_after_s: float | None) -> Refusal:
     if retry_after_s is None:
         return Refusal(ErrorKind.NO_ENDPOINT, progress.ran)
+    if progress.rejected:
+        return no_room(progress.rejected, retry_after_s, progress.ran)
     return all_throttled(retry_after_s, progress.ran)
 
 
@@ -389,7 +391,8 @@
 def _most_backlog_s(job: Job, progress: JobProgress) -> float | None:
     """Return the backlog in seconds above which a request is shed, None for those that are never shed.
 
-    Only first attempts of the lowest priority are shed, so that the others still meet their objectives.
+    Only first attempts of the lowest priority are shed, so that the others still meet their objectives. It
+    applies where no router decided on admission.
     """
     if progress.tried or not job.catalog.is_lowest_priority(job.route, job.service.id):
         return None
--- a/stairquay/serving/endpoint_choice.py
+++ b/stairquay/serving/endpoint_choice.py
@@ -40,7 +40,7 @@
     alternative_s: predicted time to first token of the second best. backlog_s: shortest wait at any
     candidate. fetch_until_ms: by the endpoints' clock. save_to: the store box address for each part of the
     prompt. router: id of the router that decided, empty if the box chose by itself. ticket: as in
-    PlaceRequest. again_s: as in PlaceReply.
+    PlaceRequest. again_s, decided: as in PlaceReply.
     """
 
     endpoint: Endpoint
@@ -54,6 +54,7 @@
     router: str = ""
     ticket: str = ""
     again_s: float = 0.0
+    decided: bool = False
 
 
 @dataclass(frozen=True)
--- a/stairquay/serving/endpoint_chooser.py
+++ b/stairquay/serving/endpoint_chooser.py
@@ -10,7 +10,7 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.call import PromptShape
-from stairquay.core.catalog import WorkspacePolicy
+from stairquay.core.catalog import WorkspacePolicy, engine_priority
 from stairquay.core.fleet import Endpoint
 from stairquay.core.limits import UNLIMITED
 from stairquay.core.placement import EngineView, Placement
@@ -35,6 +35,9 @@
 ROUTERS_ASKED = 2
 """Most routers asked for one prompt before the box chooses by itself."""
 
+MAX_ROUTERS_ASKED = 4
+"""Most routers asked for a prompt that those before refused: each knows the room at its own engines only."""
+
 MAX_PREFILL_WAIT_SHARE = 0.35
 """Share of the objective, from arrival, within which a prompt waits for the prefill of a part it shares."""
 
@@ -69,36 +72,60 @@
             return self._choose_locally(job, progress)
         wait_until = job.arrived_at + job.route.objective_s * MAX_PREFILL_WAIT_SHARE
         wait_logged = False
+        waits_at = ""
         while True:
             may_wait = not progress.tried and monotonic() < wait_until
             request = self._place_request(job, prompt, progress, most_backlog_s, may_wait)
-            best = await self._ask_routers(job, prompt, request, progress)
+            best = await self._ask_routers(job, prompt, request, progress, waits_at)
             if best is None:
-                return self._choose_locally(job, progress)
+                return None if progress.rejected else self._choose_locally(job, progress)
             if not best.again_s:
                 return best
             if not wait_logged:
                 wait_logged = True
                 self._log_wait(job, best, wait_until)
-            await asyncio.sleep(best.again_s)
+            waits_at = best.router if best.decided else ""
+            try:
+                await asyncio.sleep(best.again_s)
+            except asyncio.CancelledError:
+                # The caller has disconnected: give up the place in the router's queue.
+                self.finished(best, Outcome.NOT_SENT)
+                raise
 
     def _log_wait(self, job: Job, choice: Choice, wait_until: float) -> None:
         most_s = wait_until - monotonic()
-        why = "its parts are being read for another prompt"
+        why = "the engines are full" if choice.decided else "its parts are being read for another prompt"
         self.state.log.line(
             LogEvent.WAITS, job.call.id, router=choice.router, why=why, again_s=choice.again_s, most_s=most_s
         )
 
     async def _ask_routers(
-        self, job: Job, prompt: PromptShape, request: PlaceRequest, progress: JobProgress
+        self,
+        job: Job,
+        prompt: PromptShape,
+        request: PlaceRequest,
+        progress: JobProgress,
+        waits_at: str,
     ) -> Choice | None:
+        """Return the best choice of the routers. waits_at: id of the one in whose queue the prompt waits."""
         best: Choice | None = None
         progress.retry_after_s = None
-        for router in routers_for(self.state.member, self.state.placing_routers())[:ROUTERS_ASKED]:
+        progress.rejected = ""
+        routers = routers_for(self.state.member, self.state.placing_routers())
+        routers.sort(key=lambda router: router.id != waits_at)
+        for number, router in enumerate(routers[:MAX_ROUTERS_ASKED]):
+            if number >= ROUTERS_ASKED and not (best is None and progress.rejected):
+                break
             choice = await self._place(router, request, prompt, progress)
             best = self._keep_shorter_wait(best, choice)
-            if best is not None and best.backlog_s <= SECOND_ROUTER_BACKLOG_SHARE * job.route.objective_s:
-                return best
+            if best is None:
+                continue
+            if best.backlog_s <= SECOND_ROUTER_BACKLOG_SHARE * job.route.objective_s:
+                break
+            if _is_deferred(best) and best.router == waits_at:
+                break
+        if best is not None:
+            progress.rejected = ""
         return best
 
     def prefill_finished(self, choice: Choice) -> None:
@@ -126,6 +153,7 @@
         if reply is None:
             return None
         if not reply.endpoint:
+            progress.rejected = progress.rejected or reply.rejected
             if reply.come_back_s > 0:
                 progress.retry_after_s = min(reply.come_back_s, progress.retry_after_s or reply.come_back_s)
             return None
@@ -139,7 +167,7 @@
         """Return the choice with the smaller backlog, and release the other."""
         if first is None or second is None:
             return first or second
-        better, worse = (first, second) if first.backlog_s <= second.backlog_s else (second, first)
+        better, worse = sorted((first, second), key=lambda item: (_is_deferred(item), item.backlog_s))
         self.finished(worse, Outcome.NOT_SENT)
         return better
 
@@ -156,7 +184,7 @@
         if reply is not None and (not reply.endpoint or self._lacks_feedback(reply)):
             # Release the first placement, which is not used.
             self.notices.add_ended(router, EndedAttempt(request.ticket, Outcome.NOT_SENT))
-            return PlaceReply(come_back_s=reply.come_back_s)
+            return PlaceReply(come_back_s=reply.come_back_s, rejected=reply.rejected)
         return reply
 
     def _lacks_feedback(self, reply: PlaceReply) -> bool:
@@ -234,6 +262,7 @@
         may_wait: bool,
     ) -> PlaceRequest:
         workspace: WorkspacePolicy | None = job.workspace
+        now = monotonic()
         return PlaceRequest(
             ticket=f"{job.call.id} {len(progress.tried)} {self.state.settings.id} {job.number}",
             box=self.state.settings.id,
@@ -246,10 +275,20 @@
             tried=tuple(progress.tried),
             most_backlog_s=most_backlog_s,
             may_wait=may_wait,
-            said=backoffs_for_router(self.state, monotonic()),
+            said=backoffs_for_router(self.state, now),
+            priority=engine_priority(job.route, job.workspace),
+            workspace=job.workspace_id,
+            objective_left_s=None if progress.tried else job.arrived_at + job.route.objective_s - now,
+            deadline_left_s=job.deadline - now,
+            waited_s=now - job.arrived_at,
         )
 
 
+def _is_deferred(choice: Choice) -> bool:
+    """Return whether a prompt waits in its router's queue, and has no engine yet."""
+    return choice.decided and choice.again_s > 0
+
+
 def _choice_from_reply(endpoint: Endpoint, reply: PlaceReply, router: str, ticket: str) -> Choice:
     engine = EngineView(id=endpoint.id, address=endpoint.address, resident=())
     placement = Placement(
@@ -267,4 +306,5 @@
         router=router,
         ticket=ticket,
         again_s=reply.again_s,
+        decided=reply.decided,
     )
--- a/stairquay/serving/engine_accounts.py
+++ b/stairquay/serving/engine_accounts.py
@@ -38,7 +38,7 @@
         """Return the room for a prompt at each engine of its service that this box routes for."""
         peak_tokens = request.tokens + request.max_output
         return [
-            self._account(endpoint, spec).room(endpoint.id, peak_tokens, now)
+            self._account(endpoint, spec).room(endpoint.id, peak_tokens, now, request.priority)
             for endpoint in self._routed(request.service)
             if endpoint.id not in request.tried and takes_work(self.state, endpoint)
         ]
@@ -51,15 +51,15 @@
             return
         expected_s = self.duration_s(request.service, request.priority)
         peak_tokens = request.tokens + request.max_output
-        self._account(endpoint, spec).place(request.ticket, peak_tokens, expected_s, now)
+        self._account(endpoint, spec).place(request.ticket, peak_tokens, expected_s, now, request.priority)
 
     def end(self, ticket: str, engine: str, kind: RunKind, completed: bool, now: float) -> None:
         """Stop counting a prompt. completed: it ran, so that its duration is worth learning."""
         _, account = self.accounts_by_engine.get(engine, (None, None))
-        run = None if account is None else account.end(ticket)
-        if run is not None and completed:
+        run = None if account is None else account.end(ticket, now)
+        if run is not None and completed and run.started_at < now:
             known_s = self.duration_s(*kind)
-            self.duration_s_by_kind[kind] = known_s + DURATION_WEIGHT * (now - run.placed_at - known_s)
+            self.duration_s_by_kind[kind] = known_s + DURATION_WEIGHT * (now - run.started_at - known_s)
 
     def duration_s(self, service: str, priority: int) -> float:
         """Return how long runs of a kind last, as observed."""
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -51,7 +51,8 @@
 
     tried: ids of endpoints. refused: attempts that did not run. runs: attempts that may have run. ran: the
     worst status of all attempts. last: the last failure. error_reply: the last 5xx reply, with its body.
-    retry_after_s: the routers' estimate of the seconds until an endpoint accepts the job.
+    retry_after_s: the routers' estimate of the seconds until an endpoint accepts the job. rejected: why the
+    routers refuse the job, empty if they don't.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -62,6 +63,7 @@
     last: SendFailure | None = None
     error_reply: tuple[Reply, bytes] | None = None
     retry_after_s: float | None = None
+    rejected: str = ""
 
 
 @dataclass
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -15,6 +15,7 @@
 from stairquay.core.catalog import LOWEST_PRIORITY, EngineSpec, WorkspacePolicy
 from stairquay.core.holdings import PartKey
 from stairquay.core.placement import prefill_s
+from stairquay.core.prompt_queue import Admitted, Deferred, Rejected
 from stairquay.core.routers import Engine, engines_of
 from stairquay.serving.endpoint import BUSY_BACKOFF_S, EndpointState
 from stairquay.serving.endpoint_choice import Choice, ChoiceRequest
@@ -36,6 +37,7 @@
     ViewsRequest,
 )
 from stairquay.serving.pacing import count_sent, refund_sent, retry_after_s
+from stairquay.serving.router_admission import RouterAdmission
 from stairquay.serving.saving import choose_with_save_targets
 from stairquay.serving.state import BoxState
 from stairquay.serving.telling import apply_peer_feedback, limit_feedback
@@ -78,6 +80,19 @@
     priority: int = LOWEST_PRIORITY
 
 
+def _reply_without_room(decision: Rejected | Deferred, choice: Choice) -> PlaceReply:
+    """Return the reply to a prompt that gets no room at an engine now."""
+    if isinstance(decision, Rejected):
+        return PlaceReply(come_back_s=decision.retry_after_s, rejected=decision.reason.value, decided=True)
+    return PlaceReply(
+        endpoint=choice.endpoint.id,
+        version=choice.version,
+        backlog_s=choice.backlog_s,
+        again_s=decision.again_s,
+        decided=True,
+    )
+
+
 class LocalRouter:
     """Places prompts and serves views while this box is a router."""
 
@@ -87,6 +102,7 @@
         self.placed_by_ticket: dict[str, PlacedPrompt] = {}
         self.prefill_ticket_by_key: dict[PartKey, str] = {}
         self.accounts = EngineAccounts(state)
+        self.admission = RouterAdmission(state, self.accounts)
         self.server: grpc.aio.Server | None = None
 
     async def run(self) -> None:
@@ -112,13 +128,21 @@
                 self.state, request.service, request.tried, backoffs_s, now, self.random
             )
             return PlaceReply(come_back_s=earliest_retry_s or 0.0)
+        decided = request.objective_left_s is not None
+        decision = self.admission.decide(request, choice, now)
+        if isinstance(decision, Rejected | Deferred):
+            return _reply_without_room(decision, choice)
+        if isinstance(decision, Admitted) and decision.engine != choice.endpoint.id:
+            choice = self._choose(request, backoffs_s, decision.engine) or choice
         said = limit_feedback(choice.endpoint, self.state.endpoint_state(choice.endpoint), now)
-        rejected = request.most_backlog_s is not None and choice.backlog_s > request.most_backlog_s
+        most_backlog_s = None if decided else request.most_backlog_s
+        rejected = most_backlog_s is not None and choice.backlog_s > most_backlog_s
         if not rejected and request.may_wait and self._awaits_shared_prefill(choice, request):
             return PlaceReply(endpoint=choice.endpoint.id, version=choice.version, again_s=PREFILL_POLL_S)
         if not rejected:
             self._record_placement(request, choice)
         placement = choice.placement
+        assert placement is not None
         return PlaceReply(
             endpoint=choice.endpoint.id,
             version=choice.version,
@@ -133,6 +157,7 @@
             alternative_s=choice.alternative_s,
             backlog_s=choice.backlog_s,
             said=said,
+            decided=decided,
         )
 
     def prefill_finished(self, ticket: str) -> None:
@@ -171,6 +196,7 @@
         if placed is not None:
             self._forget_prefill(ended.ticket, placed)
         if placed is None:
+            self.admission.leave(ended.ticket)
             return
         endpoint_state, now = placed.endpoint_state, monotonic()
         kind = placed.service, placed.priority
@@ -187,7 +213,10 @@
         if ended.outcome in (Outcome.DONE, Outcome.FAILED, Outcome.UNREACHED):
             endpoint_state.on_outcome(ended.outcome != Outcome.DONE, now)
 
-    def _choose(self, request: PlaceRequest, backoffs_s: dict[str, float]) -> Choice | None:
+    def _choose(
+        self, request: PlaceRequest, backoffs_s: dict[str, float], preferred: str = ""
+    ) -> Choice | None:
+        """Return the best engine for a prompt. preferred: the one to use if it is usable at all."""
         catalog = self.state.catalog
         service = None if catalog is None else catalog.services_by_id.get(request.service)
         if catalog is None or service is None:
@@ -202,11 +231,13 @@
             frozenset(request.tried),
             request.box,
             backoffs_s,
-            None if service.engine is None else self._room_test(request, service.engine),
+            None if service.engine is None else self._room_test(request, service.engine, preferred),
         )
         return choose_with_save_targets(self.state, catalog, wanted, self.random)
 
-    def _room_test(self, request: PlaceRequest, spec: EngineSpec) -> Callable[[str], bool]:
+    def _room_test(self, request: PlaceRequest, spec: EngineSpec, preferred: str) -> Callable[[str], bool]:
+        if preferred:
+            return lambda engine: engine == preferred
         peak_tokens, now = request.tokens + request.max_output, monotonic()
         return lambda engine: self.accounts.has_room(engine, peak_tokens, spec, now)
 
@@ -251,6 +282,7 @@
         state.routed_engines = self._engines() if is_router else frozenset()
         self._expire(monotonic())
         self.accounts.observe_metrics()
+        self.admission.observe_metrics(monotonic())
 
     def _engines(self) -> frozenset[str]:
         """Return the engines assigned to this router, with its share of those of suspected routers.
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -89,8 +89,13 @@
     again_s: float = 0.0
     # The endpoint's rate limit that the router applies, None for none.
     said: PeerFeedback | None = None
-    # Seconds until an endpoint accepts this prompt if all are at their limits or asked for a backoff, else 0.
+    # Seconds until an endpoint accepts this prompt if all are at their limits or asked for a backoff, or if
+    # the prompt is refused, else 0.
     come_back_s: float = 0.0
+    # Why the prompt is refused while the engines are full, else empty.
+    rejected: str = ""
+    # The router decided on admission, by the times that the sender gave.
+    decided: bool = False
 
 
 class Outcome(str, Enum):
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -40,6 +40,18 @@
             buckets=TOKEN_BUCKETS,
             registry=registry,
         )
+        self.waiting_prompts = Gauge(
+            "stairquay_waiting_prompts",
+            "Prompts that wait at this router for room at an engine",
+            ["priority"],
+            registry=registry,
+        )
+        self.rejected = Counter(
+            "stairquay_rejected",
+            "Prompts that this router refused while the engines were full",
+            ["reason", "priority"],
+            registry=registry,
+        )
         self.room = Gauge(
             "stairquay_room",
             "Free slots of the engines that this box routes for",
--- a/stairquay/serving/refusals.py
+++ b/stairquay/serving/refusals.py
@@ -22,6 +22,15 @@
     return Refusal(ErrorKind.OVERLOADED, ExecutionStatus.NOT_RUN, detail, SHED_RETRY_AFTER_S)
 
 
+def no_room(reason: str, retry_after_s: float, ran: ExecutionStatus) -> Refusal:
+    """Return the refusal of a request that the routers did not admit.
+
+    retry_after_s: seconds until it may be admitted, as its router planned; no two callers get the same.
+    """
+    detail = f"the engines are full, not admitted for its {reason}"
+    return Refusal(ErrorKind.OVERLOADED, ran, detail, retry_after_s)
+
+
 def all_throttled(retry_after_s: float, ran: ExecutionStatus) -> Refusal:
     """Return the refusal of a request for which every endpoint is over its rate limit or backing off.
 
--- a/tests/loads/test_capacity_accounts.py
+++ b/tests/loads/test_capacity_accounts.py
@@ -55,7 +55,7 @@
         self.now += STEP_S
         for ticket in self.engine.ended(self.now):
             if self.random.random() >= self.lost:
-                self.account.end(ticket)
+                self.account.end(ticket, self.now)
         self._report()
         if self.random.random() < 0.9:
             self.offer()
--- a/tests/many_boxes.py
+++ b/tests/many_boxes.py
@@ -41,7 +41,8 @@
 class StubRouter:
     """A router whose replies a test sets.
 
-    silent: it answers no request. retry_replies: number of replies that ask the box to retry.
+    silent: it answers no request. retry_replies: number of replies that ask the box to retry. first_replies:
+    given before `reply`.
     """
 
     address: str = ""
@@ -50,6 +51,7 @@
     view_age_s: float | None = None
     operators_requests: int = 0
     retry_replies: int = 0
+    first_replies: list[PlaceReply] = field(default_factory=list)
     place_requests: list[PlaceRequest] = field(default_factory=list)
     ended: list[EndedAttempt] = field(default_factory=list)
     prefill_finished: list[str] = field(default_factory=list)
@@ -63,7 +65,7 @@
         if self.retry_replies and request.may_wait:
             self.retry_replies -= 1
             return PlaceReply(endpoint="e-0", version=1, again_s=0.02)
-        return self.reply
+        return self.first_replies.pop(0) if self.first_replies else self.reply
 
     async def finished(self, notice: FinishedNotice) -> Empty:
         self.ended += notice.ended
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -31,7 +31,7 @@
     account = full_account()
     assert account.room("e", 100, 0.5).free_slots == 0
     assert account.room("e", 100, 0.5).free_in_s == 0.5
-    account.end("t3")
+    account.end("t3", 0.5)
     room = account.room("e", 100, 0.5)
     assert (room.free_slots, room.free_tokens, room.free_in_s) == (1, 9_700.0, 0.0)
 
@@ -99,7 +99,7 @@
 
 def test_an_end_that_is_reported_twice_counts_once():
     account = full_account()
-    assert account.end("t0") is not None and account.end("t0") is None
+    assert account.end("t0", 0.5) is not None and account.end("t0", 0.5) is None
     assert (account.taken, account.peak_tokens) == (3, 300)
 
 
