Refuse nothing while most slots are free, and learn durations from the first run

Cause: a prompt could be refused for lack of memory while less than half of the slots were taken and nothing was queued.

Change: the first such prompt goes to the queue of the engine that is free first. The first runs of a kind count fully, later ones by a twentieth.

--- a/stairquay/core/prompt_queue.py
+++ b/stairquay/core/prompt_queue.py
@@ -175,6 +175,13 @@
         return self.last_per_s * exp((self.at - now) / RATE_WINDOW_S)
 
 
+def _mostly_free(rooms: Sequence[Room]) -> bool:
+    """Tell whether less than half of all slots are taken and no engine has a queue: then nothing is refused,
+    although the memory may be short."""
+    taken = sum(room.slots - room.free_slots for room in rooms)
+    return 2 * taken < sum(room.slots for room in rooms) and not any(room.queued for room in rooms)
+
+
 class PromptQueue:
     """The queue of one service at one router."""
 
@@ -208,6 +215,8 @@
         left_share = max(MIN_LEFT_SHARE, 1 - self._urgent_share(request.priority, now))
         start_s = max(soonest.free_in_s, (rank + 1) / drain_per_s) / left_share
         reason = self._reason_to_refuse(request, start_s)
+        if reason is not None and not self.order and _mostly_free(rooms):
+            return self._admit(request, now, Admitted(soonest.engine, queued=True))
         if reason is not None:
             return self._reject(request, reason, len(self.order) / drain_per_s, drain_per_s, now)
         if request.priority == 0:
--- a/stairquay/core/room.py
+++ b/stairquay/core/room.py
@@ -20,6 +20,9 @@
 MIN_LEFT_S = 0.02
 """Predicted seconds left of a run that lasts longer than expected."""
 
+DURATION_WEIGHT = 0.05
+"""Least weight of the newest run in the moving average of durations: some twenty runs count."""
+
 MIN_ENDS_PER_S = 0.5
 """Ends of runs per second assumed for an engine of whose runs nothing is known."""
 
@@ -30,7 +33,8 @@
 
     free_slots: slots not taken by counted runs. free_tokens: memory left when all counted runs are at their
     peak, infinite if the engine's memory is unknown. free_in_s: predicted seconds until both suffice for the
-    prompt, 0 if they do. ends_per_s: predicted ends of runs per second.
+    prompt, 0 if they do. ends_per_s: predicted ends of runs per second. slots, queued: of the engine, all
+    slots and the runs believed to be in its queue.
     """
 
     engine: str
@@ -38,6 +42,8 @@
     free_tokens: float
     free_in_s: float
     ends_per_s: float = 0.0
+    slots: int = 0
+    queued: int = 0
 
 
 @dataclass
@@ -159,7 +165,15 @@
         self._running()
         if free_slots < 1 or free_tokens < peak_tokens:
             free_in_s = self._free_in_s(peak_tokens, priority, now)
-        return Room(engine, max(0, free_slots), max(0.0, free_tokens), free_in_s, self.ends_per_s)
+        return Room(
+            engine,
+            max(0, free_slots),
+            max(0.0, free_tokens),
+            free_in_s,
+            self.ends_per_s,
+            self.slots,
+            len(self.queue),
+        )
 
     def _free_tokens(self) -> float:
         if self.memory_tokens <= 0:
@@ -222,6 +236,22 @@
             self.end(ticket, now)
 
 
+@dataclass
+class MeanDuration:
+    """How long runs of one kind last: the mean of the first ones, then a moving average.
+
+    mean_s: before the first run, what is assumed.
+    """
+
+    mean_s: float
+    runs: int = 0
+
+    def add(self, ran_s: float) -> None:
+        """Take a run that has ended into account."""
+        self.runs += 1
+        self.mean_s += max(DURATION_WEIGHT, 1 / self.runs) * (ran_s - self.mean_s)
+
+
 def standalone_share(slots: int, engines: int, boxes: int) -> int:
     """Return how many prompts a box without a router may have at a service's engines at a time."""
     return max(1, slots * engines // max(1, boxes))
--- a/stairquay/serving/engine_accounts.py
+++ b/stairquay/serving/engine_accounts.py
@@ -6,15 +6,12 @@
 from stairquay.core.catalog import EngineSpec
 from stairquay.core.fleet import Endpoint
 from stairquay.core.placement import RUN_DURATION_S, USABLE_MEMORY_SHARE
-from stairquay.core.room import EngineAccount, Room
+from stairquay.core.room import EngineAccount, MeanDuration, Room
 from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.messages import PlaceRequest
 from stairquay.serving.state import BoxState
 
-DURATION_WEIGHT = 0.05
-"""Weight of the newest run in the moving average of durations: some twenty runs count."""
-
 RunKind = tuple[str, int]
 """A service, and the priority of a run: runs of one kind last about as long as each other."""
 
@@ -25,7 +22,7 @@
     def __init__(self, state: BoxState) -> None:
         self.state = state
         self.accounts_by_engine: dict[str, tuple[EndpointState, EngineAccount]] = {}
-        self.duration_s_by_kind: dict[RunKind, float] = {}
+        self.durations_by_kind: dict[RunKind, MeanDuration] = {}
 
     def has_room(self, engine: str, peak_tokens: int, spec: EngineSpec, now: float) -> bool:
         """Tell whether an engine can start a prompt now; yes for one of which this box keeps no account."""
@@ -58,12 +55,13 @@
         _, account = self.accounts_by_engine.get(engine, (None, None))
         run = None if account is None else account.end(ticket, now)
         if run is not None and completed and run.started_at < now:
-            known_s = self.duration_s(*kind)
-            self.duration_s_by_kind[kind] = known_s + DURATION_WEIGHT * (now - run.started_at - known_s)
+            duration = self.durations_by_kind.setdefault(kind, MeanDuration(RUN_DURATION_S))
+            duration.add(now - run.started_at)
 
     def duration_s(self, service: str, priority: int) -> float:
         """Return how long runs of a kind last, as observed."""
-        return self.duration_s_by_kind.get((service, priority), RUN_DURATION_S)
+        duration = self.durations_by_kind.get((service, priority))
+        return RUN_DURATION_S if duration is None else duration.mean_s
 
     def observe_metrics(self) -> None:
         """Write the free slots of each service to the metrics, and drop accounts of engines that left."""
--- a/tests/test_prompt_queue.py
+++ b/tests/test_prompt_queue.py
@@ -17,7 +17,7 @@
     Rejected,
     RoomRequest,
 )
-from stairquay.core.room import Room
+from stairquay.core.room import MeanDuration, Room
 from stairquay.serving.local_router import LocalRouter
 from stairquay.serving.messages import EndedAttempt, Outcome
 from tests.test_choosing import router_state
@@ -33,6 +33,15 @@
     return RoomRequest(ticket, priority, **(base | fields))
 
 
+def test_nothing_is_refused_while_most_slots_are_free_and_nothing_is_queued():
+    """Guards against refusals for lack of memory beside idle slots."""
+    queue = PromptQueue()
+    memory_full = [Room("e-0", 9, 0.0, 3.0, 1.0, slots=16)]
+    assert queue.decide(prompt("t0"), memory_full, 0.0) == Admitted("e-0", queued=True)
+    assert isinstance(queue.decide(prompt("t1"), [replace(memory_full[0], queued=1)], 0.0), Rejected)
+    assert isinstance(queue.decide(prompt("t2"), [replace(memory_full[0], free_slots=8)], 0.0), Rejected)
+
+
 def test_everything_is_admitted_while_an_engine_has_room():
     queue = PromptQueue()
     for priority in (0, 1, 2):
@@ -194,7 +203,7 @@
     """Return a router whose engines have no room, with runs that end soon."""
     state = router_state(engines)
     local_router = LocalRouter(state, Random(1))
-    local_router.accounts.duration_s_by_kind["llm", 2] = 0.05
+    local_router.accounts.durations_by_kind["llm", 2] = MeanDuration(0.05, runs=20)
     # The reports of `router_state` show one more run at each.
     for number in range(engines * (state.catalog.engine_of("llm").slots - 1)):
         local_router.place(place_request(f"r{number}", **times()))
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -156,7 +156,7 @@
     local_router.finished(EndedAttempt("t0", Outcome.NOT_SENT))
     assert local_router.accounts.duration_s("llm", 1) == RUN_DURATION_S
     local_router.finished(EndedAttempt("t1"))
-    assert local_router.accounts.duration_s("llm", 1) < RUN_DURATION_S
+    assert local_router.accounts.duration_s("llm", 1) < 0.2
     assert local_router.accounts.duration_s("llm", 2) == RUN_DURATION_S
 
 
