Merge admission when the engines are full

Routers decide on prompts once no engine has room: order by priority, then fairly among workspaces, then by time due; refusals at once with a planned time to come back.

Joined with the memory at the peak of the runs: core/memory.py counts it once for placement and for the accounts, with a part that runs share counted once; the accounts had counted it for each run, which makes engines look full that are not. The test of preempted runs switches both uses of that memory off for its comparison, since both prevent them now.

--- a/stairquay/serving/endpoint_choice.py
+++ b/stairquay/serving/endpoint_choice.py
@@ -10,7 +10,7 @@
 from stairquay.core.catalog import Catalog, EngineSpec, ServiceSpec, WorkspacePolicy
 from stairquay.core.fleet import Endpoint
 from stairquay.core.ownership import rank_owners
-from stairquay.core.placement import Placement, Source, backlog_s, pick_quickest, rank_placements
+from stairquay.core.placement import EngineView, Placement, Source, backlog_s, pick_quickest, rank_placements
 from stairquay.core.scope import Scope
 from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.engine_views import VersionContext, best_sources, engine_view, usable_sources
@@ -34,6 +34,10 @@
 """Seconds after which an engine on a replaced version counts as outdated."""
 
 
+HasRoom = Callable[[EngineView], bool]
+"""Tells whether an engine has a free slot and enough memory for a prompt."""
+
+
 @dataclass(frozen=True)
 class Choice:
     """The endpoint chosen for a request; placement is None for plain services.
@@ -41,7 +45,7 @@
     alternative_s: predicted time to first token of the second best. backlog_s: shortest wait at any
     candidate. fetch_until_ms: by the endpoints' clock. save_to: the store box address for each part of the
     prompt. router: id of the router that decided, empty if the box chose by itself. ticket: as in
-    PlaceRequest. again_s: as in PlaceReply.
+    PlaceRequest. again_s, decided: as in PlaceReply.
     """
 
     endpoint: Endpoint
@@ -55,6 +59,7 @@
     router: str = ""
     ticket: str = ""
     again_s: float = 0.0
+    decided: bool = False
 
 
 @dataclass(frozen=True)
@@ -72,7 +77,7 @@
     tried: frozenset[str] = frozenset()
     sender: str = ""
     backoffs_s: Mapping[str, float] = field(default_factory=dict)
-    has_room: Callable[[str], bool] | None = None
+    has_room: HasRoom | None = None
 
 
 def choose_endpoint(
@@ -238,21 +243,21 @@
     return VersionContext(
         outdated=state.replaced_for_s(prompt.model, version) > OUTDATED_AFTER_S,
         keys=[(scope, part.id) for part in prompt.parts],
-        shared_parts=[((scope, part.id), part.tokens) for part in prompt.shared],
+        shared_parts=tuple([((scope, part.id), part.tokens) for part in prompt.shared]),
         sources=[best_sources(state, usable, scope, part) for part in prompt.parts],
     )
 
 
-def _with_room_first(placements: list[Placement], has_room: Callable[[str], bool]) -> list[Placement]:
+def _with_room_first(placements: list[Placement], has_room: HasRoom) -> list[Placement]:
     """Return the placements from the quickest with room on, or all if none has room.
 
     Few engines are asked for their room, since the quickest ones usually have it.
     """
-    first = next((n for n, item in enumerate(placements) if has_room(item.engine.id)), None)
+    first = next((n for n, item in enumerate(placements) if has_room(item.engine)), None)
     if first is None:
         return placements
     quickest = placements[first].first_token_s
-    return [item for item in placements[first:] if item.first_token_s > quickest or has_room(item.engine.id)]
+    return [item for item in placements[first:] if item.first_token_s > quickest or has_room(item.engine)]
 
 
 def _best_choice(
--- a/stairquay/serving/engine_accounts.py
+++ b/stairquay/serving/engine_accounts.py
@@ -5,16 +5,14 @@
 
 from stairquay.core.catalog import EngineSpec
 from stairquay.core.fleet import Endpoint
+from stairquay.core.memory import SharedParts
 from stairquay.core.placement import RUN_DURATION_S, USABLE_MEMORY_SHARE
-from stairquay.core.room import EngineAccount, Room
+from stairquay.core.room import EngineAccount, MeanDuration, Room
 from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.messages import PlaceRequest
 from stairquay.serving.state import BoxState
 
-DURATION_WEIGHT = 0.05
-"""Weight of the newest run in the moving average of durations: some twenty runs count."""
-
 RunKind = tuple[str, int]
 """A service, and the priority of a run: runs of one kind last about as long as each other."""
 
@@ -25,45 +23,59 @@
     def __init__(self, state: BoxState) -> None:
         self.state = state
         self.accounts_by_engine: dict[str, tuple[EndpointState, EngineAccount]] = {}
-        self.duration_s_by_kind: dict[RunKind, float] = {}
+        self.durations_by_kind: dict[RunKind, MeanDuration] = {}
+
+    def has_room(self, engine: str, needed_tokens: int, spec: EngineSpec, now: float) -> bool:
+        """Tell whether an engine can start a prompt now; yes for one of which this box keeps no account.
 
-    def has_room(self, engine: str, peak_tokens: int, spec: EngineSpec, now: float) -> bool:
-        """Tell whether an engine can start a prompt now; yes for one of which this box keeps no account."""
+        needed_tokens: prompt and longest output, without what other runs there share with it.
+        """
         endpoint = self.state.fleet.by_id.get(engine)
         if endpoint is None or engine not in self.state.routed_engines:
             return True
-        return self._account(endpoint, spec).has_room(peak_tokens, now)
+        return self._account(endpoint, spec).has_room(needed_tokens, now)
+
+    def rooms(self, request: PlaceRequest, parts: SharedParts, spec: EngineSpec, now: float) -> list[Room]:
+        """Return the room for a prompt at each engine of its service that this box routes for.
 
-    def rooms(self, request: PlaceRequest, spec: EngineSpec, now: float) -> list[Room]:
-        """Return the room for a prompt at each engine of its service that this box routes for."""
+        parts: those that other runs may share.
+        """
         peak_tokens = request.tokens + request.max_output
+
+        def room(endpoint: Endpoint) -> Room:
+            account = self._account(endpoint, spec)
+            needed_tokens = peak_tokens - account.memory.tokens_in_use(parts)
+            return account.room(endpoint.id, needed_tokens, now, request.priority)
+
         return [
-            self._account(endpoint, spec).room(endpoint.id, peak_tokens, now)
+            room(endpoint)
             for endpoint in self._routed(request.service)
             if endpoint.id not in request.tried and takes_work(self.state, endpoint)
         ]
 
-    def place(self, request: PlaceRequest, endpoint: Endpoint, now: float) -> None:
-        """Count a placed prompt."""
+    def place(self, request: PlaceRequest, parts: SharedParts, endpoint: Endpoint, now: float) -> None:
+        """Count a placed prompt. parts: those that other runs may share."""
         catalog = self.state.catalog
         spec = None if catalog is None else catalog.engine_of(endpoint.service)
         if spec is None:
             return
         expected_s = self.duration_s(request.service, request.priority)
         peak_tokens = request.tokens + request.max_output
-        self._account(endpoint, spec).place(request.ticket, peak_tokens, expected_s, now)
+        account = self._account(endpoint, spec)
+        account.place(request.ticket, peak_tokens, expected_s, now, request.priority, parts)
 
     def end(self, ticket: str, engine: str, kind: RunKind, completed: bool, now: float) -> None:
         """Stop counting a prompt. completed: it ran, so that its duration is worth learning."""
         _, account = self.accounts_by_engine.get(engine, (None, None))
-        run = None if account is None else account.end(ticket)
-        if run is not None and completed:
-            known_s = self.duration_s(*kind)
-            self.duration_s_by_kind[kind] = known_s + DURATION_WEIGHT * (now - run.placed_at - known_s)
+        run = None if account is None else account.end(ticket, now)
+        if run is not None and completed and run.started_at < now:
+            duration = self.durations_by_kind.setdefault(kind, MeanDuration(RUN_DURATION_S))
+            duration.add(now - run.started_at)
 
     def duration_s(self, service: str, priority: int) -> float:
         """Return how long runs of a kind last, as observed."""
-        return self.duration_s_by_kind.get((service, priority), RUN_DURATION_S)
+        duration = self.durations_by_kind.get((service, priority))
+        return RUN_DURATION_S if duration is None else duration.mean_s
 
     def observe_metrics(self) -> None:
         """Write the free slots of each service to the metrics, and drop accounts of engines that left."""
@@ -94,7 +106,8 @@
         endpoint_state = self.state.endpoint_state(endpoint)
         known_state, account = self.accounts_by_engine.get(endpoint.id, (None, None))
         if account is None or known_state is not endpoint_state:
-            account = EngineAccount(spec.slots, spec.memory_tokens * USABLE_MEMORY_SHARE)
+            usable_tokens = spec.memory_tokens * USABLE_MEMORY_SHARE
+            account = EngineAccount(spec.slots, usable_tokens, memory=endpoint_state.memory)
             self.accounts_by_engine[endpoint.id] = endpoint_state, account
         report = endpoint_state.report
         if report is not None and endpoint_state.reported_at > account.reported_at:
--- a/stairquay/serving/engine_views.py
+++ b/stairquay/serving/engine_views.py
@@ -9,6 +9,7 @@
 from stairquay.core.catalog import Catalog, EngineSpec, StoreSpec
 from stairquay.core.fleet import Endpoint
 from stairquay.core.holdings import PartKey
+from stairquay.core.memory import SharedParts
 from stairquay.core.placement import PREFILL_TOKENS_PER_S, EngineView, Source
 from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.ports import EngineReport
@@ -32,7 +33,7 @@
 
     outdated: bool
     keys: list[PartKey]
-    shared_parts: list[tuple[PartKey, int]]
+    shared_parts: SharedParts
     sources: list[list[Source]]
 
 
@@ -69,8 +70,10 @@
         total_tokens=0.0 if report is None else report.total_tokens,
         prefill_factor=endpoint_state.speed.prefill_factor,
         step_factor=endpoint_state.speed.step_factor,
-        peak_tokens=endpoint_state.peak_tokens + endpoint_state.unplaced_tokens if routed else used_tokens,
-        tokens_in_use=endpoint_state.tokens_in_use(context.shared_parts),
+        peak_tokens=endpoint_state.memory.peak_tokens + endpoint_state.unplaced_tokens
+        if routed
+        else used_tokens,
+        tokens_in_use=endpoint_state.memory.tokens_in_use(context.shared_parts),
     )
 
 
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -61,7 +61,8 @@
     tried: ids of endpoints. refused: attempts that did not run. runs: attempts that may have run. ran: the
     worst status of all attempts. last: the last failure. error_reply: the last 5xx reply, with its body.
     retry_after_s: the routers' estimate of the seconds until an endpoint accepts the job. timing: of the
-    attempt that succeeded, where it is comparable to others.
+    attempt that succeeded, where it is comparable to others. rejected: why the routers refuse the job, empty
+    if they don't.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -73,6 +74,7 @@
     error_reply: tuple[Reply, bytes] | None = None
     retry_after_s: float | None = None
     timing: AttemptTiming | None = None
+    rejected: str = ""
 
 
 @dataclass
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -15,9 +15,11 @@
 from stairquay.core.call import Part, PromptShape
 from stairquay.core.catalog import LOWEST_PRIORITY, EngineSpec, WorkspacePolicy
 from stairquay.core.holdings import PartKey
+from stairquay.core.memory import SharedParts
+from stairquay.core.prompt_queue import Admitted, Deferred, Rejected
 from stairquay.core.routers import Engine, engines_of
 from stairquay.serving.endpoint import BUSY_BACKOFF_S, EndpointState
-from stairquay.serving.endpoint_choice import Choice, ChoiceRequest
+from stairquay.serving.endpoint_choice import Choice, ChoiceRequest, HasRoom
 from stairquay.serving.engine_accounts import EngineAccounts
 from stairquay.serving.engine_speeds import EngineSpeeds
 from stairquay.serving.event_log import LogEvent
@@ -37,6 +39,7 @@
     ViewsRequest,
 )
 from stairquay.serving.pacing import count_sent, refund_sent, retry_after_s
+from stairquay.serving.router_admission import RouterAdmission, shared_parts
 from stairquay.serving.saving import choose_with_save_targets
 from stairquay.serving.state import BoxState
 from stairquay.serving.telling import apply_peer_feedback, limit_feedback
@@ -64,8 +67,7 @@
     """A prompt placed on an endpoint.
 
     at: when, in monotonic seconds. shared_parts: parts that other prompts may reuse, with their tokens.
-    rate_limited: it was counted against the endpoint's rate limit. engine: the endpoint's id. max_output: of
-    its answer, in tokens.
+    rate_limited: it was counted against the endpoint's rate limit. engine: the endpoint's id.
     """
 
     at: float
@@ -73,12 +75,24 @@
     expected_prefill_s: float
     tokens: int
     address: str = ""
-    shared_parts: tuple[tuple[PartKey, int], ...] = ()
+    shared_parts: SharedParts = ()
     rate_limited: bool = False
     engine: str = ""
     service: str = ""
     priority: int = LOWEST_PRIORITY
-    max_output: int = 0
+
+
+def _reply_without_room(decision: Rejected | Deferred, choice: Choice) -> PlaceReply:
+    """Return the reply to a prompt that gets no room at an engine now."""
+    if isinstance(decision, Rejected):
+        return PlaceReply(come_back_s=decision.retry_after_s, rejected=decision.reason.value, decided=True)
+    return PlaceReply(
+        endpoint=choice.endpoint.id,
+        version=choice.version,
+        backlog_s=choice.backlog_s,
+        again_s=decision.again_s,
+        decided=True,
+    )
 
 
 class LocalRouter:
@@ -90,6 +104,7 @@
         self.placed_by_ticket: dict[str, PlacedPrompt] = {}
         self.prefill_ticket_by_key: dict[PartKey, str] = {}
         self.accounts = EngineAccounts(state)
+        self.admission = RouterAdmission(state, self.accounts)
         self.server: grpc.aio.Server | None = None
         self.speeds = EngineSpeeds(state)
 
@@ -116,13 +131,21 @@
                 self.state, request.service, request.tried, backoffs_s, now, self.random
             )
             return PlaceReply(come_back_s=earliest_retry_s or 0.0)
+        decided = request.objective_left_s is not None
+        decision = self.admission.decide(request, choice, now)
+        if isinstance(decision, Rejected | Deferred):
+            return _reply_without_room(decision, choice)
+        if isinstance(decision, Admitted) and decision.engine != choice.endpoint.id:
+            choice = self._choose(request, backoffs_s, decision.engine) or choice
         said = limit_feedback(choice.endpoint, self.state.endpoint_state(choice.endpoint), now)
-        rejected = request.most_backlog_s is not None and choice.backlog_s > request.most_backlog_s
+        most_backlog_s = None if decided else request.most_backlog_s
+        rejected = most_backlog_s is not None and choice.backlog_s > most_backlog_s
         if not rejected and request.may_wait and self._awaits_shared_prefill(choice, request):
             return PlaceReply(endpoint=choice.endpoint.id, version=choice.version, again_s=PREFILL_POLL_S)
         if not rejected:
             self._record_placement(request, choice)
         placement = choice.placement
+        assert placement is not None
         return PlaceReply(
             endpoint=choice.endpoint.id,
             version=choice.version,
@@ -137,6 +160,7 @@
             alternative_s=choice.alternative_s,
             backlog_s=choice.backlog_s,
             said=said,
+            decided=decided,
         )
 
     def prefill_finished(self, ticket: str) -> None:
@@ -176,12 +200,12 @@
         if placed is not None:
             self._forget_prefill(ended.ticket, placed)
         if placed is None:
+            self.admission.leave(ended.ticket)
             return
         endpoint_state, now = placed.endpoint_state, monotonic()
         kind = placed.service, placed.priority
         self.accounts.end(ended.ticket, placed.engine, kind, ended.outcome == Outcome.DONE, now)
         endpoint_state.in_flight = max(0, endpoint_state.in_flight - 1)
-        endpoint_state.on_run_ended(placed.shared_parts, placed.tokens, placed.max_output)
         if ended.outcome in (Outcome.NOT_SENT, Outcome.TURNED_AWAY, Outcome.UNREACHED):
             endpoint_state.revert_placed(placed.expected_prefill_s, placed.tokens, placed.at)
             if placed.rate_limited and ended.outcome != Outcome.TURNED_AWAY:
@@ -193,7 +217,10 @@
         if ended.outcome in (Outcome.DONE, Outcome.FAILED, Outcome.UNREACHED):
             endpoint_state.on_outcome(ended.outcome != Outcome.DONE, now)
 
-    def _choose(self, request: PlaceRequest, backoffs_s: dict[str, float]) -> Choice | None:
+    def _choose(
+        self, request: PlaceRequest, backoffs_s: dict[str, float], preferred: str = ""
+    ) -> Choice | None:
+        """Return the best engine for a prompt. preferred: the one to use if it is usable at all."""
         catalog = self.state.catalog
         service = None if catalog is None else catalog.services_by_id.get(request.service)
         if catalog is None or service is None:
@@ -208,13 +235,15 @@
             frozenset(request.tried),
             request.box,
             backoffs_s,
-            None if service.engine is None else self._room_test(request, service.engine),
+            None if service.engine is None else self._room_test(request, service.engine, preferred),
         )
         return choose_with_save_targets(self.state, catalog, wanted, self.random)
 
-    def _room_test(self, request: PlaceRequest, spec: EngineSpec) -> Callable[[str], bool]:
-        peak_tokens, now = request.tokens + request.max_output, monotonic()
-        return lambda engine: self.accounts.has_room(engine, peak_tokens, spec, now)
+    def _room_test(self, request: PlaceRequest, spec: EngineSpec, preferred: str) -> HasRoom:
+        if preferred:
+            return lambda engine: engine.id == preferred
+        tokens, now = request.tokens + request.max_output, monotonic()
+        return lambda engine: self.accounts.has_room(engine.id, tokens - engine.tokens_in_use, spec, now)
 
     def _record_placement(self, request: PlaceRequest, choice: Choice) -> None:
         now = monotonic()
@@ -222,31 +251,28 @@
         assert placement is not None
         self.finished(EndedAttempt(request.ticket, Outcome.NOT_SENT))
         address = choice.endpoint.address
-        shared_parts = tuple(((choice.scope, part.id), part.tokens) for part in request.parts[:-1])
+        parts = shared_parts(request, choice.scope)
         endpoint_state = self.state.endpoint_state(choice.endpoint)
         rate_limited = count_sent(self.state, choice.endpoint, now, self.random)
         expected_s = self.speeds.expect(request.ticket, choice.endpoint, placement, request.tokens, now)
-        tokens, most = request.tokens, request.max_output
         placed = PlacedPrompt(
             now,
             endpoint_state,
             expected_s,
-            tokens,
+            request.tokens,
             address,
-            shared_parts,
+            parts,
             rate_limited,
             choice.endpoint.id,
             request.service,
             request.priority,
-            most,
         )
-        self.accounts.place(request, choice.endpoint, now)
+        self.accounts.place(request, parts, choice.endpoint, now)
         self.placed_by_ticket[request.ticket] = placed
-        if placement.read > request.tokens - sum(tokens for _, tokens in shared_parts):
-            for key, _ in shared_parts:
+        if placement.read > request.tokens - sum(tokens for _, tokens in parts):
+            for key, _ in parts:
                 self.prefill_ticket_by_key.setdefault(key, request.ticket)
         endpoint_state.in_flight += 1
-        endpoint_state.on_run_placed(shared_parts, request.tokens, request.max_output)
         endpoint_state.on_placed(placed.expected_prefill_s, now)
         # Cached parts count as well, since they can't be evicted while the prompt runs.
         endpoint_state.on_sent(request.tokens, now)
@@ -262,6 +288,7 @@
         self._expire(monotonic())
         self.accounts.observe_metrics()
         self.speeds.update(monotonic())
+        self.admission.observe_metrics(monotonic())
 
     def _engines(self) -> frozenset[str]:
         """Return the engines assigned to this router, with its share of those of suspected routers.
--- a/tests/loads/test_engines_of_mixed_speed.py
+++ b/tests/loads/test_engines_of_mixed_speed.py
@@ -14,6 +14,7 @@
 
 from stairquay.core import placement
 from stairquay.core.engine_speed import MAX_FACTOR, MIN_FACTOR
+from stairquay.serving import endpoint_choice
 from stairquay.serving.messages import SpeedSample
 from tests.loads.simulated_engines import (
     START,
@@ -185,6 +186,7 @@
 
     found = outcomes()
     monkeypatch.setattr(placement, "_overcommits", lambda engine, run_tokens: False)
+    monkeypatch.setattr(endpoint_choice, "_with_room_first", lambda placements, has_room: placements)
     before = outcomes()
     assert sum(item.preempted() for item in found) < 0.75 * sum(item.preempted() for item in before)
     assert mean(item.first_token_s(0.9) for item in found) < mean(item.first_token_s(0.9) for item in before)
