--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -4,11 +4,15 @@
 import os
 import subprocess
 import sys
+import tomllib
+from pathlib import Path
 
 from stairquay.box import CERTIFICATES_VARIABLE, parse_plain_box_command, reduced_import_cost
 from stairquay.platform import boot
 from stairquay.platform.boot import load_boot_settings, parse_boot_settings
 
+ROOT = Path(__file__).resolve().parent.parent
+
 PRINT_LOADED_MODULES = """
 import stairquay.box
 import stairquay.platform.boot, stairquay.platform.surroundings, stairquay.serving.app
@@ -76,6 +80,36 @@
     assert [tables["node_name"] for tables in parsed] == ["a", "b"]
 
 
+def build_in(folder: Path, source: str) -> subprocess.CompletedProcess[str]:
+    """Run the platform's build command in a folder with one module and installed dependencies."""
+    (folder / "stairquay").mkdir()
+    (folder / "stairquay" / "module.py").write_text(source)
+    (folder / "deploy").mkdir()
+    (folder / "deploy" / "requirements.txt").write_text("no-such-package==0")
+    os.utime(folder / "deploy" / "requirements.txt", (0, 0))
+    (folder / "target" / "deps").mkdir(parents=True)
+    build = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["build"]
+    return subprocess.run(["sh", "-c", build], cwd=folder, capture_output=True, text=True, check=False)
+
+
+def test_the_build_writes_byte_code(tmp_path):
+    """Boxes that cannot write it took 0.2 s more of processor time at each start."""
+    assert build_in(tmp_path, "VALUE = 1").returncode == 0
+    assert len(list((tmp_path / "stairquay" / "__pycache__").glob("module.*.pyc"))) == 1
+
+
+def test_a_build_goes_on_without_byte_code_but_not_without_dependencies(tmp_path):
+    (tmp_path / "uncompiled").mkdir()
+    assert build_in(tmp_path / "uncompiled", "no python").returncode == 0
+    (tmp_path / "without").mkdir()
+    build_in(tmp_path / "without", "VALUE = 1")
+    (tmp_path / "without" / "target" / "deps").rmdir()
+    (tmp_path / "without" / "deploy" / "requirements.txt").unlink()
+    build = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["build"]
+    done = subprocess.run(["sh", "-c", build], cwd=tmp_path / "without", capture_output=True, check=False)
+    assert done.returncode != 0
+
+
 def test_the_usual_arguments_start_a_box_and_all_others_go_to_the_command_line():
     assert parse_plain_box_command(["box"]) == 0
     assert parse_plain_box_command(["box", "--metrics-port", "7700"]) == 7700
