--- a/stairquay/platform/surroundings.py
+++ b/stairquay/platform/surroundings.py
@@ -7,6 +7,7 @@
 from stairquay.platform.feeds import Feeds
 from stairquay.platform.names import CRASH_TABLE, READY_PATH
 from stairquay.platform.peers import PeerClient
+from stairquay.platform.polling import PollClient
 from stairquay.platform.rows import FollowedRows, OwnRows, TableClient
 from stairquay.serving.ports import Ports
 
@@ -15,16 +16,18 @@
     """Open the clients; an event loop must be running."""
     request_pool = ConnectionPool()
     control_session = open_session()
+    polls = PollClient()
     table = TableClient(table_address, control_session)
 
     async def close() -> None:
         await request_pool.close()
         await control_session.close()
+        polls.close()
 
     return Ports(
         feeds=Feeds(table),
         own=OwnRows(table),
-        peers=PeerClient(control_session),
+        peers=PeerClient(control_session, polls),
         endpoints=EndpointClient(request_pool),
         callers=PlatformCallerCodec(),
         ready_path=READY_PATH,
