Collect the later events of a stream for 20 ms

After three events, which pass at once, a box now reads nothing from the endpoint's connection for 20 ms and passes on what has come together. The first token, answers of up to three events and all bytes are as they were; later events, and the end of a longer answer, come up to 20 ms later.

Tried, and not taken: reading at most 65,536 bytes at once.

--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -33,7 +33,7 @@
     connection_options,
 )
 from stairquay.platform.statements import parse_feedback
-from stairquay.serving.ports import Guard, IncompleteResponseError, Reply, SendFailure, Take
+from stairquay.serving.ports import Guard, HoldSeconds, IncompleteResponseError, Reply, SendFailure, Take
 
 NO_ADDRESS = "-"
 """Placeholder for a part that is not fetched or not saved."""
@@ -99,6 +99,7 @@
         self.connection: PooledConnection | None = connection
         self.protocol = connection.protocol
         self.pool = pool
+        self.resumption: asyncio.TimerHandle | None = None
         payload.on_eof(self._release)
 
     def close(self) -> None:
@@ -125,14 +126,14 @@
         headers = self.headers
         return CONTENT_LENGTH in headers or "chunked" in headers.get(TRANSFER_ENCODING, "")
 
-    async def forward(self, take: Take) -> None:
+    async def forward(self, take: Take, hold_s: HoldSeconds) -> None:
         """Pass the body on as it arrives; raise an error if it is incomplete.
 
         aiohttp takes a connection reset for the end of a body without a length, so that is checked here.
         """
         try:
             while not self.payload.at_eof():
-                blocked = await self._forward_arriving(take)
+                blocked = await self._forward_arriving(take, hold_s)
                 if blocked is not None:
                     await blocked
         except (ClientError, OSError) as error:
@@ -143,7 +144,7 @@
         if self.protocol.broken and not self._is_framed():
             raise IncompleteResponseError("the connection was reset")
 
-    async def _forward_arriving(self, take: Take) -> Awaitable[None] | None:
+    async def _forward_arriving(self, take: Take, hold_s: HoldSeconds) -> Awaitable[None] | None:
         """Pass on what is there and what arrives, until the body ends or `take` has to be waited for.
 
         Nothing is awaited between reading from the connection and `take`, which saves a turn of the event
@@ -161,6 +162,8 @@
                 return
             if blocked is not None or self.payload.at_eof():
                 stopped.set_result(blocked)
+            else:
+                self._hold(hold_s())
 
         on_data()
         if stopped.done():
@@ -170,6 +173,23 @@
             return await stopped
         finally:
             self.protocol.listener = None
+            self._resume()
+
+    def _hold(self, seconds: float) -> None:
+        """Read nothing for some time, so that what arrives meanwhile is read and written at once."""
+        transport = self.protocol.transport
+        if seconds <= 0 or transport is None or self.resumption is not None:
+            return
+        transport.pause_reading()
+        self.resumption = asyncio.get_running_loop().call_later(seconds, self._resume)
+
+    def _resume(self) -> None:
+        if self.resumption is None:
+            return
+        self.resumption.cancel()
+        self.resumption = None
+        if self.protocol.transport is not None:
+            self.protocol.transport.resume_reading()
 
     def _take_available(self, take: Take) -> Awaitable[None] | None:
         """Pass on what has arrived. Raises the payload's error if the body has ended with one."""
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -255,6 +255,9 @@
 """Takes bytes of a body right when they are read from the connection. It must not block; what it returns, if
 anything, is awaited before it is called again."""
 
+HoldSeconds = Callable[[], float]
+"""Asked after each piece: seconds for which nothing more is read from the connection, 0 to go on at once."""
+
 
 @dataclass(frozen=True)
 class Reply:
@@ -266,7 +269,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    forward: Callable[[Take], Awaitable[None]]
+    forward: Callable[[Take, HoldSeconds], Awaitable[None]]
     close: Callable[[], None]
     streamed: bool = False
     version: int | None = None
--- a/stairquay/serving/relay.py
+++ b/stairquay/serving/relay.py
@@ -20,6 +20,14 @@
 MAX_EVENT_BYTES = 1_000_000
 """Maximum size of an event, which is buffered until it is complete."""
 
+COLLECT_EVENTS_S = 0.02
+"""Seconds in which later events of a stream are collected, to be read and written together. Each event by
+itself wakes the process, which takes more time than all that is done with the event. Within 0.01 s too few
+events come to make up for holding the connection."""
+
+EVENTS_PASSED_AT_ONCE = 3
+"""First events, which are passed on one by one, so that the first token and short answers are not later."""
+
 MAX_RESPONSE_BYTES = 16_000_000
 """Maximum size of a response body that is buffered before it is sent."""
 
@@ -49,7 +57,7 @@
             raise IncompleteResponseError("the answer is too large")
 
     async with asyncio.timeout(deadline - monotonic()):
-        await reply.forward(take)
+        await reply.forward(take, lambda: 0.0)
     return bytes(body)
 
 
@@ -76,7 +84,7 @@
     """
     relay = EventRelay(request, reply, progress, on_first_event, should_close)
     async with asyncio.timeout(deadline - monotonic()):
-        await reply.forward(relay.take)
+        await reply.forward(relay.take, relay.hold_s)
         await relay.finish()
 
 
@@ -115,6 +123,10 @@
         self._write(self.writer, events)
         return self.writer.drain() if self.request.protocol.writing_paused else None
 
+    def hold_s(self) -> float:
+        """Return the seconds in which later events are collected."""
+        return COLLECT_EVENTS_S if self.progress.events >= EVENTS_PASSED_AT_ONCE else 0.0
+
     async def finish(self) -> None:
         """Write the rest of a stream that has ended as it should."""
         if self.incomplete or self.writer is None:
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -1,13 +1,14 @@
 """Connections to endpoints: which ones are used again, and what is written to them."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 import pytest
 
 from stairquay.platform.connection_pool import ConnectionPool, PooledConnection, encode_head
+from stairquay.platform.endpoints import Response
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 
@@ -170,3 +171,98 @@
         encode_head("GET", "/x", [("A", value)], 0)
     with pytest.raises(ValueError):
         encode_head("GET", value, [], 0)
+
+
+HELD_S = 0.1
+ANSWER_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+async def stream(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer each request with ten chunks, 10 ms apart."""
+    while await reader.read(65_536):
+        writer.write(ANSWER_HEAD)
+        for number in range(10):
+            writer.write(b"1\r\n%d\r\n" % number)
+            await asyncio.sleep(0.01)
+        writer.write(b"0\r\n\r\n")
+    writer.close()
+
+
+async def opened(address: str, pool: ConnectionPool) -> Response:
+    connection = await pool.acquire(address)
+    connection.send("GET", "/x", [("Host", "h")], b"")
+    return Response(*await connection.read_head(), connection, pool)
+
+
+@asynccontextmanager
+async def streaming_endpoint() -> AsyncIterator[str]:
+    server = await asyncio.start_server(stream, "127.0.0.1", 0)
+    try:
+        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    finally:
+        server.close()
+
+
+@pytest.mark.parametrize("held_s", [0.0, HELD_S])
+def test_a_held_connection_loses_nothing_and_is_used_again(held_s: float):
+    """A connection that stays paused would hang the next request on it."""
+
+    async def run() -> None:
+        async with streaming_endpoint() as address:
+            pool = ConnectionPool()
+            for number in range(2):
+                taken: list[bytes] = []
+                response = await opened(address, pool)
+                assert response.connection is not None and response.connection.reused == (number > 0)
+                await asyncio.wait_for(response.forward(taken.append, lambda: held_s), 5)
+                assert b"".join(taken) == b"0123456789"
+                assert len(taken) <= 4 if held_s else len(taken) >= 5
+                assert response.resumption is None and response.protocol.listener is None
+            await pool.close()
+
+    asyncio.run(run())
+
+
+def test_a_stream_that_is_given_up_while_held_ends_its_connection():
+    """An endpoint goes on computing for a caller that is gone until its connection ends."""
+
+    async def run() -> None:
+        async with streaming_endpoint() as address:
+            pool = ConnectionPool()
+            response = await opened(address, pool)
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.05):
+                    await response.forward(lambda data: None, lambda: HELD_S)
+            response.close()
+            assert response.resumption is None and not pool.idle_by_address
+            assert response.protocol.transport is None
+
+    asyncio.run(run())
+
+
+def test_what_takes_the_body_is_waited_for_before_it_gets_more():
+    """A caller that reads slowly must not fill this box's memory."""
+
+    async def run() -> None:
+        async with streaming_endpoint() as address:
+            pool = ConnectionPool()
+            response = await opened(address, pool)
+            waiting, taken = False, []
+
+            async def wait() -> None:
+                nonlocal waiting
+                await asyncio.sleep(0.03)
+                waiting = False
+
+            def take(data: bytes) -> Awaitable[None]:
+                nonlocal waiting
+                assert not waiting
+                taken.append(data)
+                waiting = True
+                return wait()
+
+            await asyncio.wait_for(response.forward(take, lambda: 0.0), 5)
+            assert b"".join(taken) == b"0123456789" and len(taken) < 8
+            await pool.close()
+
+    asyncio.run(run())
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,11 +9,17 @@
 from aiohttp import ClientSession, web
 
 from stairquay.adapters.clock import monotonic
-from stairquay.serving.ports import IncompleteResponseError, Reply, Take
-from stairquay.serving.relay import MAX_EVENT_BYTES, StreamProgress, relay_stream
+from stairquay.serving.ports import HoldSeconds, IncompleteResponseError, Reply, Take
+from stairquay.serving.relay import (
+    COLLECT_EVENTS_S,
+    EVENTS_PASSED_AT_ONCE,
+    MAX_EVENT_BYTES,
+    StreamProgress,
+    relay_stream,
+)
 from tests.standins.table import serve_app
 
-Forward = Callable[[Take], Awaitable[None]]
+Forward = Callable[[Take, HoldSeconds], Awaitable[None]]
 
 
 def reply_of(forward: Forward) -> Reply:
@@ -57,7 +63,7 @@
     """A caller that resumes names the last whole event; half of one must not count."""
     written: list[int] = []
 
-    async def forward(take: Take) -> None:
+    async def forward(take: Take, hold_s: HoldSeconds) -> None:
         for piece in (b"id: 1\nda", b"ta: x\n", b"\nid: 2\ndata: y\n\nid: 3", b"\ndata: z"):
             blocked = take(piece)
             if blocked is not None:
@@ -72,12 +78,30 @@
     asyncio.run(run())
 
 
+def test_the_first_events_are_passed_on_at_once():
+    """The first token's time is what callers and objectives go by."""
+    holds: list[float] = []
+
+    async def forward(take: Take, hold_s: HoldSeconds) -> None:
+        for _ in range(EVENTS_PASSED_AT_ONCE + 2):
+            blocked = take(b"data: x\n\n")
+            if blocked is not None:
+                await blocked
+            holds.append(hold_s())
+
+    async def run() -> None:
+        await relayed(forward, lambda response: response.read())
+        assert holds == [0.0] * (EVENTS_PASSED_AT_ONCE - 1) + 3 * [COLLECT_EVENTS_S]
+
+    asyncio.run(run())
+
+
 def test_a_slow_caller_holds_the_stream_back():
     """Events for callers that don't read would otherwise take any amount of a box's memory."""
     event = b"data: " + b"x" * 50_000 + b"\n\n"
     taken = 0
 
-    async def forward(take: Take) -> None:
+    async def forward(take: Take, hold_s: HoldSeconds) -> None:
         nonlocal taken
         for _ in range(1_000):
             blocked = take(event)
@@ -98,7 +122,7 @@
 
 
 def test_a_caller_that_is_gone_ends_the_relay():
-    async def forward(take: Take) -> None:
+    async def forward(take: Take, hold_s: HoldSeconds) -> None:
         while True:
             blocked = take(b"data: x\n\n")
             if blocked is not None:
@@ -118,7 +142,7 @@
 
 @pytest.mark.parametrize("first", [b"", b"data: x\n\n"])
 def test_an_event_that_is_too_large_ends_the_stream(first: bytes):
-    async def forward(take: Take) -> None:
+    async def forward(take: Take, hold_s: HoldSeconds) -> None:
         for piece in (first, b"x" * (MAX_EVENT_BYTES + 1)):
             blocked = take(piece)
             if blocked is not None:
