Collect events of a stream on a busy box only

Collecting later events for 20 ms saves processor time, but each caller gets them later, also from a box that has time enough. Only a box whose event loop is late does it now; all others pass on each event as it arrives, as before.

--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -239,6 +239,7 @@
                     job.deadline,
                     on_first_event=lambda: self._on_first_output(job, started_attempt),
                     should_close=self.state.should_close_connections,
+                    may_collect=lambda: self.state.load.is_busy,
                 )
                 response = progress.stream.response
                 assert response is not None
--- a/stairquay/serving/relay.py
+++ b/stairquay/serving/relay.py
@@ -21,7 +21,7 @@
 """Maximum size of an event, which is buffered until it is complete."""
 
 COLLECT_EVENTS_S = 0.02
-"""Seconds in which later events of a stream are collected, to be read and written together. Each event by
+"""Seconds in which a busy box collects later events of a stream, to read and write them together. Each event by
 itself wakes the process, which takes more time than all that is done with the event. Within 0.01 s too few
 events come to make up for holding the connection."""
 
@@ -77,12 +77,14 @@
     deadline: float,
     on_first_event: Callable[[], None],
     should_close: Callable[[], bool],
+    may_collect: Callable[[], bool],
 ) -> None:
     """Relay a stream, complete events only. Raises IncompleteResponseError or TimeoutError if it ends early.
 
     The head is sent with the first event, so that a stream that breaks off earlier can still be retried.
+    may_collect: tells whether later events may be passed on together, a little late.
     """
-    relay = EventRelay(request, reply, progress, on_first_event, should_close)
+    relay = EventRelay(request, reply, progress, on_first_event, should_close, may_collect)
     async with asyncio.timeout(deadline - monotonic()):
         await reply.forward(relay.take, relay.hold_s)
         await relay.finish()
@@ -98,12 +100,14 @@
         progress: StreamProgress,
         on_first_event: Callable[[], None],
         should_close: Callable[[], bool],
+        may_collect: Callable[[], bool],
     ) -> None:
         self.request = request
         self.reply = reply
         self.progress = progress
         self.on_first_event = on_first_event
         self.should_close = should_close
+        self.may_collect = may_collect
         self.writer: StreamWriter | None = None
         self.incomplete = b""
 
@@ -125,7 +129,8 @@
 
     def hold_s(self) -> float:
         """Return the seconds in which later events are collected."""
-        return COLLECT_EVENTS_S if self.progress.events >= EVENTS_PASSED_AT_ONCE else 0.0
+        late_event = self.progress.events >= EVENTS_PASSED_AT_ONCE
+        return COLLECT_EVENTS_S if late_event and self.may_collect() else 0.0
 
     async def finish(self) -> None:
         """Write the rest of a stream that has ended as it should."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -26,7 +26,9 @@
     return Reply(200, (("Content-Type", "text/event-stream"),), forward, lambda: None, True)
 
 
-async def relayed(forward: Forward, read: Callable[[Any], Awaitable[Any]], deadline_s: float = 5.0) -> Any:
+async def relayed(
+    forward: Forward, read: Callable[[Any], Awaitable[Any]], deadline_s: float = 5.0, busy: bool = True
+) -> Any:
     """Relay a reply to a real caller. Return progress, counts at first events, errors and what was read."""
     progress, first_at, errors = StreamProgress(), [], []
     done = asyncio.Event()
@@ -40,6 +42,7 @@
                 monotonic() + deadline_s,
                 on_first_event=lambda: first_at.append(progress.events),
                 should_close=lambda: False,
+                may_collect=lambda: busy,
             )
         except (Exception, asyncio.CancelledError) as error:
             errors.append(error)
@@ -78,8 +81,8 @@
     asyncio.run(run())
 
 
-def test_the_first_events_are_passed_on_at_once():
-    """The first token's time is what callers and objectives go by."""
+def test_only_a_busy_box_collects_events_and_never_the_first():
+    """The first token's time is what callers and objectives go by, and no event waits without need."""
     holds: list[float] = []
 
     async def forward(take: Take, hold_s: HoldSeconds) -> None:
@@ -92,6 +95,9 @@
     async def run() -> None:
         await relayed(forward, lambda response: response.read())
         assert holds == [0.0] * (EVENTS_PASSED_AT_ONCE - 1) + 3 * [COLLECT_EVENTS_S]
+        holds.clear()
+        await relayed(forward, lambda response: response.read(), busy=False)
+        assert holds == [0.0] * (EVENTS_PASSED_AT_ONCE + 2)
 
     asyncio.run(run())
 
