Keep refusals from cutting the limit of requests in progress to its minimum

Change: the limit is not cut below what the highest rate of the last seconds needs, nor to what happens to be in progress, and grows by a quarter per step while lateness is far below its target. An overload counts as lasting after 2 s instead of 3.

--- a/stairquay/core/overload.py
+++ b/stairquay/core/overload.py
@@ -10,6 +10,8 @@
 from enum import IntEnum
 from math import inf
 
+from stairquay.core.readiness import Readiness
+
 BUSY_SHARE = 0.1
 """Lateness, as a share of the shortest objective, from which a box is BUSY."""
 
@@ -53,6 +55,18 @@
 LIMIT_GROWTH = 1.05
 """Factor by which one adjustment raises the limit."""
 
+QUICK_LIMIT_GROWTH = 1.25
+"""The same while lateness is far below its target."""
+
+QUICK_GROWTH_SHARE = 0.5
+"""Share of the target lateness below which the limit grows quickly."""
+
+BEST_RATE_DECAY = 0.98
+"""Factor by which the highest rate of finished requests that is remembered falls with each adjustment."""
+
+MIN_TIME_IN_BOX = 2.0
+"""Time that a request is in progress at the least, as a multiple of the target lateness."""
+
 URGENT_HEADROOM = 2.0
 """Factor by which the limit is higher for requests more urgent than the least urgent ones, which make way.
 The limit falls if that does not suffice."""
@@ -68,7 +82,7 @@
 capacity from others and misses its objective: at twice the capacity, 1 s instead of half an objective
 lowers the share of requests within their objectives from 0.93 to 0.78 of that at capacity."""
 
-LASTING_AFTER_S = 3.0
+LASTING_AFTER_S = 2.0
 """Seconds after which an overload counts as lasting: the load balancer has sent callers elsewhere by then, so
 that other boxes are overloaded too."""
 
@@ -83,18 +97,6 @@
 ADMITTED_WEIGHT = 0.05
 """Weight of the newest request in the moving average of that share."""
 
-UNREADY_AFTER_S = 1.0
-"""Seconds of overload after which a box reports unready."""
-
-MAX_UNREADY_S = 2.0
-"""Longest time in seconds for which a box reports unready."""
-
-MIN_READY_S = 3.0
-"""Shortest time in seconds for which a box reports ready again."""
-
-JITTER_S = 1.0
-"""Seconds by which the starts of unready times differ among boxes, so that not all are unready at once."""
-
 
 class LoadLevel(IntEnum):
     """How loaded a box is."""
@@ -141,12 +143,13 @@
     """Limit of requests in progress, infinite without overload.
 
     in_progress_by_priority: requests in progress; 0 is the most urgent. finished_per_s: moving average.
-    least_urgent: of the requests in progress or refused lately.
+    best_per_s: the highest one lately. least_urgent: of the requests in progress or refused lately.
     """
 
     limit: float = inf
     in_progress_by_priority: dict[int, int] = field(default_factory=dict)
     finished_per_s: float = 0.0
+    best_per_s: float = 0.0
     adjusted_at: float = -inf
     finished_since: int = 0
     refused_since: int = 0
@@ -219,14 +222,22 @@
         mean_late_s = self.late_sum_s / self.ticks_since
         finished_per_s = self.finished_since / elapsed_s
         self.finished_per_s += RATE_WEIGHT * (finished_per_s - self.finished_per_s)
+        self.best_per_s = max(self.best_per_s * BEST_RATE_DECAY, self.finished_per_s)
         if mean_late_s > target_s:
-            # The limit does not exceed what is in progress, else cuts would have no effect at first.
-            effective = min(self.limit, self.in_progress() + 1.0)
-            self.limit = max(MIN_LIMIT, effective * max(MAX_LIMIT_CUT, (target_s / mean_late_s) ** 0.5))
+            cut = max(MAX_LIMIT_CUT, (target_s / mean_late_s) ** 0.5)
+            self.limit = max(MIN_LIMIT, self._lowest_useful_limit(target_s), self.limit * cut)
         elif self.refused_since:
-            self.limit = self.limit * LIMIT_GROWTH + 1.0
+            growth = QUICK_LIMIT_GROWTH if mean_late_s < QUICK_GROWTH_SHARE * target_s else LIMIT_GROWTH
+            self.limit = self.limit * growth + 1.0
         self._begin_interval(now)
 
+    def _lowest_useful_limit(self, target_s: float) -> float:
+        """Return the limit below which the box would serve less than it did lately.
+
+        Without it, the lateness that refusals cause would cut the limit as well.
+        """
+        return self.best_per_s * target_s * MIN_TIME_IN_BOX
+
     def _begin_interval(self, now: float) -> None:
         in_progress = (key for key, count in self.in_progress_by_priority.items() if count > 0)
         self.least_urgent = max(self.refused_priority, *in_progress, 0)
@@ -264,44 +275,6 @@
         return len(times)
 
 
-@dataclass
-class Readiness:
-    """Whether a box that is overloaded for long reports ready to the load balancer.
-
-    overloaded_since: infinite without overload. jitter: between 0 and 1, of this box.
-    """
-
-    jitter: float = 0.0
-    overloaded_since: float = inf
-    unready_since: float = -inf
-    ready_since: float = -inf
-
-    def observe(self, overloaded: bool, now: float) -> None:
-        """Record whether the box is overloaded."""
-        if not overloaded:
-            self.overloaded_since = inf
-            self._end_unready(now)
-            return
-        self.overloaded_since = min(self.overloaded_since, now)
-        if self.unready_since > -inf:
-            if now - self.unready_since >= MAX_UNREADY_S:
-                self._end_unready(now)
-            return
-        overloaded_s, ready_s = now - self.overloaded_since, now - self.ready_since
-        jitter_s = JITTER_S * self.jitter
-        if overloaded_s > UNREADY_AFTER_S + jitter_s and ready_s >= MIN_READY_S + jitter_s:
-            self.unready_since = now
-
-    def ready(self, now: float) -> bool:
-        """Tell whether the box reports ready; at the latest when its time to be unready has passed."""
-        return now - self.unready_since >= MAX_UNREADY_S
-
-    def _end_unready(self, now: float) -> None:
-        if self.unready_since > -inf:
-            self.unready_since = -inf
-            self.ready_since = now
-
-
 @dataclass
 class BoxLoad:
     """The load of one box, and all decisions about it. Times are monotonic seconds."""
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,8 +1,10 @@
 """Decisions of an overloaded box: levels, limit, order of refusals, Retry-After, readiness, other routers."""
 
 import asyncio
+from dataclasses import dataclass, field
 from itertools import pairwise
 from random import Random
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -12,23 +14,23 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.core.fleet import Endpoint
 from stairquay.core.overload import (
-    JITTER_S,
     LASTING_AFTER_S,
     LASTING_RETRY_AFTER_S,
-    MAX_UNREADY_S,
     MIN_LIMIT,
-    MIN_READY_S,
     MIN_RETRY_AFTER_S,
-    UNREADY_AFTER_S,
     BoxLoad,
     LoadLevel,
-    Readiness,
     shortest_objective_s,
 )
+from stairquay.core.readiness import JITTER_S, MAX_UNREADY_S, MIN_READY_S, UNREADY_AFTER_S, Readiness
 from stairquay.core.routers import Member
+from stairquay.serving.endpoint_choice import Choice
+from stairquay.serving.endpoint_chooser import Chooser
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.following import apply_endpoints
-from stairquay.serving.messages import NoticeReply, PlaceReply
+from stairquay.serving.jobs import JobProgress
+from stairquay.serving.local_router import LocalRouter
+from stairquay.serving.messages import FinishedNotice, NoticeReply, PlaceReply, PlaceRequest
 from stairquay.serving.overload import measure_lateness, order_by_lateness, record_router_lateness
 from stairquay.serving.ports import EndpointChanges, EngineReport
 from stairquay.serving.saving import save_targets
@@ -322,3 +324,50 @@
     state = box_state()
     state.load.level = LoadLevel.BUSY
     assert save_targets(state, None, None, None) == ()
+
+
+@dataclass
+class AskedRouters:
+    """Routers that each offer an engine with a backlog, and which of them were asked."""
+
+    backlog_s: float
+    asked: list[str] = field(default_factory=list)
+
+    async def place(self, router, request, prompt, progress) -> Choice:
+        self.asked.append(router.id)
+        return Choice(ENGINE, backlog_s=self.backlog_s, router="")
+
+
+def routers_asked(state: BoxState, monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    routers = [Member(f"r-{number}", "a:1", 1.0, "hall-a") for number in range(3)]
+    monkeypatch.setattr(BoxState, "placing_routers", lambda _: routers)
+    chooser = Chooser(state, None, None, None, Random(1))
+    replies = AskedRouters(backlog_s=5.0)
+    monkeypatch.setattr(chooser, "_place", replies.place)
+    job = SimpleNamespace(route=SimpleNamespace(objective_s=OBJECTIVE_S))
+    asyncio.run(chooser._ask_routers(job, None, None, JobProgress()))
+    return replies.asked
+
+
+def test_a_busy_box_asks_one_router_and_others_ask_a_second_one_for_a_shorter_backlog(monkeypatch):
+    state = box_state()
+    both = routers_asked(state, monkeypatch)
+    assert len(both) == 2
+    state.load.level = LoadLevel.BUSY
+    assert routers_asked(state, monkeypatch) == both[:1]
+    state.load.level = LoadLevel.NORMAL
+    record_router_lateness(state, both[0], 0.3)
+    assert routers_asked(state, monkeypatch)[0] != both[0]
+
+
+def test_a_busy_router_tells_its_lateness_and_one_that_is_not_late_tells_none():
+    async def scenario() -> None:
+        state = box_state()
+        router = LocalRouter(state, Random(1))
+        assert (await router._on_finished(FinishedNotice(()))).late_s == 0
+        state.load.level, state.load.lateness.late_s = LoadLevel.BUSY, 0.07
+        assert (await router._on_finished(FinishedNotice(()))).late_s == 0.07
+        request = PlaceRequest("t", "b-2", "s", "m", (), 1, 1, "", ())
+        assert (await router._on_place(request)).late_s == 0.07
+
+    asyncio.run(scenario())
