Bound what boxes without a router send to the engines

Cause: while no router answers, each box sent all its prompts to engines drawn at random, so that all boxes together could send far more than the engines hold.

Change: such a box has a share of slots * engines / boxes prompts at a time, at least one, and decides on further ones with the queue that routers use. An engine that was full when its reports stopped comes last.

Measured: tests/test_standalone.py, and the tests of boxes with silent routers (tests/test_many_boxes.py, tests/test_gone.py) pass; no run under load yet.

--- a/stairquay/serving/endpoint_chooser.py
+++ b/stairquay/serving/endpoint_chooser.py
@@ -4,16 +4,19 @@
 """
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 from random import Random
 
 from msgspec import structs
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.call import PromptShape
-from stairquay.core.catalog import WorkspacePolicy, engine_priority
+from stairquay.core.catalog import EngineSpec, WorkspacePolicy, engine_priority
 from stairquay.core.fleet import Endpoint
 from stairquay.core.limits import UNLIMITED
 from stairquay.core.placement import EngineView, Placement
+from stairquay.core.prompt_queue import MAX_WAIT_SHARE, Deferred, Rejected
 from stairquay.core.routers import Member, routers_for
 from stairquay.serving.endpoint_choice import Choice, ChoiceRequest
 from stairquay.serving.evacuation import takes_work
@@ -25,6 +28,7 @@
 from stairquay.serving.notices import NoticeSender
 from stairquay.serving.pacing import count_sent, retry_after_s
 from stairquay.serving.saving import choose_with_save_targets
+from stairquay.serving.standalone import StandaloneShares
 from stairquay.serving.state import BoxState
 from stairquay.serving.statements import backoffs_by_id, limit_of
 from stairquay.serving.telling import apply_peer_feedback, backoffs_for_router, feedback_for_peers
@@ -45,6 +49,18 @@
 """Backlog, as a share of the objective, above which a second router is asked for a shorter one."""
 
 
+@dataclass(frozen=True)
+class Wait:
+    """Why a prompt waits: the engines are full, or a router has its parts prefilled for another prompt.
+
+    again_s: when it is decided on again. router: id of the one that decided, empty for this box.
+    """
+
+    again_s: float
+    router: str
+    full: bool
+
+
 class Chooser:
     """Chooses endpoints with the help of routers, and tells them when requests end."""
 
@@ -61,6 +77,7 @@
         self.local_router = local_router
         self.notices = notices
         self.random = random
+        self.standalone = StandaloneShares(state)
 
     async def choose(self, job: Job, progress: JobProgress, most_backlog_s: float | None) -> Choice | None:
         """Return the endpoint for a job, None if no endpoint can take it.
@@ -78,25 +95,60 @@
             request = self._place_request(job, prompt, progress, most_backlog_s, may_wait)
             best = await self._ask_routers(job, prompt, request, progress, waits_at)
             if best is None:
-                return None if progress.rejected else self._choose_locally(job, progress)
-            if not best.again_s:
+                found = self._decide_standalone(job, job.service.engine, progress, request)
+                if not isinstance(found, Deferred):
+                    return found
+                wait = Wait(found.again_s, "", True)
+            elif best.again_s:
+                wait = Wait(best.again_s, best.router, best.decided)
+            else:
                 return best
             if not wait_logged:
                 wait_logged = True
-                self._log_wait(job, best, wait_until)
-            waits_at = best.router if best.decided else ""
+                self._log_wait(job, wait)
+            waits_at = wait.router if wait.full else ""
             try:
-                await asyncio.sleep(best.again_s)
+                await asyncio.sleep(wait.again_s)
             except asyncio.CancelledError:
-                # The caller has disconnected: give up the place in the router's queue.
-                self.finished(best, Outcome.NOT_SENT)
+                # The caller has disconnected: give up the place in the queue.
+                self.standalone.leave(request.ticket)
+                if best is not None:
+                    self.finished(best, Outcome.NOT_SENT)
                 raise
 
-    def _log_wait(self, job: Job, choice: Choice, wait_until: float) -> None:
-        most_s = wait_until - monotonic()
-        why = "the engines are full" if choice.decided else "its parts are being read for another prompt"
+    def _decide_standalone(
+        self, job: Job, spec: EngineSpec, progress: JobProgress, request: PlaceRequest
+    ) -> Choice | Deferred | None:
+        """Decide on a prompt that no router placed, which they may have refused."""
+        if progress.rejected:
+            return None
+        decision = self.standalone.decide(request, spec, monotonic())
+        if isinstance(decision, Rejected):
+            progress.rejected, progress.retry_after_s = decision.reason.value, decision.retry_after_s
+            return None
+        if isinstance(decision, Deferred):
+            return decision
+        return self._choose_standalone(job, spec, progress, request)
+
+    def _choose_standalone(
+        self, job: Job, spec: EngineSpec, progress: JobProgress, request: PlaceRequest
+    ) -> Choice | None:
+        """Choose an engine without a router, and count the prompt in this box's share."""
+        now = monotonic()
+        choice = self._choose_locally(
+            job, progress, lambda engine: self.standalone.may_use(engine, spec, now)
+        )
+        if choice is None:
+            return None
+        self.standalone.place(request, spec, now)
+        return replace(choice, ticket=request.ticket)
+
+    def _log_wait(self, job: Job, wait: Wait) -> None:
+        why = "the engines are full" if wait.full else "its parts are being read for another prompt"
+        share = MAX_WAIT_SHARE if wait.full else MAX_PREFILL_WAIT_SHARE
+        most_s = job.arrived_at + job.route.objective_s * share - monotonic()
         self.state.log.line(
-            LogEvent.WAITS, job.call.id, router=choice.router, why=why, again_s=choice.again_s, most_s=most_s
+            LogEvent.WAITS, job.call.id, router=wait.router, why=why, again_s=wait.again_s, most_s=most_s
         )
 
     async def _ask_routers(
@@ -136,6 +188,9 @@
 
     def finished(self, choice: Choice, outcome: Outcome = Outcome.DONE) -> None:
         """Tell the router that a request has ended at its endpoint, and with which outcome."""
+        if not choice.router:
+            self.standalone.end(choice.ticket, outcome == Outcome.DONE, monotonic())
+            return
         router = next((item for item in self.state.routers if item.id == choice.router), None)
         if router is not None:
             self.notices.add_ended(router, EndedAttempt(choice.ticket, outcome))
@@ -222,9 +277,14 @@
         too_old = self.state.version_too_old(prompt.model, reply.version or 0, reply.first_token_s)
         return None if too_old else usable
 
-    def _choose_locally(self, job: Job, progress: JobProgress) -> Choice | None:
+    def _choose_locally(
+        self, job: Job, progress: JobProgress, may_use: Callable[[str], bool] | None = None
+    ) -> Choice | None:
+        """Choose an endpoint by this box's own view. may_use: tells of an engine whether it goes first."""
         tried, backoffs_s = frozenset(progress.tried), backoffs_by_id(self.state, monotonic())
-        wanted = ChoiceRequest(job.service, job.call.prompt, job.workspace, tried, backoffs_s=backoffs_s)
+        wanted = ChoiceRequest(
+            job.service, job.call.prompt, job.workspace, tried, backoffs_s=backoffs_s, has_room=may_use
+        )
         choice = choose_with_save_targets(self.state, job.catalog, wanted, self.random)
         if choice is not None:
             count_sent(self.state, choice.endpoint, monotonic(), self.random)
--- a/stairquay/serving/router_admission.py
+++ b/stairquay/serving/router_admission.py
@@ -1,7 +1,7 @@
 """Admission of prompts at a router: asks the queue of their service once the engines are full."""
 
 from stairquay.core.catalog import LOWEST_PRIORITY
-from stairquay.core.placement import Placement, prefill_s
+from stairquay.core.placement import prefill_s
 from stairquay.core.prompt_queue import Decision, PromptQueue, Rejected, RoomRequest
 from stairquay.serving.endpoint_choice import Choice
 from stairquay.serving.engine_accounts import EngineAccounts
@@ -27,16 +27,16 @@
         engine, placement = choice.endpoint.id, choice.placement
         if spec is None or placement is None or engine not in self.state.routed_engines:
             return None
-        room_request = _room_request(request, placement)
-        if room_request is None:
+        wanted = room_request(request, prefill_s(placement.read, request.tokens))
+        if wanted is None:
             return None
         queue = self.queues_by_service.setdefault(request.service, PromptQueue())
-        if queue.is_idle(now) and self.accounts.has_room(engine, room_request.tokens, spec, now):
-            queue.record_admitted(request.priority, room_request.tokens, now)
+        if queue.is_idle(now) and self.accounts.has_room(engine, wanted.tokens, spec, now):
+            queue.record_admitted(request.priority, wanted.tokens, now)
             return None
         rooms = self.accounts.rooms(request, spec, now)
         rooms.sort(key=lambda room: room.engine != engine)
-        decision = queue.decide(room_request, rooms, now)
+        decision = queue.decide(wanted, rooms, now)
         if isinstance(decision, Rejected):
             label = str(min(LOWEST_PRIORITY, request.priority))
             self.state.metrics.rejected.labels(decision.reason.value, label).inc()
@@ -58,7 +58,8 @@
             self.state.metrics.waiting_prompts.labels(str(priority)).set(count)
 
 
-def _room_request(request: PlaceRequest, placement: Placement) -> RoomRequest | None:
+def room_request(request: PlaceRequest, expected_prefill_s: float) -> RoomRequest | None:
+    """Return what the queue has to know of a prompt, None if its sender leaves admission to the engines."""
     if request.objective_left_s is None or request.deadline_left_s is None:
         return None
     own_part = request.parts[-1].id if request.parts else ""
@@ -70,7 +71,7 @@
         request.objective_left_s,
         request.deadline_left_s,
         request.waited_s,
-        prefill_s(placement.read, request.tokens),
+        expected_prefill_s,
         # Only repeats of one request have the same last part.
         f"{request.workspace} {own_part}" if own_part else "",
     )
