Choose an engine once for a prompt that waits, and test demand that moves

Cause: each question of a waiting prompt made its router rank all engines again, which costs more than the decision itself, and just then CPU time is short.

Change: a router keeps the first choice with the place, and chooses again on admission only. A load test moves all demand from one of three data halls to another.

The figures of docs/design/admission.md are unchanged on this commit.

--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -37,7 +37,7 @@
     ViewsRequest,
 )
 from stairquay.serving.pacing import count_sent, refund_sent, retry_after_s
-from stairquay.serving.router_admission import RouterAdmission
+from stairquay.serving.router_admission import RouterAdmission, reply_without_room
 from stairquay.serving.saving import choose_with_save_targets
 from stairquay.serving.state import BoxState
 from stairquay.serving.telling import apply_peer_feedback, limit_feedback
@@ -80,19 +80,6 @@
     priority: int = LOWEST_PRIORITY
 
 
-def _reply_without_room(decision: Rejected | Deferred, choice: Choice) -> PlaceReply:
-    """Return the reply to a prompt that gets no room at an engine now."""
-    if isinstance(decision, Rejected):
-        return PlaceReply(come_back_s=decision.retry_after_s, rejected=decision.reason.value, decided=True)
-    return PlaceReply(
-        endpoint=choice.endpoint.id,
-        version=choice.version,
-        backlog_s=choice.backlog_s,
-        again_s=decision.again_s,
-        decided=True,
-    )
-
-
 class LocalRouter:
     """Places prompts and serves views while this box is a router."""
 
@@ -122,17 +109,22 @@
         now = monotonic()
         apply_peer_feedback(self.state, request.said, now)
         backoffs_s = {item.endpoint: item.rest_s for item in request.said if item.rest_s > 0}
-        choice = self._choose(request, backoffs_s)
+        decision, waiting_choice = self.admission.decide_again(request, now)
+        if waiting_choice is not None and isinstance(decision, Rejected | Deferred):
+            return reply_without_room(decision, waiting_choice)
+        admitted = decision.engine if isinstance(decision, Admitted) else ""
+        choice = self._choose(request, backoffs_s, admitted)
         if choice is None or choice.placement is None:
             earliest_retry_s = retry_after_s(
                 self.state, request.service, request.tried, backoffs_s, now, self.random
             )
             return PlaceReply(come_back_s=earliest_retry_s or 0.0)
         decided = request.objective_left_s is not None
-        decision = self.admission.decide(request, choice, now)
+        if not admitted:
+            decision = self.admission.decide(request, choice, now)
         if isinstance(decision, Rejected | Deferred):
-            return _reply_without_room(decision, choice)
-        if isinstance(decision, Admitted) and decision.engine != choice.endpoint.id:
+            return reply_without_room(decision, choice)
+        if not admitted and isinstance(decision, Admitted) and decision.engine != choice.endpoint.id:
             choice = self._choose(request, backoffs_s, decision.engine) or choice
         said = limit_feedback(choice.endpoint, self.state.endpoint_state(choice.endpoint), now)
         most_backlog_s = None if decided else request.most_backlog_s
--- a/stairquay/serving/router_admission.py
+++ b/stairquay/serving/router_admission.py
@@ -2,10 +2,10 @@
 
 from stairquay.core.catalog import LOWEST_PRIORITY
 from stairquay.core.placement import prefill_s
-from stairquay.core.prompt_queue import Decision, PromptQueue, Rejected, RoomRequest
+from stairquay.core.prompt_queue import Decision, Deferred, PromptQueue, Rejected, RoomRequest
 from stairquay.serving.endpoint_choice import Choice
 from stairquay.serving.engine_accounts import EngineAccounts
-from stairquay.serving.messages import PlaceRequest
+from stairquay.serving.messages import PlaceReply, PlaceRequest
 from stairquay.serving.state import BoxState
 
 
@@ -16,6 +16,19 @@
         self.state = state
         self.accounts = accounts
         self.queues_by_service: dict[str, PromptQueue] = {}
+        # The engine that was chosen first for each waiting prompt.
+        self.choices_by_ticket: dict[str, Choice] = {}
+
+    def decide_again(self, request: PlaceRequest, now: float) -> tuple[Decision | None, Choice | None]:
+        """Decide on a prompt that waits here, without another choice of an engine, which costs far more.
+
+        Return the first choice as well. Both are None if the prompt has no place.
+        """
+        choice = self.choices_by_ticket.pop(request.ticket, None)
+        queue = self.queues_by_service.get(request.service)
+        if choice is None or queue is None or request.ticket not in queue.places_by_ticket:
+            return None, None
+        return self._ask_queue(request, choice, queue, now), choice
 
     def decide(self, request: PlaceRequest, choice: Choice, now: float) -> Decision | None:
         """Decide on a prompt.
@@ -34,9 +47,22 @@
         if queue.is_idle(now) and self.accounts.has_room(engine, wanted.tokens, spec, now):
             queue.record_admitted(request.priority, wanted.tokens, now)
             return None
+        return self._ask_queue(request, choice, queue, now)
+
+    def _ask_queue(
+        self, request: PlaceRequest, choice: Choice, queue: PromptQueue, now: float
+    ) -> Decision | None:
+        spec = None if self.state.catalog is None else self.state.catalog.engine_of(request.service)
+        if spec is None or choice.placement is None:
+            return None
+        wanted = room_request(request, prefill_s(choice.placement.read, request.tokens))
+        if wanted is None:
+            return None
         rooms = self.accounts.rooms(request, spec, now)
-        rooms.sort(key=lambda room: room.engine != engine)
+        rooms.sort(key=lambda room: room.engine != choice.endpoint.id)
         decision = queue.decide(wanted, rooms, now)
+        if isinstance(decision, Deferred):
+            self.choices_by_ticket[request.ticket] = choice
         if isinstance(decision, Rejected):
             label = str(min(LOWEST_PRIORITY, request.priority))
             self.state.metrics.rejected.labels(decision.reason.value, label).inc()
@@ -44,16 +70,22 @@
 
     def leave(self, ticket: str) -> None:
         """Give up the place of a prompt that its sender will not ask for again."""
+        self.choices_by_ticket.pop(ticket, None)
         for queue in self.queues_by_service.values():
             queue.leave(ticket)
 
     def observe_metrics(self, now: float) -> None:
-        """Write the number of waiting prompts by priority to the metrics."""
+        """Write the number of waiting prompts by priority to the metrics, and forget expired ones."""
         counts = dict.fromkeys(range(LOWEST_PRIORITY + 1), 0)
         for queue in self.queues_by_service.values():
             queue.is_idle(now)
             for priority, count in queue.waiting_by_priority().items():
                 counts[min(LOWEST_PRIORITY, priority)] += count
+        queues = self.queues_by_service.values()
+        for ticket in list(self.choices_by_ticket):
+            if not any(ticket in queue.places_by_ticket for queue in queues):
+                # Its sender did not ask for its place in time.
+                del self.choices_by_ticket[ticket]
         for priority, count in counts.items():
             self.state.metrics.waiting_prompts.labels(str(priority)).set(count)
 
@@ -75,3 +107,16 @@
         # Only repeats of one request have the same last part.
         f"{request.workspace} {own_part}" if own_part else "",
     )
+
+
+def reply_without_room(decision: Rejected | Deferred, choice: Choice) -> PlaceReply:
+    """Return the reply to a prompt that gets no room at an engine now."""
+    if isinstance(decision, Rejected):
+        return PlaceReply(come_back_s=decision.retry_after_s, rejected=decision.reason.value, decided=True)
+    return PlaceReply(
+        endpoint=choice.endpoint.id,
+        version=choice.version,
+        backlog_s=choice.backlog_s,
+        again_s=decision.again_s,
+        decided=True,
+    )
--- a/tests/loads/admission_model.py
+++ b/tests/loads/admission_model.py
@@ -97,15 +97,19 @@
 
 @dataclass
 class Model:
-    """All of it. impatient: share of callers that retry at once; leaving: share that disconnect early."""
+    """All of it. impatient: share of callers that retry at once; leaving: share that disconnect early.
+
+    halls: data halls, each with a router, its queue and its part of the engines. A prompt's workspace tells
+    its data hall, whose router is asked first; the others are asked where it defers or refuses.
+    """
 
     random: Random
     policy: Policy = wait_at_router
     engine_count: int = 3
+    halls: int = 1
     impatient: float = 0.0
     leaving: float = 0.0
     now: float = 0.0
-    queue: PromptQueue = field(default_factory=PromptQueue)
     prompts: list[Prompt] = field(default_factory=list)
     duration_s_by_priority: dict[int, float] = field(default_factory=dict)
     asked: int = 0
@@ -113,6 +117,7 @@
     numbers: count = field(default_factory=count)
 
     def __post_init__(self) -> None:
+        self.queues = [PromptQueue() for _ in range(self.halls)]
         self.engines = [Engine() for _ in range(self.engine_count)]
         self.accounts = [EngineAccount(SLOTS, MEMORY_TOKENS) for _ in range(self.engine_count)]
 
@@ -171,12 +176,7 @@
             kind.read / PREFILL_TOKENS_PER_S,
             str(prompt.number),
         )
-        rooms = [
-            account.room(str(n), tokens, self.now, kind.priority) for n, account in enumerate(self.accounts)
-        ]
-        # Like placement, prefers the engine that prefills least.
-        rooms.sort(key=lambda room: (self.engines[int(room.engine)].prefill_until, -room.free_slots))
-        match self.policy(self.queue, request, rooms, self.now):
+        match self._ask_routers(request, prompt.workspace):
             case Admitted(engine):
                 self._admit(prompt, int(engine), tokens)
             case Deferred(again_s):
@@ -190,6 +190,25 @@
                 if back_at < prompt.arrived_at + kind.limit_s:
                     self.at(back_at, lambda: self.arrive(prompt))
 
+    def _ask_routers(self, request: RoomRequest, workspace: str) -> Decision:
+        """Ask the router of the own data hall, and the others for a better answer."""
+        home = int(workspace[-1]) if self.halls > 1 else 0
+        answers: list[Decision] = []
+        for hall in sorted(range(self.halls), key=lambda hall: hall != home):
+            rooms = [
+                account.room(str(n), request.tokens, self.now, request.priority)
+                for n, account in enumerate(self.accounts)
+                if n % self.halls == hall
+            ]
+            # Like placement, prefers the engine that prefills least.
+            rooms.sort(key=lambda room: (self.engines[int(room.engine)].prefill_until, -room.free_slots))
+            answers.append(self.policy(self.queues[hall], request, rooms, self.now))
+            if isinstance(answers[-1], Admitted):
+                for other in self.queues:
+                    other.leave(request.ticket)
+                return answers[-1]
+        return next((item for item in answers if isinstance(item, Deferred)), answers[0])
+
     def _admit(self, prompt: Prompt, engine: int, tokens: int) -> None:
         expected_s = self.duration_s_by_priority.get(prompt.kind.priority, RUN_DURATION_S)
         self.accounts[engine].place(str(prompt.number), tokens, expected_s, self.now, prompt.kind.priority)
--- a/tests/loads/test_admission.py
+++ b/tests/loads/test_admission.py
@@ -1,5 +1,5 @@
 """Patterns: a burst beside steady load, two priorities over capacity, a workspace that floods, callers that
-retry at once, capacity that halves for 3 s, callers that disconnect.
+retry at once, capacity that halves for 3 s, callers that disconnect, demand that moves to another data hall.
 
 Figures: three engines with the three kinds of prompts of docs/design/hard-load.md, in shares that the engines
 bear; callers come back when told, within their time limits.
@@ -102,4 +102,20 @@
 def test_callers_that_disconnect_leave_their_places_to_others(seed):
     model = burst(seed, leaving=0.3)
     assert model.share_in_time(REVIEW) > burst(seed).share_in_time(REVIEW) + 0.1
-    assert model.queue.is_idle(model.now + 1.0)
+    assert all(queue.is_idle(model.now + 1.0) for queue in model.queues)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_demand_that_moves_to_another_data_hall_is_followed_within_two_seconds(seed):
+    """All load of three data halls comes from the callers of one, and after 4 s from those of another."""
+    model = Model(Random(seed), engine_count=6, halls=3)
+    for home, start in (("0", 0.0), ("1", 4.0)):
+        model.load(REVIEW, 90, start, start + 4.0, (f"hall-{home}",))
+        model.load(CHAT, 90, start, start + 4.0, (f"hall-{home}",))
+        model.load(CHECK, 180, start, start + 4.0, (f"hall-{home}",))
+    model.run()
+    late = [item for item in model.prompts if not item.in_time and not 4.0 <= item.arrived_at < 6.0]
+    assert len(late) <= 0.01 * len(model.prompts)
+    moved = [item for item in model.prompts if 4.0 <= item.arrived_at < 6.0]
+    assert sum(item.in_time for item in moved) >= 0.97 * len(moved)
+    assert len({item.engine for item in model.of(REVIEW)}) == 6
--- a/tests/test_prompt_queue.py
+++ b/tests/test_prompt_queue.py
@@ -237,6 +237,25 @@
     assert reply.endpoint and not reply.again_s
 
 
+def test_a_router_chooses_an_engine_once_for_a_prompt_that_asks_again(monkeypatch):
+    """Guards against the cost of a choice for each question of a prompt that waits."""
+    local_router = full_router()
+    chosen = []
+    choose = local_router._choose
+    monkeypatch.setattr(local_router, "_choose", lambda *args: chosen.append(args) or choose(*args))
+    replies = [local_router.place(place_request("t0", **times())) for _ in range(4)]
+    assert all(reply.again_s and reply.endpoint == replies[0].endpoint for reply in replies)
+    assert len(chosen) == 1
+
+
+def test_choices_of_prompts_that_ask_no_more_are_forgotten():
+    local_router = full_router()
+    local_router.place(place_request("t0", **times()))
+    assert list(local_router.admission.choices_by_ticket) == ["t0"]
+    local_router.admission.observe_metrics(monotonic() + 1.0)
+    assert not local_router.admission.choices_by_ticket
+
+
 def test_a_sender_that_gives_up_leaves_its_place():
     local_router = full_router()
     local_router.place(place_request("t0", **times()))
