--- a/stairquay/serving/relay.py
+++ b/stairquay/serving/relay.py
@@ -21,9 +21,9 @@
 """Maximum size of an event, which is buffered until it is complete."""
 
 COLLECT_EVENTS_S = 0.02
-"""Seconds in which a busy box collects later events of a stream, to read and write them together. Each event by
-itself wakes the process, which takes more time than all that is done with the event. Within 0.01 s too few
-events come to make up for holding the connection."""
+"""Seconds in which a busy box collects later events of a stream, to read and write them together. Each event
+by itself wakes the process, which takes more time than all that is done with the event. Within 0.01 s too
+few events come to make up for holding the connection."""
 
 EVENTS_PASSED_AT_ONCE = 3
 """First events, which are passed on one by one, so that the first token and short answers are not later."""
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -345,7 +345,7 @@
     replies = AskedRouters(backlog_s=5.0)
     monkeypatch.setattr(chooser, "_place", replies.place)
     job = SimpleNamespace(route=SimpleNamespace(objective_s=OBJECTIVE_S))
-    asyncio.run(chooser._ask_routers(job, None, None, JobProgress()))
+    asyncio.run(chooser._ask_routers(job, None, None, JobProgress(), ""))
     return replies.asked
 
 
