--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -30,7 +30,7 @@
 from stairquay.core.routers import Member
 from stairquay.explain import Logs, explain_request
 from stairquay.serving.event_log import LogEvent
-from stairquay.serving.local_router import LocalRouter
+from stairquay.serving.local_router import PLACEMENT_TTL_S, LocalRouter
 from stairquay.serving.messages import EndedAttempt, FinishedNotice, PlaceRequest, PromptPart, SpeedSample
 from stairquay.serving.notices import MAX_QUEUED_SAMPLES, NoticeSender
 from stairquay.serving.ports import EngineReport
@@ -261,6 +261,17 @@
     assert driven.state.endpoints_by_id["e-2"].speed_samples.prefill.samples
 
 
+def test_a_prompt_whose_end_nobody_reports_leaves_no_trace_after_a_while(driven):
+    """Guards against a box that dies, whose prompts would fill an engine's memory for ever."""
+    request = PlaceRequest("lost", "b-2", "llm", "m", (PromptPart("x", TOKENS),), TOKENS, 20, "", ())
+    endpoint_state = driven.state.endpoints_by_id[driven.router.place(request).endpoint]
+    assert endpoint_state.peak_tokens == TOKENS + 20 and driven.router.speeds.expected_by_ticket
+    driven.now += PLACEMENT_TTL_S + 0.1
+    driven.router._expire(driven.now)
+    assert endpoint_state.peak_tokens == 0 and not endpoint_state.runs_by_part
+    assert not driven.router.speeds.expected_by_ticket
+
+
 def test_a_notice_of_a_box_that_sends_no_samples_is_understood(driven):
     """Guards against boxes of the version before, whose notices have three fields."""
     encoded = msgspec.msgpack.encode([[["t1"]], ["t2"], []])
