Send prompts that share a part to the same engines when no router answers

What callers saw, on boxes with 0.12 of a core: first tokens late, prompts preempted, and shared parts prefilled anew. A box that decides alone has no view of the engines, and drew two of them at random.

Change: the time limit of the question follows the router's answer times, up to 0.3 of the time left to the objective; and a box without a router chooses among the three engines that rendezvous hashing gives the largest shared part, passing over those that have more than their share of its own requests.

--- a/stairquay/serving/endpoint_choice.py
+++ b/stairquay/serving/endpoint_choice.py
@@ -27,8 +27,13 @@
 PREFERRED_SHARE = 0.25
 """Share of a router's engines that a box prefers, to reuse connections before they are closed as idle."""
 
-RANDOM_CANDIDATES = 2
-"""Engines drawn at random by a box without a router (power of two choices)."""
+STANDALONE_CANDIDATES = 3
+"""Engines that a box without a router chooses from. With two, one that gets a hot part has over 1.6 times the
+mean load."""
+
+MAX_STANDALONE_LOAD = 1.5
+"""Factor by which an engine's share of this box's requests may exceed the mean over all engines, so that a
+hot part spreads."""
 
 OUTDATED_AFTER_S = 1.0
 """Seconds after which an engine on a replaced version counts as outdated."""
@@ -95,7 +100,7 @@
         return None
     if prompt is None or engine is None:
         return Choice(_least_busy(state, candidates, now, random))
-    candidates = _routed_or_sampled(state, candidates, random)
+    candidates = _routed_or_standalone(state, candidates, prompt, random)
     placements = _placements(state, catalog, request, prompt, engine, candidates, versions, now)
     if request.has_room is not None:
         placements = _with_room_first(placements, request.has_room)
@@ -155,13 +160,29 @@
     return reporting or not_busy or untried
 
 
-def _routed_or_sampled(state: BoxState, candidates: list[Endpoint], random: Random) -> list[Endpoint]:
-    """Return the engines that this box routes for, or if there are none, a random sample.
+def _routed_or_standalone(
+    state: BoxState, candidates: list[Endpoint], prompt: PromptShape, random: Random
+) -> list[Endpoint]:
+    """Return the engines that this box routes for, or if there are none, a few that suit the prompt.
 
-    By an outdated view, all boxes would choose the same best engine.
+    By an outdated view, all boxes would choose the same best engine. Without a view, all boxes send prompts
+    with the same part to the same few engines, which have it cached then.
     """
     own = [item for item in candidates if item.id in state.routed_engines]
-    return own or random.sample(candidates, min(RANDOM_CANDIDATES, len(candidates)))
+    if own:
+        return own
+    if not prompt.shared:
+        return random.sample(candidates, min(STANDALONE_CANDIDATES, len(candidates)))
+    by_id = {item.id: item for item in _less_used(state, candidates)}
+    largest = max(prompt.shared, key=lambda part: part.tokens)
+    return [by_id[name] for name in rank_owners(largest.id.encode(), by_id, STANDALONE_CANDIDATES)]
+
+
+def _less_used(state: BoxState, candidates: list[Endpoint]) -> list[Endpoint]:
+    """Return the engines that have no more than their share of this box's requests in progress."""
+    in_flight = [state.endpoint_state(item).in_flight for item in candidates]
+    limit = max(1.0, MAX_STANDALONE_LOAD * sum(in_flight) / len(in_flight))
+    return [item for item, count in zip(candidates, in_flight, strict=True) if count < limit]
 
 
 def _preferred_engines(sender: str, candidates: Sequence[Endpoint]) -> frozenset[str]:
--- a/stairquay/serving/endpoint_chooser.py
+++ b/stairquay/serving/endpoint_chooser.py
@@ -44,6 +44,10 @@
 ROUTER_TIMEOUT_S = 0.08
 """Seconds to wait for a router's answer, well below the objectives for a first token."""
 
+ROUTER_TIMEOUT_SHARE = 0.3
+"""Share of the time left to the objective for which a router is waited for whose answers take long. A prompt
+that its box places without a view costs its engine more than that: all its shared parts are prefilled."""
+
 ROUTERS_ASKED = 2
 """Most routers asked for one prompt before the box chooses by itself."""
 
@@ -275,7 +279,12 @@
     async def _ask(self, router: Member, request: PlaceRequest) -> PlaceReply | None:
         if router.id == self.state.settings.id:
             return self.local_router.place(request)
-        answer = await self.links.client_for(router).place(request, ROUTER_TIMEOUT_S)
+        client, asked_at = self.links.client_for(router), monotonic()
+        limit_s = client.place_times.limit_s(ROUTER_TIMEOUT_S, _longest_wait_s(request))
+        answer = await client.place(request, limit_s)
+        took_s = monotonic() - asked_at
+        if answer is not None or took_s >= limit_s:
+            client.place_times.observe(took_s)
         reply = self.links.record_answer(router, answer, "where a prompt runs")
         if reply is not None:
             record_router_lateness(self.state, router.id, reply.late_s)
@@ -366,6 +375,12 @@
     return choice.decided and choice.again_s > 0
 
 
+def _longest_wait_s(request: PlaceRequest) -> float:
+    """Return the seconds for which a router's answer is waited for at most."""
+    left_s = request.objective_left_s
+    return ROUTER_TIMEOUT_S if left_s is None else max(ROUTER_TIMEOUT_S, left_s * ROUTER_TIMEOUT_SHARE)
+
+
 def _choice_from_reply(endpoint: Endpoint, reply: PlaceReply, router: str, ticket: str) -> Choice:
     engine = EngineView(id=endpoint.id, address=endpoint.address, resident=())
     placement = Placement(
--- a/stairquay/serving/links.py
+++ b/stairquay/serving/links.py
@@ -12,6 +12,7 @@
 
 from stairquay.adapters.channels import CHANNEL_OPTIONS
 from stairquay.adapters.program import being_cancelled
+from stairquay.core.answer_times import AnswerTimes
 from stairquay.core.routers import Member
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.messages import (
@@ -95,6 +96,7 @@
 
     def __init__(self, address: str) -> None:
         self.channel = grpc.aio.insecure_channel(address, options=GRPC_OPTIONS)
+        self.place_times = AnswerTimes()
         # Why the last call that failed got no answer.
         self.last_failure = ""
         self._place = self._method("Place", PlaceReply)
