--- a/tests/many_boxes.py
+++ b/tests/many_boxes.py
@@ -41,8 +41,8 @@
 class StubRouter:
     """A router whose replies a test sets.
 
-    silent: it answers no request. place_delay_s: seconds until it replies about a prompt. retry_replies: number of replies that ask the box to retry. first_replies:
-    given before `reply`.
+    silent: it answers no request. place_delay_s: seconds until it replies about a prompt. retry_replies:
+    number of replies that ask the box to retry. first_replies: given before `reply`.
     """
 
     address: str = ""
