Count refusals of boxes without a router

Cause: stairquay_rejected counted the refusals of routers only.

Change: a box that refuses for its own share counts them by reason and priority as well.

--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -48,7 +48,7 @@
         )
         self.rejected = Counter(
             "stairquay_rejected",
-            "Prompts that this router refused while the engines were full",
+            "Prompts that this box refused, as a router or without one, while the engines were full",
             ["reason", "priority"],
             registry=registry,
         )
--- a/stairquay/serving/router_admission.py
+++ b/stairquay/serving/router_admission.py
@@ -63,9 +63,7 @@
         decision = queue.decide(wanted, rooms, now)
         if isinstance(decision, Deferred):
             self.choices_by_ticket[request.ticket] = choice
-        if isinstance(decision, Rejected):
-            label = str(min(LOWEST_PRIORITY, request.priority))
-            self.state.metrics.rejected.labels(decision.reason.value, label).inc()
+        count_rejected(self.state, decision, request.priority)
         return decision
 
     def leave(self, ticket: str) -> None:
@@ -90,6 +88,13 @@
             self.state.metrics.waiting_prompts.labels(str(priority)).set(count)
 
 
+def count_rejected(state: BoxState, decision: Decision, priority: int) -> None:
+    """Count a decision if it refuses a prompt."""
+    if isinstance(decision, Rejected):
+        label = str(min(LOWEST_PRIORITY, priority))
+        state.metrics.rejected.labels(decision.reason.value, label).inc()
+
+
 def room_request(request: PlaceRequest, expected_prefill_s: float) -> RoomRequest | None:
     """Return what the queue has to know of a prompt, None if its sender leaves admission to the engines."""
     if request.objective_left_s is None or request.deadline_left_s is None:
--- a/stairquay/serving/standalone.py
+++ b/stairquay/serving/standalone.py
@@ -5,7 +5,7 @@
 from stairquay.core.prompt_queue import Decision, PromptQueue
 from stairquay.core.room import EngineAccount, MeanDuration, standalone_share
 from stairquay.serving.messages import PlaceRequest
-from stairquay.serving.router_admission import room_request
+from stairquay.serving.router_admission import count_rejected, room_request
 from stairquay.serving.state import BoxState
 
 ASSUMED_RUN_S = 0.3
@@ -39,7 +39,9 @@
         if queue.is_idle(now) and account.has_room(wanted.tokens, now):
             return None
         room = account.room(request.service, wanted.tokens, now, request.priority)
-        return queue.decide(wanted, [room], now)
+        decision = queue.decide(wanted, [room], now)
+        count_rejected(self.state, decision, request.priority)
+        return decision
 
     def place(self, request: PlaceRequest, spec: EngineSpec, now: float) -> None:
         """Count a prompt that is sent without a router."""
--- a/tests/test_standalone.py
+++ b/tests/test_standalone.py
@@ -41,6 +41,7 @@
     assert isinstance(shares.decide(place_request("t4", **times()), spec, now), Deferred)
     late = shares.decide(place_request("t5", **times(objective_left_s=0.05)), spec, now)
     assert isinstance(late, Rejected) and late.retry_after_s > 0
+    assert shares.state.metrics.rejected.labels("objective", "2")._value.get() == 1
     shares.end("t0", True, now + 0.1)
     assert isinstance(shares.decide(place_request("t4", **times()), spec, now + 0.02), Admitted)
 
