--- a/stairquay/serving/router_admission.py
+++ b/stairquay/serving/router_admission.py
@@ -66,9 +66,7 @@
         decision = queue.decide(wanted, rooms, now)
         if isinstance(decision, Deferred):
             self.choices_by_ticket[request.ticket] = choice
-        if isinstance(decision, Rejected):
-            label = str(min(LOWEST_PRIORITY, request.priority))
-            self.state.metrics.rejected.labels(decision.reason.value, label).inc()
+        count_rejected(self.state, decision, request.priority)
         return decision
 
     def leave(self, ticket: str) -> None:
@@ -98,6 +96,13 @@
     return tuple([((scope, part.id), part.tokens) for part in request.parts[:-1]])
 
 
+def count_rejected(state: BoxState, decision: Decision, priority: int) -> None:
+    """Count a decision if it refuses a prompt."""
+    if isinstance(decision, Rejected):
+        label = str(min(LOWEST_PRIORITY, priority))
+        state.metrics.rejected.labels(decision.reason.value, label).inc()
+
+
 def room_request(request: PlaceRequest, expected_prefill_s: float) -> RoomRequest | None:
     """Return what the queue has to know of a prompt, None if its sender leaves admission to the engines."""
     if request.objective_left_s is None or request.deadline_left_s is None:
