--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -11,6 +11,7 @@
 from stairquay.core.call import Dispatch
 from stairquay.core.catalog import engine_priority
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
+from stairquay.serving.attempt_outcome import attempt_outcome, counts_against_endpoint, was_unreachable
 from stairquay.serving.crashes import CrashDetector
 from stairquay.serving.endpoint import BUSY_BACKOFF_S
 from stairquay.serving.endpoint_choice import Choice
@@ -88,7 +89,7 @@
                 # If the caller disconnects, the engine may have prefilled the prompt already.
                 outcome = Outcome.DONE
                 response = await self._attempt(job, choice, progress, request)
-                outcome = _attempt_outcome(response, progress)
+                outcome = attempt_outcome(response, progress)
             finally:
                 self.chooser.finished(choice, outcome, progress.timing)
             if response is not None:
@@ -316,9 +317,9 @@
             started_attempt.endpoint_state.refused_until = now + BUSY_BACKOFF_S
         else:
             progress.runs += 1
-        if _counts_against_endpoint(failure):
+        if counts_against_endpoint(failure):
             started_attempt.endpoint_state.on_outcome(True, now)
-            if _was_unreachable(failure):
+            if was_unreachable(failure):
                 started_attempt.endpoint_state.unreachable_at = now
         if failure.connection_broken:
             self.crashes.connection_broken(job, started_attempt, progress.stream.events)
@@ -371,28 +372,6 @@
     return all_throttled(retry_after_s, progress.ran)
 
 
-def _attempt_outcome(response: web.StreamResponse | None, progress: JobProgress) -> Outcome:
-    """Return what an attempt that has just ended tells about its endpoint."""
-    failure = progress.last
-    if response is not None or failure is None:
-        return Outcome.DONE
-    if failure.ran == ExecutionStatus.NOT_RUN and failure.status:
-        return Outcome.TURNED_AWAY
-    if failure.ran == ExecutionStatus.NOT_RUN:
-        return Outcome.UNREACHED if _was_unreachable(failure) else Outcome.NOT_SENT
-    return Outcome.FAILED if _counts_against_endpoint(failure) else Outcome.DONE
-
-
-def _was_unreachable(failure: SendFailure) -> bool:
-    """Return whether no connection to the endpoint could be made."""
-    return failure.ran == ExecutionStatus.NOT_RUN and not failure.status and _counts_against_endpoint(failure)
-
-
-def _counts_against_endpoint(failure: SendFailure) -> bool:
-    """Return whether a failed attempt counts as its endpoint's failure."""
-    return failure.fault and failure.kind != ErrorKind.DEADLINE
-
-
 def _most_backlog_s(job: Job, progress: JobProgress) -> float | None:
     """Return the backlog in seconds above which a request is shed, None for those that are never shed.
 
--- a/stairquay/serving/endpoint_chooser.py
+++ b/stairquay/serving/endpoint_chooser.py
@@ -15,7 +15,6 @@
 from stairquay.core.engine_speed import is_useful
 from stairquay.core.fleet import Endpoint
 from stairquay.core.limits import UNLIMITED
-from stairquay.core.placement import EngineView, Placement
 from stairquay.core.prompt_queue import MAX_WAIT_SHARE, Deferred, Rejected
 from stairquay.core.routers import Member, routers_for
 from stairquay.serving.endpoint_choice import Choice, ChoiceRequest, HasRoom
@@ -35,6 +34,7 @@
 from stairquay.serving.notices import NoticeSender
 from stairquay.serving.overload import order_by_lateness, record_router_lateness
 from stairquay.serving.pacing import count_sent, retry_after_s
+from stairquay.serving.place_replies import choice_from_reply
 from stairquay.serving.saving import choose_with_save_targets
 from stairquay.serving.standalone import StandaloneShares
 from stairquay.serving.state import BoxState
@@ -235,7 +235,7 @@
         if endpoint is None:
             self.notices.add_ended(router, EndedAttempt(request.ticket, Outcome.NOT_SENT))
             return None
-        return _choice_from_reply(endpoint, reply, router.id, request.ticket)
+        return choice_from_reply(endpoint, reply, router.id, request.ticket)
 
     def _keep_shorter_wait(self, first: Choice | None, second: Choice | None) -> Choice | None:
         """Return the choice with the smaller backlog, and release the other."""
@@ -379,24 +379,3 @@
     """Return the seconds for which a router's answer is waited for at most."""
     left_s = request.objective_left_s
     return ROUTER_TIMEOUT_S if left_s is None else max(ROUTER_TIMEOUT_S, left_s * ROUTER_TIMEOUT_SHARE)
-
-
-def _choice_from_reply(endpoint: Endpoint, reply: PlaceReply, router: str, ticket: str) -> Choice:
-    engine = EngineView(id=endpoint.id, address=endpoint.address, resident=())
-    placement = Placement(
-        engine, reply.fetch_from, reply.reused, reply.fetched, reply.read, reply.first_token_s
-    )
-    return Choice(
-        endpoint=endpoint,
-        version=reply.version,
-        scope=reply.scope,
-        placement=placement,
-        alternative_s=reply.alternative_s,
-        backlog_s=reply.backlog_s,
-        fetch_until_ms=reply.fetch_until_ms,
-        save_to=reply.save_to,
-        router=router,
-        ticket=ticket,
-        again_s=reply.again_s,
-        decided=reply.decided,
-    )
--- /dev/null
+++ b/stairquay/serving/place_replies.py
@@ -0,0 +1,28 @@
+"""Decodes a router's reply about a prompt into the choice of an endpoint."""
+
+from stairquay.core.fleet import Endpoint
+from stairquay.core.placement import EngineView, Placement
+from stairquay.serving.endpoint_choice import Choice
+from stairquay.serving.messages import PlaceReply
+
+
+def choice_from_reply(endpoint: Endpoint, reply: PlaceReply, router: str, ticket: str) -> Choice:
+    """Return the choice of a router, for the attempt with a ticket."""
+    engine = EngineView(id=endpoint.id, address=endpoint.address, resident=())
+    placement = Placement(
+        engine, reply.fetch_from, reply.reused, reply.fetched, reply.read, reply.first_token_s
+    )
+    return Choice(
+        endpoint=endpoint,
+        version=reply.version,
+        scope=reply.scope,
+        placement=placement,
+        alternative_s=reply.alternative_s,
+        backlog_s=reply.backlog_s,
+        fetch_until_ms=reply.fetch_until_ms,
+        save_to=reply.save_to,
+        router=router,
+        ticket=ticket,
+        again_s=reply.again_s,
+        decided=reply.decided,
+    )
