Correct what a frozen struct saves against a frozen data class

The page of the ports said a tenth for both. Measured with timeit for a class of five fields: 1.41 and 1.65 ms to make a frozen data class, 0.031 and 0.032 ms for a struct. An instance takes a tenth, as was said.

--- a/stairquay/platform/polling.py
+++ b/stairquay/platform/polling.py
@@ -1,6 +1,6 @@
 """HTTP client for the small, frequent GET requests by which routers poll engines and store boxes.
 
-A router sends some hundreds a second. A general client takes several times the processor time for each, for
+A router sends some hundreds a second. A general client takes more than twice the processor time for each, for
 redirects, cookies, tracing and streamed bodies, none of which these requests use.
 """
 
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -1,6 +1,7 @@
 """Ports of the box process: the interfaces that adapters of a platform implement.
 
-Their values are frozen msgspec structs, which cost a tenth of frozen data classes at import and on creation.
+Their values are frozen msgspec structs. Compared with a frozen data class, such a class takes a fortieth of
+the time to make at import, and an instance a tenth.
 """
 
 from collections.abc import AsyncIterator, Awaitable, Callable
