Refuse prompts that would only be late for more urgent ones alone, and once

Change: a prompt whose first token would be late but within its time limit is refused only while more urgent prompts take a twentieth of the admitted tokens, and not again when it comes back.

--- a/stairquay/core/prompt_queue.py
+++ b/stairquay/core/prompt_queue.py
@@ -37,6 +37,9 @@
 MIN_LEFT_SHARE = 0.1
 """Smallest share of the capacity assumed to be left by more urgent prompts."""
 
+MIN_URGENT_SHARE = 0.05
+"""Share of the admitted tokens that more urgent prompts take, below which nothing is refused for them."""
+
 MIN_DRAIN_PER_S = 1.0
 """Prompts per second assumed to be admitted while nothing is known of the engines' runs."""
 
@@ -68,7 +71,7 @@
     """It could not be served within its time limit."""
 
     OBJECTIVE = "objective"
-    """Its first token would be late."""
+    """Its first token would be late, and more urgent prompts need the engines."""
 
     SHARE = "share"
     """Its workspace has taken more than its share, and others wait."""
@@ -214,7 +217,7 @@
         drain_per_s = max(MIN_DRAIN_PER_S, sum(room.ends_per_s for room in rooms))
         left_share = max(MIN_LEFT_SHARE, 1 - self._urgent_share(request.priority, now))
         start_s = max(soonest.free_in_s, (rank + 1) / drain_per_s) / left_share
-        reason = self._reason_to_refuse(request, start_s)
+        reason = self._reason_to_refuse(request, start_s, now)
         if reason is not None and not self.order and _mostly_free(rooms):
             return self._admit(request, now, Admitted(soonest.engine, queued=True))
         if reason is not None:
@@ -286,14 +289,20 @@
         shares = self.shares_by_priority.get(request.priority, Shares())
         return tag > shares.now + request.tokens
 
-    def _reason_to_refuse(self, request: RoomRequest, start_s: float) -> Reason | None:
+    def _reason_to_refuse(self, request: RoomRequest, start_s: float, now: float) -> Reason | None:
+        """Return why a prompt should not run, None if it should.
+
+        A late answer is better than none: a prompt that would only be late is refused for the sake of more
+        urgent ones alone, and once.
+        """
         first_token_s = start_s + request.prefill_s
         if first_token_s > request.deadline_left_s:
             return Reason.DEADLINE
-        known = request.digest in self.refused_until_by_digest
-        if first_token_s > request.objective_left_s * (1.0 if known else IN_TIME_SHARE):
-            return Reason.OBJECTIVE
-        return None
+        urgent_share = self._urgent_share(request.priority, now)
+        if request.digest in self.refused_until_by_digest or urgent_share < MIN_URGENT_SHARE:
+            return None
+        late = first_token_s > request.objective_left_s * IN_TIME_SHARE
+        return Reason.OBJECTIVE if late else None
 
     def _admit(self, request: RoomRequest, now: float, admitted: Admitted) -> Admitted:
         place = self._remove(request.ticket)
