--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import structs
 
 from stairquay.core.cold import ColdLimit
 from stairquay.core.engine_speed import (
@@ -253,7 +254,7 @@
 
 def test_prompts_on_a_cold_engine_yield_no_sample(driven):
     """Guards against the slowness of a start that is taken for the engine's own, and lasts beyond it."""
-    service = replace(CATALOG.services_by_id["llm"], cold=ColdLimit(1_000.0, 2.0))
+    service = structs.replace(CATALOG.services_by_id["llm"], cold=ColdLimit(1_000.0, 2.0))
     driven.state.catalog = replace(CATALOG, services_by_id={"llm": service})
     driven.state.endpoints_by_id["e-1"].cold_until = driven.now + 60.0
     driven.run_prompts(slow="e-1")
@@ -265,10 +266,10 @@
     """Guards against a box that dies, whose prompts would fill an engine's memory for ever."""
     request = PlaceRequest("lost", "b-2", "llm", "m", (PromptPart("x", TOKENS),), TOKENS, 20, "", ())
     endpoint_state = driven.state.endpoints_by_id[driven.router.place(request).endpoint]
-    assert endpoint_state.peak_tokens == TOKENS + 20 and driven.router.speeds.expected_by_ticket
+    assert endpoint_state.memory.peak_tokens == TOKENS + 20 and driven.router.speeds.expected_by_ticket
     driven.now += PLACEMENT_TTL_S + 0.1
     driven.router._expire(driven.now)
-    assert endpoint_state.peak_tokens == 0 and not endpoint_state.runs_by_part
+    assert endpoint_state.memory.peak_tokens == 0 and not endpoint_state.runs_by_part
     assert not driven.router.speeds.expected_by_ticket
 
 
