--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -269,7 +269,7 @@
     assert endpoint_state.memory.peak_tokens == TOKENS + 20 and driven.router.speeds.expected_by_ticket
     driven.now += PLACEMENT_TTL_S + 0.1
     driven.router._expire(driven.now)
-    assert endpoint_state.memory.peak_tokens == 0 and not endpoint_state.runs_by_part
+    assert endpoint_state.memory.peak_tokens == 0 and not endpoint_state.memory.runs_by_part
     assert not driven.router.speeds.expected_by_ticket
 
 
