Predict when an engine is free from what its unknown runs leave

Cause: runs that an engine reports and that its router did not place were taken to end at 0.5 a second and to go before every prompt, so that a router that had just taken an engine over refused prompts that the engine would have started at once ("not admitted for its deadline"). test_box_state's test of shedding failed for it in the whole run: the urgent prompt got 503.

Change: such runs end as long requests do, and only the least urgent prompts go behind those of them that are queued.

--- a/stairquay/core/room.py
+++ b/stairquay/core/room.py
@@ -27,6 +27,9 @@
 MIN_ENDS_PER_S = 0.5
 """Ends of runs per second assumed for an engine of whose runs nothing is known."""
 
+UNKNOWN_RUN_S = 2.5
+"""Seconds that a run is assumed to last that was not placed here: those of a long request."""
+
 
 @dataclass(frozen=True)
 class Room:
@@ -169,10 +172,18 @@
         self.expire(now)
         return self.slots > self.taken and self._free_tokens() >= peak_tokens
 
-    def room(self, engine: str, peak_tokens: int, now: float, priority: int = LOWEST_PRIORITY) -> Room:
+    def room(
+        self,
+        engine: str,
+        peak_tokens: int,
+        now: float,
+        priority: int = LOWEST_PRIORITY,
+        after_unknown: bool = True,
+    ) -> Room:
         """Return what is left for a prompt that needs a slot and `peak_tokens` of memory.
 
-        priority: of the prompt, which the engine starts before less urgent ones of its queue.
+        priority: of the prompt, which the engine starts before less urgent ones of its queue. after_unknown:
+        whether the runs in the queue that were not placed here start before it, too.
         """
         self.expire(now)
         free_slots = self.slots - self.taken
@@ -180,13 +191,13 @@
         free_in_s = 0.0
         self._running()
         if free_slots < 1 or free_tokens < peak_tokens:
-            free_in_s = self._free_in_s(peak_tokens, priority, now)
+            free_in_s = self._free_in_s(peak_tokens, priority, after_unknown, now)
         return Room(
             engine,
             max(0, free_slots),
             max(0.0, free_tokens),
             free_in_s,
-            self.ends_per_s,
+            self._ends_per_s(),
             self.slots,
             len(self.queue),
         )
@@ -220,12 +231,18 @@
             self.ends_per_s = len(running) ** 2 / max(MIN_LEFT_S, expected_s) if running else 0.0
         return self.running_by_end
 
-    def _free_in_s(self, peak_tokens: int, priority: int, now: float) -> float:
+    def _ends_per_s(self) -> float:
+        """Return the predicted ends of runs per second, with those of runs that were not placed here."""
+        return self.ends_per_s + min(self.slots, self.unknown_runs) / UNKNOWN_RUN_S
+
+    def _free_in_s(self, peak_tokens: int, priority: int, after_unknown: bool, now: float) -> float:
         """Return the seconds until a prompt can start, infinite if the engine is too small for it."""
         if 0 < self.memory_tokens < peak_tokens:
             return inf
         ahead = [self.runs_by_ticket[ticket] for first, _, ticket in self.queue if first <= priority]
         missing_slots = len(ahead) + 1 - (self.slots - self.taken + len(self.queue))
+        if not after_unknown:
+            missing_slots -= max(0, self.unknown_runs - self.slots)
         needed_tokens = sum(run.added_tokens for run in ahead) + peak_tokens
         missing_tokens = needed_tokens - self._free_tokens() - self.queued_tokens
         free_in_s = MIN_LEFT_S
@@ -236,7 +253,7 @@
             missing_tokens -= run.added_tokens
             free_in_s = max(free_in_s, run.ends_at - now)
         # More are ahead than run now. Each run that is ahead frees its slot in turn.
-        return free_in_s + max(0, missing_slots) / max(MIN_ENDS_PER_S, self.ends_per_s)
+        return free_in_s + max(0, missing_slots) / max(MIN_ENDS_PER_S, self._ends_per_s())
 
     def _older_than(self, at: float) -> Iterator[tuple[str, CountedRun]]:
         for ticket, run in self.runs_by_ticket.items():
--- a/stairquay/serving/engine_accounts.py
+++ b/stairquay/serving/engine_accounts.py
@@ -41,11 +41,13 @@
         parts: those that other runs may share.
         """
         peak_tokens = request.tokens + request.max_output
+        # Only the least urgent prompts may be shed for a backlog; all others pass some of an engine's queue.
+        after_unknown = request.most_backlog_s is not None
 
         def room(endpoint: Endpoint) -> Room:
             account = self._account(endpoint, spec)
             needed_tokens = peak_tokens - account.memory.tokens_in_use(parts)
-            return account.room(endpoint.id, needed_tokens, now, request.priority)
+            return account.room(endpoint.id, needed_tokens, now, request.priority, after_unknown)
 
         return [
             room(endpoint)
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -52,6 +52,14 @@
     assert account.room("e", 1_000_000, 0.0).free_in_s == 0.0
 
 
+def test_a_router_that_takes_an_engine_over_does_not_take_its_queue_for_endless():
+    """Guards against refusals of all prompts after a change of routers, whose runs nobody else counts."""
+    account = EngineAccount(8, 100_000)
+    account.on_report(40, 50_000, 100_000, 0.0)
+    assert account.room("e", 1_000, 0.1).free_in_s < 33 * 2.5 / 8 + 0.1
+    assert account.room("e", 1_000, 0.1, after_unknown=False).free_in_s < 2.5 / 8 + 0.1
+
+
 def test_a_box_that_dies_keeps_its_placements_counted_until_two_reports_lack_them():
     account = full_account()
     account.on_report(4, 400, 10_000, 1.0)
