--- a/stairquay/core/placement.py
+++ b/stairquay/core/placement.py
@@ -42,8 +42,7 @@
 """Seconds lost when an endpoint fails a request: about one objective."""
 
 NEW_CONNECTION_PENALTY_S = 0.008
-"""Seconds added for an engine to which the sender probably has no open connection. Opening one is charged
-like a few hundredths of a prompt."""
+"""Seconds added for an engine to which the sender probably has no open connection."""
 
 OTHER_HALL_PENALTY_S = 0.002
 """Seconds added for an endpoint in another data hall: one round trip."""
