--- a/tests/test_statements_held.py
+++ b/tests/test_statements_held.py
@@ -129,7 +129,7 @@
     def retry_after_backoff_s(self, job: Job) -> float | None:
         return None
 
-    def finished(self, choice: Choice, outcome: Outcome) -> None:
+    def finished(self, choice: Choice, outcome: Outcome, timing=None) -> None:
         assert outcome == Outcome.NOT_SENT
 
     async def send(self, call, body, dispatch, attempt, guard, wait_s) -> Err[SendFailure]:
