--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -24,8 +24,8 @@
 from logging import getLogger
 from stairquay.box import configure_logging
 configure_logging()
-getLogger("a.library").info("it began")
-getLogger("a.library").info("it goes on")
+getLogger("a.module").info("it began")
+getLogger("a.module").info("it goes on")
 getLogger("transitions.core").info("every state")
 """
 
