Let a box without a router keep to its share with late prompts too

Change: its queue refuses late prompts as before; routers, which keep the accounts, follow the newer rule. 58 tests of shares, queue, loads and box passed.

--- a/stairquay/core/prompt_queue.py
+++ b/stairquay/core/prompt_queue.py
@@ -186,9 +186,13 @@
 
 
 class PromptQueue:
-    """The queue of one service at one router."""
+    """The queue of one service at one router.
 
-    def __init__(self) -> None:
+    refuses_late: also refuse prompts that would only be late if nothing more urgent needs the engines.
+    """
+
+    def __init__(self, refuses_late: bool = False) -> None:
+        self.refuses_late = refuses_late
         self.places_by_ticket: dict[str, Place] = {}
         self.order: list[Key] = []
         # When to look at each place again: a time at or before its expiry.
@@ -298,12 +302,16 @@
         first_token_s = start_s + request.prefill_s
         if first_token_s > request.deadline_left_s:
             return Reason.DEADLINE
-        urgent_share = self._urgent_share(request.priority, now)
-        if request.digest in self.refused_until_by_digest or urgent_share < MIN_URGENT_SHARE:
+        if not self.refuses_late and not self._is_late_refused(request, now):
             return None
         late = first_token_s > request.objective_left_s * IN_TIME_SHARE
         return Reason.OBJECTIVE if late else None
 
+    def _is_late_refused(self, request: RoomRequest, now: float) -> bool:
+        """Tell whether a prompt is refused if it would be late."""
+        known = request.digest in self.refused_until_by_digest
+        return not known and self._urgent_share(request.priority, now) >= MIN_URGENT_SHARE
+
     def _admit(self, request: RoomRequest, now: float, admitted: Admitted) -> Admitted:
         place = self._remove(request.ticket)
         if place is not None:
--- a/stairquay/serving/standalone.py
+++ b/stairquay/serving/standalone.py
@@ -35,7 +35,8 @@
         wanted = room_request(request, UNKNOWN_PREFILL_S)
         if wanted is None:
             return None
-        queue = self.queues_by_service.setdefault(request.service, PromptQueue())
+        # Late prompts would otherwise exceed the share, on which the other boxes rely.
+        queue = self.queues_by_service.setdefault(request.service, PromptQueue(refuses_late=True))
         if queue.is_idle(now) and account.has_room(wanted.tokens, now):
             return None
         room = account.room(request.service, wanted.tokens, now, request.priority)
