Log the software version of endpoints and what a request takes up

The logs of the incident told neither which version an endpoint has nor that a request takes a stream up, so that streams carried on within an answer could not be told from those taken up by callers, nor both from a list that is late. Entries' `version` and callers' `Resumes` are read now, and stand in the lines `endpoints` and `sent`. Nothing is decided by them. Entries of any shape stay typed (test_entries, property).

--- a/stairquay/core/call.py
+++ b/stairquay/core/call.py
@@ -44,7 +44,8 @@
     """One request of a caller.
 
     headers: the caller's headers to pass on to the endpoint. key: the API key, a secret. time_left_s: how
-    long the caller waits. resume_after: the last event that the caller received of an earlier answer.
+    long the caller waits. resume_after: the last event that the caller received of an earlier answer. resumes:
+    id of the request that brought the first event of that stream.
     forwarded_attempts: endpoints that it may be sent to if another box passed it on, None from a caller.
     """
 
@@ -58,6 +59,7 @@
     time_left_s: float | None = None
     prompt: PromptShape | None = None
     resume_after: str | None = None
+    resumes: str | None = None
     forwarded_attempts: int | None = None
 
 
--- a/stairquay/core/fleet.py
+++ b/stairquay/core/fleet.py
@@ -34,7 +34,7 @@
 
     born: Unix milliseconds of its start, which identify the incarnation; 0 if unknown. sequence: counts
     the entries written by this incarnation. cold, cold_s: it takes reduced load, for this many more
-    seconds. Fields that change with every heartbeat are not compared, so that heartbeats alone are not
+    seconds. software: the version of its software, not of its weights; empty if its entry names none. Fields that change with every heartbeat are not compared, so that heartbeats alone are not
     broadcast.
     """
 
@@ -49,6 +49,7 @@
     sequence: int = field(default=0, compare=False)
     cold: bool = False
     cold_s: float = field(default=0.0, compare=False)
+    software: str = ""
 
     def is_older(self, other: "Endpoint") -> bool:
         """Tell whether this entry was written before another one with the same id, by incarnation, then by
--- a/stairquay/platform/callers.py
+++ b/stairquay/platform/callers.py
@@ -21,6 +21,7 @@
     PARTS,
     REQUEST_ID,
     RESERVED_HEADERS,
+    RESUMES,
     RETRY_AFTER,
     TIME_LEFT,
     TOKENS,
@@ -53,6 +54,8 @@
         time_left_s = _parse_time_left(headers.get(TIME_LEFT))
         if isinstance(time_left_s, Err):
             return time_left_s
+        if len(headers.get(RESUMES, "")) > MAX_ID_CHARS:
+            return _malformed(f"{RESUMES} is too long")
         prompt = _parse_prompt(headers.get(MODEL), headers.get(TOKENS), headers.get(PARTS))
         if isinstance(prompt, Err):
             return prompt
@@ -68,6 +71,7 @@
                 time_left_s=time_left_s.ok_value,
                 prompt=prompt.ok_value,
                 resume_after=headers.get(LAST_EVENT_ID),
+                resumes=headers.get(RESUMES) or None,
                 forwarded_attempts=_parse_attempts(headers.get(FORWARDED)),
             )
         )
--- a/stairquay/platform/feeds.py
+++ b/stairquay/platform/feeds.py
@@ -157,6 +157,7 @@
     sequence: int = 0
     born: int = 0
     models: list[WireModel] = []
+    version: str | int | float | None = None
 
 
 class Feeds:
@@ -267,6 +268,7 @@
         sequence=entry.sequence,
         cold=cold_s > 0,
         cold_s=cold_s,
+        software="" if entry.version is None else str(entry.version),
     )
 
 
--- a/stairquay/platform/names.py
+++ b/stairquay/platform/names.py
@@ -35,6 +35,9 @@
 
 DATE = "Date"
 LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Resumes"
+"""From a caller that takes a stream up again: the id of its request that brought the first event."""
+
 MODEL = "Model"
 TOKENS = "Token-Usage"
 """Tokens of the prompt and maximum tokens of the response, separated by a comma."""
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -265,8 +265,13 @@
     after = _status_by_id(state, affected)
     for endpoint_id, status in after.items():
         if before.get(endpoint_id) != status:
+            software = {"software": version} if (version := state.fleet.by_id[endpoint_id].software) else {}
             state.log.line(
-                LogEvent.ENDPOINTS, endpoint=endpoint_id, standing=status, revision=changes.revision
+                LogEvent.ENDPOINTS,
+                endpoint=endpoint_id,
+                standing=status,
+                revision=changes.revision,
+                **software,
             )
     for endpoint_id in before.keys() - after.keys():
         state.log.line(LogEvent.ENDPOINTS, endpoint=endpoint_id, standing="gone", revision=changes.revision)
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -47,6 +47,11 @@
     limit_per_s = limit_of(state.endpoint_state(choice.endpoint))
     if limit_per_s < UNLIMITED:
         fields["limit_per_s"] = limit_per_s
+    if choice.endpoint.software:
+        fields["software"] = choice.endpoint.software
+    after = progress.stream.last_event_id or job.call.resume_after
+    if after is not None:
+        fields.update(resume_after=after, resumes=job.call.resumes)
     if choice.placement is not None:
         fields.update(_placement_fields(state, choice, choice.placement))
     if choice.version is not None and job.call.prompt is not None:
--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -196,6 +196,7 @@
     hall: str = "hall-a"
     born: int = 0
     cold_ms: int = 0
+    software: str | int | None = None
     report_requests: int = 0
     received: list[ReceivedRequest] = field(default_factory=list)
     arrivals: list[tuple[float, str]] = field(default_factory=list)
@@ -225,6 +226,7 @@
             "sequence": 1,
             "cold_remaining_ms": self.cold_ms,
             **self._birth(),
+            **({} if self.software is None else {"version": self.software}),
         }
 
     def _birth(self) -> dict[str, int]:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -27,7 +27,7 @@
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(TEXTS, inner, max_size=3),
     max_leaves=5,
 )
-FIELDS = sorted({*VALID_ENTRY, "models", "cold_remaining_ms", "sequence"})
+FIELDS = sorted({*VALID_ENTRY, "models", "cold_remaining_ms", "sequence", "version"})
 ENTRIES = st.dictionaries(st.sampled_from(FIELDS), VALUES).map(
     lambda overrides: json.dumps({**VALID_ENTRY, **overrides}).encode()
 )
@@ -49,6 +49,7 @@
     assert set(changes.gone) == changes.unreadable.keys()
     for endpoint in changes.present:
         assert isinstance(endpoint.born, int) and isinstance(endpoint.service, str)
+        assert isinstance(endpoint.software, str)
         assert 0 <= endpoint.cold_s <= 60 and endpoint.cold == (endpoint.cold_s > 0)
 
 
