--- a/stairquay/core/call.py
+++ b/stairquay/core/call.py
@@ -44,9 +44,9 @@
     """One request of a caller.
 
     headers: the caller's headers to pass on to the endpoint. key: the API key, a secret. time_left_s: how
-    long the caller waits. resume_after: the last event that the caller received of an earlier answer. resumes:
-    id of the request that brought the first event of that stream.
-    forwarded_attempts: endpoints that it may be sent to if another box passed it on, None from a caller.
+    long the caller waits. resume_after: the last event that the caller received of an earlier answer.
+    resumes: id of the request that brought the first event of that stream. forwarded_attempts: endpoints
+    that it may be sent to if another box passed it on, None from a caller.
     """
 
     id: str
--- a/stairquay/core/fleet.py
+++ b/stairquay/core/fleet.py
@@ -34,7 +34,8 @@
 
     born: Unix milliseconds of its start, which identify the incarnation; 0 if unknown. sequence: counts
     the entries written by this incarnation. cold, cold_s: it takes reduced load, for this many more
-    seconds. software: the version of its software, not of its weights; empty if its entry names none. Fields that change with every heartbeat are not compared, so that heartbeats alone are not
+    seconds. software: the version of its software, not of its weights; empty if its entry names none.
+    Fields that change with every heartbeat are not compared, so that heartbeats alone are not
     broadcast.
     """
 
--- a/tests/many_boxes.py
+++ b/tests/many_boxes.py
@@ -192,10 +192,17 @@
 
 
 @asynccontextmanager
-async def several_boxes(count: int, module: str = "stairquay") -> AsyncIterator[list[Site]]:
-    """Start boxes that share one table service, five engines and three plain endpoints."""
+async def several_boxes(
+    count: int, module: str = "stairquay", engines: int = 5, software: tuple[str, ...] = ()
+) -> AsyncIterator[list[Site]]:
+    """Start boxes that share one table service, some engines and three plain endpoints.
+
+    software: as for site().
+    """
     bounds = {"budget_window_s": 2, "budget_slack": 400}
-    async with site(ready=False, plain=3, engines=5, module=module, **bounds) as first:
+    async with site(
+        ready=False, plain=3, engines=engines, module=module, software=software, **bounds
+    ) as first:
         boxes = [first]
         with tempfile.TemporaryDirectory() as folder:
             try:
--- a/tests/site.py
+++ b/tests/site.py
@@ -291,13 +291,19 @@
     limits: dict[str, int] | None = None,
     halls: tuple[str, ...] = ("hall-a",),
     module: str = "stairquay",
+    software: tuple[str, ...] = (),
     **bounds: float,
 ) -> AsyncIterator[Site]:
-    """Run a box and its stand-ins. The endpoints of a service are spread over the data halls in turn."""
+    """Run a box and its stand-ins. The endpoints of a service are spread over the data halls in turn.
+
+    software: versions that the engines have in turn.
+    """
     endpoints = [Endpoint(id=f"p-{number}", service="plain") for number in range(plain)]
     endpoints += [Endpoint(id=f"e-{number}", service="llm", model=MODEL) for number in range(engines)]
     for endpoint in endpoints:
         endpoint.hall = halls[int(endpoint.id.partition("-")[2]) % len(halls)]
+    for number, engine in enumerate(item for item in endpoints if item.model and software):
+        engine.software = software[number % len(software)]
     with tempfile.TemporaryDirectory() as folder:
         boxes = [StoreBox() for _ in range(stores)]
         made = Site(
--- /dev/null
+++ b/tests/streams.py
@@ -0,0 +1,78 @@
+"""Callers that leave streams and take them up again, and the versions that their events came from."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from tests.site import HOST, KEY, MODEL, Site
+from tests.standins.endpoints import Endpoint
+
+EVENTS = 12
+EVENT_S = 0.04
+
+
+@dataclass
+class Stream:
+    """A caller's stream over several tries. ids: of the tries; the first is the one that brought event 1."""
+
+    ids: list[str] = field(default_factory=list)
+    events: list[int] = field(default_factory=list)
+    statuses: list[int] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+    complete: bool = False
+
+    async def take(self, box: Site, call_id: str, leave_after: int | None = None, path: str = "/again/x"):
+        """Begin the stream at a box or take it up there, and leave after the event with that number."""
+        headers = {"Host": HOST, "Request-Id": call_id, "Deadline-Ms": "8000"}
+        headers |= {"Authorization": f"Bearer {KEY}", "Model": MODEL, "Token-Usage": "900,20"}
+        if self.events:
+            headers |= {"Last-Event-Id": str(self.events[-1]), "Resumes": self.ids[0]}
+        self.ids.append(call_id)
+        # No two streams share a part, so that they spread over the engines.
+        headers["Prompt-Prefix"] = f"a{self.ids[0]}:500,b{self.ids[0]}:300,c{self.ids[0]}:100"
+        self.statuses.append(0)
+        self.bodies.append(b"")
+        timeout = ClientTimeout(total=20)
+        try:
+            async with (
+                ClientSession(timeout=timeout) as session,
+                session.post(f"http://{box.front}{path}", headers=headers, data=b"a prompt") as response,
+            ):
+                self.statuses[-1] = response.status
+                async for line in response.content:
+                    self.bodies[-1] += line
+                    if response.status == 200 and line.startswith(b"id: "):
+                        self.events.append(int(line[4:]))
+                    if leave_after is not None and self.events and self.events[-1] >= leave_after:
+                        return
+                self.complete = response.status == 200
+        except ClientError:
+            return
+
+    def is_whole(self) -> bool:
+        return self.complete and self.events == list(range(1, EVENTS + 1))
+
+
+def slow_streams(engines: list[Endpoint]) -> None:
+    for engine in engines:
+        engine.event_count, engine.event_s = EVENTS, EVENT_S
+
+
+def software_by_request(endpoints: list[Endpoint]) -> dict[str, list[str]]:
+    """Return the versions of the engines that ran each request, by its id."""
+    found: dict[str, list[str]] = defaultdict(list)
+    for endpoint in endpoints:
+        for item in endpoint.received:
+            found[item.id].append(str(endpoint.software))
+    return found
+
+
+def software_of(stream: Stream, endpoints: list[Endpoint]) -> set[str]:
+    by_request = software_by_request(endpoints)
+    return {version for call_id in stream.ids for version in by_request.get(call_id, [])}
+
+
+def mixed(streams: list[Stream], endpoints: list[Endpoint]) -> list[list[str]]:
+    """Return the tries of the streams that ran at engines of several versions."""
+    return [stream.ids for stream in streams if len(software_of(stream, endpoints)) > 1]
