Go on with a broken stream only at the software version that began it

What callers saw: an answer that holds events of two versions (66 s of the record: v1.1, then v1.2). Cause: a box that sends a broken stream on excludes the endpoints that it tried, and takes any other. Why this works: the origin of a stream (service, endpoint, version) is set as its first event is passed on, from the entry that the request was sent by; endpoints of other versions count as tried, here and at routers, and are checked once more before the first byte. A version that no usable endpoint has any more is refused at once, or the stream is cut, and the caller may begin anew. Entries: a version named late is taken, one that is no longer named is kept within a life, and an endpoint whose entry names another one than before makes its streams unresumable, as it may have run the newer one before its entry said so. Entries that name no version: their streams go on at the same endpoint, or anywhere if no entry of the service names one.

--- a/stairquay/core/errors.py
+++ b/stairquay/core/errors.py
@@ -35,6 +35,7 @@
     ENDPOINTS_UNREACHED = "endpoints_unreached"
     ENDPOINT_FAILED = "endpoint_failed"
     QUARANTINED = "quarantined"
+    STREAM_UNRESUMABLE = "stream_unresumable"
     ENDPOINT_GARBAGE = "endpoint_garbage"
     DEADLINE = "deadline_exceeded"
     CONFLICT = "conflict"
@@ -107,6 +108,9 @@
     ErrorKind.QUARANTINED: ErrorResponse(
         503, SERVER_ERROR, "Endpoints crashed each time that they ran this request", retry=True
     ),
+    ErrorKind.STREAM_UNRESUMABLE: ErrorResponse(
+        503, SERVER_ERROR, "This stream can't be continued and has to begin anew", retry=True
+    ),
     ErrorKind.ENDPOINT_GARBAGE: ErrorResponse(
         502, SERVER_ERROR, "The endpoint's answer was not valid", retry=True
     ),
--- a/stairquay/core/fleet.py
+++ b/stairquay/core/fleet.py
@@ -94,6 +94,9 @@
             known = self.by_id.get(endpoint.id)
             if known is not None and endpoint.is_older(known):
                 continue
+            if known is not None and not endpoint.software and endpoint.born == known.born:
+                # The version of a running process does not change.
+                endpoint = replace(endpoint, software=known.software)
             if endpoint.leaving:
                 self.mark_leaving(endpoint.id, endpoint.born, now)
             elif self.is_leaving(endpoint):
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -37,6 +37,7 @@
 from stairquay.serving.local_router import LocalRouter
 from stairquay.serving.notices import NoticeSender
 from stairquay.serving.orders import RolloutController
+from stairquay.serving.origins import OriginTracker
 from stairquay.serving.overload import measure_lateness
 from stairquay.serving.ports import Ports
 from stairquay.serving.reach import probe_lost_services
@@ -89,7 +90,8 @@
     chooser = Chooser(state, links, router, notices, rng)
     crash_detector = CrashDetector(state, surroundings.peers)
     forwarder = Forwarder(state, surroundings.boxes, rng)
-    dispatcher = Dispatcher(state, surroundings.endpoints, chooser, crash_detector, forwarder)
+    origins = OriginTracker(state)
+    dispatcher = Dispatcher(state, surroundings.endpoints, chooser, crash_detector, forwarder, origins)
     front = Frontend(state, surroundings.callers, dispatcher, rng)
     tasks = BackgroundTasks()
     tasks_by_name = background_tasks(state, surroundings, links, router, notices, rng)
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -20,6 +20,7 @@
 from stairquay.serving.forwarding import Forwarder, unreached_refusal
 from stairquay.serving.jobs import Job, JobProgress, StartedAttempt, attempt_timing
 from stairquay.serving.messages import Outcome
+from stairquay.serving.origins import OriginTracker, may_use
 from stairquay.serving.ports import IncompleteResponseError, Reply, RequestSender, SendFailure
 from stairquay.serving.reach import record_reached, record_unreached
 from stairquay.serving.records import (
@@ -73,12 +74,14 @@
         chooser: Chooser,
         crashes: CrashDetector,
         forwarder: Forwarder,
+        origins: OriginTracker,
     ) -> None:
         self.state = state
         self.endpoints = endpoints
         self.chooser = chooser
         self.crashes = crashes
         self.forwarder = forwarder
+        self.origins = origins
 
     async def run(self, job: Job, request: web.BaseRequest) -> Result[web.StreamResponse, Refusal]:
         """Run a job to its end. Return the response, already sent if it is a stream, or a refusal."""
@@ -149,6 +152,9 @@
             return Refusal(ErrorKind.DEADLINE, progress.ran)
         if not self._keys_fresh(job):
             return Refusal(ErrorKind.NOT_READY, progress.ran, "the configuration's view is too old")
+        version_gone = self.origins.refuses(job, progress)
+        if version_gone is not None:
+            return version_gone
         if self.forwarder.refuses(job, progress):
             return unreached_refusal(progress.ran)
         quarantined_s = self._quarantined_s(job)
@@ -254,7 +260,11 @@
         def guard() -> bool:
             if not self._keys_fresh(job) or job.deadline <= monotonic() or self._quarantined_s(job) > 0:
                 return False
-            if not takes_work(self.state, started_attempt.choice.endpoint) or is_backing_off(
+            endpoint = started_attempt.choice.endpoint
+            listed = self.state.fleet.by_id.get(endpoint.id, endpoint)
+            if not may_use(self.state, progress, listed):
+                return False
+            if not takes_work(self.state, endpoint) or is_backing_off(
                 started_attempt.endpoint_state, monotonic()
             ):
                 return False
@@ -293,7 +303,7 @@
                 reply,
                 progress.stream,
                 job.deadline,
-                on_first_event=lambda: self._on_first_output(job, started_attempt),
+                on_first_event=lambda: self._on_first_event(job, started_attempt, progress),
                 should_close=self.state.should_close_connections,
                 may_collect=lambda: self.state.load.is_busy,
             )
@@ -341,6 +351,10 @@
         self._on_failed(job, started_attempt, progress, failure)
         return True
 
+    def _on_first_event(self, job: Job, started_attempt: StartedAttempt, progress: JobProgress) -> None:
+        self.origins.begun(job, progress, started_attempt.choice.endpoint)
+        self._on_first_output(job, started_attempt)
+
     def _on_first_output(self, job: Job, started_attempt: StartedAttempt) -> None:
         if started_attempt.first_byte_at is not None:
             return
--- a/stairquay/serving/endpoint_chooser.py
+++ b/stairquay/serving/endpoint_chooser.py
@@ -32,6 +32,7 @@
     SpeedSample,
 )
 from stairquay.serving.notices import NoticeSender
+from stairquay.serving.origins import excluded_ids, may_use
 from stairquay.serving.overload import order_by_lateness, record_router_lateness
 from stairquay.serving.pacing import count_sent, retry_after_s
 from stairquay.serving.place_replies import choice_from_reply
@@ -235,7 +236,7 @@
                 progress.retry_after_s = min(reply.come_back_s, progress.retry_after_s or reply.come_back_s)
             return None
         endpoint = self._usable_endpoint(reply, prompt)
-        if endpoint is None:
+        if endpoint is None or not may_use(self.state, progress, endpoint):
             self.notices.add_ended(router, EndedAttempt(request.ticket, Outcome.NOT_SENT))
             return None
         return choice_from_reply(endpoint, reply, router.id, request.ticket)
@@ -310,7 +311,8 @@
         self, job: Job, progress: JobProgress, may_use: HasRoom | None = None
     ) -> Choice | None:
         """Choose an endpoint by this box's own view. may_use: tells of an engine whether it goes first."""
-        tried, backoffs_s = frozenset(progress.tried), backoffs_by_id(self.state, monotonic())
+        tried = excluded_ids(self.state, job, progress)
+        backoffs_s = backoffs_by_id(self.state, monotonic())
         wanted = ChoiceRequest(
             job.service, job.call.prompt, job.workspace, tried, backoffs_s=backoffs_s, has_room=may_use
         )
@@ -328,7 +330,8 @@
             return progress.retry_after_s
         now = monotonic()
         backoffs_s = backoffs_by_id(self.state, now)
-        return retry_after_s(self.state, job.service.id, progress.tried, backoffs_s, now, self.random)
+        tried = excluded_ids(self.state, job, progress)
+        return retry_after_s(self.state, job.service.id, tried, backoffs_s, now, self.random)
 
     def retry_after_backoff_s(self, job: Job) -> float | None:
         """Return the seconds until the first back-off ends, None unless all endpoints asked for one.
@@ -361,7 +364,7 @@
             tokens=prompt.tokens,
             max_output=prompt.max_output,
             wall=workspace.id if workspace is not None and workspace.isolated else "",
-            tried=tuple(progress.tried),
+            tried=tuple(excluded_ids(self.state, job, progress)),
             most_backlog_s=most_backlog_s,
             may_wait=may_wait,
             said=backoffs_for_router(self.state, now),
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -252,6 +252,8 @@
         state.fleet.apply(changes.present, changes.gone, now, earliest_removal)
     state.list_asked_at = asked_at - changes.behind_s
     changed = not state.fleet_known or _live_by_id(state, affected) != live_before
+    if changed:
+        state.software.observe(state.fleet.by_id.values(), now)
     # Boxes that know an earlier era have to get all of this one.
     if changed or changes.era > state.list_position.era:
         state.list_changed_position = changes.position
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -8,6 +8,7 @@
 from stairquay.core.call import Call, request_digest
 from stairquay.core.catalog import Catalog, Route, ServiceSpec, WorkspacePolicy
 from stairquay.core.errors import ExecutionStatus
+from stairquay.core.stream_origins import StreamOrigin
 from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.endpoint_choice import Choice
 from stairquay.serving.ports import Reply, SendFailure
@@ -45,6 +46,11 @@
         allowed = self.call.forwarded_attempts
         return self.route.max_attempts if allowed is None else min(allowed, self.route.max_attempts)
 
+    @property
+    def stream_id(self) -> str:
+        """Return the id of the request that brought, or will bring, the first event of the stream."""
+        return self.call.resumes or self.call.id
+
     @cached_property
     def digest(self) -> str:
         """Return the digest of the request's content, which identifies repeats of it under other ids."""
@@ -69,7 +75,8 @@
     retry_after_s: the routers' estimate of the seconds until an endpoint accepts the job. timing: of the
     attempt that succeeded, where it is comparable to others. rejected: why the routers refuse the job, empty
     if they don't. unreached: attempts that found no connection to their endpoint. asked_other_boxes: it was
-    passed on to other boxes, none of which served it.
+    passed on to other boxes, none of which served it. origin: where its stream began, None before the first
+    event, or if it may go on at any endpoint.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -84,6 +91,7 @@
     rejected: str = ""
     unreached: int = 0
     asked_other_boxes: bool = False
+    origin: StreamOrigin | None = None
 
 
 @dataclass
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -12,6 +12,8 @@
 from stairquay.core.position import Position
 from stairquay.core.reach import Reach
 from stairquay.core.routers import Member, capacity, pick_followers, pick_placing_routers
+from stairquay.core.software import SoftwareHistory
+from stairquay.core.stream_origins import StreamOrigins
 from stairquay.core.versions import VersionHistory
 from stairquay.serving.change_notifier import ChangeNotifier
 from stairquay.serving.endpoint import NEVER, EndpointState
@@ -73,6 +75,11 @@
     version_history_by_model: dict[str, VersionHistory] = field(default_factory=dict)
     endpoints_by_id: dict[str, EndpointState] = field(default_factory=dict)
     holdings: Holdings = field(default_factory=Holdings)
+    # The versions of endpoints' software, and the streams that callers may take up again.
+    software: SoftwareHistory = field(default_factory=SoftwareHistory)
+    origins: StreamOrigins = field(default_factory=StreamOrigins)
+    # What tells each start of a router from the one before.
+    starts_by_router: dict[str, str] = field(default_factory=dict)
     retry_budgets_by_service: dict[str, WindowedRetryBudget] = field(default_factory=dict)
     # Ids of boxes believed alive.
     boxes: tuple[str, ...] = ()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -20,6 +20,7 @@
 from stairquay.serving.dispatch import Dispatcher
 from stairquay.serving.forwarding import Forwarder
 from stairquay.serving.jobs import Job
+from stairquay.serving.origins import OriginTracker
 from stairquay.serving.ports import BoxRefusal
 from stairquay.serving.reach import record_reached, record_unreached
 from stairquay.serving.state import BoxState
@@ -272,6 +273,7 @@
     call, now = Call("call-1", "GET", "svc", "/x", "/x", ()), monotonic()
     job = Job(call, b"", CATALOG, route, CATALOG.services_by_id["plain"], None, now, now + 5.0)
     forwarder = Forwarder(state, BoxThatReachesNothing(state), Random(1))
-    dispatcher = Dispatcher(state, None, NoChoice(), CrashDetector(state, None), forwarder)
+    origins = OriginTracker(state)
+    dispatcher = Dispatcher(state, None, NoChoice(), CrashDetector(state, None), forwarder, origins)
     ended = asyncio.run(dispatcher.run(job, None))
     assert ended.err_value.kind == ErrorKind.NO_ENDPOINT and not state.lost_services
--- a/tests/test_statements_held.py
+++ b/tests/test_statements_held.py
@@ -20,6 +20,7 @@
 from stairquay.serving.forwarding import Forwarder
 from stairquay.serving.jobs import Job, JobProgress
 from stairquay.serving.messages import Outcome
+from stairquay.serving.origins import OriginTracker
 from stairquay.serving.ports import EndpointChanges, EngineReport, Feedback, SendFailure
 from stairquay.serving.state import BoxState
 from stairquay.serving.statements import apply_feedback, backoffs_by_id, limit_of
@@ -151,9 +152,8 @@
         ports = FeedbackDuringConnect(state, feedback)
         now = monotonic()
         job = Job(call, b"", CATALOG, route, CATALOG.services_by_id["plain"], None, now, now + 5.0)
-        dispatcher = Dispatcher(
-            state, ports, ports, CrashDetector(state, None), Forwarder(state, None, Random(0))
-        )
+        forwarder, origins = Forwarder(state, None, Random(0)), OriginTracker(state)
+        dispatcher = Dispatcher(state, ports, ports, CrashDetector(state, None), forwarder, origins)
         ended = asyncio.run(dispatcher.run(job, None))
         assert ports.guard_results == [may_send] and ended.err_value.ran == ExecutionStatus.NOT_RUN
 
