Take streams up only at the software version that began them

Cause: nothing kept a stream's version past its answer, and nothing read Resumes. Why this works: each box keeps the origins of its streams for as long as their callers wait. Where a service has several versions, or had in the last two minutes, it also tells two routers, in the notices that they get anyway. A box that does not find an origin asks all routers, 0.2 s at most. Without one, the stream goes on only if no other version can have begun it: the list is fresh, and no version left in two minutes by this box's own view or the routers'. All else is refused at once with stream_unresumable (503, not run). A router that started again, a new one, and a second version that appears are told again. Requests passed on between boxes need nothing more: the other box resolves them by the same id. Calls to the table service are as many as before.

--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -90,11 +90,12 @@
     chooser = Chooser(state, links, router, notices, rng)
     crash_detector = CrashDetector(state, surroundings.peers)
     forwarder = Forwarder(state, surroundings.boxes, rng)
-    origins = OriginTracker(state)
+    origins = OriginTracker(state, links, notices)
     dispatcher = Dispatcher(state, surroundings.endpoints, chooser, crash_detector, forwarder, origins)
     front = Frontend(state, surroundings.callers, dispatcher, rng)
     tasks = BackgroundTasks()
     tasks_by_name = background_tasks(state, surroundings, links, router, notices, rng)
+    tasks_by_name["origins"] = origins.run
     tasks_by_name["reload"] = partial(_reload_settings, state, load)
     for name, task_function in tasks_by_name.items():
         tasks.start(run_with_restarts(state, name, task_function))
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -51,11 +51,21 @@
     at_s: float
 
 
-class BoxHeartbeat(msgspec.Struct, frozen=True):
+class ListedSoftware(msgspec.Struct, frozen=True, array_like=True):
+    """A version of the software of a service's endpoints, last listed at `at_s` of the same clock."""
+
+    service: str
+    version: str
+    at_s: float
+
+
+class BoxHeartbeat(msgspec.Struct, frozen=True, omit_defaults=True):
     """A box's row, which changes with every heartbeat.
 
     named: target versions, which tell starting boxes for how long weights have been replaced. viewed_at_s:
     time of the box's view by the table service's clock; versions that `named` lacks were set later.
+    software: the versions that were listed lately, which tell starting boxes after all others have ended at
+    which ones streams may have begun.
     """
 
     beat: int
@@ -65,6 +75,7 @@
     named: tuple[TargetVersion, ...] = ()
     viewed_at_s: float | None = None
     front: str = ""
+    software: tuple[ListedSoftware, ...] = ()
 
 
 class BoxRegistry:
@@ -190,8 +201,17 @@
             ),
             None if viewed_at is None else offset.to_remote(viewed_at),
             member.front,
+            self._listed_software(offset),
         )
 
+    def _listed_software(self, offset: ClockOffset) -> tuple[ListedSoftware, ...]:
+        """Return what this box knows of versions; a few rows are enough."""
+        if not self.state.is_follower:
+            return ()
+        now, history = monotonic(), self.state.software
+        seen = history.seen_at_by_version | dict.fromkeys(history.listed, now)
+        return tuple(ListedSoftware(*key, round(offset.to_remote(at), 1)) for key, at in seen.items())
+
     def _has_unpublished_versions(self) -> bool:
         """Tell whether to publish a target version early, which only followers of the table service do.
 
@@ -215,6 +235,9 @@
                     continue
                 named_at = min(now, offset.to_local(named.at_s))
                 self.state.record_target_version(named.model, named.version, named_at, row.key)
+            for listed in beat.software:
+                at = min(now, offset.to_local(listed.at_s))
+                self.state.software.learn(listed.service, listed.version, at)
             if beat.viewed_at_s is not None:
                 views_at.append(min(now, offset.to_local(beat.viewed_at_s)))
         if views_at and not self.state.version_history_known:
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -20,7 +20,7 @@
 from stairquay.serving.forwarding import Forwarder, unreached_refusal
 from stairquay.serving.jobs import Job, JobProgress, StartedAttempt, attempt_timing
 from stairquay.serving.messages import Outcome
-from stairquay.serving.origins import OriginTracker, may_use
+from stairquay.serving.origins import OriginTracker, at_origin, may_use
 from stairquay.serving.ports import IncompleteResponseError, Reply, RequestSender, SendFailure
 from stairquay.serving.reach import record_reached, record_unreached
 from stairquay.serving.records import (
@@ -85,14 +85,19 @@
 
     async def run(self, job: Job, request: web.BaseRequest) -> Result[web.StreamResponse, Refusal]:
         """Run a job to its end. Return the response, already sent if it is a stream, or a refusal."""
+        progress = JobProgress()
+        unknown = await self.origins.resolve(job, progress)
+        job = at_origin(job, progress)
         if job.call.forwarded_attempts is None:
             # The box that passed it on has counted it.
             self.state.retry_budget(job.service.id).on_request(monotonic())
-        progress = JobProgress()
+        if unknown is not None:
+            return self._give_up(job, progress, unknown, request)
         while True:
             if self.crashes.probes_by_incarnation:
                 await self.crashes.settle(job.digest)
-            refusal = self._refusal_before_attempt(job, progress)
+            refusal = await self.origins.resolve(job, progress)
+            refusal = refusal or self._refusal_before_attempt(job, progress)
             if refusal is not None:
                 return self._give_up(job, progress, refusal, request)
             if self.forwarder.applies(job, progress):
--- a/stairquay/serving/links.py
+++ b/stairquay/serving/links.py
@@ -22,6 +22,8 @@
     NoticeReply,
     OperatorsReply,
     OperatorsRequest,
+    OriginReply,
+    OriginRequest,
     PlaceReply,
     PlaceRequest,
     ViewsReply,
@@ -68,6 +70,7 @@
     operators: Callable[[OperatorsRequest], Awaitable[OperatorsReply]]
     endpoints: Callable[[EndpointsRequest], Awaitable[EndpointsReply]]
     views: Callable[[ViewsRequest], Awaitable[ViewsReply]]
+    origin: Callable[[OriginRequest], Awaitable[OriginReply]]
 
 
 async def serve(address: str, handlers: RouterHandlers) -> grpc.aio.Server:
@@ -79,6 +82,7 @@
         "Operators": _handler(handlers.operators, OperatorsRequest),
         "Endpoints": _handler(handlers.endpoints, EndpointsRequest),
         "Views": _handler(handlers.views, ViewsRequest),
+        "Origin": _handler(handlers.origin, OriginRequest),
     }
     server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(SERVICE, methods),))
     try:
@@ -104,6 +108,7 @@
         self._operators = self._method("Operators", OperatorsReply)
         self._endpoints = self._method("Endpoints", EndpointsReply)
         self._views = self._method("Views", ViewsReply)
+        self._origin = self._method("Origin", OriginReply)
 
     async def place(self, request: PlaceRequest, limit_s: float) -> PlaceReply | None:
         """Ask where a prompt should run."""
@@ -126,6 +131,10 @@
         wait_s = max(request.operators.wait_s, request.endpoints.wait_s)
         return await self._reply_or_none(self._views(request, timeout=wait_s + limit_s))
 
+    async def origin(self, request: OriginRequest, limit_s: float) -> OriginReply | None:
+        """Ask where a stream began."""
+        return await self._reply_or_none(self._origin(request, timeout=limit_s))
+
     async def close(self) -> None:
         """Close the channel."""
         await self.channel.close()
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -32,12 +32,15 @@
     NoticeReply,
     OperatorsReply,
     OperatorsRequest,
+    OriginReply,
+    OriginRequest,
     Outcome,
     PlaceReply,
     PlaceRequest,
     ViewsReply,
     ViewsRequest,
 )
+from stairquay.serving.origin_replies import origin_reply, record_told_streams
 from stairquay.serving.pacing import count_sent, refund_sent, retry_after_s
 from stairquay.serving.router_admission import RouterAdmission, reply_without_room, shared_parts
 from stairquay.serving.saving import choose_with_save_targets
@@ -94,6 +97,7 @@
         self.admission = RouterAdmission(state, self.accounts)
         self.server: grpc.aio.Server | None = None
         self.speeds = EngineSpeeds(state)
+        self.started = f"{random.getrandbits(32):08x}"
 
     async def run(self) -> None:
         """Serve whenever this box is a router, until cancelled."""
@@ -312,7 +316,12 @@
     async def _open(self) -> None:
         address = self.state.settings.peer_address
         answers = RouterHandlers(
-            self._on_place, self._on_finished, self._on_operators, self._on_endpoints, self._on_views
+            self._on_place,
+            self._on_finished,
+            self._on_operators,
+            self._on_endpoints,
+            self._on_views,
+            self._on_origin,
         )
         try:
             self.server = await serve(address, answers)
@@ -340,7 +349,11 @@
             self.speeds.observe(sample, monotonic())
         for ended in notice.ended:
             self.finished(ended)
-        return NoticeReply(self.state.load.reported_late_s)
+        record_told_streams(self.state, notice.begun, monotonic())
+        return NoticeReply(self.state.load.reported_late_s, self.started)
+
+    async def _on_origin(self, request: OriginRequest) -> OriginReply:
+        return origin_reply(self.state, request, monotonic())
 
     async def _on_operators(self, request: OperatorsRequest) -> OperatorsReply:
         received_at = monotonic()
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -8,6 +8,7 @@
 from stairquay.core.catalog import LOWEST_PRIORITY
 from stairquay.core.limits import UNLIMITED
 from stairquay.core.position import Position
+from stairquay.core.stream_origins import StreamOrigin
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
 
 
@@ -136,22 +137,53 @@
     events: int = 0
 
 
+class BegunStream(msgspec.Struct, frozen=True, array_like=True):
+    """A stream whose first event a box has passed on. id: of the request that brought it. left_s: seconds for
+    which its caller may still come back."""
+
+    id: str
+    origin: StreamOrigin
+    left_s: float
+
+
+class OriginRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks where a stream began. services: those that may serve its caller."""
+
+    id: str
+    services: tuple[str, ...]
+
+
+class OriginReply(msgspec.Struct, frozen=True, array_like=True):
+    """Where a stream began, None if the router does not know, and the versions that it knows of services.
+
+    complete: no version of the recent past is missing.
+    """
+
+    origin: StreamOrigin | None = None
+    versions: tuple[str, ...] = ()
+    complete: bool = False
+
+
 class FinishedNotice(msgspec.Struct, frozen=True, array_like=True):
     """Attempts that have ended, and tickets of those whose prefill has finished (`read`); empty for a ping.
 
-    said: feedback of endpoints. speeds: of attempts among those that have ended.
+    said: feedback of endpoints. speeds: of attempts among those that have ended. begun: streams of services
+    whose endpoints differ in version.
     """
 
     ended: tuple[EndedAttempt, ...]
     read: tuple[str, ...] = ()
     said: tuple[PeerFeedback, ...] = ()
     speeds: tuple[SpeedSample, ...] = ()
+    begun: tuple[BegunStream, ...] = ()
 
 
 class NoticeReply(msgspec.Struct, frozen=True, array_like=True):
-    """The reply to a FinishedNotice. late_s: as in PlaceReply."""
+    """The reply to a FinishedNotice. late_s: as in PlaceReply. started: differs after each start of the
+    router, empty from an older release."""
 
     late_s: float = 0.0
+    started: str = ""
 
 
 class PeerCrash(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -53,6 +53,12 @@
             ["priority"],
             registry=registry,
         )
+        self.taken_up = Counter(
+            "stairquay_streams_taken_up",
+            "Streams that callers took up again, by how the version that began them is known",
+            ["known"],
+            registry=registry,
+        )
         self.rejected = Counter(
             "stairquay_rejected",
             "Prompts that this box refused, as a router or without one, while the engines were full",
--- a/stairquay/serving/notices.py
+++ b/stairquay/serving/notices.py
@@ -11,7 +11,7 @@
 from stairquay.serving.change_notifier import ChangeNotifier
 from stairquay.serving.links import RouterClients
 from stairquay.serving.local_router import LocalRouter
-from stairquay.serving.messages import EndedAttempt, FinishedNotice, SpeedSample
+from stairquay.serving.messages import BegunStream, EndedAttempt, FinishedNotice, SpeedSample
 from stairquay.serving.overload import record_router_lateness
 from stairquay.serving.state import BoxState
 from stairquay.serving.telling import feedback_for_peers
@@ -29,6 +29,9 @@
 MAX_QUEUED_ENDED = 2_000
 """Ended prompts queued for one router. Any more are dropped, and the router expires their placements."""
 
+MAX_QUEUED_BEGUN = 2_000
+"""Begun streams queued for one router. Any more are dropped: a caller may find its stream unknown."""
+
 MAX_QUEUED_SAMPLES = 200
 """Speed samples queued for one router. Any more are dropped; a router uses a few of each engine a second."""
 
@@ -43,6 +46,7 @@
         self.ended_by_router: dict[Member, list[EndedAttempt]] = {}
         self.prefilled_by_router: dict[Member, list[str]] = {}
         self.samples_by_router: dict[Member, list[SpeedSample]] = {}
+        self.begun_by_router: dict[Member, list[BegunStream]] = {}
         self.sending_by_router: dict[Member, asyncio.Task[None]] = {}
         self.queue_changed = ChangeNotifier()
 
@@ -102,6 +106,14 @@
         self.prefilled_by_router.setdefault(router, []).append(ticket)
         self.queue_changed.notify_all()
 
+    def add_begun(self, router: Member, begun: BegunStream) -> None:
+        """Queue that this box has passed on the first event of a stream."""
+        self.ended_by_router.setdefault(router, [])
+        queued = self.begun_by_router.setdefault(router, [])
+        if len(queued) < MAX_QUEUED_BEGUN:
+            queued.append(begun)
+        self.queue_changed.notify_all()
+
     def _send_all(self) -> None:
         """Send a notice to each live router that has one queued and none under way.
 
@@ -114,12 +126,14 @@
                 del self.ended_by_router[router]
                 self.prefilled_by_router.pop(router, None)
                 self.samples_by_router.pop(router, None)
+                self.begun_by_router.pop(router, None)
             elif router in live and router not in self.sending_by_router:
                 notice = FinishedNotice(
                     tuple(self.ended_by_router.pop(router)),
                     tuple(self.prefilled_by_router.pop(router, ())),
                     feedback,
                     tuple(self.samples_by_router.pop(router, ())),
+                    tuple(self.begun_by_router.pop(router, ())),
                 )
                 self.sending_by_router[router] = asyncio.create_task(self._send(router, notice))
             elif router not in live:
@@ -141,7 +155,16 @@
             self.queue_changed.notify_all()
         if answer is not None:
             record_router_lateness(self.state, router.id, answer.late_s)
+            self._record_start(router, answer.started)
         if self.links.record_answer(router, answer, "ended prompts") is None:
             # Retried once the router is back; notices are idempotent.
             for item in notice.ended:
                 self.add_ended(router, item)
+            for stream in notice.begun:
+                self.add_begun(router, stream)
+
+    def _record_start(self, router: Member, started: str) -> None:
+        """Record which start of a router answered: one after a restart has lost what it was told."""
+        if started != self.state.starts_by_router.get(router.id, ""):
+            self.state.starts_by_router[router.id] = started
+            self.state.changed.notify_all()
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -1,20 +1,81 @@
-"""Where streams began, and which endpoints may go on with them: those with the version that began it."""
+"""Finds the software version that began a stream, and tells others of the streams that this box begins.
+
+Each stream's origin is kept here. Where a service has endpoints of several versions, it is also told to two
+routers, since this box may be gone when the caller comes back, to whichever box. A box that does not find the
+origin refuses the stream: the wrong version would write what does not fit.
+"""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import replace
+
+from result import Err, Ok, Result
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
 from stairquay.core.fleet import Endpoint
-from stairquay.core.stream_origins import StreamOrigin, may_continue
+from stairquay.core.ownership import rank_owners
+from stairquay.core.routers import Member
+from stairquay.core.software import MEMORY_S
+from stairquay.core.stream_origins import KnownStream, StreamOrigin, may_continue, merge_origins
+from stairquay.serving.endpoint import NEVER
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.jobs import Job, JobProgress
+from stairquay.serving.links import RouterClients
+from stairquay.serving.messages import BegunStream, OriginReply, OriginRequest
+from stairquay.serving.notices import NoticeSender
+from stairquay.serving.origin_replies import recent_versions
 from stairquay.serving.refusals import RETRY_AFTER_S
 from stairquay.serving.state import BoxState
 
+ROUTERS_TOLD = 2
+"""Routers that are told of a stream, besides this box: one of them may fail together with this box."""
+
+ORIGIN_TIMEOUT_S = 0.2
+"""Seconds to wait for routers' answers. They take about 2 ms; the rest is for bursts after a failure, when
+many callers come back at once."""
+
+MAX_LIST_AGE_S = 2.0
+"""Age of the list of endpoints up to which no version is missing in it. It is usually read twice in that
+time."""
+
+MAX_UNSEEN_S = 8.0
+"""Seconds between the last heartbeat of a router and this box's first list within which no version comes and
+goes: a heartbeat and a restart. It counts only while no router answers, as when all boxes start at once."""
+
+RETURN_MARGIN_S = 1.0
+"""Seconds for which a stream is remembered after its caller should have stopped waiting."""
+
+EXPIRY_INTERVAL_S = 5.0
+"""Seconds between two removals of what need not be remembered any longer."""
+
+Audience = tuple[tuple[str, ...], tuple[tuple[str, str], ...], frozenset[str]]
+"""The routers, what tells their starts apart, and the services whose endpoints differ in version."""
+
 
 class OriginTracker:
-    """Records where this box's streams began."""
+    """Records where this box's streams began, and resolves where those began that callers take up."""
 
-    def __init__(self, state: BoxState) -> None:
+    def __init__(self, state: BoxState, links: RouterClients, notices: NoticeSender) -> None:
         self.state = state
+        self.links = links
+        self.notices = notices
+
+    async def run(self) -> None:
+        """Tell routers again whenever others are to be told, until cancelled."""
+        audience = self._audience()
+        while True:
+
+            def changed(known: Audience = audience) -> bool:
+                return self._audience() != known
+
+            await self.state.changed.wait_for(changed, EXPIRY_INTERVAL_S)
+            now = monotonic()
+            self.state.origins.expire(now)
+            if changed():
+                audience = self._audience()
+                for stream, known in self.state.origins.own_streams(now).items():
+                    self._tell(stream, known, now)
 
     def begun(self, job: Job, progress: JobProgress, endpoint: Endpoint) -> None:
         """Record where a job's stream began, as its first event is about to be passed on."""
@@ -25,6 +86,27 @@
         software = endpoint.software if listed.software == endpoint.software else ""
         if progress.origin is None:
             progress.origin = StreamOrigin(endpoint.service, endpoint.id, software)
+        now = monotonic()
+        waits_s = job.route.timeout_s if job.call.time_left_s is None else job.call.time_left_s
+        until = min(job.arrived_at + waits_s + RETURN_MARGIN_S, now + MEMORY_S)
+        known = KnownStream(progress.origin, until, own=True)
+        self.state.origins.record(job.stream_id, known)
+        self._tell(job.stream_id, known, now)
+
+    async def resolve(self, job: Job, progress: JobProgress) -> Refusal | None:
+        """Set where the stream began that a job goes on with. Return the refusal if that is unknown.
+
+        Without an origin, it may go on anywhere.
+        """
+        if progress.origin is not None or not _goes_on(job, progress):
+            return None
+        services = tuple(split.service for split in job.route.splits)
+        found = await self._find(job.stream_id, services)
+        if isinstance(found, Err):
+            self.state.metrics.taken_up.labels("unknown").inc()
+            return unresumable(progress.ran, found.err_value)
+        progress.origin = found.ok_value
+        return None
 
     def refuses(self, job: Job, progress: JobProgress) -> Refusal | None:
         """Return the refusal of a stream that no endpoint may go on with, if it is one."""
@@ -37,6 +119,72 @@
         detail = f"no endpoint has the version {progress.origin.software!r} that began it"
         return unresumable(progress.ran, detail)
 
+    async def _find(self, stream: str, services: tuple[str, ...]) -> Result[StreamOrigin | None, str]:
+        """Return where a stream began, None if it may go on anywhere, or why that is not known."""
+        state, now = self.state, monotonic()
+        versions = recent_versions(state, services, now)
+        others = [router for router in state.routers if router.id != state.settings.id]
+        if state.boxes_known_at == NEVER:
+            return Err("versions that were there before this box started are not known yet")
+        is_fresh = state.list_age() <= MAX_LIST_AGE_S
+        if len(versions) <= 1 and is_fresh and (state.software.is_complete(now) or not others):
+            return Ok(self._found(None, "one version"))
+        origin = state.origins.find(stream, now)
+        if origin is not None:
+            return Ok(self._found(origin, "here"))
+        answers = await self._ask(others, OriginRequest(stream, services))
+        origin = merge_origins(item.origin for item in answers if item.origin is not None)
+        if origin is not None:
+            return Ok(self._found(origin, "router"))
+        for item in answers:
+            versions |= frozenset(item.versions)
+        has_seen_all = is_fresh and state.software.unseen_s() <= MAX_UNSEEN_S
+        if len(versions) <= 1 and (answers or has_seen_all):
+            return Ok(self._found(None, "one version"))
+        return Err(f"none of {len(answers)} routers knows the version that began {stream!r}")
+
+    def _found(self, origin: StreamOrigin | None, how: str) -> StreamOrigin | None:
+        self.state.metrics.taken_up.labels(how).inc()
+        return origin
+
+    async def _ask(self, routers: Iterable[Member], request: OriginRequest) -> list[OriginReply]:
+        """Return the routers' answers, up to the first one that knows the stream."""
+        asked = [
+            asyncio.create_task(self.links.client_for(router).origin(request, ORIGIN_TIMEOUT_S))
+            for router in routers
+        ]
+        answers = []
+        try:
+            for reply in asyncio.as_completed(asked):
+                answer = await reply
+                if answer is None:
+                    continue
+                answers.append(answer)
+                if answer.origin is not None:
+                    break
+        finally:
+            for task in asked:
+                task.cancel()
+        return answers
+
+    def _tell(self, stream: str, known: KnownStream, now: float) -> None:
+        """Tell routers of a stream, if endpoints of its service differ in version."""
+        if not self.state.software.differs(known.origin.service, now):
+            return
+        begun = BegunStream(stream, known.origin, known.until - now)
+        routers_by_id = {item.id: item for item in self.state.routers if item.id != self.state.settings.id}
+        for router in rank_owners(stream.encode(errors="surrogateescape"), routers_by_id, ROUTERS_TOLD):
+            self.notices.add_begun(routers_by_id[router], begun)
+
+    def _audience(self) -> Audience:
+        state, now = self.state, monotonic()
+        services = {service for service, _ in state.software.listed}
+        return (
+            tuple(router.id for router in state.routers),
+            tuple(sorted(state.starts_by_router.items())),
+            frozenset(item for item in services if state.software.differs(item, now)),
+        )
+
 
 def may_use(state: BoxState, progress: JobProgress, endpoint: Endpoint) -> bool:
     """Tell whether a job may be sent to an endpoint, given where its stream began."""
@@ -60,3 +208,21 @@
 def unresumable(ran: ExecutionStatus, detail: str) -> Refusal:
     """Return the refusal of a stream that can't be continued, so that its caller may begin anew."""
     return Refusal(ErrorKind.STREAM_UNRESUMABLE, ran, detail, RETRY_AFTER_S)
+
+
+def at_origin(job: Job, progress: JobProgress) -> Job:
+    """Return the job at the service that began its stream, if its route still leads there."""
+    origin = progress.origin
+    if origin is None or origin.service == job.service.id:
+        return job
+    service = job.catalog.services_by_id.get(origin.service)
+    if service is None or all(split.service != origin.service for split in job.route.splits):
+        return job
+    return replace(job, service=service)
+
+
+def _goes_on(job: Job, progress: JobProgress) -> bool:
+    """Tell whether a job goes on with a stream, the caller's from an earlier request or its own."""
+    if progress.stream.events:
+        return True
+    return job.route.streamed and (job.call.resume_after is not None or job.call.resumes is not None)
--- a/tests/many_boxes.py
+++ b/tests/many_boxes.py
@@ -18,6 +18,8 @@
     NoticeReply,
     OperatorsReply,
     OperatorsRequest,
+    OriginReply,
+    OriginRequest,
     PlaceReply,
     PlaceRequest,
     ViewsReply,
@@ -58,7 +60,9 @@
     prefill_finished: list[str] = field(default_factory=list)
 
     def handlers(self) -> RouterHandlers:
-        return RouterHandlers(self.place, self.finished, self.operators, self.endpoints, self.views)
+        return RouterHandlers(
+            self.place, self.finished, self.operators, self.endpoints, self.views, self.origin
+        )
 
     async def place(self, request: PlaceRequest) -> PlaceReply:
         self.place_requests.append(request)
@@ -90,6 +94,10 @@
         both = self.operators(request.operators), self.endpoints(request.endpoints)
         return ViewsReply(*await asyncio.gather(*both))
 
+    async def origin(self, request: OriginRequest) -> OriginReply:
+        await self.wait_if_silent()
+        return OriginReply()
+
     async def wait_if_silent(self) -> None:
         if self.silent:
             await asyncio.sleep(30)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -62,7 +62,7 @@
         return NoticeReply()
 
     port = free_port()
-    server = await serve(f"127.0.0.1:{port}", RouterHandlers(answer, answer, answer, answer, answer))
+    server = await serve(f"127.0.0.1:{port}", RouterHandlers(*[answer] * 6))
     proxy = ByteProxy(port)
     listener = await asyncio.start_server(proxy.connect, "127.0.0.1", 0)
     proxy_port = listener.sockets[0].getsockname()[1]
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -1,10 +1,17 @@
 """Which endpoints a stream may go on at, by what boxes know of versions and of where streams began."""
 
+import asyncio
 from dataclasses import replace
+from random import Random
 
 import pytest
 
+from stairquay.adapters.clock import monotonic
+from stairquay.core.call import Call
+from stairquay.core.catalog import Catalog, Route, ServiceSpec, Split
+from stairquay.core.errors import ErrorKind, ExecutionStatus
 from stairquay.core.fleet import Endpoint, Fleet
+from stairquay.core.routers import Member
 from stairquay.core.software import MEMORY_S, SoftwareHistory
 from stairquay.core.stream_origins import (
     MAX_ORIGINS,
@@ -14,6 +21,11 @@
     may_continue,
     merge_origins,
 )
+from stairquay.serving.jobs import Job, JobProgress
+from stairquay.serving.local_router import LocalRouter
+from stairquay.serving.messages import BegunStream, FinishedNotice, OriginReply, OriginRequest
+from stairquay.serving.origins import MAX_LIST_AGE_S, OriginTracker, at_origin, excluded_ids
+from tests.states import box_state
 
 V1, ALSO_V1, V2 = (
     Endpoint("a", "llm", "h:1", software="v1"),
@@ -118,3 +130,201 @@
     assert len(origins.own_streams(1.5)) == MAX_ORIGINS / 2
     origins.expire(1.5)
     assert len(origins.known_by_id) == MAX_ORIGINS / 2
+
+
+ROUTERS = tuple(Member(f"r-{number}", f"10.0.0.{number}:1") for number in range(3))
+SERVICES = {"llm": ServiceSpec("llm"), "other": ServiceSpec("other")}
+
+
+class StubLinks:
+    """Routers that answer as told; None is no answer."""
+
+    def __init__(self, replies: dict[str, OriginReply | None]) -> None:
+        self.replies = replies
+        self.asked: list[str] = []
+
+    def client_for(self, router: Member):
+        links = self
+
+        class Client:
+            async def origin(self, request, limit_s):
+                links.asked.append(router.id)
+                await asyncio.sleep(0)
+                return links.replies.get(router.id)
+
+        return Client()
+
+
+class StubNotices:
+    def __init__(self) -> None:
+        self.begun: list[tuple[str, BegunStream]] = []
+
+    def add_begun(self, router: Member, begun: BegunStream) -> None:
+        self.begun.append((router.id, begun))
+
+
+def tracker(listed, replies=None, list_age_s=0.0, known_for_s=MEMORY_S + 1):
+    """Return a tracker of a box that has known a list for some seconds, its links and its notices."""
+    state, now = box_state(), monotonic()
+    state.routers, state.boxes_known_at = ROUTERS, now - known_for_s
+    state.fleet.apply(listed, (), now)
+    state.software.observe(listed, now - known_for_s)
+    state.list_asked_at = now - list_age_s
+    links, notices = StubLinks(replies or {}), StubNotices()
+    return OriginTracker(state, links, notices), links, notices
+
+
+def job_of(resumes: str | None = None, splits: tuple[str, ...] = ("llm",), **call) -> Job:
+    route = Route(
+        "r",
+        "h",
+        "/",
+        tuple(Split(name, 1.0) for name in splits),
+        streamed=True,
+        resumable=True,
+        timeout_s=9.0,
+    )
+    after = "3" if resumes is not None else None
+    made = Call("own", "POST", "h", "/x", "/x", (), resumes=resumes, resume_after=after, **call)
+    now = monotonic()
+    return Job(made, b"", Catalog(1, services_by_id=SERVICES), route, SERVICES[splits[0]], None, now, now + 9)
+
+
+def resolved(made: OriginTracker, job: Job, progress: JobProgress | None = None):
+    """Return what became of a stream that is taken up: where it began, None if it may go on anywhere, or the
+    refusal's kind."""
+    progress = progress or JobProgress()
+    refusal = asyncio.run(made.resolve(job, progress))
+    return refusal.kind if refusal is not None else progress.origin
+
+
+BOTH = OriginReply(versions=("v1", "v2"), complete=True)
+ONE = OriginReply(versions=("v1",), complete=True)
+KNOWS = OriginReply(BEGUN_AT_V1, ("v1", "v2"), True)
+UNRESUMABLE = ErrorKind.STREAM_UNRESUMABLE
+
+
+@pytest.mark.parametrize(
+    ("listed", "replies", "list_age_s", "known_for_s", "expected", "asks"),
+    [
+        ([V1, ALSO_V1], {}, 0.0, 999.0, None, False),
+        ([UNNAMED], {}, 0.0, 999.0, None, False),
+        ([V1, V2], {"r-0": BOTH, "r-1": KNOWS}, 0.0, 999.0, BEGUN_AT_V1, True),
+        ([V1, V2], {"r-0": BOTH, "r-1": BOTH}, 0.0, 999.0, UNRESUMABLE, True),
+        ([V1, V2], {}, 0.0, 999.0, UNRESUMABLE, True),
+        # Another box may know of a newer list.
+        ([V1], {"r-2": BOTH}, MAX_LIST_AGE_S + 1, 999.0, UNRESUMABLE, True),
+        ([V1], {"r-2": ONE}, MAX_LIST_AGE_S + 1, 999.0, None, True),
+        ([V1], {}, MAX_LIST_AGE_S + 1, 999.0, UNRESUMABLE, True),
+        # A box that has just started does not know which versions have left.
+        ([V1], {"r-0": ONE}, 0.0, 5.0, None, True),
+        ([V1], {"r-0": BOTH}, 0.0, 5.0, UNRESUMABLE, True),
+        ([V1], {}, 0.0, 5.0, UNRESUMABLE, True),
+    ],
+)
+def test_a_stream_goes_on_only_where_its_version_is_known(
+    listed, replies, list_age_s, known_for_s, expected, asks
+):
+    """A box went on with a stream by its own view alone, which may be late or begin after the stream."""
+    made, links, _ = tracker(listed, replies, list_age_s, known_for_s)
+    assert resolved(made, job_of("s")) == expected
+    assert bool(links.asked) == asks
+
+
+def test_a_box_that_started_after_all_others_ended_learns_versions_from_their_heartbeats():
+    """It refused streams of a service that never had another version."""
+    for software, expected in (("v1", None), ("v0", UNRESUMABLE)):
+        made, _, _ = tracker([V1], {}, 0.0, 2.0)
+        made.state.software.learn("llm", software, monotonic() - 4.0)
+        assert resolved(made, job_of("s")) == expected
+
+
+def test_a_stream_is_resolved_by_the_request_that_brought_its_first_event_not_by_the_last():
+    """The third try of a caller names the first, which this box has not seen itself."""
+    made, links, _ = tracker([V1, V2])
+    second, progress = job_of("first"), JobProgress(origin=BEGUN_AT_V1)
+    made.begun(second, progress, ALSO_V1)
+    assert resolved(made, job_of("first")) == BEGUN_AT_V1 and not links.asked
+    assert resolved(made, job_of("own")) == UNRESUMABLE
+
+
+def test_an_answer_that_another_box_began_is_resolved_by_its_own_id():
+    """A box that passed a request on does not see at which endpoint the other one began the stream."""
+    made, _, _ = tracker([V1, V2], {"r-0": KNOWS})
+    progress = JobProgress()
+    assert resolved(made, job_of(), progress) is None
+    progress.stream.events = 2
+    assert resolved(made, job_of(), progress) == BEGUN_AT_V1
+
+
+def test_only_services_whose_endpoints_differ_cost_messages():
+    """Nothing is told or asked where a service has one version; two other boxes are told elsewhere."""
+    for listed, told in (([V1, ALSO_V1], 0), ([V1, V2], 2)):
+        made, _, notices = tracker(listed)
+        made.begun(job_of(), JobProgress(), V1)
+        assert len({router for router, _ in notices.begun}) == len(notices.begun) == told
+        assert made.state.origins.find("own", monotonic()) == BEGUN_AT_V1
+
+
+def test_streams_are_told_again_when_a_second_version_appears_or_a_router_starts_again():
+    """Streams that began before the rollout, or that a restarted router was told of, were unknown."""
+
+    async def scenario():
+        made, _, notices = tracker([V1])
+        running = asyncio.create_task(made.run())
+        made.begun(job_of(), JobProgress(), V1)
+        await asyncio.sleep(0)
+        assert not notices.begun
+        made.state.software.observe([V1, V2], monotonic())
+        made.state.changed.notify_all()
+        await asyncio.sleep(0.01)
+        assert len(notices.begun) == 2
+        made.state.starts_by_router["r-1"] = "again"
+        made.state.changed.notify_all()
+        await asyncio.sleep(0.01)
+        assert len(notices.begun) == 4
+        running.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_a_first_event_after_the_entry_has_changed_names_no_version():
+    """The request was sent to the version that the entry named before."""
+    made, _, _ = tracker([replace(V1, software="v2"), V2])
+    progress = JobProgress()
+    made.begun(job_of(), progress, V1)
+    assert progress.origin == StreamOrigin("llm", "a", "")
+
+
+def test_a_stream_whose_version_has_no_endpoint_left_is_refused_before_any_is_chosen():
+    """It waited for endpoints of other versions that were full."""
+    made, _, _ = tracker([replace(V1, leaving=True), V2])
+    refusal = made.refuses(job_of("s"), JobProgress(origin=BEGUN_AT_V1))
+    assert refusal is not None and (refusal.kind, refusal.ran) == (UNRESUMABLE, ExecutionStatus.NOT_RUN)
+    assert refusal.response.status == 503
+    assert made.refuses(job_of("s"), JobProgress(origin=StreamOrigin("llm", "x", "v2"))) is None
+    excluded = excluded_ids(made.state, job_of("s"), JobProgress({"t"}, origin=BEGUN_AT_V1))
+    assert excluded == {"t", "c"}
+
+
+def test_a_stream_is_taken_up_at_the_service_that_began_it():
+    """A route with two services drew one of them for each try."""
+    job = job_of("s", ("other", "llm"))
+    assert at_origin(job, JobProgress(origin=BEGUN_AT_V1)).service.id == "llm"
+    assert at_origin(job_of("s", ("other",)), JobProgress(origin=BEGUN_AT_V1)).service.id == "other"
+
+
+def test_a_router_keeps_what_it_is_told_and_answers_from_it():
+    """A router forgot a stream before its caller stopped waiting, or told of versions it does not know."""
+
+    async def scenario():
+        state = box_state("r-0")
+        state.software.observe([V1, V2], monotonic())
+        router = LocalRouter(state, Random(1))
+        notice = FinishedNotice((), begun=(BegunStream("s", BEGUN_AT_V1, 5.0),))
+        assert (await router._on_finished(notice)).started == router.started != ""
+        reply = await router._on_origin(OriginRequest("s", ("llm",)))
+        assert reply == OriginReply(BEGUN_AT_V1, ("v1", "v2"), False)
+        assert (await router._on_origin(OriginRequest("t", ("plain",)))) == OriginReply()
+
+    asyncio.run(scenario())
