Keep to the version of a stream when another one appears while it waits

Found by reading the change: a stream that "may go on anywhere", since its service had one version, was free to take an endpoint of a second one that was listed while it waited. It is bound to that version now. A box whose list had a gap of over 2 s takes its history for incomplete and asks routers: removed entries name no version. A route with two services of one version each is served as before, and not taken for two versions; a service without any version known is refused as unknown.

--- a/stairquay/core/software.py
+++ b/stairquay/core/software.py
@@ -26,10 +26,10 @@
 
     It is to be told of each change of the list, so that what is listed stays so until the next.
 
-    since: when the list was first known, None before (monotonic seconds). seen_at_by_version: when a version
-    was last listed, by service and version. changed: ids of endpoints whose entry named one version after
-    another. Such an endpoint may have run the newer one before its entry said so. learned_at: until when
-    other boxes have told what they saw.
+    since: from when on the list is known without gaps, None before the first (monotonic seconds).
+    seen_at_by_version: when a version was last listed, by service and version. changed: ids of endpoints
+    whose entry named one version after another. Such an endpoint may have run the newer one before its entry
+    said so. learned_at: until when other boxes have told what they saw.
     """
 
     since: float | None = None
@@ -59,6 +59,10 @@
         self.listed = listed
         self._forget(now)
 
+    def on_gap(self, at: float) -> None:
+        """Record that versions may have come and gone unseen before a time."""
+        self.since = at
+
     def learn(self, service: str, software: str, at: float) -> None:
         """Record that another box saw a version until a time."""
         key = service, software
@@ -75,7 +79,7 @@
         return len(self.versions(service, now)) > 1
 
     def is_complete(self, now: float) -> bool:
-        """Tell whether the list has been known for as long as versions are remembered."""
+        """Tell whether the list has been known without gaps for as long as versions are remembered."""
         return self.since is not None and now - self.since >= MEMORY_S
 
     def unseen_s(self) -> float:
--- a/stairquay/core/stream_origins.py
+++ b/stairquay/core/stream_origins.py
@@ -27,11 +27,12 @@
 @dataclass(frozen=True)
 class KnownStream:
     """A stream's origin. until: when its caller stops waiting (monotonic seconds). own: this box passed on
-    its first event, else another box told of it."""
+    its first event, else another box told of it. services: those of its route, for own ones."""
 
     origin: StreamOrigin
     until: float
     own: bool
+    services: tuple[str, ...] = ()
 
 
 def merge_origins(origins: Iterable[StreamOrigin]) -> StreamOrigin | None:
@@ -71,7 +72,12 @@
         if before is not None:
             origin = merge_origins((before.origin, known.origin))
             assert origin is not None
-            known = KnownStream(origin, max(before.until, known.until), before.own or known.own)
+            known = KnownStream(
+                origin,
+                max(before.until, known.until),
+                before.own or known.own,
+                known.services or before.services,
+            )
         elif len(self.known_by_id) >= MAX_ORIGINS:
             del self.known_by_id[next(iter(self.known_by_id))]
         self.known_by_id[stream] = known
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -154,14 +154,11 @@
 
 
 class OriginReply(msgspec.Struct, frozen=True, array_like=True):
-    """Where a stream began, None if the router does not know, and the versions that it knows of services.
-
-    complete: no version of the recent past is missing.
-    """
+    """Where a stream began, None if the router does not know, and the versions that endpoints of the services
+    had lately, each with its service."""
 
     origin: StreamOrigin | None = None
-    versions: tuple[str, ...] = ()
-    complete: bool = False
+    versions: tuple[tuple[str, str], ...] = ()
 
 
 class FinishedNotice(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/origin_replies.py
+++ b/stairquay/serving/origin_replies.py
@@ -13,15 +13,14 @@
         state.origins.record(stream.id, KnownStream(stream.origin, now + stream.left_s, own=False))
 
 
-def recent_versions(state: BoxState, services: Iterable[str], now: float) -> frozenset[str]:
-    """Return the versions that endpoints of any of the services had lately, as far as this box knows."""
-    return frozenset().union(*(state.software.versions(service, now) for service in services))
+def recent_versions(state: BoxState, services: Iterable[str], now: float) -> frozenset[tuple[str, str]]:
+    """Return the versions that endpoints of the services had lately, as far as this box knows."""
+    return frozenset(
+        (service, software) for service in services for software in state.software.versions(service, now)
+    )
 
 
 def origin_reply(state: BoxState, request: OriginRequest, now: float) -> OriginReply:
     """Return what this box knows of a stream."""
-    return OriginReply(
-        state.origins.find(request.id, now),
-        tuple(sorted(recent_versions(state, request.services, now))),
-        state.software.is_complete(now),
-    )
+    versions = recent_versions(state, request.services, now)
+    return OriginReply(state.origins.find(request.id, now), tuple(sorted(versions)))
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import replace
 
 from result import Err, Ok, Result
@@ -20,6 +20,7 @@
 from stairquay.core.stream_origins import KnownStream, StreamOrigin, may_continue, merge_origins
 from stairquay.serving.endpoint import NEVER
 from stairquay.serving.evacuation import takes_work
+from stairquay.serving.following import MAX_LIST_AGE_S
 from stairquay.serving.jobs import Job, JobProgress
 from stairquay.serving.links import RouterClients
 from stairquay.serving.messages import BegunStream, OriginReply, OriginRequest
@@ -35,10 +36,6 @@
 """Seconds to wait for routers' answers. They take about 2 ms; the rest is for bursts after a failure, when
 many callers come back at once."""
 
-MAX_LIST_AGE_S = 2.0
-"""Age of the list of endpoints up to which no version is missing in it. It is usually read twice in that
-time."""
-
 MAX_UNSEEN_S = 8.0
 """Seconds between the last heartbeat of a router and this box's first list within which no version comes and
 goes: a heartbeat and a restart. It counts only while no router answers, as when all boxes start at once."""
@@ -89,7 +86,7 @@
         now = monotonic()
         waits_s = job.route.timeout_s if job.call.time_left_s is None else job.call.time_left_s
         until = min(job.arrived_at + waits_s + RETURN_MARGIN_S, now + MEMORY_S)
-        known = KnownStream(progress.origin, until, own=True)
+        known = KnownStream(progress.origin, until, True, _services_of(job))
         self.state.origins.record(job.stream_id, known)
         self._tell(job.stream_id, known, now)
 
@@ -100,8 +97,7 @@
         """
         if progress.origin is not None or not _goes_on(job, progress):
             return None
-        services = tuple(split.service for split in job.route.splits)
-        found = await self._find(job.stream_id, services)
+        found = await self._find(job)
         if isinstance(found, Err):
             self.state.metrics.taken_up.labels("unknown").inc()
             return unresumable(progress.ran, found.err_value)
@@ -119,16 +115,17 @@
         detail = f"no endpoint has the version {progress.origin.software!r} that began it"
         return unresumable(progress.ran, detail)
 
-    async def _find(self, stream: str, services: tuple[str, ...]) -> Result[StreamOrigin | None, str]:
-        """Return where a stream began, None if it may go on anywhere, or why that is not known."""
-        state, now = self.state, monotonic()
+    async def _find(self, job: Job) -> Result[StreamOrigin | None, str]:
+        """Return where a job's stream began, None if no version is named, or why that is not known."""
+        state, now, stream = self.state, monotonic(), job.stream_id
+        services = _services_of(job)
         versions = recent_versions(state, services, now)
+        if state.boxes_known_at == NEVER or job.service.id not in dict(versions):
+            return Err("versions that were there before are not known")
         others = [router for router in state.routers if router.id != state.settings.id]
-        if state.boxes_known_at == NEVER:
-            return Err("versions that were there before this box started are not known yet")
         is_fresh = state.list_age() <= MAX_LIST_AGE_S
-        if len(versions) <= 1 and is_fresh and (state.software.is_complete(now) or not others):
-            return Ok(self._found(None, "one version"))
+        if not _differ(versions) and is_fresh and (state.software.is_complete(now) or not others):
+            return Ok(self._only(job, versions))
         origin = state.origins.find(stream, now)
         if origin is not None:
             return Ok(self._found(origin, "here"))
@@ -136,13 +133,18 @@
         origin = merge_origins(item.origin for item in answers if item.origin is not None)
         if origin is not None:
             return Ok(self._found(origin, "router"))
-        for item in answers:
-            versions |= frozenset(item.versions)
+        versions = versions.union(*(item.versions for item in answers))
         has_seen_all = is_fresh and state.software.unseen_s() <= MAX_UNSEEN_S
-        if len(versions) <= 1 and (answers or has_seen_all):
-            return Ok(self._found(None, "one version"))
+        if not _differ(versions) and (answers or has_seen_all):
+            return Ok(self._only(job, versions))
         return Err(f"none of {len(answers)} routers knows the version that began {stream!r}")
 
+    def _only(self, job: Job, versions: Iterable[tuple[str, str]]) -> StreamOrigin | None:
+        """Return the origin of a stream whose services had one version each."""
+        self._found(None, "one version")
+        software = dict(versions)[job.service.id]
+        return StreamOrigin(job.service.id, "", software) if software else None
+
     def _found(self, origin: StreamOrigin | None, how: str) -> StreamOrigin | None:
         self.state.metrics.taken_up.labels(how).inc()
         return origin
@@ -168,8 +170,8 @@
         return answers
 
     def _tell(self, stream: str, known: KnownStream, now: float) -> None:
-        """Tell routers of a stream, if endpoints of its service differ in version."""
-        if not self.state.software.differs(known.origin.service, now):
+        """Tell routers of a stream, if endpoints of a service that may go on with it differ in version."""
+        if not any(self.state.software.differs(service, now) for service in known.services):
             return
         begun = BegunStream(stream, known.origin, known.until - now)
         routers_by_id = {item.id: item for item in self.state.routers if item.id != self.state.settings.id}
@@ -221,6 +223,15 @@
     return replace(job, service=service)
 
 
+def _services_of(job: Job) -> tuple[str, ...]:
+    return tuple(split.service for split in job.route.splits)
+
+
+def _differ(versions: Collection[tuple[str, str]]) -> bool:
+    """Tell whether one of the services had several versions."""
+    return len(dict(versions)) < len(versions)
+
+
 def _goes_on(job: Job, progress: JobProgress) -> bool:
     """Tell whether a job goes on with a stream, the caller's from an earlier request or its own."""
     if progress.stream.events:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -21,10 +21,12 @@
     may_continue,
     merge_origins,
 )
+from stairquay.serving.following import MAX_LIST_AGE_S, apply_endpoints
 from stairquay.serving.jobs import Job, JobProgress
 from stairquay.serving.local_router import LocalRouter
 from stairquay.serving.messages import BegunStream, FinishedNotice, OriginReply, OriginRequest
-from stairquay.serving.origins import MAX_LIST_AGE_S, OriginTracker, at_origin, excluded_ids
+from stairquay.serving.origins import OriginTracker, at_origin, excluded_ids
+from stairquay.serving.ports import EndpointChanges
 from tests.states import box_state
 
 V1, ALSO_V1, V2 = (
@@ -198,26 +200,28 @@
     return refusal.kind if refusal is not None else progress.origin
 
 
-BOTH = OriginReply(versions=("v1", "v2"), complete=True)
-ONE = OriginReply(versions=("v1",), complete=True)
-KNOWS = OriginReply(BEGUN_AT_V1, ("v1", "v2"), True)
+BOTH = OriginReply(versions=(("llm", "v1"), ("llm", "v2")))
+ONE = OriginReply(versions=(("llm", "v1"),))
+KNOWS = OriginReply(BEGUN_AT_V1, BOTH.versions)
+ONLY_V1 = StreamOrigin("llm", "", "v1")
 UNRESUMABLE = ErrorKind.STREAM_UNRESUMABLE
 
 
 @pytest.mark.parametrize(
     ("listed", "replies", "list_age_s", "known_for_s", "expected", "asks"),
     [
-        ([V1, ALSO_V1], {}, 0.0, 999.0, None, False),
+        ([V1, ALSO_V1], {}, 0.0, 999.0, ONLY_V1, False),
         ([UNNAMED], {}, 0.0, 999.0, None, False),
         ([V1, V2], {"r-0": BOTH, "r-1": KNOWS}, 0.0, 999.0, BEGUN_AT_V1, True),
         ([V1, V2], {"r-0": BOTH, "r-1": BOTH}, 0.0, 999.0, UNRESUMABLE, True),
         ([V1, V2], {}, 0.0, 999.0, UNRESUMABLE, True),
+        ([], {}, 0.0, 999.0, UNRESUMABLE, False),
         # Another box may know of a newer list.
         ([V1], {"r-2": BOTH}, MAX_LIST_AGE_S + 1, 999.0, UNRESUMABLE, True),
-        ([V1], {"r-2": ONE}, MAX_LIST_AGE_S + 1, 999.0, None, True),
+        ([V1], {"r-2": ONE}, MAX_LIST_AGE_S + 1, 999.0, ONLY_V1, True),
         ([V1], {}, MAX_LIST_AGE_S + 1, 999.0, UNRESUMABLE, True),
         # A box that has just started does not know which versions have left.
-        ([V1], {"r-0": ONE}, 0.0, 5.0, None, True),
+        ([V1], {"r-0": ONE}, 0.0, 5.0, ONLY_V1, True),
         ([V1], {"r-0": BOTH}, 0.0, 5.0, UNRESUMABLE, True),
         ([V1], {}, 0.0, 5.0, UNRESUMABLE, True),
     ],
@@ -231,9 +235,25 @@
     assert bool(links.asked) == asks
 
 
+def test_a_stream_that_began_at_the_only_version_goes_on_there_when_another_appears_meanwhile():
+    """It waits for an endpoint while the first one of a new version is listed."""
+    assert not may_continue(ONLY_V1, V2, history_of([V1, V2]), 0.0)
+    assert may_continue(ONLY_V1, ALSO_V1, history_of([V1, ALSO_V1, V2]), 0.0)
+
+
+def test_a_box_that_had_no_list_for_some_time_asks_routers():
+    """Versions may have come and gone while it was cut; removed entries name none."""
+    made, links, _ = tracker([V1], {"r-0": BOTH})
+    now = monotonic()
+    made.state.fleet_known = True
+    made.state.list_asked_at = now - MAX_LIST_AGE_S - 1.0
+    apply_endpoints(made.state, EndpointChanges(2, True, (V1,)), now)
+    assert resolved(made, job_of("s")) == UNRESUMABLE and links.asked
+
+
 def test_a_box_that_started_after_all_others_ended_learns_versions_from_their_heartbeats():
     """It refused streams of a service that never had another version."""
-    for software, expected in (("v1", None), ("v0", UNRESUMABLE)):
+    for software, expected in (("v1", ONLY_V1), ("v0", UNRESUMABLE)):
         made, _, _ = tracker([V1], {}, 0.0, 2.0)
         made.state.software.learn("llm", software, monotonic() - 4.0)
         assert resolved(made, job_of("s")) == expected
@@ -307,6 +327,18 @@
     assert excluded == {"t", "c"}
 
 
+def test_services_of_one_route_that_have_one_version_each_are_served_as_before():
+    """A route with two services seemed to have two versions, and its streams were refused."""
+    other = Endpoint("o", "other", "h:9", software="v7")
+    made, links, notices = tracker([V1, other])
+    assert resolved(made, job_of("s", ("llm", "other"))) == ONLY_V1 and not links.asked
+    made.begun(job_of(None, ("llm", "other")), JobProgress(), V1)
+    assert not notices.begun
+    made, _, notices = tracker([V1, V2, other])
+    made.begun(job_of(None, ("other", "llm")), JobProgress(), other)
+    assert len(notices.begun) == 2, "a stream of the service with one version may be taken up at the other"
+
+
 def test_a_stream_is_taken_up_at_the_service_that_began_it():
     """A route with two services drew one of them for each try."""
     job = job_of("s", ("other", "llm"))
@@ -324,7 +356,7 @@
         notice = FinishedNotice((), begun=(BegunStream("s", BEGUN_AT_V1, 5.0),))
         assert (await router._on_finished(notice)).started == router.started != ""
         reply = await router._on_origin(OriginRequest("s", ("llm",)))
-        assert reply == OriginReply(BEGUN_AT_V1, ("v1", "v2"), False)
+        assert reply == KNOWS
         assert (await router._on_origin(OriginRequest("t", ("plain",)))) == OriginReply()
 
     asyncio.run(scenario())
