Let streams be taken up more than once where no version is named

Found by reading: in a service whose entries name no version, the second box to go on with a stream recorded another endpoint, the two origins counted as two versions, and a box that had started less than 120 s before refused the third try. An origin without version and endpoint may go on anywhere in such a service now, and nowhere in others as before.

--- a/stairquay/core/stream_origins.py
+++ b/stairquay/core/stream_origins.py
@@ -38,7 +38,7 @@
 def merge_origins(origins: Iterable[StreamOrigin]) -> StreamOrigin | None:
     """Return the origin that several boxes know of one stream, None if there is none.
 
-    Where they differ in version, as when a caller used one id twice, no endpoint fits what is returned.
+    Where they differ, as when a caller used one id twice, it names no version and no endpoint.
     """
     found = list(origins)
     if len({(item.service, item.software) for item in found}) > 1:
@@ -57,7 +57,7 @@
     if origin.software or endpoint.id == origin.endpoint:
         return True
     # A service whose entries name no version at all is taken to have one.
-    return bool(origin.endpoint) and history.versions(origin.service, now) == {""}
+    return history.versions(origin.service, now) == {""}
 
 
 @dataclass
