--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -159,7 +159,8 @@
     crashes the endpoint after crash_s. crash_after_head: the head of the response is sent before.
     on_poison: called at the start of each such request and at each crash. limit, leaving: values of the
     headers Server-Limit and Server-Leaving. retry_after: value of Retry-After in refusals. raw_answers: the
-    next answers, written as they are.
+    next answers, written as they are. silent_until: time of the event loop until which it does and sends
+    nothing; its system goes on taking connections and bytes, as that of a stopped process.
 
     arrivals, limits_sent, leaving_sent and retry_after_sent have times of the event loop.
     """
@@ -196,6 +197,7 @@
     hall: str = "hall-a"
     born: int = 0
     cold_ms: int = 0
+    silent_until: float = 0.0
     software: str | int | None = None
     report_requests: int = 0
     received: list[ReceivedRequest] = field(default_factory=list)
@@ -232,7 +234,12 @@
     def _birth(self) -> dict[str, int]:
         return {"born": self.born} if self.born else {}
 
+    async def _while_silent(self) -> None:
+        while (left_s := self.silent_until - asyncio.get_running_loop().time()) > 0:
+            await asyncio.sleep(left_s)
+
     async def _handle(self, request: web.Request) -> web.StreamResponse:
+        await self._while_silent()
         cache_response = await self.handle_cache_request(request)
         if cache_response is not None:
             return cache_response
@@ -303,6 +310,7 @@
         )
         try:
             await asyncio.sleep(self.delay_s)
+            await self._while_silent()
             if self.crashes_on and self.crashes_on in body:
                 self.on_poison(call_id, body, False)
                 if self.crash_after_head:
@@ -376,6 +384,7 @@
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, self.event_count + 1):
+            await self._while_silent()
             await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
             await asyncio.sleep(self.event_s)
             if number == self.break_after:
