--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -1,6 +1,6 @@
 """Finds the software version that began a stream, and tells others of the streams that this box begins.
 
-Each stream's origin is kept here. Where a service has endpoints of several versions, it is also told to two
+Each stream's origin is kept here. Where a service has endpoints of several versions, it is also told to three
 routers, since this box may be gone when the caller comes back, to whichever box. A box that does not find the
 origin refuses the stream: the wrong version would write what does not fit.
 """
@@ -29,8 +29,8 @@
 from stairquay.serving.refusals import RETRY_AFTER_S
 from stairquay.serving.state import BoxState
 
-ROUTERS_TOLD = 2
-"""Routers that are told of a stream, besides this box: one of them may fail together with this box."""
+ROUTERS_TOLD = 3
+"""Routers that are told of a stream, besides this box: two of them may be away when its caller comes back."""
 
 ORIGIN_TIMEOUT_S = 0.2
 """Seconds to wait for routers' answers. They take about 2 ms; the rest is for bursts after a failure, when
