--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -86,6 +86,7 @@
     async def run(self, job: Job, request: web.BaseRequest) -> Result[web.StreamResponse, Refusal]:
         """Run a job to its end. Return the response, already sent if it is a stream, or a refusal."""
         progress = JobProgress()
+        # First of all, since the service that the request counts for follows from it.
         unknown = await self.origins.resolve(job, progress)
         job = at_origin(job, progress)
         if job.call.forwarded_attempts is None:
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -59,17 +59,17 @@
         self.notices = notices
 
     async def run(self) -> None:
-        """Tell routers again whenever others are to be told, until cancelled."""
+        """Tell routers of this box's streams again whenever the audience changes, until cancelled."""
         audience = self._audience()
         while True:
 
-            def changed(known: Audience = audience) -> bool:
+            def has_changed(known: Audience = audience) -> bool:
                 return self._audience() != known
 
-            await self.state.changed.wait_for(changed, EXPIRY_INTERVAL_S)
+            await self.state.changed.wait_for(has_changed, EXPIRY_INTERVAL_S)
             now = monotonic()
             self.state.origins.expire(now)
-            if changed():
+            if has_changed():
                 audience = self._audience()
                 for stream, known in self.state.origins.own_streams(now).items():
                     self._tell(stream, known, now)
@@ -116,10 +116,14 @@
         return unresumable(progress.ran, detail)
 
     async def _find(self, job: Job) -> Result[StreamOrigin | None, str]:
-        """Return where a job's stream began, None if no version is named, or why that is not known."""
+        """Return where a job's stream began, None if no version is named, or why that is not known.
+
+        Where its services had one version each, as far as this box can be sure or routers say, that is it.
+        """
         state, now, stream = self.state, monotonic(), job.stream_id
         services = _services_of(job)
         versions = recent_versions(state, services, now)
+        # Other boxes' rows tell which versions left before this box started.
         if state.boxes_known_at == NEVER or job.service.id not in dict(versions):
             return Err("versions that were there before are not known")
         others = [router for router in state.routers if router.id != state.settings.id]
