Ask routers before a stream is bound to the only version, and read the list again if one is silent

A box took its own list of up to 2 s, or a router that had just thawed, for proof that a service has one version, while the first endpoint of a second one had begun a stream that another box knew of. Boxes have their lists from routers, so that all routers that answer know at least as much: all are asked now, whatever this box's list says. If one does not answer, a list has to come that was requested after the stream came (1.2 s at most), or the stream is refused. A service with one version costs a question to routers for each stream taken up, 2 ms.

--- a/stairquay/core/software.py
+++ b/stairquay/core/software.py
@@ -78,10 +78,6 @@
         """Tell whether endpoints of a service had several versions lately."""
         return len(self.versions(service, now)) > 1
 
-    def is_complete(self, now: float) -> bool:
-        """Tell whether the list has been known without gaps for as long as versions are remembered."""
-        return self.since is not None and now - self.since >= MEMORY_S
-
     def unseen_s(self) -> float:
         """Return the seconds between what other boxes told and this box's first list, infinite if unknown."""
         return float("inf") if self.since is None else max(0.0, self.since - self.learned_at)
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import msgspec
+from msgspec import UNSET, UnsetType
 from result import Err
 
 from stairquay.adapters.clock import monotonic
@@ -59,13 +60,13 @@
     at_s: float
 
 
-class BoxHeartbeat(msgspec.Struct, frozen=True, omit_defaults=True):
+class BoxHeartbeat(msgspec.Struct, frozen=True):
     """A box's row, which changes with every heartbeat.
 
     named: target versions, which tell starting boxes for how long weights have been replaced. viewed_at_s:
     time of the box's view by the table service's clock; versions that `named` lacks were set later.
     software: the versions that were listed lately, which tell starting boxes after all others have ended at
-    which ones streams may have begun.
+    which ones streams may have begun. Only followers of the table service write it.
     """
 
     beat: int
@@ -75,7 +76,7 @@
     named: tuple[TargetVersion, ...] = ()
     viewed_at_s: float | None = None
     front: str = ""
-    software: tuple[ListedSoftware, ...] = ()
+    software: tuple[ListedSoftware, ...] | UnsetType = UNSET
 
 
 class BoxRegistry:
@@ -204,10 +205,10 @@
             self._listed_software(offset),
         )
 
-    def _listed_software(self, offset: ClockOffset) -> tuple[ListedSoftware, ...]:
+    def _listed_software(self, offset: ClockOffset) -> tuple[ListedSoftware, ...] | UnsetType:
         """Return what this box knows of versions; a few rows are enough."""
         if not self.state.is_follower:
-            return ()
+            return UNSET
         now, history = monotonic(), self.state.software
         seen = history.seen_at_by_version | dict.fromkeys(history.listed, now)
         return tuple(ListedSoftware(*key, round(offset.to_remote(at), 1)) for key, at in seen.items())
@@ -235,7 +236,7 @@
                     continue
                 named_at = min(now, offset.to_local(named.at_s))
                 self.state.record_target_version(named.model, named.version, named_at, row.key)
-            for listed in beat.software:
+            for listed in () if isinstance(beat.software, UnsetType) else beat.software:
                 at = min(now, offset.to_local(listed.at_s))
                 self.state.software.learn(listed.service, listed.version, at)
             if beat.viewed_at_s is not None:
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -43,9 +43,9 @@
 OPERATORS_SNAPSHOT_INTERVAL_S = 8.0
 """Twice LIST_SNAPSHOT_INTERVAL_S, since calls to the table service are billed."""
 
-MAX_LIST_AGE_S = 2.0
-"""Age of the list of endpoints up to which no version of their software is missing in it, and up to which one
-that came and went since was seen: endpoints serve for longer. The list is usually read twice in that time."""
+MAX_LIST_GAP_S = 2.0
+"""Seconds between two lists of endpoints within which no version of their software comes and goes unseen:
+endpoints serve for longer. The list is usually read twice in that time."""
 
 LIST_PAUSE_S = 0.6
 """Pause between calls for the list, which changes with every heartbeat; calls are billed. Far below
@@ -255,7 +255,7 @@
     else:
         state.fleet.apply(changes.present, changes.gone, now, earliest_removal)
     listed_before_at, state.list_asked_at = state.list_asked_at, asked_at - changes.behind_s
-    if state.list_asked_at - listed_before_at > MAX_LIST_AGE_S:
+    if state.list_asked_at - listed_before_at > MAX_LIST_GAP_S:
         state.software.on_gap(now)
     changed = not state.fleet_known or _live_by_id(state, affected) != live_before
     if changed:
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -1,8 +1,10 @@
 """Finds the software version that began a stream, and tells others of the streams that this box begins.
 
 Each stream's origin is kept here. Where a service has endpoints of several versions, it is also told to three
-routers, since this box may be gone when the caller comes back, to whichever box. A box that does not find the
-origin refuses the stream: the wrong version would write what does not fit.
+routers, since this box may be gone when the caller comes back, to whichever box. A stream of which nobody was
+told began at the only version there was. Routers are asked for that too: a box has its list of endpoints from
+one of them, so that it knows no version that they don't. A box that does not find the origin refuses the
+stream: the wrong version would write what does not fit.
 """
 
 import asyncio
@@ -20,7 +22,6 @@
 from stairquay.core.stream_origins import KnownStream, StreamOrigin, may_continue, merge_origins
 from stairquay.serving.endpoint import NEVER
 from stairquay.serving.evacuation import takes_work
-from stairquay.serving.following import MAX_LIST_AGE_S
 from stairquay.serving.jobs import Job, JobProgress
 from stairquay.serving.links import RouterClients
 from stairquay.serving.messages import BegunStream, OriginReply, OriginRequest
@@ -36,6 +37,11 @@
 """Seconds to wait for routers' answers. They take about 2 ms; the rest is for bursts after a failure, when
 many callers come back at once."""
 
+LIST_TIMEOUT_S = 1.2
+"""Seconds to wait for the next list of endpoints if a router does not answer: about two reads."""
+
+LIST_POLL_S = 0.05
+
 MAX_UNSEEN_S = 8.0
 """Seconds between the last heartbeat of a router and this box's first list within which no version comes and
 goes: a heartbeat and a restart. It counts only while no router answers, as when all boxes start at once."""
@@ -116,32 +122,39 @@
         return unresumable(progress.ran, detail)
 
     async def _find(self, job: Job) -> Result[StreamOrigin | None, str]:
-        """Return where a job's stream began, None if no version is named, or why that is not known.
-
-        Where its services had one version each, as far as this box can be sure or routers say, that is it.
-        """
-        state, now, stream = self.state, monotonic(), job.stream_id
-        services = _services_of(job)
-        versions = recent_versions(state, services, now)
+        """Return where a job's stream began, None if no version is named, or why that is not known."""
+        state, asked_at, stream = self.state, monotonic(), job.stream_id
         # Other boxes' rows tell which versions left before this box started.
-        if state.boxes_known_at == NEVER or job.service.id not in dict(versions):
-            return Err("versions that were there before are not known")
-        others = [router for router in state.routers if router.id != state.settings.id]
-        is_fresh = state.list_age() <= MAX_LIST_AGE_S
-        if not _differ(versions) and is_fresh and (state.software.is_complete(now) or not others):
-            return Ok(self._only(job, versions))
-        origin = state.origins.find(stream, now)
+        if state.boxes_known_at == NEVER:
+            return Err("versions that were there before this box started are not known yet")
+        origin = state.origins.find(stream, asked_at)
         if origin is not None:
             return Ok(self._found(origin, "here"))
+        services = _services_of(job)
+        others = [router for router in state.routers if router.id != state.settings.id]
         answers = await self._ask(others, OriginRequest(stream, services))
         origin = merge_origins(item.origin for item in answers if item.origin is not None)
         if origin is not None:
             return Ok(self._found(origin, "router"))
-        versions = versions.union(*(item.versions for item in answers))
-        has_seen_all = is_fresh and state.software.unseen_s() <= MAX_UNSEEN_S
-        if not _differ(versions) and (answers or has_seen_all):
-            return Ok(self._only(job, versions))
-        return Err(f"none of {len(answers)} routers knows the version that began {stream!r}")
+        versions = recent_versions(state, services, monotonic()).union(*(item.versions for item in answers))
+        if not _differ(versions) and len(answers) < len(others):
+            # The box that began the stream may have its list from a router that did not answer.
+            if not await self._list_read_since(asked_at):
+                return Err("the list of endpoints may be older than the stream")
+            versions |= recent_versions(state, services, monotonic())
+            if not (answers or state.software.unseen_s() <= MAX_UNSEEN_S):
+                return Err("versions that left before this box started are not known")
+        if _differ(versions) or job.service.id not in dict(versions):
+            return Err(f"none of {len(answers)} routers knows the version that began {stream!r}")
+        return Ok(self._only(job, versions))
+
+    async def _list_read_since(self, at: float) -> bool:
+        """Wait for a list of endpoints that was requested after a time; return whether it came soon."""
+        while self.state.list_asked_at < at:
+            if monotonic() - at > LIST_TIMEOUT_S:
+                return False
+            await asyncio.sleep(LIST_POLL_S)
+        return True
 
     def _only(self, job: Job, versions: Iterable[tuple[str, str]]) -> StreamOrigin | None:
         """Return the origin of a stream whose services had one version each."""
