Look a stream's origin up once, and give every stream that may be sent again one

Cause: the dispatcher asked for the origin before its loop and in each turn of it, so that a stream of a service without named versions had its routers asked twice or more, and was counted as often. It is needed in the loop only after another box had begun the answer, and stands there now. Routes of repeatable requests that answer with events got an origin by that question alone; they get it with the first event now, as resumable ones do (the new test has three routes; the second failed before). Also: the loop that tells routers again compares with the audience told last in place of a closure made in each turn; one way to count; the number in the doc of MAX_ORIGINS is that of three routers.

--- a/stairquay/core/stream_origins.py
+++ b/stairquay/core/stream_origins.py
@@ -10,7 +10,7 @@
 
 MAX_ORIGINS = 50_000
 """Streams that are remembered; the oldest are forgotten first. At 570 streams a second over all boxes, each
-remembered for 15 s by two of three routers, a router has 5,700."""
+remembered for 15 s by each of three routers, a router has 8,550."""
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -97,8 +97,7 @@
         while True:
             if self.crashes.probes_by_incarnation:
                 await self.crashes.settle(job.digest)
-            refusal = await self.origins.resolve(job, progress)
-            refusal = refusal or self._refusal_before_attempt(job, progress)
+            refusal = self._refusal_before_attempt(job, progress)
             if refusal is not None:
                 return self._give_up(job, progress, refusal, request)
             if self.forwarder.applies(job, progress):
@@ -144,6 +143,9 @@
             refusal = forwarded.err_value
         elif progress.runs > runs_before:
             refusal = self._refusal_after_failure(job, progress)
+        if refusal is None and progress.stream.events:
+            # Only the other box has seen where it began the stream.
+            refusal = await self.origins.resolve(job, progress)
         return None if refusal is None else self._give_up(job, progress, refusal, request)
 
     def _outcome(self, job: Job, response: web.StreamResponse | None, progress: JobProgress) -> Outcome:
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -63,26 +63,25 @@
         self.state = state
         self.links = links
         self.notices = notices
+        # Whom this box's streams were told to last.
+        self.audience = self._audience()
 
     async def run(self) -> None:
         """Tell routers of this box's streams again whenever the audience changes, until cancelled."""
-        audience = self._audience()
         while True:
-
-            def has_changed(known: Audience = audience) -> bool:
-                return self._audience() != known
-
-            await self.state.changed.wait_for(has_changed, EXPIRY_INTERVAL_S)
+            has_changed = await self.state.changed.wait_for(
+                lambda: self._audience() != self.audience, EXPIRY_INTERVAL_S
+            )
             now = monotonic()
             self.state.origins.expire(now)
-            if has_changed():
-                audience = self._audience()
+            if has_changed:
+                self.audience = self._audience()
                 for stream, known in self.state.origins.own_streams(now).items():
                     self._tell(stream, known, now)
 
     def begun(self, job: Job, progress: JobProgress, endpoint: Endpoint) -> None:
         """Record where a job's stream began, as its first event is about to be passed on."""
-        if not job.route.resumable:
+        if not job.route.retryable:
             return
         listed = self.state.fleet.by_id.get(endpoint.id, endpoint)
         # The entry may have changed since the request was sent.
@@ -105,7 +104,7 @@
             return None
         found = await self._find(job)
         if isinstance(found, Err):
-            self.state.metrics.taken_up.labels("unknown").inc()
+            self._count("unknown")
             return unresumable(progress.ran, found.err_value)
         progress.origin = found.ok_value
         return None
@@ -129,13 +128,15 @@
             return Err("versions that were there before this box started are not known yet")
         origin = state.origins.find(stream, asked_at)
         if origin is not None:
-            return Ok(self._found(origin, "here"))
+            self._count("here")
+            return Ok(origin)
         services = _services_of(job)
         others = [router for router in state.routers if router.id != state.settings.id]
         answers = await self._ask(others, OriginRequest(stream, services))
         origin = merge_origins(item.origin for item in answers if item.origin is not None)
         if origin is not None:
-            return Ok(self._found(origin, "router"))
+            self._count("router")
+            return Ok(origin)
         versions = recent_versions(state, services, monotonic()).union(*(item.versions for item in answers))
         if not _differ(versions) and len(answers) < len(others):
             # The box that began the stream may have its list from a router that did not answer.
@@ -146,7 +147,9 @@
                 return Err("versions that left before this box started are not known")
         if _differ(versions) or job.service.id not in dict(versions):
             return Err(f"none of {len(answers)} routers knows the version that began {stream!r}")
-        return Ok(self._only(job, versions))
+        self._count("one version")
+        software = dict(versions)[job.service.id]
+        return Ok(StreamOrigin(job.service.id, "", software) if software else None)
 
     async def _list_read_since(self, at: float) -> bool:
         """Wait for a list of endpoints that was requested after a time; return whether it came soon."""
@@ -156,15 +159,8 @@
             await asyncio.sleep(LIST_POLL_S)
         return True
 
-    def _only(self, job: Job, versions: Iterable[tuple[str, str]]) -> StreamOrigin | None:
-        """Return the origin of a stream whose services had one version each."""
-        self._found(None, "one version")
-        software = dict(versions)[job.service.id]
-        return StreamOrigin(job.service.id, "", software) if software else None
-
-    def _found(self, origin: StreamOrigin | None, how: str) -> StreamOrigin | None:
+    def _count(self, how: str) -> None:
         self.state.metrics.taken_up.labels(how).inc()
-        return origin
 
     async def _ask(self, routers: Iterable[Member], request: OriginRequest) -> list[OriginReply]:
         """Return the routers' answers, up to the first one that knows the stream."""
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import pytest
+from msgspec import structs
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.call import Call
@@ -321,6 +322,16 @@
     assert resolved(made, job_of(), progress) == BEGUN_AT_V1
 
 
+def test_a_stream_of_any_route_whose_requests_may_be_sent_again_has_an_origin():
+    """A route of repeatable requests may answer with events too, and such an answer is carried on as well."""
+    for resumable, repeatable, bound in ((True, False, True), (False, True, True), (False, False, False)):
+        job, progress = job_of(), JobProgress()
+        route = structs.replace(job.route, resumable=resumable, repeatable=repeatable)
+        made, _, _ = tracker([V1, V2])
+        made.begun(replace(job, route=route), progress, V1)
+        assert (progress.origin == BEGUN_AT_V1) == bound
+
+
 def test_only_services_whose_endpoints_differ_cost_messages():
     """Nothing is told where a service has one version; some routers are told elsewhere."""
     for listed, told in (([V1, ALSO_V1], 0), ([V1, V2], ROUTERS_TOLD)):
