Let two soaks share their command line

Cause: soak_versions repeated the command line of soak_cuts to the letter. Change: tests/soak_command.py reads it for both; the other two soaks have options of their own and stay.

--- a/tests/soak_cuts.py
+++ b/tests/soak_cuts.py
@@ -5,7 +5,6 @@
 all links heal, and all boxes have to serve again.
 """
 
-import argparse
 import asyncio
 import json
 from collections import Counter
@@ -15,6 +14,7 @@
 from tests.cut_box import CutKind
 from tests.many_boxes import several_boxes
 from tests.site import Site
+from tests.soak_command import run_soak
 from tests.standins.endpoints import Endpoint, Framing, RawAnswer
 from tests.test_cut_from_endpoints import NOT_REPEATABLE, Callers, cut, runs_by_request
 
@@ -203,14 +203,5 @@
         return await Soak(boxes, Random(seed), seconds).run()
 
 
-def main() -> None:
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=30.0)
-    arguments = parser.parse_args()
-    outcome = asyncio.run(soak(arguments.seed, arguments.seconds))
-    print(json.dumps({"seed": arguments.seed, **vars(outcome)}))
-
-
 if __name__ == "__main__":
-    main()
+    run_soak(soak)
--- a/tests/soak_versions.py
+++ b/tests/soak_versions.py
@@ -5,7 +5,6 @@
 stops. Rollouts, crashes, kills, stops and freezes of boxes, and configurations come in series and overlap.
 """
 
-import argparse
 import asyncio
 import json
 import signal
@@ -15,6 +14,7 @@
 
 from tests.many_boxes import several_boxes
 from tests.site import Site
+from tests.soak_command import run_soak
 from tests.standins.endpoints import Endpoint
 from tests.streams import EVENTS, Stream, mixed, ran_at_several, slow_streams
 
@@ -261,14 +261,5 @@
         return await Soak(boxes, Random(seed), seconds).run()
 
 
-def main() -> None:
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=30.0)
-    arguments = parser.parse_args()
-    outcome = asyncio.run(soak(arguments.seed, arguments.seconds))
-    print(json.dumps({"seed": arguments.seed, **vars(outcome)}))
-
-
 if __name__ == "__main__":
-    main()
+    run_soak(soak)
