Count the boxes as before while the table service is silent or takes no writes

Cause: a box whose row did not change for three and a half heartbeats counted as gone, by this box's clock. After a silence of the table service of 14 s (six boxes) to 230 s (330) every row was that old, so that each box counted itself alone and took the whole slack, and the whole of an endpoint's limit.

Change: rows age only while this box's own reads and writes succeed. A box that could not write its row for two and a half heartbeats takes no slack, since others may have shared it out.

--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -89,6 +89,10 @@
         self.revision: int | None = None
         self.beat = 0
         self.last_change_by_key: dict[str, tuple[Position, float]] = {}
+        self.write_failed = False
+        # When rows were requested last, and the same less the time in which no box could renew its row.
+        self.read_at = NEVER
+        self.heard_at = NEVER
         self.era = 0
         self.rows_by_key: dict[str, Row] = {}
         # Rows that a restore of the table service lost, until they are written again.
@@ -102,7 +106,8 @@
             found = await self.own.list_prefix(KEY_PREFIX)
             if not isinstance(found, Err):
                 self._apply_rows(found.ok_value, asked_at)
-            if not await self._write_heartbeat():
+            self.write_failed = not await self._write_heartbeat()
+            if self.write_failed:
                 await asyncio.sleep(RETRY_S)
             if not self.state.version_history_known:
                 continue
@@ -115,13 +120,14 @@
             (row.revision for row in found if row.key == KEY_PREFIX + self.state.settings.id), 0
         )
         rows = (*found, *self._lost_rows(found))
-        self.last_change_by_key = {row.key: self._last_change(row, asked_at) for row in rows}
+        self._advance_heard_at(asked_at)
+        self.last_change_by_key = {row.key: self._last_change(row, self.heard_at) for row in rows}
         own = KEY_PREFIX + self.state.settings.id
         timeout_s = MISSED_HEARTBEATS * self._heartbeat_interval_s()
         alive = [
             row
             for row in rows
-            if asked_at - self.last_change_by_key[row.key][1] < timeout_s and row.key != own
+            if self.heard_at - self.last_change_by_key[row.key][1] < timeout_s and row.key != own
         ]
         members = [_member(row) for row in alive] + [self.state.member]
         self.state.boxes = tuple(sorted(member.id for member in members))
@@ -131,9 +137,22 @@
         }
         if self.state.boxes_known_at == NEVER:
             self.state.boxes_known_at = asked_at
+        self.state.row_valid_s = (MISSED_HEARTBEATS - 1) * self._heartbeat_interval_s()
         self._use_routers(pick_routers(members) or (self.state.member,))
         self._learn_target_versions(rows)
 
+    def _advance_heard_at(self, asked_at: float) -> None:
+        """Advance the time that rows age by; it stops while the table service is silent or takes no writes.
+
+        Otherwise all boxes would count each other as gone, and each would take the slack and limits of all.
+        """
+        if self.read_at == NEVER:
+            self.heard_at = asked_at
+        elif not self.write_failed:
+            longest_pause_s = self._heartbeat_interval_s() * (1 + JITTER)
+            self.heard_at += min(asked_at - self.read_at, longest_pause_s)
+        self.read_at = asked_at
+
     def _lost_rows(self, found: tuple[Row, ...]) -> tuple[Row, ...]:
         """Return the rows that a restore lost and that are not back yet.
 
@@ -164,11 +183,11 @@
             FIRST_HEARTBEAT_INTERVAL_S * HEARTBEAT_INTERVAL_GROWTH ** max(0, self.beat - 1),
         )
 
-    def _last_change(self, row: Row, asked_at: float) -> tuple[Position, float]:
+    def _last_change(self, row: Row, heard_at: float) -> tuple[Position, float]:
         before = self.last_change_by_key.get(row.key)
         if before is not None and before[0] == row.position:
             return before
-        return row.position, asked_at
+        return row.position, heard_at
 
     async def _write_heartbeat(self) -> bool:
         """Write this box's row; tell whether it was written."""
@@ -184,6 +203,7 @@
         if written:
             # Only after the write: a failed one published nothing.
             self.published_versions = named
+            self.state.row_written_at = monotonic()
         return written
 
     def _own_heartbeat(self, offset: ClockOffset) -> BoxHeartbeat:
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -1,6 +1,7 @@
 """The shared state of a box: configuration, endpoints, other boxes and cached context."""
 
 from dataclasses import dataclass, field
+from math import inf
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.budget import WindowedRetryBudget
@@ -84,6 +85,9 @@
     # Ids of boxes believed alive.
     boxes: tuple[str, ...] = ()
     boxes_known_at: float = NEVER
+    # When this box last wrote its row, and the seconds after which others may count it as gone.
+    row_written_at: float = NEVER
+    row_valid_s: float = inf
     # Where other live boxes take callers' requests, by id.
     fronts_by_box: dict[str, str] = field(default_factory=dict)
     # Era of the table service, 0 until it has answered; when this box first saw it, and whether that was at a
@@ -410,8 +414,14 @@
     def take_retry(self, service: str) -> bool:
         """Spend one retry of a service's budget, if it permits."""
         now = monotonic()
-        known_s = now - self.boxes_known_at if self.boxes_known_at > NEVER else 0.0
-        return self.retry_budget(service).take(now, len(self.boxes), known_s)
+        return self.retry_budget(service).take(now, len(self.boxes), self.known_boxes_for_s(now))
+
+    def known_boxes_for_s(self, now: float) -> float:
+        """Return the seconds for which this box has known the number of boxes, 0 if others may not count it."""
+        if self.boxes_known_at == NEVER:
+            return 0.0
+        is_counted = self.row_written_at == NEVER or now - self.row_written_at < self.row_valid_s
+        return now - self.boxes_known_at if is_counted else 0.0
 
     def drop_removed_endpoints(self) -> None:
         """Drop the state of unlisted endpoints without active limits or requests."""
--- a/tests/test_serving_core.py
+++ b/tests/test_serving_core.py
@@ -92,8 +92,7 @@
 
 
 def most_in_window(requests: list[float], now: float) -> int:
-    """Return the requests of the window that ends now, of the one before or of the one between them, whichever
-    has most."""
+    """Return the requests of the window that ends now, of the one before or of the one between them."""
     return max(sum(now - back - 10.0 <= at <= now - back for at in requests) for back in (0.0, 5.0, 10.0))
 
 
