--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -417,7 +417,7 @@
         return self.retry_budget(service).take(now, len(self.boxes), self.known_boxes_for_s(now))
 
     def known_boxes_for_s(self, now: float) -> float:
-        """Return the seconds for which this box has known the number of boxes, 0 if others may not count it."""
+        """Return the seconds since this box knows the number of boxes, 0 if others may not count it."""
         if self.boxes_known_at == NEVER:
             return 0.0
         is_counted = self.row_written_at == NEVER or now - self.row_written_at < self.row_valid_s
