Keep the requests of all boxes at a brittle endpoint within its room

Cause: nothing read the statement. Each box counts its own requests only, and after a rejection an endpoint was merely chosen last for 0.25 s. Routers also placed on engines' queues, and what was sent again without any account.

Change: the statement is decoded once, kept with the endpoint's life and told to other boxes with limits. A new life that has not answered counts as its service last stated. The places of an endpoint (0.85 of its slots) are split over a few boxes that all know by rendezvous hashing; a box without a free place passes its requests on to those. After a rejection a box leaves the endpoint alone for 1 to 16 s. Routers place nothing on the queues of brittle engines. Nothing changes where no endpoint states it.

--- /dev/null
+++ b/stairquay/core/places.py
@@ -0,0 +1,36 @@
+"""Splits the room of an endpoint that must not reject requests over the boxes, without coordination.
+
+A place allows one request at a time. A few boxes hold the places of each endpoint, and all boxes know from
+their list which ones: one that holds none passes its requests on. So the requests at an endpoint stay within
+its room however many boxes there are, and whether they were idle or have just started.
+"""
+
+from functools import lru_cache
+from math import ceil
+
+from stairquay.core.ownership import rank_owners
+
+ROOM_SHARE = 0.85
+"""Share of an endpoint's slots that have a place. A new connection may take a slot for a moment, and a box
+that was killed may have left requests behind."""
+
+PLACES_PER_HOLDER = 3
+"""Places of one box, so that a request seldom waits for one while another box has a free one. With fewer
+boxes than that takes, each has more."""
+
+MAX_CACHED = 4_096
+
+
+def places(slots: int) -> int:
+    """Return the places of an endpoint."""
+    return max(1, int(slots * ROOM_SHARE))
+
+
+@lru_cache(MAX_CACHED)
+def places_by_holder(endpoint_id: str, slots: int, boxes: tuple[str, ...]) -> dict[str, int]:
+    """Return the places of an endpoint by the boxes that hold them; `boxes` are all that are alive."""
+    total = places(slots)
+    holders = rank_owners(endpoint_id.encode(), boxes, ceil(total / PLACES_PER_HOLDER))
+    return {
+        box: total // len(holders) + (number < total % len(holders)) for number, box in enumerate(holders)
+    }
--- a/stairquay/core/prompt_queue.py
+++ b/stairquay/core/prompt_queue.py
@@ -206,8 +206,13 @@
         self.reserved_for = ""
         self.contended_at = -inf
 
-    def decide(self, request: RoomRequest, rooms: Sequence[Room], now: float) -> Decision:
-        """Decide on a prompt. rooms: of the engines that may run it, the preferred ones first."""
+    def decide(
+        self, request: RoomRequest, rooms: Sequence[Room], now: float, may_queue: bool = True
+    ) -> Decision:
+        """Decide on a prompt. rooms: of the engines that may run it, the preferred ones first.
+
+        may_queue: it may wait in an engine's queue; otherwise only here.
+        """
         self._expire(now)
         if not rooms or all(room.free_in_s == inf for room in rooms):
             # No engine can ever hold it, which the engines say better.
@@ -222,19 +227,20 @@
         left_share = max(MIN_LEFT_SHARE, 1 - self._urgent_share(request.priority, now))
         start_s = max(soonest.free_in_s, (rank + 1) / drain_per_s) / left_share
         reason = self._reason_to_refuse(request, start_s, now)
-        if reason is not None and not self.order and _mostly_free(rooms):
+        if may_queue and reason is not None and not self.order and _mostly_free(rooms):
             return self._admit(request, now, Admitted(soonest.engine, queued=True))
         if reason is not None:
             return self._reject(request, reason, len(self.order) / drain_per_s, drain_per_s, now)
-        if request.priority == 0:
+        if may_queue and request.priority == 0:
             return self._admit(request, now, Admitted(soonest.engine, queued=True))
         again_s = min(MAX_AGAIN_S, max(MIN_AGAIN_S, start_s))
         if again_s + MESSAGES_S <= request.wait_left_s:
             self._wait(request, again_s, soonest.engine, now)
             return Deferred(again_s)
-        if rank == 0 or not self._over_share(request, now):
+        if may_queue and (rank == 0 or not self._over_share(request, now)):
             return self._admit(request, now, Admitted(soonest.engine, queued=True))
-        return self._reject(request, Reason.SHARE, len(self.order) / drain_per_s, drain_per_s, now)
+        reason = Reason.SHARE if may_queue else Reason.OBJECTIVE
+        return self._reject(request, reason, len(self.order) / drain_per_s, drain_per_s, now)
 
     def is_idle(self, now: float) -> bool:
         """Tell whether nothing waits, so that a prompt for which an engine has room needs no decision."""
--- a/stairquay/platform/names.py
+++ b/stairquay/platform/names.py
@@ -16,6 +16,7 @@
 copy."""
 
 LIMIT = "Server-Limit"
+TOLERANCE = "Server-Brittle"
 """Rate limit of an overloaded endpoint, over all callers: requests per second as a decimal number."""
 
 LEAVING = "Server-Leaving"
--- a/stairquay/platform/statements.py
+++ b/stairquay/platform/statements.py
@@ -8,7 +8,7 @@
 
 from stairquay.core.limits import UNLIMITED, parse_decimal
 from stairquay.core.rest import parse_date, parse_retry_after
-from stairquay.platform.names import DATE, LEAVING, LIMIT, RETRY_AFTER
+from stairquay.platform.names import DATE, LEAVING, LIMIT, NOT_RUN, RETRY_AFTER, TOLERANCE
 from stairquay.serving.ports import Feedback, Topic
 
 Headers = CIMultiDictProxy[str]
@@ -17,14 +17,18 @@
 HTTP_UNAVAILABLE = 503
 """Status of a response that may ask for a backoff."""
 
+REJECTED_STATUSES = frozenset((429, HTTP_UNAVAILABLE))
+"""Statuses of an endpoint that has no room for a request."""
+
 LEAVING_VALUE = "1"
 EMPTY_VALUE = "(empty)"
 
 
 def parse_feedback(headers: Headers, status: int) -> Feedback:
-    """Return the feedback in the headers of a response. The lowest of several limits applies, and the longest
-    of several backoffs."""
+    """Return the feedback in the headers of a response. The lowest of several limits and tolerances applies,
+    and the longest of several backoffs."""
     limit = _parse_header(headers, LIMIT, parse_decimal, min, UNLIMITED)
+    bears = _parse_header(headers, TOLERANCE, parse_decimal, min, UNLIMITED)
     leaving = _parse_header(headers, LEAVING, _parse_leaving, max, False)
     backoff_s: float | None = 0.0
     if status == HTTP_UNAVAILABLE:
@@ -32,14 +36,25 @@
         backoff_s = _parse_header(
             headers, RETRY_AFTER, lambda text: parse_retry_after(text, answered_at), max, 0.0
         )
-    names_by_topic = {Topic.LIMIT: LIMIT, Topic.LEAVING: LEAVING, Topic.BACKOFF: RETRY_AFTER}
-    values = {Topic.LIMIT: limit, Topic.LEAVING: leaving, Topic.BACKOFF: backoff_s}
+    names_by_topic = {
+        Topic.LIMIT: LIMIT,
+        Topic.LEAVING: LEAVING,
+        Topic.BACKOFF: RETRY_AFTER,
+        Topic.TOLERANCE: TOLERANCE,
+    }
+    values = {
+        Topic.LIMIT: limit,
+        Topic.LEAVING: leaving,
+        Topic.BACKOFF: backoff_s,
+        Topic.TOLERANCE: bears,
+    }
     unreadable = tuple(
         (topic, headers.get(name, "") or EMPTY_VALUE)
         for topic, name in names_by_topic.items()
         if values[topic] is None
     )
-    return Feedback(limit, leaving, backoff_s, unreadable)
+    rejected = NOT_RUN in headers and status in REJECTED_STATUSES
+    return Feedback(limit, leaving, backoff_s, bears, rejected, unreadable)
 
 
 def _parse_header(
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -24,6 +24,7 @@
 from stairquay.core.limits import UNLIMITED
 from stairquay.core.mistake import Mistake
 from stairquay.serving.boxes import BoxRegistry
+from stairquay.serving.brittleness import tolerance_report
 from stairquay.serving.cold import cold_for_s
 from stairquay.serving.crash_rows import CrashRowSync
 from stairquay.serving.crashes import CrashDetector
@@ -261,6 +262,7 @@
         metrics.evacuated.labels(hall).set(hall in state.evacuated)
     metrics.cold.clear()
     metrics.limits.clear()
+    metrics.tolerances.clear()
     metrics.leaving.clear()
     metrics.backoffs.clear()
     for endpoint in state.fleet.live():
@@ -270,6 +272,9 @@
         limit_per_s = limit_of(state.endpoint_state(endpoint))
         if limit_per_s < UNLIMITED:
             metrics.limits.labels(endpoint.id).set(limit_per_s)
+        tolerance = tolerance_report(state, endpoint)
+        if tolerance is not None and tolerance.per_s < UNLIMITED:
+            metrics.tolerances.labels(endpoint.id).set(tolerance.per_s)
         if endpoint.leaving:
             metrics.leaving.labels(endpoint.id).set(1)
     for name, backoff_s in backoffs_by_id(state, now).items():
--- /dev/null
+++ b/stairquay/serving/brittleness.py
@@ -0,0 +1,128 @@
+"""Keeps requests away from endpoints that state how many rejections a second they bear before they fall over.
+
+The statement is made by all endpoints of a service at a time, so that it also holds for one that has started
+since and has not answered yet: all that waits would meet the first one that is back.
+"""
+
+from collections.abc import Collection
+from math import inf
+from random import Random
+
+from stairquay.core.fleet import Endpoint
+from stairquay.core.limits import UNLIMITED, LimitReport, merge_reports
+from stairquay.core.places import places_by_holder
+from stairquay.serving.endpoint import NEVER, EndpointState
+from stairquay.serving.evacuation import takes_work
+from stairquay.serving.event_log import LogEvent
+from stairquay.serving.state import BoxState
+
+_JITTER = Random()
+
+MIN_HOLD_S = 1.0
+MAX_HOLD_S = 8.0
+"""Seconds for which a box leaves a brittle endpoint alone after a rejection, doubled by each one in a row."""
+
+
+def tolerance_report(state: BoxState, endpoint: Endpoint) -> LimitReport | None:
+    """Return the newest statement that holds for an endpoint, None if there was never one.
+
+    per_s: the rejections a second that it bears, UNLIMITED if it no longer states any.
+    """
+    if not state.tolerance_by_service:
+        return None
+    own = state.endpoint_state(endpoint).tolerance
+    return state.tolerance_by_service.get(endpoint.service) if own is None else own
+
+
+def is_brittle(state: BoxState, endpoint: Endpoint) -> bool:
+    """Tell whether an endpoint falls over if it rejects too much."""
+    report = tolerance_report(state, endpoint)
+    return report is not None and report.per_s < UNLIMITED
+
+
+def apply_tolerance(
+    state: BoxState, endpoint: Endpoint, endpoint_state: EndpointState, report: LimitReport
+) -> None:
+    """Apply how many rejections an answer stated, which this box or another one received."""
+    known = state.tolerance_by_service.get(endpoint.service)
+    if known is None and report.per_s == UNLIMITED:
+        return
+    state.tolerance_by_service[endpoint.service] = merge_reports(known, report)
+    before = tolerance_report(state, endpoint)
+    endpoint_state.tolerance = merge_reports(endpoint_state.tolerance, report)
+    before_per_s = UNLIMITED if before is None or known is None else before.per_s
+    if endpoint_state.tolerance.per_s == before_per_s:
+        return
+    ended = endpoint_state.tolerance.per_s == UNLIMITED
+    if ended:
+        endpoint_state.tolerance_ended_at = report.received_at
+        endpoint_state.rejections = 0
+    state.log.line(
+        LogEvent.BRITTLE,
+        endpoint=endpoint.id,
+        service=endpoint.service,
+        outcome="ended" if ended else "stated",
+        bears_per_s=endpoint_state.tolerance.per_s,
+    )
+
+
+def record_rejection(state: BoxState, endpoint: Endpoint, endpoint_state: EndpointState, now: float) -> None:
+    """Leave an endpoint alone for a while that has rejected a request, if it is brittle.
+
+    Requests that were sent before that and are rejected as well do not prolong it.
+    """
+    if not is_brittle(state, endpoint) or now < endpoint_state.rejected_until:
+        return
+    hold_s = min(MAX_HOLD_S, MIN_HOLD_S * 2**endpoint_state.rejections) * (1 + _JITTER.random())
+    endpoint_state.rejections += 1
+    endpoint_state.rejected_until = now + hold_s
+    state.metrics.rejected_by_brittle.labels(endpoint.service).inc()
+    state.log.line(
+        LogEvent.BRITTLE, endpoint=endpoint.id, service=endpoint.service, outcome="left_alone", for_s=hold_s
+    )
+
+
+def places_left(state: BoxState, endpoint: Endpoint) -> int:
+    """Return the requests that this box may still send to a brittle endpoint that no router places on."""
+    return held_places(state, endpoint) - state.endpoint_state(endpoint).in_flight
+
+
+def held_places(state: BoxState, endpoint: Endpoint) -> int:
+    """Return the places at an endpoint that this box holds."""
+    by_holder = places_by_holder(endpoint.id, endpoint.slots, state.boxes)
+    return by_holder.get(state.settings.id, 0)
+
+
+def brittle_wait_s(state: BoxState, endpoint: Endpoint, now: float) -> float:
+    """Return the seconds until this box may send to an endpoint, as far as rejections go: 0 if it may now,
+    infinite if others have all places."""
+    if not state.tolerance_by_service or not is_brittle(state, endpoint):
+        return 0.0
+    endpoint_state = state.endpoint_state(endpoint)
+    if now < endpoint_state.rejected_until:
+        return endpoint_state.rejected_until - now
+    if endpoint.id in state.routed_engines or places_left(state, endpoint) > 0:
+        # A router counts the requests of all boxes.
+        return 0.0
+    return endpoint_state.response_time_s if held_places(state, endpoint) else inf
+
+
+def place_holders(state: BoxState, service: str, tried: Collection[str], now: float) -> frozenset[str]:
+    """Return the boxes to pass a plain request on to, none if this box has a place left, or one is sound.
+
+    tried: ids of endpoints that it was sent to.
+    """
+    if state.tolerance_by_service.get(service) is None or state.boxes_known_at == NEVER:
+        return frozenset()
+    holders: set[str] = set()
+    for endpoint in state.fleet.usable(service, now):
+        if endpoint.id in tried or not takes_work(state, endpoint):
+            continue
+        if not is_brittle(state, endpoint):
+            return frozenset()
+        if now < state.endpoint_state(endpoint).rejected_until:
+            continue
+        if places_left(state, endpoint) > 0:
+            return frozenset()
+        holders.update(places_by_holder(endpoint.id, endpoint.slots, state.boxes))
+    return frozenset(holders)
--- a/stairquay/serving/endpoint.py
+++ b/stairquay/serving/endpoint.py
@@ -57,6 +57,12 @@
     standalone_pacer: Pacer | None = None
     limit: LimitReport | None = None
     limit_ended_at: float = NEVER
+    # The rejections a second that it bears before it falls over, as `per_s`.
+    tolerance: LimitReport | None = None
+    tolerance_ended_at: float = NEVER
+    # Rejections in a row while it is brittle, and until when this box leaves it alone for them.
+    rejections: int = 0
+    rejected_until: float = NEVER
     # Kept after its time until an answer without a backoff ends it.
     backoff: Backoff | None = None
     # The last unreadable feedback, to log each text once.
--- a/stairquay/serving/endpoint_choice.py
+++ b/stairquay/serving/endpoint_choice.py
@@ -138,6 +138,7 @@
     routed_engines = state.routed_engines
     current_spec = None if state.catalog is None else state.catalog.services_by_id.get(service.id)
     may_be_cold = current_spec is not None and current_spec.cold is not None
+    may_be_brittle = service.id in state.tolerance_by_service
 
     untried: list[Endpoint] = []
     not_busy: list[Endpoint] = []
@@ -148,8 +149,9 @@
         endpoint_state = state.endpoint_state(item)
         if endpoint_state.in_flight >= (max_routed if item.id in routed_engines else max_unrouted):
             continue
-        # Only a cold endpoint or one with a rate limit makes a request wait.
-        if (may_be_cold or endpoint_state.limit is not None) and wait_s(state, item, now, random) > 0:
+        # Only a cold or brittle endpoint, or one with a rate limit, makes a request wait.
+        may_wait = may_be_cold or may_be_brittle or endpoint_state.limit is not None
+        if may_wait and wait_s(state, item, now, random) > 0:
             continue
         if item.id in tried:
             continue
--- a/stairquay/serving/event_log.py
+++ b/stairquay/serving/event_log.py
@@ -56,6 +56,7 @@
     ATTEMPT_FAILED = "attempt_failed"
     ENDED = "ended"
     LIMIT = "limit"
+    BRITTLE = "brittle"
     LEAVING = "leaving"
     REST = "rest"
     CRASHED = "crashed"
--- a/stairquay/serving/forwarding.py
+++ b/stairquay/serving/forwarding.py
@@ -1,4 +1,5 @@
-"""Passes requests on to other boxes where this box reaches no endpoint of their service.
+"""Passes requests on to other boxes where this box reaches no endpoint of their service, or may not send to
+any of them.
 
 The other box serves such a request as it serves any caller's, but passes it on no further. What may already
 run at an endpoint is passed on only if it may be sent again.
@@ -14,6 +15,7 @@
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
 from stairquay.core.helpers import Helpers
 from stairquay.core.reach import MIN_UNREACHED
+from stairquay.serving.brittleness import place_holders
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.jobs import Job, JobProgress
 from stairquay.serving.ports import (
@@ -55,7 +57,22 @@
             return False
         if job.service.id in self.state.lost_services:
             return True
-        return progress.unreached >= MIN_UNREACHED and not progress.asked_other_boxes
+        if progress.asked_other_boxes:
+            return False
+        return progress.unreached >= MIN_UNREACHED or bool(self._place_holders(job, progress))
+
+    def fronts_for(self, job: Job, progress: JobProgress) -> dict[str, str]:
+        """Return where other boxes take requests that may serve this one, by their ids."""
+        fronts = self.state.fronts_by_box
+        holders = self._place_holders(job, progress)
+        held = {box: at for box, at in fronts.items() if box in holders}
+        return held or fronts
+
+    def _place_holders(self, job: Job, progress: JobProgress) -> frozenset[str]:
+        """Return the boxes that alone may send to brittle endpoints; for prompts, routers see to that."""
+        if not self.state.tolerance_by_service or job.service.engine is not None:
+            return frozenset()
+        return place_holders(self.state, job.service.id, progress.tried, monotonic())
 
     def refuses(self, job: Job, progress: JobProgress) -> bool:
         """Return whether a request that another box passed on has to be refused, for yet another one."""
@@ -72,17 +89,24 @@
         still try, since the service is not lost, or no longer.
         """
         helpers = self.state.helpers_by_service.setdefault(job.service.id, Helpers())
+        candidates = self.fronts_for(job, progress)
+        try_next = CANNOT_HELP | {ErrorKind.OVERLOADED} if self._place_holders(job, progress) else CANNOT_HELP
         progress.asked_other_boxes = True
         asked: set[str] = set()
+        full: Refusal | None = None
         while len(asked) < MAX_BOXES_ASKED and job.deadline > monotonic():
-            fronts = {box: at for box, at in self.state.fronts_by_box.items() if box not in asked}
+            fronts = {box: at for box, at in candidates.items() if box not in asked}
             box = helpers.pick(fronts, monotonic(), self.random)
             if box is None:
                 break
             asked.add(box)
             result = await self._forward_to(box, fronts[box], job, progress, request, helpers)
-            if result is None or isinstance(result, Ok) or result.err_value.kind not in CANNOT_HELP:
+            if result is None or isinstance(result, Ok) or result.err_value.kind not in try_next:
                 return result
+            if result.err_value.kind not in CANNOT_HELP:
+                full = result.err_value
+        if full is not None:
+            return Err(full)
         lost = job.service.id in self.state.lost_services
         return Err(unreached_refusal(progress.ran)) if lost else None
 
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -19,6 +19,7 @@
 from stairquay.core.memory import SharedParts
 from stairquay.core.prompt_queue import Admitted, Deferred, Rejected
 from stairquay.core.routers import Engine, engines_of
+from stairquay.serving.brittleness import record_rejection
 from stairquay.serving.endpoint import BUSY_BACKOFF_S, EndpointState
 from stairquay.serving.endpoint_choice import Choice, ChoiceRequest, HasRoom
 from stairquay.serving.engine_accounts import EngineAccounts
@@ -209,6 +210,11 @@
                 refund_sent(endpoint_state)
         if ended.outcome == Outcome.TURNED_AWAY:
             endpoint_state.refused_until = now + BUSY_BACKOFF_S
+            endpoint = self.state.fleet.by_id.get(placed.engine)
+            if endpoint is not None:
+                record_rejection(self.state, endpoint, endpoint_state, now)
+        if ended.outcome == Outcome.DONE:
+            endpoint_state.rejections = 0
         if ended.outcome == Outcome.UNREACHED:
             endpoint_state.unreachable_at = now
         if ended.outcome in (Outcome.DONE, Outcome.FAILED, Outcome.UNREACHED):
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -24,7 +24,8 @@
 
     born: of the incarnation that sent it, 0 for unknown. per_s: its limit, in requests per second;
     sent_ago_s, heard_ago_s: the ages of the times in core.limits.LimitReport, infinite for no limit. rest_s:
-    seconds for which it wants no requests from the sender of this message.
+    seconds for which it wants no requests from the sender of this message. bears_per_s: rejections a second
+    above which it falls over; bears_sent_ago_s, bears_heard_ago_s: as for the limit.
     """
 
     endpoint: str
@@ -34,6 +35,9 @@
     heard_ago_s: float = inf
     leaving: bool = False
     rest_s: float = 0.0
+    bears_per_s: float = UNLIMITED
+    bears_sent_ago_s: float = inf
+    bears_heard_ago_s: float = inf
 
 
 class PlaceRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -117,6 +117,18 @@
             ["endpoint"],
             registry=registry,
         )
+        self.tolerances = Gauge(
+            "stairquay_endpoint_bears_rejections_per_second",
+            "Rejections a second above which an endpoint falls over, where it states that",
+            ["endpoint"],
+            registry=registry,
+        )
+        self.rejected_by_brittle = Counter(
+            "stairquay_brittle_endpoint_left_alone",
+            "Times that this box left alone an endpoint that is brittle and had rejected a request",
+            ["service"],
+            registry=registry,
+        )
         self.backoffs = Gauge(
             "stairquay_endpoint_rest_seconds_left",
             "Seconds for which an endpoint wants nothing from this box",
--- a/stairquay/serving/pacing.py
+++ b/stairquay/serving/pacing.py
@@ -4,11 +4,13 @@
 """
 
 from collections.abc import Collection, Mapping
+from math import inf
 from random import Random
 
 from stairquay.core.fleet import Endpoint
 from stairquay.core.limits import UNLIMITED
 from stairquay.core.pace import COLD_SHARES, LIMIT_SHARES, MIN_PER_S, Pacer, RateBound, standalone_pacer
+from stairquay.serving.brittleness import brittle_wait_s, is_brittle
 from stairquay.serving.cold import cold_for_s, cold_limit_of
 from stairquay.serving.endpoint import NEVER, EndpointState
 from stairquay.serving.evacuation import takes_work
@@ -30,6 +32,11 @@
 """Longest time in seconds over which the retries of callers refused together are spread."""
 
 
+FULL_RETRY_S = 0.25
+"""Retry-After in seconds where only other boxes may send to an endpoint: its callers' next try may reach one
+of them."""
+
+
 def rate_bounds(state: BoxState, endpoint: Endpoint, now: float) -> list[RateBound]:
     """Return the bounds on an endpoint's request rate now; usually there are none."""
     bounds = []
@@ -43,15 +50,18 @@
 
 
 def wait_s(state: BoxState, endpoint: Endpoint, now: float, random: Random) -> float:
-    """Return the seconds until this box may send a request to an endpoint, 0 if it may now."""
+    """Return the seconds until this box may send a request to an endpoint, 0 if it may now, infinite if only
+    other boxes may."""
+    rejection_wait_s = brittle_wait_s(state, endpoint, now)
     bounds = rate_bounds(state, endpoint, now)
     if not bounds:
-        return 0.0
+        return rejection_wait_s
     per_s = box_rate_per_s(state, endpoint, bounds)
     if endpoint.id in state.routed_engines:
         burst = min(bound.shares.burst for bound in bounds)
-        return _router_pacer(state, endpoint, now).wait_s(now, per_s, burst)
-    return _standalone_pacer(state, endpoint, now, per_s, random).wait_s(now, per_s)
+        return max(rejection_wait_s, _router_pacer(state, endpoint, now).wait_s(now, per_s, burst))
+    pacer = _standalone_pacer(state, endpoint, now, per_s, random)
+    return max(rejection_wait_s, pacer.wait_s(now, per_s))
 
 
 def count_sent(state: BoxState, endpoint: Endpoint, now: float, random: Random) -> bool:
@@ -98,7 +108,9 @@
         item for item in state.fleet.usable(service, now) if takes_work(state, item) and item.id not in tried
     ]
     bounds_by_id = {item.id: bounds for item in usable if (bounds := rate_bounds(state, item, now))}
-    held_back = [item for item in usable if item.id in bounds_by_id or item.id in backoffs_s]
+    held_back = [
+        item for item in usable if item.id in bounds_by_id or item.id in backoffs_s or is_brittle(state, item)
+    ]
     pauses_s = [max(_pause_s(state, item, now, random), backoffs_s.get(item.id, 0.0)) for item in held_back]
     soonest_s = min((pause_s for pause_s in pauses_s if pause_s > 0), default=None)
     if soonest_s is None:
@@ -106,7 +118,10 @@
     per_s = sum(_retry_rate_per_s(state, item, bounds_by_id.get(item.id)) for item in held_back)
     delay_s = max(soonest_s, state.retry_at_by_service.get(service, NEVER) - now)
     only_cold = all(
-        limit_of(state.endpoint_state(item)) == UNLIMITED and item.id not in backoffs_s for item in held_back
+        limit_of(state.endpoint_state(item)) == UNLIMITED
+        and item.id not in backoffs_s
+        and not is_brittle(state, item)
+        for item in held_back
     )
     max_delay_s = max(soonest_s, MAX_COLD_RETRY_S) if only_cold else soonest_s + RETRY_SPREAD_S
     if delay_s > max_delay_s:
@@ -128,7 +143,9 @@
     """Return the seconds until an endpoint accepts a request from this box; a cold one may be warm
     earlier."""
     pause_s = wait_s(state, endpoint, now, random)
-    if limit_of(state.endpoint_state(endpoint)) < UNLIMITED:
+    if pause_s == inf:
+        return FULL_RETRY_S
+    if limit_of(state.endpoint_state(endpoint)) < UNLIMITED or is_brittle(state, endpoint):
         return pause_s
     return min(pause_s, cold_for_s(state, endpoint, now), MAX_COLD_RETRY_S)
 
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -215,19 +215,23 @@
     LIMIT = "limit"
     LEAVING = "leaving"
     BACKOFF = "rest"
+    TOLERANCE = "brittle"
 
 
 class Feedback(msgspec.Struct, frozen=True):
     """What an endpoint reports of its own use, in the head of an answer.
 
     limit_per_s: requests per second that it accepts from all callers together. leaving: it accepts no new
-    requests. backoff_s: seconds for which it wants no requests from this box. Each is None where its header
-    is invalid; unreadable has the text then.
+    requests. backoff_s: seconds for which it wants no requests from this box. bears_per_s: rejections a
+    second above which it falls over, UNLIMITED if it doesn't. Each is None where its header is invalid;
+    unreadable has the text then. rejected: it turned the request away for want of room.
     """
 
     limit_per_s: float | None = UNLIMITED
     leaving: bool | None = False
     backoff_s: float | None = 0.0
+    bears_per_s: float | None = UNLIMITED
+    rejected: bool = False
     unreadable: tuple[tuple[Topic, str], ...] = ()
 
 
--- a/stairquay/serving/router_admission.py
+++ b/stairquay/serving/router_admission.py
@@ -1,14 +1,18 @@
 """Admission of prompts at a router: asks the queue of their service once the engines are full."""
 
 from stairquay.core.catalog import LOWEST_PRIORITY
+from stairquay.core.limits import UNLIMITED
 from stairquay.core.memory import SharedParts
 from stairquay.core.placement import prefill_s
-from stairquay.core.prompt_queue import Decision, Deferred, PromptQueue, Rejected, RoomRequest
+from stairquay.core.prompt_queue import Decision, Deferred, PromptQueue, Reason, Rejected, RoomRequest
 from stairquay.serving.endpoint_choice import Choice
 from stairquay.serving.engine_accounts import EngineAccounts
 from stairquay.serving.messages import PlaceReply, PlaceRequest
 from stairquay.serving.state import BoxState
 
+BRITTLE_RETRY_AFTER_S = 0.25
+"""Retry-After in seconds of a prompt that is sent a second time while the brittle engines are full."""
+
 
 class RouterAdmission:
     """The queues of the services whose engines this box routes for."""
@@ -43,7 +47,11 @@
             return None
         wanted = room_request(request, prefill_s(placement.read, request.tokens))
         if wanted is None:
-            return None
+            peak_tokens = request.tokens + request.max_output - placement.engine.tokens_in_use
+            full = self._is_brittle(request.service) and not self.accounts.has_room(
+                engine, peak_tokens, spec, now
+            )
+            return Rejected(BRITTLE_RETRY_AFTER_S, Reason.OBJECTIVE) if full else None
         queue = self.queues_by_service.setdefault(request.service, PromptQueue())
         needed_tokens = wanted.tokens - placement.engine.tokens_in_use
         if queue.is_idle(now) and self.accounts.has_room(engine, needed_tokens, spec, now):
@@ -63,12 +71,17 @@
         parts = shared_parts(request, choice.scope)
         rooms = self.accounts.rooms(request, parts, spec, now)
         rooms.sort(key=lambda room: room.engine != choice.endpoint.id)
-        decision = queue.decide(wanted, rooms, now)
+        decision = queue.decide(wanted, rooms, now, may_queue=not self._is_brittle(request.service))
         if isinstance(decision, Deferred):
             self.choices_by_ticket[request.ticket] = choice
         count_rejected(self.state, decision, request.priority)
         return decision
 
+    def _is_brittle(self, service: str) -> bool:
+        """Tell whether an engine of a service falls over if it rejects too much, so that none may queue."""
+        tolerance = self.state.tolerance_by_service.get(service)
+        return tolerance is not None and tolerance.per_s < UNLIMITED
+
     def leave(self, ticket: str) -> None:
         """Give up the place of a prompt that its sender will not ask for again."""
         self.choices_by_ticket.pop(ticket, None)
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -9,6 +9,7 @@
 from stairquay.core.fleet import Endpoint, Fleet
 from stairquay.core.helpers import Helpers
 from stairquay.core.holdings import Holdings
+from stairquay.core.limits import LimitReport
 from stairquay.core.overload import BoxLoad
 from stairquay.core.position import Position
 from stairquay.core.reach import Reach
@@ -121,6 +122,8 @@
     suspected_until_by_id: dict[str, float] = field(default_factory=dict)
     # Ids of endpoints that have reported a rate limit, also if it has ended.
     limited: set[str] = field(default_factory=set)
+    # The newest statement of any of a service's endpoints of the rejections a second that it bears.
+    tolerance_by_service: dict[str, LimitReport] = field(default_factory=dict)
     # Ids of endpoints that asked this box to back off.
     backing_off: set[str] = field(default_factory=set)
     # Data halls that get no new work, as of a position of the configuration.
--- a/stairquay/serving/statements.py
+++ b/stairquay/serving/statements.py
@@ -1,4 +1,4 @@
-"""Applies the feedback that endpoints give in their answers: a rate limit, leaving, or a backoff.
+"""Applies the feedback that endpoints give in their answers: a limit, leaving, a backoff, or brittleness.
 
 Feedback holds for one incarnation, and is kept when the endpoint's entry lapses while the table service is
 down.
@@ -10,6 +10,7 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.limits import UNLIMITED, LimitReport, merge_reports
 from stairquay.core.rest import Backoff
+from stairquay.serving.brittleness import apply_tolerance, record_rejection
 from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.ports import Feedback, Topic
@@ -37,6 +38,13 @@
         _record_unreadable(state, endpoint, endpoint_state, topic, text)
     if feedback.limit_per_s is not None:
         apply_limit(state, endpoint, endpoint_state, LimitReport(feedback.limit_per_s, sent_at, now))
+    if feedback.bears_per_s is not None:
+        report = LimitReport(feedback.bears_per_s, sent_at, now)
+        apply_tolerance(state, endpoint, endpoint_state, report)
+    if feedback.rejected:
+        record_rejection(state, endpoint, endpoint_state, now)
+    elif endpoint_state.rejections:
+        endpoint_state.rejections = 0
     if feedback.leaving:
         apply_leaving(state, endpoint.id, endpoint_state.born, "answer")
     if feedback.backoff_s is not None:
--- a/stairquay/serving/telling.py
+++ b/stairquay/serving/telling.py
@@ -1,11 +1,13 @@
 """Exchanges endpoint feedback between boxes, since an answer reaches only the box that sent the request."""
 
 from collections.abc import Iterable
+from math import inf
 
 from msgspec import structs
 
 from stairquay.core.fleet import Endpoint
 from stairquay.core.limits import UNLIMITED, LimitReport
+from stairquay.serving.brittleness import apply_tolerance, is_brittle, tolerance_report
 from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.messages import PeerFeedback
 from stairquay.serving.state import BoxState
@@ -27,7 +29,12 @@
     include_ids: endpoints of which the other box has outdated feedback.
     """
     backoffs_s = backoffs_by_id(state, now)
-    ids = {*_limited_ids(state, now, include_ids), *_leaving_ids(state, now, include_ids), *backoffs_s}
+    ids = {
+        *_limited_ids(state, now, include_ids),
+        *_brittle_ids(state, now),
+        *_leaving_ids(state, now, include_ids),
+        *backoffs_s,
+    }
     return tuple(
         _endpoint_feedback(state, endpoint_id, backoffs_s.get(endpoint_id, 0.0), now)
         for endpoint_id in sorted(ids)
@@ -53,7 +60,7 @@
 
 
 def apply_peer_feedback(state: BoxState, feedback: Iterable[PeerFeedback], now: float) -> None:
-    """Apply leaving states and rate limits that another box received.
+    """Apply leaving states, rate limits and brittleness that another box received.
 
     Limits of another incarnation are ignored, and backoffs bind only the box that received them.
     """
@@ -71,6 +78,10 @@
             continue
         report = LimitReport(item.per_s, now - item.sent_ago_s - MAX_MESSAGE_DELAY_S, now - item.heard_ago_s)
         apply_limit(state, endpoint, endpoint_state, report)
+        if item.bears_heard_ago_s < inf:
+            sent_at = now - item.bears_sent_ago_s - MAX_MESSAGE_DELAY_S
+            report = LimitReport(item.bears_per_s, sent_at, now - item.bears_heard_ago_s)
+            apply_tolerance(state, endpoint, endpoint_state, report)
 
 
 def _limited_ids(state: BoxState, now: float, include_ids: frozenset[str]) -> set[str]:
@@ -89,6 +100,18 @@
     return endpoint_ids
 
 
+def _brittle_ids(state: BoxState, now: float) -> set[str]:
+    """Return the ids of listed endpoints that are brittle, or have been recently."""
+    if not state.tolerance_by_service:
+        return set()
+    return {
+        endpoint.id
+        for endpoint in state.fleet.live()
+        if is_brittle(state, endpoint)
+        or now - state.endpoint_state(endpoint).tolerance_ended_at < SHARE_PERIOD_S
+    }
+
+
 def _leaving_ids(state: BoxState, now: float, include_ids: frozenset[str]) -> set[str]:
     """Return the ids of endpoints that were marked as leaving recently, or ever if in `include_ids`."""
     by_id = state.fleet.leaving_by_id
@@ -112,4 +135,12 @@
     feedback = limit_feedback(endpoint, endpoint_state, now) or PeerFeedback(endpoint_id, endpoint_state.born)
     # A newer incarnation, which may be known before its entry is listed, is not leaving.
     leaving = departing is not None and endpoint_state.born <= departing.born
+    tolerance = tolerance_report(state, endpoint)
+    if tolerance is not None:
+        feedback = structs.replace(
+            feedback,
+            bears_per_s=tolerance.per_s,
+            bears_sent_ago_s=now - tolerance.sent_at,
+            bears_heard_ago_s=now - tolerance.received_at,
+        )
     return structs.replace(feedback, leaving=leaving, rest_s=rest_s)
--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -187,6 +187,8 @@
     crashed: bool = False
     keep_alive: str = ""
     limit: str | None = None
+    # The rejections a second that it states to bear, as in its header.
+    brittle: str | None = None
     leaving: str | None = None
     retry_after: str | None = None
     lose_orders: int = 0
@@ -207,6 +209,8 @@
     retry_after_sent: list[tuple[float, str, str]] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     client_ports: list[int] = field(default_factory=list)
+    in_progress: int = 0
+    most_in_progress: int = 0
     disconnects: int = 0
     address: str = ""
     runner: web.AppRunner | None = None
@@ -282,6 +286,8 @@
         if self.limit is not None:
             self.limits_sent.append((asyncio.get_running_loop().time(), call_id))
             headers["Server-Limit"] = self.limit
+        if self.brittle is not None:
+            headers["Server-Brittle"] = self.brittle
         if self.leaving is not None:
             self.leaving_sent.append((asyncio.get_running_loop().time(), call_id))
             headers["Server-Leaving"] = self.leaving
@@ -308,6 +314,8 @@
         self.received.append(
             ReceivedRequest(call_id, request.method, request.raw_path, CIMultiDict(request.headers), body)
         )
+        self.in_progress += 1
+        self.most_in_progress = max(self.most_in_progress, self.in_progress)
         try:
             await asyncio.sleep(self.delay_s)
             await self._while_silent()
@@ -322,6 +330,8 @@
         except asyncio.CancelledError:
             self.disconnects += 1
             raise
+        finally:
+            self.in_progress -= 1
 
     async def _begin_answer(self, request: web.Request, call_id: str) -> None:
         headers = {"Request-Id": call_id, "Response-Signature": f"sig-{self.id}", "Versions": "1"}
