Test that engines which crash under one part of prompts are soon spared

Callers' requests that share one part, no two alike, crashed 12 of 12 and 20 of 20 engines where six under each part may.

--- /dev/null
+++ b/tests/test_crashing_parts.py
@@ -0,0 +1,81 @@
+"""A part of prompts that crashes each engine, in requests of which no two are alike.
+
+Guards against engines that crash one after the other because each request is taken for a new one.
+"""
+
+import asyncio
+
+from tests.many_boxes import two_boxes
+from tests.site import Answer, Site, eventually
+from tests.test_crashes import (
+    MAX_PROPAGATION_S,
+    POISON,
+    crash_count,
+    make_endpoints_crash,
+    site_with_crashing_endpoints,
+)
+
+MAX_CRASHES = 6
+"""Five crashes are needed at most, and the last request may crash two engines."""
+
+
+async def prompt_with(here: Site, part: str, number: int, body: bytes = POISON) -> Answer:
+    """Send a prompt that shares its first part and one more with others."""
+    headers = {"Prompt-Prefix": f"aa:500,{part}:300,own{part}{number}:100"}
+    return await here.prompt(
+        "/again/x", call_id=f"{part}-{number}", body=body + b" %d" % number, headers=headers
+    )
+
+
+async def serve_others(here: Site) -> None:
+    """Serve prompts with the same first part, as a route's always have."""
+    for number in range(3):
+        assert (await prompt_with(here, "early", number, b"well")).status == 200
+
+
+def test_requests_that_share_a_part_that_crashes_engines_are_refused_and_others_are_served():
+    async def scenario():
+        async with site_with_crashing_endpoints(engines=12) as here:
+            await serve_others(here)
+            for number in range(10):
+                answer = await prompt_with(here, "bad", number)
+                await asyncio.sleep(0.15)
+            assert crash_count(here) <= MAX_CRASHES
+            assert answer.status == 503 and float(answer.headers["Retry-After"]) > 1
+            for number in range(3):
+                assert (await prompt_with(here, "good", number, b"well")).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_a_part_that_crashed_engines_at_one_box_is_refused_at_the_other_one():
+    async def scenario():
+        async with two_boxes(engines=12, budget_window_s=1) as (here, other):
+            await here.until_retry_budget_full()
+            make_endpoints_crash(here)
+            await serve_others(other)
+            for number in range(10):
+                await prompt_with(here, "bad", number)
+                await asyncio.sleep(0.15)
+            crashed = crash_count(here)
+            await asyncio.sleep(MAX_PROPAGATION_S)
+            assert (await prompt_with(other, "bad", 99)).status == 503
+            assert crash_count(here) == crashed <= MAX_CRASHES
+            assert (await prompt_with(other, "good", 99, b"well")).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_two_parts_that_crash_engines_by_turns_are_both_refused():
+    async def scenario():
+        async with site_with_crashing_endpoints(engines=20) as here:
+            await serve_others(here)
+            for number in range(20):
+                answers = [await prompt_with(here, part, number) for part in ("bad", "worse")]
+                await asyncio.sleep(0.15)
+            assert crash_count(here) <= 2 * MAX_CRASHES
+            assert all(answer.status == 503 for answer in answers)
+            assert (await prompt_with(here, "good", 1, b"well")).status == 200
+            await eventually(lambda: len(here.logged("quarantine", outcome="begun")) >= 2)
+
+    asyncio.run(scenario())
