Quarantine the parts of prompts that crash engines

Cause: evidence was gathered by the digest of whole requests, which came once or twice each; requests that ran beside them were quarantined instead.

Change: each part that others may share is a suspect with a digest of its own, in the same rows and messages, and is quarantined after four crashes. It is innocent if any prompt with it ended well, or got 16 events, in the last 60 s. The suspect with the most crashes that no other explains is taken first, among the parts of one prompt the last one.

--- a/stairquay/core/crashes.py
+++ b/stairquay/core/crashes.py
@@ -1,4 +1,8 @@
-"""Finds the requests that crash endpoints, from the crashes that all boxes report."""
+"""Finds the requests, and the parts of prompts, that crash endpoints, from the crashes that all boxes report.
+
+A part is a suspect as a request is, with a digest of its own: it may crash each engine that begins to answer
+a prompt with it, and no two of these prompts are alike.
+"""
 
 from collections.abc import Collection, Iterable
 
@@ -8,6 +12,12 @@
 """Crashed incarnations required to quarantine a request, weighted by UNSTARTED_WEIGHT. With two, a request
 that is retried beside the one that crashes endpoints would often be quarantined as well."""
 
+MIN_PART_CRASHES = 4
+"""The same for a part of prompts, which many requests share."""
+
+PART_PREFIX = "part "
+"""Begins the digest of a part; digests of requests are hexadecimal."""
+
 MIN_UNEXPLAINED_CRASHES = 2
 """Minimum of these that no other quarantined request explains, weighted likewise. Two requests that crash
 endpoints are often at the same one when it crashes; a request that only ran beside them was at few crashes
@@ -26,12 +36,22 @@
 that crashes endpoints at least this often stays quarantined."""
 
 
+def part_digest(part_id: str) -> str:
+    """Return the digest of a part of prompts."""
+    return PART_PREFIX + part_id
+
+
+def min_crashes(digest: str) -> int:
+    """Return the crashes required to quarantine a request or a part."""
+    return MIN_PART_CRASHES if digest.startswith(PART_PREFIX) else MIN_CRASHES
+
+
 class Crash(msgspec.Struct, frozen=True):
-    """An endpoint crashed while a request was there.
+    """An endpoint crashed while a request, or one with a part, was there.
 
-    digest: the request's, as of `request_digest`. incarnation: names the endpoint process that crashed.
-    at: monotonic seconds when the crash was noticed. ran_s: seconds from sending the request until then.
-    events: events of the answer received by then, or None if an engine had not begun to answer.
+    digest: the request's, as of `request_digest`, or the part's. incarnation: names the endpoint process that
+    crashed. at: monotonic seconds when the crash was noticed. ran_s: seconds from sending the request until
+    then. events: events of the answer received by then, or None if an engine had not begun to answer.
     """
 
     digest: str
@@ -55,11 +75,12 @@
 
 
 def find_quarantined(crashes: Iterable[Crash], now: float) -> dict[str, QuarantinedRequest]:
-    """Return by digest the requests that probably crashed at least MIN_CRASHES incarnations.
+    """Return by digest the requests and parts that probably crashed as many incarnations as it takes.
 
     Each crash has one cause but many concurrent requests. The request with the most unexplained crashes is
     taken first and explains all of its crashes, until none has MIN_UNEXPLAINED_CRASHES left. Ties go to the
-    shortest mean run, since the other requests had mostly started earlier.
+    shortest mean run, since the other requests had mostly started earlier, and among the parts of a prompt
+    to the last one: others share the first ones.
     A request that is quarantined wrongly is released by the next crash of the right one.
     """
     known = _by_digest(crashes, now)
@@ -80,8 +101,9 @@
     candidates = {
         digest: by_incarnation
         for digest, by_incarnation in at_same_point.items()
-        if weight(by_incarnation) >= MIN_CRASHES
+        if weight(by_incarnation) >= min_crashes(digest)
     }
+    order = {digest: number for number, digest in enumerate(known)}
     found: dict[str, QuarantinedRequest] = {}
     explained: set[str] = set()
     while candidates:
@@ -89,7 +111,8 @@
             key: weight(_without(by_incarnation, explained)) for key, by_incarnation in candidates.items()
         }
         digest = max(
-            candidates, key=lambda key: (unexplained_weight[key], -_mean_duration_s(candidates[key]), key)
+            candidates,
+            key=lambda key: (unexplained_weight[key], -_mean_duration_s(candidates[key]), order[key], key),
         )
         if unexplained_weight[digest] < MIN_UNEXPLAINED_CRASHES:
             break
@@ -108,7 +131,7 @@
         if now - crash.at < CRASH_TTL_S:
             by_incarnation = found.setdefault(crash.digest, {})
             known = by_incarnation.get(crash.incarnation)
-            if known is None or _events(crash) > _events(known):
+            if known is None or event_count(crash) > event_count(known):
                 by_incarnation[crash.incarnation] = crash
     return found
 
@@ -116,11 +139,11 @@
 def _at_same_point(by_incarnation: CrashesByIncarnation) -> CrashesByIncarnation:
     """Return the crashes at the same point of the answer as the latest one: a request that got further
     elsewhere did not cause the earlier crashes."""
-    furthest = max(_events(crash) for crash in by_incarnation.values())
+    furthest = max(event_count(crash) for crash in by_incarnation.values())
     return {
         incarnation: crash
         for incarnation, crash in by_incarnation.items()
-        if _events(crash) >= furthest - SAME_POINT_EVENTS
+        if event_count(crash) >= furthest - SAME_POINT_EVENTS
     }
 
 
@@ -130,7 +153,8 @@
     }
 
 
-def _events(crash: Crash) -> int:
+def event_count(crash: Crash) -> int:
+    """Return the events received, -1 if the answer had not begun."""
     return -1 if crash.events is None else crash.events
 
 
--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -8,8 +8,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from msgspec.structs import replace
+
 from stairquay.adapters.clock import monotonic
-from stairquay.core.crashes import Crash
+from stairquay.core.crashes import SAME_POINT_EVENTS, Crash, event_count
 from stairquay.core.fleet import Endpoint
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.jobs import Job, StartedAttempt
@@ -60,13 +62,16 @@
             )
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
-        probe.crashes_by_digest[job.digest] = Crash(
-            job.digest,
-            incarnation,
-            now,
-            now - started_attempt.sent_at,
-            _events_received(job, started_attempt, events),
-        )
+        received = _events_received(job, started_attempt, events)
+        if events > SAME_POINT_EVENTS:
+            # A part that crashes engines does so as soon as the answer begins.
+            self.state.quarantine.record_served(job.part_digests)
+        crash = Crash(job.digest, incarnation, now, now - started_attempt.sent_at, received)
+        probe.crashes_by_digest[job.digest] = crash
+        for digest in job.part_digests:
+            known = probe.crashes_by_digest.get(digest)
+            if known is None or event_count(crash) > event_count(known):
+                probe.crashes_by_digest[digest] = replace(crash, digest=digest)
 
     async def settle(self, digest: str) -> None:
         """Wait until it is known whether a request has crashed an endpoint, but not for long.
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -167,7 +167,9 @@
             return unreached_refusal(progress.ran)
         quarantined_s = self._quarantined_s(job)
         if quarantined_s > 0:
-            return Refusal(ErrorKind.QUARANTINED, progress.ran, f"digest {job.digest}", quarantined_s)
+            quarantined = self.state.quarantine.quarantined_by_digest
+            digests = [digest for digest in (job.digest, *job.part_digests) if digest in quarantined]
+            return Refusal(ErrorKind.QUARANTINED, progress.ran, f"digest {', '.join(digests)}", quarantined_s)
         return None
 
     def _with_retry_after(self, job: Job, refusal: Refusal) -> Refusal:
@@ -176,9 +178,11 @@
         return refusal if backoff_s is None else replace(refusal, retry_after_s=max(RETRY_AFTER_S, backoff_s))
 
     def _quarantined_s(self, job: Job) -> float:
-        """Return the seconds for which a job that crashes endpoints remains quarantined."""
+        """Return the seconds for which a job remains quarantined that crashes endpoints, or a part of it."""
         quarantine = self.state.quarantine
-        return quarantine.remaining_s(job.digest) if quarantine.quarantined_by_digest else 0.0
+        if not quarantine.quarantined_by_digest:
+            return 0.0
+        return max(quarantine.remaining_s(digest) for digest in (job.digest, *job.part_digests))
 
     def _keys_fresh(self, job: Job) -> bool:
         return job.workspace is None or self.state.keys_fresh()
@@ -404,7 +408,7 @@
     ) -> None:
         now = monotonic()
         if reply.status < SERVER_ERROR:
-            self.state.quarantine.record_served(job.digest)
+            self.state.quarantine.record_served((job.digest, *job.part_digests))
         started_attempt.endpoint_state.on_outcome(False, now)
         started_attempt.endpoint_state.response_time_s += RESPONSE_TIME_WEIGHT * (
             (now - started_attempt.sent_at) - started_attempt.endpoint_state.response_time_s
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -7,6 +7,7 @@
 from stairquay.core.attempt import Attempt
 from stairquay.core.call import Call, request_digest
 from stairquay.core.catalog import Catalog, Route, ServiceSpec, WorkspacePolicy
+from stairquay.core.crashes import part_digest
 from stairquay.core.errors import ExecutionStatus
 from stairquay.core.stream_origins import StreamOrigin
 from stairquay.serving.endpoint import EndpointState
@@ -56,6 +57,12 @@
         """Return the digest of the request's content, which identifies repeats of it under other ids."""
         return request_digest(self.call, self.body)
 
+    @cached_property
+    def part_digests(self) -> tuple[str, ...]:
+        """Return the digests of the parts that other prompts may share, the first part's first."""
+        prompt = self.call.prompt
+        return () if prompt is None else tuple(part_digest(part.id) for part in prompt.shared)
+
 
 @dataclass(frozen=True)
 class AttemptTiming:
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -1,11 +1,11 @@
-"""Quarantines requests that crash endpoints.
+"""Quarantines requests, and parts of prompts, that crash endpoints.
 
 Callers retry such a request at any box, so each box also counts the crashes that other boxes report (see
 `stairquay.serving.crash_rows`).
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from stairquay.adapters.clock import monotonic
@@ -14,6 +14,7 @@
     Crash,
     QuarantinedRequest,
     find_quarantined,
+    min_crashes,
     unexplained_crashes,
 )
 from stairquay.core.position import NO_POSITION, Position
@@ -107,17 +108,28 @@
         self._mark_unpublished()
         self._update_quarantine()
 
-    def record_served(self, digest: str) -> None:
-        """Record a complete answer, which clears the request of suspicion."""
-        self.served_at[digest] = monotonic()
-        self.served_at.move_to_end(digest)
-        if len(self.served_at) > MAX_SERVED:
+    def record_served(self, digests: Collection[str]) -> None:
+        """Record an answer that shows that a request, or its parts, crash nothing."""
+        now = monotonic()
+        for digest in digests:
+            self.served_at[digest] = now
+            self.served_at.move_to_end(digest)
+        while len(self.served_at) > MAX_SERVED:
             self.served_at.popitem(last=False)
-        if self.crashes_by_digest.get(digest, 0) > 1:
-            self._clear_suspicion([digest])
-        else:
-            # A single crash needs no published clearance.
-            self.own_crashes = {key: crash for key, crash in self.own_crashes.items() if key[0] != digest}
+        suspected = [digest for digest in digests if self._is_suspected(digest)]
+        if self.own_crashes:
+            # What few crashes suggest needs no published clearance.
+            self.own_crashes = {
+                key: crash
+                for key, crash in self.own_crashes.items()
+                if key[0] not in digests or key[0] in suspected
+            }
+        if suspected:
+            self._clear_suspicion(suspected)
+
+    def _is_suspected(self, digest: str) -> bool:
+        """Tell whether one more crash may quarantine a request or a part at some box."""
+        return self.crashes_by_digest.get(digest, 0) >= min_crashes(digest) - 1
 
     def apply_rows(self, reports_by_key: Mapping[str, CrashReport | None], whole: bool) -> None:
         """Apply changed rows, None for a deleted one. whole: these are all rows."""
@@ -171,6 +183,7 @@
         for crash in unexplained_crashes(self._counted_crashes(), self.quarantined_by_digest):
             by_digest.setdefault(crash.digest, []).append(crash)
         suspected = [group for group in by_digest.values() if len({crash.incarnation for crash in group}) > 1]
+        suspected.sort(key=lambda group: -len({crash.incarnation for crash in group}))
         groups = [list(item.crashes) for item in self.quarantined_by_digest.values()] + suspected
         newest = (sorted(group, key=_newest_first)[:MAX_FORWARDED_PER_REQUEST] for group in groups)
         crashes = tuple(crash for group in newest for crash in group)[:MAX_FORWARDED]
@@ -196,8 +209,8 @@
         now = monotonic()
         served = [
             digest
-            for digest, crashes in self.crashes_by_digest.items()
-            if crashes > 1 and now - self.served_at.get(digest, NEVER) < SERVED_TRUST_S
+            for digest in self.crashes_by_digest
+            if self._is_suspected(digest) and now - self.served_at.get(digest, NEVER) < SERVED_TRUST_S
         ]
         if served:
             self._clear_suspicion(served)
--- a/tests/test_crash_rows.py
+++ b/tests/test_crash_rows.py
@@ -120,7 +120,7 @@
 def test_one_crash_of_a_request_that_was_then_served_is_forgotten():
     quarantine = box_state().quarantine
     quarantine.record_crashes([Crash("a", "e-1", 0.0, 0.1, 0)])
-    quarantine.record_served("a")
+    quarantine.record_served(("a",))
     assert not quarantine.own_crashes and not quarantine.cleared
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -104,7 +104,7 @@
 def test_a_request_that_any_box_served_is_above_suspicion_everywhere(monkeypatch):
     monkeypatch.setattr("stairquay.serving.quarantine.monotonic", lambda: 10.0)
     follower, crashed, served = new_quarantine(), new_quarantine(), new_quarantine()
-    served.record_served("popular")
+    served.record_served(("popular",))
     crashed.record_crashes(crash("popular", incarnation, at=9.0) for incarnation in range(4))
     publish_rows(crashed, follower)
     assert follower.remaining_s("popular") > 0
@@ -119,7 +119,7 @@
     now = 10.0
     monkeypatch.setattr("stairquay.serving.quarantine.monotonic", lambda: now)
     here = new_quarantine()
-    here.record_served("popular")
+    here.record_served(("popular",))
     here.record_crashes(crash("popular", incarnation, at=now) for incarnation in range(4))
     assert here.remaining_s("popular") == 0
     now = 100.0
@@ -145,7 +145,7 @@
     for incarnation in range(30):
         here.record_crashes(crash(f"d-{number}", incarnation, at=9.0) for number in range(40))
     for number in range(3 * MAX_SERVED):
-        here.record_served(f"s-{number}")
+        here.record_served((f"s-{number}",))
     for number in range(3 * MAX_OWN_CRASHES):
         here.cleared[f"c-{number}"] = 9.0
     here.record_crashes([])
