--- a/tests/loads/test_parts_that_crash_engines.py
+++ b/tests/loads/test_parts_that_crash_engines.py
@@ -1,8 +1,8 @@
 """Pattern: parts of prompts crash each engine that begins to answer one, and others crash by themselves.
 
-Figures: six boxes have 70 prompts a second at 5 engines, the others as many for each engine; one is back 3.5 s
-after a crash. Rows are known at all boxes a second after they change. From 3 s after the fifth crash under a
-part, three more of its requests may reach engines.
+Figures: six boxes have 70 prompts a second at 5 engines, the others as many for each engine; one is back
+3.5 s after a crash. Rows are known at all boxes a second after they change. From 3 s after the fifth crash
+under a part, three more of its requests may reach engines.
 """
 
 from collections import defaultdict
