Leave a few slots of a brittle engine free at its router

A router filled all slots, so that a new connection that takes one for a moment made the engine reject, which one that is brittle does not bear.

--- a/stairquay/serving/engine_accounts.py
+++ b/stairquay/serving/engine_accounts.py
@@ -7,7 +7,9 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.memory import SharedParts
 from stairquay.core.placement import RUN_DURATION_S, USABLE_MEMORY_SHARE
+from stairquay.core.places import places
 from stairquay.core.room import EngineAccount, MeanDuration, Room
+from stairquay.serving.brittleness import is_brittle
 from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.messages import PlaceRequest
@@ -116,5 +118,6 @@
             usable_tokens = report.total_tokens * USABLE_MEMORY_SHARE
             runs = report.running + report.queued
             account.on_report(runs, report.used_tokens, usable_tokens, endpoint_state.reported_at)
-        account.slots = spec.slots
+        # A brittle engine may reject for want of a slot that a new connection holds for a moment.
+        account.slots = places(spec.slots) if is_brittle(self.state, endpoint) else spec.slots
         return account
--- a/tests/test_brittle_endpoints.py
+++ b/tests/test_brittle_endpoints.py
@@ -2,11 +2,15 @@
 
 import asyncio
 
-from stairquay.core.limits import UNLIMITED
+from stairquay.core.limits import UNLIMITED, LimitReport
 from stairquay.core.places import places
 from stairquay.core.prompt_queue import Admitted, PromptQueue, Rejected, RoomRequest
 from stairquay.core.room import Room
 from stairquay.serving.boxes import HEARTBEAT_INTERVAL_S
+from stairquay.serving.brittleness import apply_tolerance
+from stairquay.serving.engine_accounts import EngineAccounts
+from stairquay.serving.messages import PlaceRequest, PromptPart
+from tests.loads.test_limits_of_endpoints import CATALOG, ENGINE, make_box
 from tests.many_boxes import several_boxes
 from tests.site import Answer, Site, box_rows, eventually
 from tests.test_limits import single_box
@@ -88,3 +92,19 @@
     assert isinstance(PromptQueue().decide(request, [full], 1.0, may_queue=False), Rejected)
     free = Room("e-1", 2, UNLIMITED, 0.0, 10.0, 8, 0)
     assert isinstance(PromptQueue().decide(request, [full, free], 1.0, may_queue=False), Admitted)
+
+
+def test_a_router_keeps_some_slots_of_a_brittle_engine_free():
+    """Guards against a new connection that takes the last slot, and a prompt that is rejected for it."""
+    state = make_box("b-1", 1)
+    state.routed_engines = frozenset({ENGINE.id})
+    accounts, spec = EngineAccounts(state), CATALOG.engine_of("llm")
+    for number in range(ENGINE.slots - 1):
+        accounts.place(place_request(f"t-{number}"), (), ENGINE, 1.0)
+    assert accounts.has_room(ENGINE.id, 100, spec, 1.0)
+    apply_tolerance(state, ENGINE, state.endpoint_state(ENGINE), LimitReport(2.0, 1.0, 1.0))
+    assert not accounts.has_room(ENGINE.id, 100, spec, 1.0)
+
+
+def place_request(ticket: str) -> PlaceRequest:
+    return PlaceRequest(ticket, "b-1", "llm", "m", (PromptPart("own", 10),), 10, 10, "", ())
