--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -209,6 +209,9 @@
     retry_after_sent: list[tuple[float, str, str]] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     client_ports: list[int] = field(default_factory=list)
+    # Requests in progress above which it rejects; None for any number.
+    room: int | None = None
+    on_reject: Callable[[str], None] = lambda call_id: None
     in_progress: int = 0
     most_in_progress: int = 0
     disconnects: int = 0
@@ -308,6 +311,10 @@
                 self.retry_after_sent.append((asyncio.get_running_loop().time(), call_id, self.retry_after))
                 headers["Retry-After"] = self.retry_after
             return web.Response(status=503, headers=headers)
+        if self.room is not None and self.in_progress >= self.room:
+            self.on_reject(call_id)
+            headers = {"Not-Executed": "1", "Request-Id": call_id, **self._feedback_headers(call_id)}
+            return web.Response(status=503, headers=headers)
         body = await request.read()
         assert request.transport is not None
         self.client_ports.append(request.transport.get_extra_info("peername")[1])
