Try a quarantined part again, since only that shows it innocent

Change: one box, by rendezvous hashing, sends one request with a quarantined part after 3 s, the next after 30 s, then 120 s: within the three that may still reach engines. An answer of four events is enough to clear a part, in place of more than 16: a part that crashes engines does so before the first.

--- a/stairquay/core/crashes.py
+++ b/stairquay/core/crashes.py
@@ -15,6 +15,10 @@
 MIN_PART_CRASHES = 4
 """The same for a part of prompts, which many requests share."""
 
+INNOCENT_EVENTS = 4
+"""Events of an answer from which the parts of its prompt are innocent: a part that crashes engines does so as
+soon as the answer begins."""
+
 PART_PREFIX = "part "
 """Begins the digest of a part; digests of requests are hexadecimal."""
 
@@ -43,7 +47,12 @@
 
 def min_crashes(digest: str) -> int:
     """Return the crashes required to quarantine a request or a part."""
-    return MIN_PART_CRASHES if digest.startswith(PART_PREFIX) else MIN_CRASHES
+    return MIN_PART_CRASHES if is_part(digest) else MIN_CRASHES
+
+
+def is_part(digest: str) -> bool:
+    """Tell whether a digest is that of a part of prompts."""
+    return digest.startswith(PART_PREFIX)
 
 
 class Crash(msgspec.Struct, frozen=True):
--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -11,7 +11,7 @@
 from msgspec.structs import replace
 
 from stairquay.adapters.clock import monotonic
-from stairquay.core.crashes import SAME_POINT_EVENTS, Crash, event_count
+from stairquay.core.crashes import INNOCENT_EVENTS, Crash, event_count
 from stairquay.core.fleet import Endpoint
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.jobs import Job, StartedAttempt
@@ -63,8 +63,7 @@
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
         received = _events_received(job, started_attempt, events)
-        if events > SAME_POINT_EVENTS:
-            # A part that crashes engines does so as soon as the answer begins.
+        if events >= INNOCENT_EVENTS:
             self.state.quarantine.record_served(job.part_digests)
         crash = Crash(job.digest, incarnation, now, now - started_attempt.sent_at, received)
         probe.crashes_by_digest[job.digest] = crash
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -11,6 +11,7 @@
 from stairquay.core.call import Dispatch
 from stairquay.core.catalog import engine_priority
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
+from stairquay.core.ownership import rank_owners
 from stairquay.serving.attempt_outcome import attempt_outcome, counts_against_endpoint, was_unreachable
 from stairquay.serving.crashes import CrashDetector
 from stairquay.serving.endpoint import BUSY_BACKOFF_S
@@ -166,7 +167,7 @@
         if self.forwarder.refuses(job, progress):
             return unreached_refusal(progress.ran)
         quarantined_s = self._quarantined_s(job)
-        if quarantined_s > 0:
+        if quarantined_s > 0 and not self._takes_trial(job, progress):
             quarantined = self.state.quarantine.quarantined_by_digest
             digests = [digest for digest in (job.digest, *job.part_digests) if digest in quarantined]
             return Refusal(ErrorKind.QUARANTINED, progress.ran, f"digest {', '.join(digests)}", quarantined_s)
@@ -184,6 +185,20 @@
             return 0.0
         return max(quarantine.remaining_s(digest) for digest in (job.digest, *job.part_digests))
 
+    def _takes_trial(self, job: Job, progress: JobProgress) -> bool:
+        """Return whether a quarantined job is sent once, since its parts may be innocent."""
+        if progress.is_trial or progress.runs or progress.refused:
+            return False
+        quarantine, boxes = self.state.quarantine, self.state.boxes
+        parts = [digest for digest in job.part_digests if digest in quarantine.quarantined_by_digest]
+        if quarantine.remaining_s(job.digest) > 0:
+            return False
+        own = self.state.settings.id
+        if any(rank_owners(digest.encode(), boxes, 1) != [own] for digest in parts):
+            return False
+        progress.is_trial = quarantine.take_trial(parts)
+        return progress.is_trial
+
     def _keys_fresh(self, job: Job) -> bool:
         return job.workspace is None or self.state.keys_fresh()
 
@@ -270,7 +285,9 @@
         dispatch = self._dispatch(job, started_attempt.choice, left_s, after)
 
         def guard() -> bool:
-            if not self._keys_fresh(job) or job.deadline <= monotonic() or self._quarantined_s(job) > 0:
+            if not self._keys_fresh(job) or job.deadline <= monotonic():
+                return False
+            if self._quarantined_s(job) > 0 and not progress.is_trial:
                 return False
             endpoint = started_attempt.choice.endpoint
             listed = self.state.fleet.by_id.get(endpoint.id, endpoint)
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -14,6 +14,7 @@
     Crash,
     QuarantinedRequest,
     find_quarantined,
+    is_part,
     min_crashes,
     unexplained_crashes,
 )
@@ -39,10 +40,23 @@
 beside another that caused them, or its endpoints were lost for another reason. A request that begins to crash
 endpoints is sent for that much longer."""
 
+FIRST_TRIAL_S, NEXT_TRIAL_S, TRIAL_GROWTH = 3.0, 30.0, 4.0
+"""Seconds from the begin of a part's quarantine to the first request that is sent all the same, from there to
+the next one, and the growth of that time. Where all engines crashed before any prompt had ended, a part that
+all prompts share is quarantined, and only its being served can tell."""
+
 MAX_SERVED = 2_000
 """Completed requests that a box remembers (0.4 MB)."""
 
 
+@dataclass(frozen=True)
+class Trial:
+    """When a quarantined part is tried again, and how long after that."""
+
+    at: float
+    next_s: float = NEXT_TRIAL_S
+
+
 @dataclass(frozen=True)
 class CrashReport:
     """Crashes that a box reports, and when it cleared requests of suspicion (by digest).
@@ -91,6 +105,7 @@
         self.urgent = False
         self.changed = ChangeNotifier()
         self.quarantined_by_digest: dict[str, QuarantinedRequest] = {}
+        self.trials_by_part: dict[str, Trial] = {}
         self.crashes_by_digest: Counter[str] = Counter()
 
     def remaining_s(self, digest: str) -> float:
@@ -98,6 +113,19 @@
         entry = self.quarantined_by_digest.get(digest)
         return 0.0 if entry is None else max(0.0, entry.until - monotonic())
 
+    def take_trial(self, digests: Collection[str]) -> bool:
+        """Tell whether a request with these quarantined parts may be sent once, to learn whether they crash
+        engines; only one box may ask for each part."""
+        now = monotonic()
+        trials = {digest: self.trials_by_part.get(digest) for digest in digests}
+        if not trials or any(trial is None or now < trial.at for trial in trials.values()):
+            return False
+        for digest, trial in trials.items():
+            assert trial is not None
+            self.trials_by_part[digest] = Trial(now + trial.next_s, trial.next_s * TRIAL_GROWTH)
+            self.log.line(LogEvent.QUARANTINE, outcome="tried", digest=digest)
+        return True
+
     def record_crashes(self, crashes: Iterable[Crash]) -> None:
         """Record crashes that this box detected, except of requests that it served recently."""
         now = monotonic()
@@ -251,6 +279,10 @@
             incarnations = [crash.incarnation for crash in self.quarantined_by_digest[digest].crashes]
             self.log.line(LogEvent.QUARANTINE, outcome="begun", digest=digest, crashed=incarnations)
             self.urgent |= any(crash_digest == digest for crash_digest, _ in self.own_crashes)
+            if is_part(digest):
+                self.trials_by_part.setdefault(digest, Trial(monotonic() + FIRST_TRIAL_S))
+        while len(self.trials_by_part) > MAX_OWN_CRASHES:
+            del self.trials_by_part[next(iter(self.trials_by_part))]
         for digest in before.keys() - self.quarantined_by_digest.keys():
             self.log.line(LogEvent.QUARANTINE, outcome="ended", digest=digest)
 
