End a statement of brittleness that no answer repeats

A box that holds no places at a brittle endpoint hears of its end from others for 10 s only; one that was cut from them passed all its requests on for good. A statement holds for 30 s without an answer that repeats it.

--- a/stairquay/serving/brittleness.py
+++ b/stairquay/serving/brittleness.py
@@ -16,12 +16,17 @@
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.state import BoxState
 
-_JITTER = Random()
-
 MIN_HOLD_S = 1.0
 MAX_HOLD_S = 8.0
 """Seconds for which a box leaves a brittle endpoint alone after a rejection, doubled by each one in a row."""
 
+TOLERANCE_TTL_S = 30.0
+"""Seconds for which a statement holds that no answer repeats. A box that sends nothing to an endpoint may
+miss that other boxes heard its end."""
+
+_JITTER = Random()
+"""Lengthens these times to up to twice as long, so that boxes do not come back together."""
+
 
 def tolerance_report(state: BoxState, endpoint: Endpoint) -> LimitReport | None:
     """Return the newest statement that holds for an endpoint, None if there was never one.
@@ -34,10 +39,14 @@
     return state.tolerance_by_service.get(endpoint.service) if own is None else own
 
 
-def is_brittle(state: BoxState, endpoint: Endpoint) -> bool:
+def is_brittle(state: BoxState, endpoint: Endpoint, now: float) -> bool:
     """Tell whether an endpoint falls over if it rejects too much."""
-    report = tolerance_report(state, endpoint)
-    return report is not None and report.per_s < UNLIMITED
+    return binds(tolerance_report(state, endpoint), now)
+
+
+def binds(report: LimitReport | None, now: float) -> bool:
+    """Tell whether a statement is in force."""
+    return report is not None and report.per_s < UNLIMITED and now - report.received_at < TOLERANCE_TTL_S
 
 
 def apply_tolerance(
@@ -71,7 +80,7 @@
 
     Requests that were sent before that and are rejected as well do not prolong it.
     """
-    if not is_brittle(state, endpoint) or now < endpoint_state.rejected_until:
+    if not is_brittle(state, endpoint, now) or now < endpoint_state.rejected_until:
         return
     hold_s = min(MAX_HOLD_S, MIN_HOLD_S * 2**endpoint_state.rejections) * (1 + _JITTER.random())
     endpoint_state.rejections += 1
@@ -96,7 +105,7 @@
 def brittle_wait_s(state: BoxState, endpoint: Endpoint, now: float) -> float:
     """Return the seconds until this box may send to an endpoint, as far as rejections go: 0 if it may now,
     infinite if others have all places."""
-    if not state.tolerance_by_service or not is_brittle(state, endpoint):
+    if not state.tolerance_by_service or not is_brittle(state, endpoint, now):
         return 0.0
     endpoint_state = state.endpoint_state(endpoint)
     if now < endpoint_state.rejected_until:
@@ -108,8 +117,9 @@
 
 
 def place_holders(state: BoxState, service: str, tried: Collection[str], now: float) -> frozenset[str]:
-    """Return the boxes to pass a plain request on to, none if this box has a place left, or one is sound.
+    """Return the boxes to pass a plain request on to.
 
+    There are none if this box has a place left, or an endpoint is not brittle.
     tried: ids of endpoints that it was sent to.
     """
     if state.tolerance_by_service.get(service) is None or state.boxes_known_at == NEVER:
@@ -118,7 +128,7 @@
     for endpoint in state.fleet.usable(service, now):
         if endpoint.id in tried or not takes_work(state, endpoint):
             continue
-        if not is_brittle(state, endpoint):
+        if not is_brittle(state, endpoint, now):
             return frozenset()
         if now < state.endpoint_state(endpoint).rejected_until:
             continue
--- a/stairquay/serving/engine_accounts.py
+++ b/stairquay/serving/engine_accounts.py
@@ -35,7 +35,7 @@
         endpoint = self.state.fleet.by_id.get(engine)
         if endpoint is None or engine not in self.state.routed_engines:
             return True
-        return self._account(endpoint, spec).has_room(needed_tokens, now)
+        return self._account(endpoint, spec, now).has_room(needed_tokens, now)
 
     def rooms(self, request: PlaceRequest, parts: SharedParts, spec: EngineSpec, now: float) -> list[Room]:
         """Return the room for a prompt at each engine of its service that this box routes for.
@@ -47,7 +47,7 @@
         after_unknown = request.most_backlog_s is not None
 
         def room(endpoint: Endpoint) -> Room:
-            account = self._account(endpoint, spec)
+            account = self._account(endpoint, spec, now)
             needed_tokens = peak_tokens - account.memory.tokens_in_use(parts)
             return account.room(endpoint.id, needed_tokens, now, request.priority, after_unknown)
 
@@ -65,7 +65,7 @@
             return
         expected_s = self.duration_s(request.service, request.priority)
         peak_tokens = request.tokens + request.max_output
-        account = self._account(endpoint, spec)
+        account = self._account(endpoint, spec, now)
         account.place(request.ticket, peak_tokens, expected_s, now, request.priority, parts)
 
     def end(self, ticket: str, engine: str, kind: RunKind, completed: bool, now: float) -> None:
@@ -105,7 +105,7 @@
             ):
                 yield endpoint
 
-    def _account(self, endpoint: Endpoint, spec: EngineSpec) -> EngineAccount:
+    def _account(self, endpoint: Endpoint, spec: EngineSpec, now: float) -> EngineAccount:
         """Return an engine's account, a new one for a new incarnation, with the last report applied."""
         endpoint_state = self.state.endpoint_state(endpoint)
         known_state, account = self.accounts_by_engine.get(endpoint.id, (None, None))
@@ -119,5 +119,5 @@
             runs = report.running + report.queued
             account.on_report(runs, report.used_tokens, usable_tokens, endpoint_state.reported_at)
         # A brittle engine may reject for want of a slot that a new connection holds for a moment.
-        account.slots = places(spec.slots) if is_brittle(self.state, endpoint) else spec.slots
+        account.slots = places(spec.slots) if is_brittle(self.state, endpoint, now) else spec.slots
         return account
--- a/stairquay/serving/pacing.py
+++ b/stairquay/serving/pacing.py
@@ -109,7 +109,9 @@
     ]
     bounds_by_id = {item.id: bounds for item in usable if (bounds := rate_bounds(state, item, now))}
     held_back = [
-        item for item in usable if item.id in bounds_by_id or item.id in backoffs_s or is_brittle(state, item)
+        item
+        for item in usable
+        if item.id in bounds_by_id or item.id in backoffs_s or is_brittle(state, item, now)
     ]
     pauses_s = [max(_pause_s(state, item, now, random), backoffs_s.get(item.id, 0.0)) for item in held_back]
     soonest_s = min((pause_s for pause_s in pauses_s if pause_s > 0), default=None)
@@ -120,7 +122,7 @@
     only_cold = all(
         limit_of(state.endpoint_state(item)) == UNLIMITED
         and item.id not in backoffs_s
-        and not is_brittle(state, item)
+        and not is_brittle(state, item, now)
         for item in held_back
     )
     max_delay_s = max(soonest_s, MAX_COLD_RETRY_S) if only_cold else soonest_s + RETRY_SPREAD_S
@@ -145,7 +147,7 @@
     pause_s = wait_s(state, endpoint, now, random)
     if pause_s == inf:
         return FULL_RETRY_S
-    if limit_of(state.endpoint_state(endpoint)) < UNLIMITED or is_brittle(state, endpoint):
+    if limit_of(state.endpoint_state(endpoint)) < UNLIMITED or is_brittle(state, endpoint, now):
         return pause_s
     return min(pause_s, cold_for_s(state, endpoint, now), MAX_COLD_RETRY_S)
 
--- a/stairquay/serving/router_admission.py
+++ b/stairquay/serving/router_admission.py
@@ -1,10 +1,10 @@
 """Admission of prompts at a router: asks the queue of their service once the engines are full."""
 
 from stairquay.core.catalog import LOWEST_PRIORITY
-from stairquay.core.limits import UNLIMITED
 from stairquay.core.memory import SharedParts
 from stairquay.core.placement import prefill_s
 from stairquay.core.prompt_queue import Decision, Deferred, PromptQueue, Reason, Rejected, RoomRequest
+from stairquay.serving.brittleness import binds
 from stairquay.serving.endpoint_choice import Choice
 from stairquay.serving.engine_accounts import EngineAccounts
 from stairquay.serving.messages import PlaceReply, PlaceRequest
@@ -48,7 +48,7 @@
         wanted = room_request(request, prefill_s(placement.read, request.tokens))
         if wanted is None:
             peak_tokens = request.tokens + request.max_output - placement.engine.tokens_in_use
-            full = self._is_brittle(request.service) and not self.accounts.has_room(
+            full = self._is_brittle(request.service, now) and not self.accounts.has_room(
                 engine, peak_tokens, spec, now
             )
             return Rejected(BRITTLE_RETRY_AFTER_S, Reason.OBJECTIVE) if full else None
@@ -71,16 +71,15 @@
         parts = shared_parts(request, choice.scope)
         rooms = self.accounts.rooms(request, parts, spec, now)
         rooms.sort(key=lambda room: room.engine != choice.endpoint.id)
-        decision = queue.decide(wanted, rooms, now, may_queue=not self._is_brittle(request.service))
+        decision = queue.decide(wanted, rooms, now, may_queue=not self._is_brittle(request.service, now))
         if isinstance(decision, Deferred):
             self.choices_by_ticket[request.ticket] = choice
         count_rejected(self.state, decision, request.priority)
         return decision
 
-    def _is_brittle(self, service: str) -> bool:
-        """Tell whether an engine of a service falls over if it rejects too much, so that none may queue."""
-        tolerance = self.state.tolerance_by_service.get(service)
-        return tolerance is not None and tolerance.per_s < UNLIMITED
+    def _is_brittle(self, service: str, now: float) -> bool:
+        """Tell whether engines of a service fall over if they reject too much, so that nothing may queue."""
+        return binds(self.state.tolerance_by_service.get(service), now)
 
     def leave(self, ticket: str) -> None:
         """Give up the place of a prompt that its sender will not ask for again."""
--- a/stairquay/serving/telling.py
+++ b/stairquay/serving/telling.py
@@ -107,7 +107,7 @@
     return {
         endpoint.id
         for endpoint in state.fleet.live()
-        if is_brittle(state, endpoint)
+        if is_brittle(state, endpoint, now)
         or now - state.endpoint_state(endpoint).tolerance_ended_at < SHARE_PERIOD_S
     }
 
--- a/tests/loads/test_brittle_endpoints.py
+++ b/tests/loads/test_brittle_endpoints.py
@@ -11,6 +11,7 @@
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
+from typing import ClassVar
 
 import pytest
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -19,6 +20,7 @@
 from stairquay.core.catalog import Route
 from stairquay.core.fleet import Endpoint
 from stairquay.platform.statements import parse_feedback
+from stairquay.serving import forwarding
 from stairquay.serving.endpoint import BUSY_BACKOFF_S
 from stairquay.serving.following import apply_endpoints
 from stairquay.serving.forwarding import Forwarder
@@ -98,6 +100,7 @@
     idle_until: float = 0.0
     cut: frozenset[int] = frozenset()
     restarts_at: float = 0.0
+    now: ClassVar[float] = 0.0
     endpoints: list[SimulatedEndpoint] = field(default_factory=list)
     states: list[BoxState] = field(default_factory=list)
     offered: int = 0
@@ -119,8 +122,8 @@
         if self.restarts_at:
             self._schedule(self.restarts_at, self._restart)
         while self.queue and self.queue[0][0] < ENDS_AT:
-            at, _, callback = heappop(self.queue)
-            callback(at)
+            Simulation.now, _, callback = heappop(self.queue)
+            callback(Simulation.now)
         return self
 
     @property
@@ -261,6 +264,12 @@
             apply_endpoints(state, self._entries(int(now * 1000)), now)
 
 
+@pytest.fixture(autouse=True)
+def virtual_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have boxes that pass requests on read the time of the simulation."""
+    monkeypatch.setattr(forwarding, "monotonic", lambda: Simulation.now)
+
+
 def assert_few_falls(played: Simulation) -> None:
     assert played.falls <= 2 + 0.1 * len(played.endpoints)
     assert played.served >= MIN_SERVED_SHARE * played.offered
--- a/tests/test_brittle_endpoints.py
+++ b/tests/test_brittle_endpoints.py
@@ -7,10 +7,10 @@
 from stairquay.core.prompt_queue import Admitted, PromptQueue, Rejected, RoomRequest
 from stairquay.core.room import Room
 from stairquay.serving.boxes import HEARTBEAT_INTERVAL_S
-from stairquay.serving.brittleness import apply_tolerance
+from stairquay.serving.brittleness import TOLERANCE_TTL_S, apply_tolerance, is_brittle
 from stairquay.serving.engine_accounts import EngineAccounts
 from stairquay.serving.messages import PlaceRequest, PromptPart
-from tests.loads.test_limits_of_endpoints import CATALOG, ENGINE, make_box
+from tests.loads.test_limits_of_endpoints import CATALOG, ENGINE, PLAIN, make_box
 from tests.many_boxes import several_boxes
 from tests.site import Answer, Site, box_rows, eventually
 from tests.test_limits import single_box
@@ -108,3 +108,12 @@
 
 def place_request(ticket: str) -> PlaceRequest:
     return PlaceRequest(ticket, "b-1", "llm", "m", (PromptPart("own", 10),), 10, 10, "", ())
+
+
+def test_a_statement_that_nobody_repeats_ends():
+    """Guards against a box that passes all requests on for good, as it missed that a statement had ended."""
+    state = make_box("b-1", 2)
+    apply_tolerance(state, PLAIN, state.endpoint_state(PLAIN), LimitReport(2.0, 1.0, 1.0))
+    assert is_brittle(state, PLAIN, 2.0) and not is_brittle(state, PLAIN, 1.0 + TOLERANCE_TTL_S)
+    apply_tolerance(state, PLAIN, state.endpoint_state(PLAIN), LimitReport(2.0, 20.0, 20.0))
+    assert is_brittle(state, PLAIN, 2.0 + TOLERANCE_TTL_S)
