Refuse no part of prompts at a box that has served none yet

Engines had crashed before any prompt had ended at those boxes, and the part that all prompts share was quarantined there until others had cleared it.

Change: crashes show nothing of a part where no prompt has ended well.

--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -99,6 +99,8 @@
         self.router_position = NO_POSITION
         # When this box last served a request, by digest.
         self.served_at: OrderedDict[str, float] = OrderedDict()
+        # When this box last served a prompt that shares a part with others.
+        self.part_served_at = NEVER
         # Whether this box's row is out of date.
         self.unpublished = False
         # Whether a quarantine has begun since the last write, for a crash that this box noticed.
@@ -109,9 +111,14 @@
         self.crashes_by_digest: Counter[str] = Counter()
 
     def remaining_s(self, digest: str) -> float:
-        """Return the seconds left of a request's quarantine, 0 if it is not quarantined."""
-        entry = self.quarantined_by_digest.get(digest)
-        return 0.0 if entry is None else max(0.0, entry.until - monotonic())
+        """Return the seconds left of the quarantine of a request or a part, 0 if it is not refused."""
+        entry, now = self.quarantined_by_digest.get(digest), monotonic()
+        if entry is None:
+            return 0.0
+        if is_part(digest) and now - self.part_served_at > SERVED_TRUST_S:
+            # Where no prompt has ended well, crashes show nothing of any part.
+            return 0.0
+        return max(0.0, entry.until - now)
 
     def take_trial(self, digests: Collection[str]) -> bool:
         """Tell whether a request with these quarantined parts may be sent once, to learn whether they crash
@@ -142,6 +149,8 @@
         for digest in digests:
             self.served_at[digest] = now
             self.served_at.move_to_end(digest)
+            if is_part(digest):
+                self.part_served_at = now
         while len(self.served_at) > MAX_SERVED:
             self.served_at.popitem(last=False)
         suspected = [digest for digest in digests if self._is_suspected(digest)]
