--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -11,7 +11,7 @@
 from msgspec.structs import replace
 
 from stairquay.adapters.clock import monotonic
-from stairquay.core.crashes import INNOCENT_EVENTS, Crash, event_count
+from stairquay.core.crashes import INNOCENT_EVENTS, PART_PREFIX, Crash, event_count, is_part
 from stairquay.core.fleet import Endpoint
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.jobs import Job, StartedAttempt
@@ -114,7 +114,8 @@
             endpoint=endpoint.id,
             life=incarnation,
             accepts=accepts,
-            requests=list(suspected),
+            requests=[digest for digest in suspected if not is_part(digest)],
+            parts=[digest.removeprefix(PART_PREFIX) for digest in suspected if is_part(digest)],
         )
         self.state.quarantine.record_crashes(suspected.values())
 
