Drop a tie-break of suspects that can no longer decide

The order in which suspects are known differs for each, so that the digest behind it in the key was never compared. Found by reading the change once more; behaviour is the same. 117 tests of quarantine, crash rows, parts and crashes, with the retry budget beside them, pass.

--- a/stairquay/core/crashes.py
+++ b/stairquay/core/crashes.py
@@ -121,7 +121,7 @@
         }
         digest = max(
             candidates,
-            key=lambda key: (unexplained_weight[key], -_mean_duration_s(candidates[key]), order[key], key),
+            key=lambda key: (unexplained_weight[key], -_mean_duration_s(candidates[key]), order[key]),
         )
         if unexplained_weight[digest] < MIN_UNEXPLAINED_CRASHES:
             break
