Read peers' reports, pacing and place holders in one way each

Found by reading the change once more, behaviour as before: a report from another box was rebuilt in two places; the wait for rejections was merged into each way out of the wait for a pace; place holders of a request were computed twice as it is passed on; the stand-in wrote the headers of a rejection twice, and the new soak had its own clock.

--- a/stairquay/core/budget.py
+++ b/stairquay/core/budget.py
@@ -22,7 +22,8 @@
 whole slack just before, and 0.7 * 1.4 is still below 1."""
 
 SLOTS_PER_WINDOW = 20
-"""Requests are counted in slots. A window covers one slot less, so that it never counts too much."""
+"""Requests are counted in slots, the newest of which is not over yet. Where a window must not count too much
+whenever it begins, it covers one slot less."""
 
 
 class RetryAllowance(msgspec.Struct, frozen=True):
--- a/stairquay/platform/names.py
+++ b/stairquay/platform/names.py
@@ -16,9 +16,11 @@
 copy."""
 
 LIMIT = "Server-Limit"
-TOLERANCE = "Server-Brittle"
 """Rate limit of an overloaded endpoint, over all callers: requests per second as a decimal number."""
 
+TOLERANCE = "Server-Brittle"
+"""Rejections per second above which an endpoint falls over, as a decimal number."""
+
 LEAVING = "Server-Leaving"
 """`1` in all responses of an endpoint that is leaving."""
 
--- a/stairquay/serving/forwarding.py
+++ b/stairquay/serving/forwarding.py
@@ -59,16 +59,14 @@
             return True
         if progress.asked_other_boxes:
             return False
-        return progress.unreached >= MIN_UNREACHED or bool(self._place_holders(job, progress))
+        return progress.unreached >= MIN_UNREACHED or bool(self.place_holders(job, progress))
 
-    def fronts_for(self, job: Job, progress: JobProgress) -> dict[str, str]:
-        """Return where other boxes take requests that may serve this one, by their ids."""
+    def fronts_of(self, holders: frozenset[str]) -> dict[str, str]:
+        """Return by id where these boxes take requests, or all others if none of these is known."""
         fronts = self.state.fronts_by_box
-        holders = self._place_holders(job, progress)
-        held = {box: at for box, at in fronts.items() if box in holders}
-        return held or fronts
+        return {box: at for box, at in fronts.items() if box in holders} or fronts
 
-    def _place_holders(self, job: Job, progress: JobProgress) -> frozenset[str]:
+    def place_holders(self, job: Job, progress: JobProgress) -> frozenset[str]:
         """Return the boxes that alone may send to brittle endpoints; for prompts, routers see to that."""
         if not self.state.tolerance_by_service or job.service.engine is not None:
             return frozenset()
@@ -89,8 +87,9 @@
         still try, since the service is not lost, or no longer.
         """
         helpers = self.state.helpers_by_service.setdefault(job.service.id, Helpers())
-        candidates = self.fronts_for(job, progress)
-        try_next = CANNOT_HELP | {ErrorKind.OVERLOADED} if self._place_holders(job, progress) else CANNOT_HELP
+        holders = self.place_holders(job, progress)
+        candidates = self.fronts_of(holders)
+        try_next = CANNOT_HELP | {ErrorKind.OVERLOADED} if holders else CANNOT_HELP
         progress.asked_other_boxes = True
         asked: set[str] = set()
         full: Refusal | None = None
--- a/stairquay/serving/pacing.py
+++ b/stairquay/serving/pacing.py
@@ -31,7 +31,6 @@
 RETRY_SPREAD_S = 3.0
 """Longest time in seconds over which the retries of callers refused together are spread."""
 
-
 FULL_RETRY_S = 0.25
 """Retry-After in seconds where only other boxes may send to an endpoint: its callers' next try may reach one
 of them."""
@@ -52,16 +51,19 @@
 def wait_s(state: BoxState, endpoint: Endpoint, now: float, random: Random) -> float:
     """Return the seconds until this box may send a request to an endpoint, 0 if it may now, infinite if only
     other boxes may."""
-    rejection_wait_s = brittle_wait_s(state, endpoint, now)
+    return max(brittle_wait_s(state, endpoint, now), _paced_wait_s(state, endpoint, now, random))
+
+
+def _paced_wait_s(state: BoxState, endpoint: Endpoint, now: float, random: Random) -> float:
+    """Return the seconds until the bounds on its request rate let this box send to an endpoint."""
     bounds = rate_bounds(state, endpoint, now)
     if not bounds:
-        return rejection_wait_s
+        return 0.0
     per_s = box_rate_per_s(state, endpoint, bounds)
     if endpoint.id in state.routed_engines:
         burst = min(bound.shares.burst for bound in bounds)
-        return max(rejection_wait_s, _router_pacer(state, endpoint, now).wait_s(now, per_s, burst))
-    pacer = _standalone_pacer(state, endpoint, now, per_s, random)
-    return max(rejection_wait_s, pacer.wait_s(now, per_s))
+        return _router_pacer(state, endpoint, now).wait_s(now, per_s, burst)
+    return _standalone_pacer(state, endpoint, now, per_s, random).wait_s(now, per_s)
 
 
 def count_sent(state: BoxState, endpoint: Endpoint, now: float, random: Random) -> bool:
--- a/stairquay/serving/telling.py
+++ b/stairquay/serving/telling.py
@@ -76,12 +76,16 @@
             or (item.born and endpoint_state.born and item.born != endpoint_state.born)
         ):
             continue
-        report = LimitReport(item.per_s, now - item.sent_ago_s - MAX_MESSAGE_DELAY_S, now - item.heard_ago_s)
-        apply_limit(state, endpoint, endpoint_state, report)
+        limit = _peer_report(item.per_s, item.sent_ago_s, item.heard_ago_s, now)
+        apply_limit(state, endpoint, endpoint_state, limit)
         if item.bears_heard_ago_s < inf:
-            sent_at = now - item.bears_sent_ago_s - MAX_MESSAGE_DELAY_S
-            report = LimitReport(item.bears_per_s, sent_at, now - item.bears_heard_ago_s)
-            apply_tolerance(state, endpoint, endpoint_state, report)
+            tolerance = _peer_report(item.bears_per_s, item.bears_sent_ago_s, item.bears_heard_ago_s, now)
+            apply_tolerance(state, endpoint, endpoint_state, tolerance)
+
+
+def _peer_report(per_s: float, sent_ago_s: float, heard_ago_s: float, now: float) -> LimitReport:
+    """Return a report that a message from another box brings, by this box's clock."""
+    return LimitReport(per_s, now - sent_ago_s - MAX_MESSAGE_DELAY_S, now - heard_ago_s)
 
 
 def _limited_ids(state: BoxState, now: float, include_ids: frozenset[str]) -> set[str]:
--- a/tests/loads/test_brittle_endpoints.py
+++ b/tests/loads/test_brittle_endpoints.py
@@ -178,7 +178,7 @@
         job = Job(call, b"", CATALOG, ROUTE, CATALOG.services_by_id["plain"], None, now, now + 2.0)
         forwarder = Forwarder(state, None, self.random)
         if forwarder.applies(job, JobProgress()):
-            fronts = sorted(forwarder.fronts_for(job, JobProgress()))
+            fronts = sorted(forwarder.fronts_of(forwarder.place_holders(job, JobProgress())))
             asked = self.random.sample(fronts, min(BOXES_ASKED, len(fronts)))
             self._pass_on([int(name.partition("-")[2]) for name in asked], now + NETWORK_S, until, counted)
         else:
--- a/tests/soak_brittle.py
+++ b/tests/soak_brittle.py
@@ -16,6 +16,7 @@
 from tests.many_boxes import several_boxes
 from tests.site import Site
 from tests.soak_command import run_soak
+from tests.soak_statements import NEVER, OUTAGE_S, loop_time
 from tests.standins.endpoints import Endpoint
 
 MAX_PROPAGATION_S = 3.0
@@ -29,9 +30,7 @@
 REQUESTS_PER_S, BURST_REQUESTS = 60.0, 90
 BRITTLE_S, SOUND_S = (8.0, 12.0), (2.0, 5.0)
 DOWN_S = 2.0
-OUTAGE_S = 2.0
 TOLERANCES = (1, 2, 5)
-NEVER = float("-inf")
 
 
 @dataclass
@@ -52,10 +51,6 @@
     forwarded: int = 0
 
 
-def loop_time() -> float:
-    return asyncio.get_running_loop().time()
-
-
 class Soak:
     """Applies load and faults, and makes endpoints fall."""
 
--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -296,6 +296,9 @@
             headers["Server-Leaving"] = self.leaving
         return headers
 
+    def _rejection_headers(self, call_id: str) -> dict[str, str]:
+        return {"Not-Executed": "1", "Request-Id": call_id, **self._feedback_headers(call_id)}
+
     async def _run(self, request: web.Request) -> web.StreamResponse:
         call_id = request.headers.get("Request-Id", "")
         target_id = request.headers.get("Target-Instance", self.id)
@@ -306,15 +309,14 @@
         if self.refuse:
             self.refuse -= 1
             await asyncio.sleep(self.refuse_s)
-            headers = {"Not-Executed": "1", "Request-Id": call_id, **self._feedback_headers(call_id)}
+            headers = self._rejection_headers(call_id)
             if self.retry_after is not None:
                 self.retry_after_sent.append((asyncio.get_running_loop().time(), call_id, self.retry_after))
                 headers["Retry-After"] = self.retry_after
             return web.Response(status=503, headers=headers)
         if self.room is not None and self.in_progress >= self.room:
             self.on_reject(call_id)
-            headers = {"Not-Executed": "1", "Request-Id": call_id, **self._feedback_headers(call_id)}
-            return web.Response(status=503, headers=headers)
+            return web.Response(status=503, headers=self._rejection_headers(call_id))
         body = await request.read()
         assert request.transport is not None
         self.client_ports.append(request.transport.get_extra_info("peername")[1])
