--- a/tests/many_boxes.py
+++ b/tests/many_boxes.py
@@ -201,13 +201,17 @@
 
 @asynccontextmanager
 async def several_boxes(
-    count: int, module: str = "stairquay", engines: int = 5, software: tuple[str, ...] = ()
+    count: int,
+    module: str = "stairquay",
+    engines: int = 5,
+    software: tuple[str, ...] = (),
+    bounds: dict[str, float] | None = None,
 ) -> AsyncIterator[list[Site]]:
     """Start boxes that share one table service, some engines and three plain endpoints.
 
-    software: as for site().
+    software: as for site(). bounds: settings that differ from the usual ones.
     """
-    bounds = {"budget_window_s": 2, "budget_slack": 400}
+    bounds = {"budget_window_s": 2, "budget_slack": 400} | (bounds or {})
     async with site(
         ready=False, plain=3, engines=engines, module=module, software=software, **bounds
     ) as first:
