Take no slack of the retry budget before the others count a thawed box again

The others had given them up and shared out their part of the slack, and a thawed box took its part again with its first written row, while the others go by the smaller number until their next heartbeats.

--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -203,9 +203,20 @@
         if written:
             # Only after the write: a failed one published nothing.
             self.published_versions = named
-            self.state.row_written_at = monotonic()
+            self._record_written_row(monotonic())
         return written
 
+    def _record_written_row(self, now: float) -> None:
+        """Record that this box has just written its row.
+
+        Where the one before was so old that others may have given this box up, they count it again only with
+        their next heartbeats. Until then they share out its part of what all boxes may use.
+        """
+        state = self.state
+        if state.row_written_at > NEVER and now - state.row_written_at >= state.row_valid_s:
+            state.counted_from = now + self._heartbeat_interval_s() * (1 + JITTER)
+        state.row_written_at = now
+
     def _own_heartbeat(self, offset: ClockOffset) -> BoxHeartbeat:
         """Return this box's row. offset: of the table service's clock to the local one."""
         member = self.state.member
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -89,6 +89,8 @@
     # When this box last wrote its row, and the seconds after which others may count it as gone.
     row_written_at: float = NEVER
     row_valid_s: float = inf
+    # When all others count this box again, after its row was too old.
+    counted_from: float = NEVER
     # Where other live boxes take callers' requests, by id.
     fronts_by_box: dict[str, str] = field(default_factory=dict)
     # Era of the table service, 0 until it has answered; when this box first saw it, and whether that was at a
@@ -424,7 +426,7 @@
         if self.boxes_known_at == NEVER:
             return 0.0
         is_counted = self.row_written_at == NEVER or now - self.row_written_at < self.row_valid_s
-        return now - self.boxes_known_at if is_counted else 0.0
+        return max(0.0, now - max(self.boxes_known_at, self.counted_from)) if is_counted else 0.0
 
     def drop_removed_endpoints(self) -> None:
         """Drop the state of unlisted endpoints without active limits or requests."""
