--- a/tests/loads/test_brittle_endpoints.py
+++ b/tests/loads/test_brittle_endpoints.py
@@ -67,10 +67,14 @@
     def states(self, now: float) -> bool:
         return now >= STATED_FROM
 
+    def binds(self, now: float) -> bool:
+        """Tell whether all boxes must heed the statement by now."""
+        return now >= STATED_FROM + PROPAGATION_S
+
     def take(self, now: float) -> float | None:
         """Return when a request that arrives now is done, None if it is rejected."""
         self.finish_at = sorted(at for at in self.finish_at if at > now)
-        queue = SHORT_QUEUE if now >= STATED_FROM + PROPAGATION_S else USUAL_QUEUE
+        queue = SHORT_QUEUE if self.binds(now) else USUAL_QUEUE
         if len(self.finish_at) >= SLOTS + queue:
             self._reject(now)
             return None
@@ -81,7 +85,7 @@
 
     def _reject(self, now: float) -> None:
         self.rejected_at = [at for at in self.rejected_at if at > now - 1.0] + [now]
-        if now >= STATED_FROM + PROPAGATION_S and len(self.rejected_at) > self.bears:
+        if self.binds(now) and len(self.rejected_at) > self.bears:
             self.fell_at.append(now)
             self.down_until = now + DOWN_S
             self.finish_at, self.rejected_at = [], []
@@ -100,6 +104,7 @@
     idle_until: float = 0.0
     cut: frozenset[int] = frozenset()
     restarts_at: float = 0.0
+    endpoint_kind: type[SimulatedEndpoint] = SimulatedEndpoint
     now: ClassVar[float] = 0.0
     endpoints: list[SimulatedEndpoint] = field(default_factory=list)
     states: list[BoxState] = field(default_factory=list)
@@ -111,7 +116,7 @@
         self.names = tuple(f"b-{number}" for number in range(self.boxes))
         self.queue: list[tuple[float, int, Callable[[float], None]]] = []
         self.endpoints = [
-            SimulatedEndpoint(
+            self.endpoint_kind(
                 Endpoint(f"p-{number}", "plain", f"10.0.1.{number}:1", "hall-a", SLOTS, born=1), self.bears
             )
             for number in range(FLEETS[self.boxes])
@@ -167,10 +172,14 @@
         per_s = share * len(self.endpoints) * SLOTS / WORK_S
         self._schedule(now + self.random.expovariate(per_s), self._arrive)
         box = self.random.randrange(self.boxes if now >= self.idle_until else (self.boxes + 1) // 2)
-        counted = now > STATED_FROM + PROPAGATION_S and not is_burst
+        counted = self._is_counted(now) and not is_burst
         self.offered += counted
         self._request(box, now, now + PATIENCE_S, counted)
 
+    def _is_counted(self, now: float) -> bool:
+        """Tell whether a request that arrives now has to be served, except in a burst."""
+        return now > STATED_FROM + PROPAGATION_S
+
     def _request(self, box: int, now: float, until: float, counted: bool) -> None:
         """Serve a request at a box, or pass it on if the box says so."""
         state = self.states[box]
