Take over the places of boxes that refuse connections before their rows are old

A killed box held its places until its row was old, 50 s with 71 boxes, and a request passed on ran out of its three boxes to ask among the dead.

A box that refuses connections for 2 s counts as gone (core/absence.py). The boxes behind the holders of an endpoint's places probe those before them each second while it is brittle, and hold their places meanwhile; senders learn it from what they pass on. Refused connections do not count as boxes asked, and up to five holders are asked. Frozen and cut boxes refuse nothing and keep theirs, so that no place is held twice for it.

Their simulation takes the number of holders asked from the code and probes as the code does. Nothing runs, and no call is made, where no endpoint states brittleness.

--- a/stairquay/core/places.py
+++ b/stairquay/core/places.py
@@ -26,11 +26,16 @@
     return max(1, int(slots * ROOM_SHARE))
 
 
+def holders_number(slots: int) -> int:
+    """Return how many boxes hold the places of an endpoint."""
+    return ceil(places(slots) / PLACES_PER_HOLDER)
+
+
 @lru_cache(MAX_CACHED)
 def places_by_holder(endpoint_id: str, slots: int, boxes: tuple[str, ...]) -> dict[str, int]:
     """Return the places of an endpoint by the boxes that hold them; `boxes` are all that are alive."""
     total = places(slots)
-    holders = rank_owners(endpoint_id.encode(), boxes, ceil(total / PLACES_PER_HOLDER))
+    holders = rank_owners(endpoint_id.encode(), boxes, holders_number(slots))
     return {
         box: total // len(holders) + (number < total % len(holders)) for number, box in enumerate(holders)
     }
--- a/stairquay/platform/box_client.py
+++ b/stairquay/platform/box_client.py
@@ -69,13 +69,27 @@
             attempt.lose()
             deadline = isinstance(error, TimeoutError) and connection is not None
             kind = ErrorKind.DEADLINE if deadline else ErrorKind.NOT_READY
-            return Err(BoxRefusal(kind, attempt.ran, f"{type(error).__name__} at another box"))
+            refused = connection is None and isinstance(error, ConnectionRefusedError)
+            detail = f"{type(error).__name__} at another box"
+            return Err(BoxRefusal(kind, attempt.ran, detail, not_listening=refused))
         except BaseException:
             close_connection(connection)
             raise
         attempt.answer()
         return Ok(reply_of(response))
 
+    async def is_refused(self, address: str) -> bool:
+        """Tell whether a box refuses a new connection, which is closed at once."""
+        try:
+            connection = await self.pool.open(address)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, ValueError):
+            # A box that cannot be reached may be alive for others.
+            return False
+        close_connection(connection)
+        return False
+
 
 def _headers(call: Call, forward: Forward) -> list[tuple[str, str]]:
     headers = [
--- a/stairquay/serving/brittleness.py
+++ b/stairquay/serving/brittleness.py
@@ -57,6 +57,8 @@
     if known is None and report.per_s == UNLIMITED:
         return
     state.tolerance_by_service[endpoint.service] = merge_reports(known, report)
+    if not binds(known, report.received_at):
+        state.changed.notify_all()
     before = tolerance_report(state, endpoint)
     endpoint_state.tolerance = merge_reports(endpoint_state.tolerance, report)
     before_per_s = UNLIMITED if before is None or known is None else before.per_s
@@ -91,14 +93,14 @@
     )
 
 
-def places_left(state: BoxState, endpoint: Endpoint) -> int:
+def places_left(state: BoxState, endpoint: Endpoint, now: float) -> int:
     """Return the requests that this box may still send to a brittle endpoint that no router places on."""
-    return held_places(state, endpoint) - state.endpoint_state(endpoint).in_flight
+    return held_places(state, endpoint, now) - state.endpoint_state(endpoint).in_flight
 
 
-def held_places(state: BoxState, endpoint: Endpoint) -> int:
+def held_places(state: BoxState, endpoint: Endpoint, now: float) -> int:
     """Return the places at an endpoint that this box holds."""
-    by_holder = places_by_holder(endpoint.id, endpoint.slots, state.boxes)
+    by_holder = places_by_holder(endpoint.id, endpoint.slots, state.boxes_not_gone(now))
     return by_holder.get(state.settings.id, 0)
 
 
@@ -110,10 +112,10 @@
     endpoint_state = state.endpoint_state(endpoint)
     if now < endpoint_state.rejected_until:
         return endpoint_state.rejected_until - now
-    if endpoint.id in state.routed_engines or places_left(state, endpoint) > 0:
+    if endpoint.id in state.routed_engines or places_left(state, endpoint, now) > 0:
         # A router counts the requests of all boxes.
         return 0.0
-    return endpoint_state.response_time_s if held_places(state, endpoint) else inf
+    return endpoint_state.response_time_s if held_places(state, endpoint, now) else inf
 
 
 def place_holders(state: BoxState, service: str, tried: Collection[str], now: float) -> frozenset[str]:
@@ -132,7 +134,7 @@
             return frozenset()
         if now < state.endpoint_state(endpoint).rejected_until:
             continue
-        if places_left(state, endpoint) > 0:
+        if places_left(state, endpoint, now) > 0:
             return frozenset()
-        holders.update(places_by_holder(endpoint.id, endpoint.slots, state.boxes))
+        holders.update(places_by_holder(endpoint.id, endpoint.slots, state.boxes_not_gone(now)))
     return frozenset(holders)
--- a/stairquay/serving/forwarding.py
+++ b/stairquay/serving/forwarding.py
@@ -32,7 +32,12 @@
 from stairquay.serving.state import BoxState
 
 MAX_BOXES_ASKED = 3
-"""Other boxes that a request is passed on to, one after another, while none has sent it to an endpoint."""
+"""Other boxes that a request is passed on to, one after another, while none has sent it to an endpoint. Those
+that refuse the connection do not count, which takes a millisecond each."""
+
+MAX_HOLDERS_ASKED = 5
+"""The same for boxes that hold places at brittle endpoints. One that goes by another list of boxes may hold
+none, and refuses at once."""
 
 CANNOT_HELP = frozenset((ErrorKind.ENDPOINTS_UNREACHED, ErrorKind.NOT_READY, ErrorKind.STOPPING))
 """Refusals that tell of the box that gave them, not of the endpoints."""
@@ -92,8 +97,10 @@
         try_next = CANNOT_HELP | {ErrorKind.OVERLOADED} if holders else CANNOT_HELP
         progress.asked_other_boxes = True
         asked: set[str] = set()
+        not_listening: set[str] = set()
         full: Refusal | None = None
-        while len(asked) < MAX_BOXES_ASKED and job.deadline > monotonic():
+        most = MAX_HOLDERS_ASKED if holders else MAX_BOXES_ASKED
+        while len(asked - not_listening) < most and job.deadline > monotonic():
             fronts = {box: at for box, at in candidates.items() if box not in asked}
             box = helpers.pick(fronts, monotonic(), self.random)
             if box is None:
@@ -102,6 +109,8 @@
             result = await self._forward_to(box, fronts[box], job, progress, request, helpers)
             if result is None or isinstance(result, Ok) or result.err_value.kind not in try_next:
                 return result
+            if box in self.state.refused_connections.last_at_by_box:
+                not_listening.add(box)
             if result.err_value.kind not in CANNOT_HELP:
                 full = result.err_value
         if full is not None:
@@ -128,8 +137,10 @@
         sent = await self.boxes.send(job.call, job.body, forward, attempt)
         if isinstance(sent, Err):
             self._log(job, box, sent.err_value.kind.value, attempt, sent.err_value.detail, sent_at)
+            self.state.refused_connections.record(box, sent.err_value.not_listening, monotonic())
             return self._on_refused(box, sent.err_value, progress, helpers)
         helpers.record(box, True, monotonic())
+        self.state.refused_connections.record(box, False, monotonic())
         try:
             response = await self._relay(job, sent.ok_value, progress, request)
         except (IncompleteResponseError, TimeoutError) as error:
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -309,12 +309,16 @@
 
 
 class BoxRefusal(msgspec.Struct, frozen=True):
-    """Why another box gave no endpoint's answer. retry_after_s: as it told, None if it told nothing."""
+    """Why another box gave no endpoint's answer.
+
+    retry_after_s: as it told, None if it told nothing. not_listening: it refused the connection.
+    """
 
     kind: ErrorKind
     ran: ExecutionStatus
     detail: str
     retry_after_s: float | None = None
+    not_listening: bool = False
 
 
 class BoxSender(Protocol):
@@ -325,6 +329,9 @@
     ) -> Result[Reply, BoxRefusal]:
         """Send a request, and return the head of an endpoint's answer."""
 
+    async def is_refused(self, address: str) -> bool:
+        """Tell whether a box refuses a new connection, which is closed at once."""
+
 
 Guard = Callable[[], bool]
 """Checked just before the first byte is written: tells whether the request may still be sent."""
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -1,9 +1,11 @@
 """The shared state of a box: configuration, endpoints, other boxes and cached context."""
 
 from dataclasses import dataclass, field
+from functools import lru_cache
 from math import inf
 
 from stairquay.adapters.clock import monotonic
+from stairquay.core.absence import RefusedConnections
 from stairquay.core.budget import WindowedRetryBudget
 from stairquay.core.catalog import Catalog
 from stairquay.core.fleet import Endpoint, Fleet
@@ -53,6 +55,12 @@
 their rows that was read in that time takes nothing back."""
 
 
+@lru_cache
+def _without(boxes: tuple[str, ...], gone: frozenset[str]) -> tuple[str, ...]:
+    """Return the boxes that are not gone; brittle endpoints ask for them with each request."""
+    return tuple(box for box in boxes if box not in gone)
+
+
 @dataclass
 class BoxState:
     """State shared by all parts of a box; they run on one event loop, so nothing is locked."""
@@ -86,6 +94,8 @@
     # Ids of boxes believed alive.
     boxes: tuple[str, ...] = ()
     boxes_known_at: float = NEVER
+    # Boxes that refuse connections although their rows are not old yet.
+    refused_connections: RefusedConnections = field(default_factory=RefusedConnections)
     # When this box last wrote its row, and the seconds after which others may count it as gone.
     row_written_at: float = NEVER
     row_valid_s: float = inf
@@ -421,6 +431,11 @@
         now = monotonic()
         return self.retry_budget(service).take(now, len(self.boxes), self.known_boxes_for_s(now))
 
+    def boxes_not_gone(self, now: float) -> tuple[str, ...]:
+        """Return the boxes believed alive, without those that refuse connections."""
+        gone = self.refused_connections.gone(now)
+        return _without(self.boxes, gone) if gone else self.boxes
+
     def known_boxes_for_s(self, now: float) -> float:
         """Return the seconds since this box knows the number of boxes, 0 if others may not count it."""
         if self.boxes_known_at == NEVER:
--- a/tests/loads/test_brittle_endpoints.py
+++ b/tests/loads/test_brittle_endpoints.py
@@ -23,7 +23,7 @@
 from stairquay.serving import forwarding
 from stairquay.serving.endpoint import BUSY_BACKOFF_S
 from stairquay.serving.following import apply_endpoints
-from stairquay.serving.forwarding import Forwarder
+from stairquay.serving.forwarding import MAX_HOLDERS_ASKED, Forwarder
 from stairquay.serving.jobs import Job, JobProgress
 from stairquay.serving.pacing import count_sent, wait_s
 from stairquay.serving.ports import EndpointChanges
@@ -41,7 +41,6 @@
 PROPAGATION_S = 3.0
 DOWN_S = 3.0
 PATIENCE_S, RETRY_S = 0.05, 0.02
-BOXES_ASKED = 3
 BURSTS = ((16.0, 18.0), (26.0, 27.0), (33.0, 35.0))
 USUAL_SHARE, BURST_SHARE = 0.5, 2.0
 """Offered load, as a share of the endpoints' capacity."""
@@ -188,11 +187,15 @@
         forwarder = Forwarder(state, None, self.random)
         if forwarder.applies(job, JobProgress()):
             fronts = sorted(forwarder.fronts_of(forwarder.place_holders(job, JobProgress())))
-            asked = self.random.sample(fronts, min(BOXES_ASKED, len(fronts)))
-            self._pass_on([int(name.partition("-")[2]) for name in asked], now + NETWORK_S, until, counted)
+            asked = self._pick([int(name.partition("-")[2]) for name in fronts], state, now)
+            self._pass_on(asked, now + NETWORK_S, until, counted)
         else:
             self._try(box, now, until, counted)
 
+    def _pick(self, boxes: list[int], _: BoxState, now: float) -> list[int]:
+        """Return the boxes to pass a request on to, one after another."""
+        return self.random.sample(boxes, min(MAX_HOLDERS_ASKED, len(boxes)))
+
     def _pass_on(self, asked: list[int], now: float, until: float, counted: bool) -> None:
         if asked:
             self._try(
--- a/tests/loads/test_brittle_endpoints_and_boxes.py
+++ b/tests/loads/test_brittle_endpoints_and_boxes.py
@@ -13,6 +13,9 @@
 
 from stairquay.serving import forwarding
 from stairquay.serving.boxes import HEARTBEAT_INTERVAL_S, MAX_BOXES_AT_MIN_INTERVAL, MISSED_HEARTBEATS
+from stairquay.serving.forwarding import MAX_HOLDERS_ASKED
+from stairquay.serving.state import BoxState
+from stairquay.serving.substitutes import PROBE_INTERVAL_S, boxes_to_probe
 from tests.loads.test_brittle_endpoints import (
     DOWN_S,
     FLEETS,
@@ -49,6 +52,7 @@
         if self.starting:
             self.starting = False
             self._schedule(CHANGES_AT, lambda _: self.change(self))
+            self._schedule(self.random.random(), self._probe)
         super()._gossip(now)
 
     def _request(self, box: int, now: float, until: float, counted: bool) -> None:
@@ -61,10 +65,23 @@
         """Leave out what comes while all endpoints are down."""
         return not CHANGES_AT <= now < self.down_until and super()._is_counted(now)
 
-    def _pass_on(self, asked: list[int], now: float, until: float, counted: bool) -> None:
-        """Pass a request on; a dead box refuses the connection at once."""
-        living = [box for box in asked if box not in self.dead]
-        super()._pass_on(living, now, until, counted)
+    def _pick(self, boxes: list[int], state: BoxState, now: float) -> list[int]:
+        """Return the boxes to pass a request on to; a dead one refuses the connection at once."""
+        living = []
+        for box in self.random.sample(boxes, len(boxes)):
+            state.refused_connections.record(f"b-{box}", box in self.dead, now)
+            living += [box] if box not in self.dead else []
+            if len(living) == MAX_HOLDERS_ASKED:
+                break
+        return living
+
+    def _probe(self, now: float) -> None:
+        """Have all boxes probe those whose places they might take over."""
+        self._schedule(now + PROBE_INTERVAL_S, self._probe)
+        for number, state in enumerate(self.states):
+            for name in () if number in self.dead else boxes_to_probe(state, now):
+                is_refused = int(name.removeprefix("b-")) in self.dead
+                state.refused_connections.record(name, is_refused, now)
 
     def use_list(self, box: int, names: tuple[str, ...]) -> None:
         """Have a box go by a list of living boxes."""
