Test parts that crash engines where callers leave, boxes are new, or a part turns

A box that has served nothing refuses none, though others' clearances show that prompts end well. A part that was served crashes each engine from now on: it stays innocent for 60 s.

--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -5,8 +5,12 @@
 
 import asyncio
 
+from stairquay.adapters.clock import monotonic
+from stairquay.core.crashes import Crash
+from stairquay.serving.quarantine import CrashReport
 from tests.many_boxes import two_boxes
-from tests.site import Answer, Site, eventually
+from tests.site import HOST, KEY, MODEL, Answer, Site, eventually
+from tests.states import box_state
 from tests.test_crashes import (
     MAX_PROPAGATION_S,
     POISON,
@@ -121,6 +125,71 @@
     asyncio.run(scenario())
 
 
+async def leave_after_first_event(here: Site, number: int) -> None:
+    """Send a prompt with the same first part, and hang up once its answer has begun."""
+    headers = {
+        "Host": HOST,
+        "Request-Id": f"left-{number}",
+        "Deadline-Ms": "5000",
+        "Authorization": f"Bearer {KEY}",
+        "Model": MODEL,
+        "Token-Usage": "900,20",
+        "Prompt-Prefix": f"aa:500,left{number}:300,ownleft{number}:100",
+    }
+    assert here.session is not None
+    async with here.session.post(f"http://{here.front}/again/x", headers=headers, data=b"well") as response:
+        assert response.status == 200 and await response.content.readany()
+        response.close()
+
+
+def test_a_part_is_refused_where_every_caller_leaves_after_the_first_event():
+    """Guards against a box that refuses no part, as none of its answers ever ends."""
+
+    async def scenario():
+        async with site_with_crashing_endpoints(engines=12) as here:
+            for engine in here.endpoints:
+                engine.event_s = 0.5
+            for number in range(20):
+                await leave_after_first_event(here, number)
+                if number >= 10:
+                    answer = await prompt_with(here, "bad", number)
+                    await asyncio.sleep(0.15)
+            assert crash_count(here) <= MAX_CRASHES
+            assert answer.status == 503 and float(answer.headers["Retry-After"]) > 1
+            await leave_after_first_event(here, 20)
+
+    asyncio.run(scenario())
+
+
+def test_a_part_that_was_served_and_crashes_engines_from_now_on_is_refused():
+    """Guards against a part that what ended well before the first crash keeps innocent for a minute."""
+
+    async def scenario():
+        async with site_with_crashing_endpoints(engines=16) as here:
+            for number in range(3):
+                await serve_others(here)
+                assert (await prompt_with(here, "turned", number, b"well")).status == 200
+            for number in range(3, 15):
+                assert (await prompt_with(here, "good", number, b"well")).status == 200
+                answer = await prompt_with(here, "turned", number)
+                await asyncio.sleep(0.15)
+            assert crash_count(here) <= MAX_CRASHES
+            assert answer.status == 503
+            assert (await prompt_with(here, "good", 99, b"well")).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_a_box_that_has_served_nothing_refuses_a_part_where_others_say_that_prompts_end_well():
+    """Guards against boxes that have just started, and go on to crash engines that all others spare."""
+    quarantine, now = box_state().quarantine, monotonic()
+    crashes = tuple(Crash("part bad", f"e-{number}/1", now, 0.1, None) for number in range(4))
+    quarantine.apply_rows({"b-2": CrashReport(crashes)}, True)
+    assert quarantine.remaining_s("part bad") == 0
+    quarantine.apply_rows({"b-3": CrashReport((), {"part aa": now})}, False)
+    assert quarantine.remaining_s("part bad") > 0 and quarantine.remaining_s("part aa") == 0
+
+
 async def serve_another_route(here: Site) -> None:
     headers = {"Prompt-Prefix": "zz:500,yy:300,own:100"}
     assert (await here.prompt("/again/y", call_id="zz-1", body=b"well", headers=headers)).status == 200
