Learn from answers that callers leave, and from others' clearances, that prompts end well

An answer whose caller left after its first event counts as a good end of its parts if the engine has not crashed 0.3 s later. A clearance of any part that another box reports shows that prompts end well, too. One timer for each caller that leaves a prompt; no message or call is new.

--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -29,6 +29,10 @@
 SETTLE_S = 0.1
 """Most seconds for which a request waits for the check of the endpoint that it may have crashed."""
 
+OUTLIVED_S = 0.3
+"""Seconds after which an engine that a caller has left, and that has not crashed, shows the parts of the
+prompt innocent. A part that crashes engines does so as soon as they begin to answer."""
+
 
 @dataclass
 class CrashProbe:
@@ -72,6 +76,23 @@
             if known is None or event_count(crash) > event_count(known):
                 probe.crashes_by_digest[digest] = replace(crash, digest=digest)
 
+    def caller_left(self, job: Job, started_attempt: StartedAttempt) -> None:
+        """Take an answer that its caller left for one that ended well as far as it went, if it had begun.
+
+        Where all callers leave early, no answer ever ends, and this is all that can show a part innocent.
+        """
+        if started_attempt.first_byte_at is None or not job.part_digests:
+            return
+        endpoint_state = started_attempt.endpoint_state
+        incarnation = f"{started_attempt.choice.endpoint.id}/{endpoint_state.born}"
+
+        def record() -> None:
+            crashed = (known for _, known in self.state.quarantine.own_crashes)
+            if incarnation not in self.probes_by_incarnation and incarnation not in crashed:
+                self.state.quarantine.record_served(job.part_digests)
+
+        asyncio.get_running_loop().call_later(OUTLIVED_S, record)
+
     async def settle(self, digest: str) -> None:
         """Wait until it is known whether a request has crashed an endpoint, but not for long.
 
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -252,6 +252,9 @@
                 return None
             started_attempt.head_received = True
             return await self._relay(job, started_attempt, progress, sent.ok_value, request)
+        except asyncio.CancelledError:
+            self.crashes.caller_left(job, started_attempt)
+            raise
         finally:
             endpoint_state.in_flight -= not counted_by_local_router
             endpoint_state.waiting_tokens_by_job.pop(job.number, None)
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -101,6 +101,8 @@
         self.served_at: OrderedDict[str, float] = OrderedDict()
         # When this box last served a prompt that shares a part with others.
         self.part_served_at = NEVER
+        # When any box last cleared a part, which shows that prompts end well at some engine.
+        self.part_cleared_at = NEVER
         # Whether this box's row is out of date.
         self.unpublished = False
         # Whether a quarantine has begun since the last write, for a crash that this box noticed.
@@ -115,7 +117,7 @@
         entry, now = self.quarantined_by_digest.get(digest), monotonic()
         if entry is None:
             return 0.0
-        if is_part(digest) and now - self.part_served_at > SERVED_TRUST_S:
+        if is_part(digest) and now - max(self.part_served_at, self.part_cleared_at) > SERVED_TRUST_S:
             # Where no prompt has ended well, crashes show nothing of any part.
             return 0.0
         return max(0.0, entry.until - now)
@@ -277,6 +279,9 @@
 
     def _update_quarantine(self) -> None:
         crashes = self._counted_crashes()
+        self.part_cleared_at = max(
+            (at for digest, at in self._latest_clearances().items() if is_part(digest)), default=NEVER
+        )
         self.crashes_by_digest = Counter(
             digest for digest, _ in {(item.digest, item.incarnation) for item in crashes}
         )
