--- a/tests/loads/test_parts_that_crash_engines.py
+++ b/tests/loads/test_parts_that_crash_engines.py
@@ -16,6 +16,7 @@
 
 from stairquay.core.crashes import Crash, part_digest
 from stairquay.serving import quarantine as quarantine_module
+from stairquay.serving.crashes import OUTLIVED_S
 from stairquay.serving.quarantine import CrashReport, Quarantine
 from tests.states import box_state
 
@@ -59,7 +60,11 @@
 class Simulation:
     """Boxes' quarantines before engines, with the parts that crash engines."""
 
-    def __init__(self, boxes: int, bad_parts: tuple[str, ...], seed: int) -> None:
+    def __init__(
+        self, boxes: int, bad_parts: tuple[str, ...], seed: int, turn: bool = False, leave: bool = False
+    ) -> None:
+        """Prepare a fleet. turn: the parts are sound at first. leave: callers leave after the first event."""
+        self.turn, self.leave = turn, leave
         self.random, self.sequence, self.now = Random(seed), count(), 0.0
         self.boxes = [box_state(f"b-{number}").quarantine for number in range(boxes)]
         self.engines = [Engine() for _ in range(FLEETS[boxes])]
@@ -75,7 +80,7 @@
         self._after(0.0, self._crash_by_itself)
         self._after(SYNC_S, self._sync)
         for part in self.bad_parts:
-            self._after(BEGINS_AT, lambda part=part: self._send_bad(part))
+            self._after(0.0 if self.turn else BEGINS_AT, lambda part=part: self._send_bad(part))
         while self.queue and self.queue[0][0] < ENDS_AT:
             self.now, _, callback = heappop(self.queue)
             callback()
@@ -96,7 +101,8 @@
         self._after(self.random.expovariate(BAD_PER_S), lambda: self._send_bad(part))
         first = self.bad_parts.index(part)
         subject = self.random.randrange(SUBJECTS)
-        self._send(f"x-{next(self.sequence)}", (f"f-{first}", f"q-{first}-{subject}", part), part)
+        parts = (f"f-{first}", f"q-{first}-{subject}", part)
+        self._send(f"x-{next(self.sequence)}", parts, part if self.now >= BEGINS_AT else "")
 
     def _send(self, digest: str, parts: tuple[str, ...], bad: str = "") -> bool:
         """Send a prompt from any box; return whether that box refuses it."""
@@ -113,13 +119,26 @@
             self.reached_at[bad].append(self.now)
             self._after(FIRST_EVENT_S, lambda: self._crash_if_running(engine, engine.life, prompt))
         else:
-            self._after(RUN_S, lambda: self._finish(engine, engine.life, prompt))
+            self._after(
+                FIRST_EVENT_S if self.leave else RUN_S, lambda: self._finish(engine, engine.life, prompt)
+            )
         return False
 
     def _finish(self, engine: Engine, life: int, prompt: Prompt) -> None:
-        if engine.running.pop(prompt.digest, None) is not None:
+        if engine.running.pop(prompt.digest, None) is None:
+            return
+        if self.leave:
+            self._after(OUTLIVED_S, lambda: self._outlived(engine, life, prompt))
+        else:
             self.boxes[prompt.box].record_served(prompt.digests())
 
+    def _outlived(self, engine: Engine, life: int, prompt: Prompt) -> None:
+        """Count an answer that its caller left, unless its box noticed that the engine crashed."""
+        incarnation = f"e-{self.engines.index(engine)}/{life}"
+        box = self.boxes[prompt.box]
+        if incarnation not in (known for _, known in box.own_crashes):
+            box.record_served(prompt.digests()[1:])
+
     def _crash_if_running(self, engine: Engine, life: int, prompt: Prompt) -> None:
         if prompt.digest in engine.running:
             self.crashed_at[prompt.bad].append(self.now)
@@ -188,6 +207,31 @@
     assert {part_digest(part) for part in bad_parts} <= all_quarantined(played.boxes)
 
 
+@pytest.mark.parametrize("bad_parts", (("bad",), ("bad", "worse")))
+@pytest.mark.parametrize("boxes", FLEETS)
+def test_parts_that_were_sound_and_crash_engines_from_now_on_are_known_at_all_boxes(
+    boxes, bad_parts, monkeypatch
+):
+    """Guards against a part that what ended well before keeps innocent, and against refusing popular ones."""
+    played = Simulation(boxes, bad_parts, boxes, turn=True)
+    monkeypatch.setattr(quarantine_module, "monotonic", lambda: played.now)
+    played.run()
+    assert all(played.late(part) <= MAX_LATE for part in bad_parts)
+    assert played.refused <= MAX_REFUSED_SHARE * played.sound
+    assert {part_digest(part) for part in bad_parts} <= all_quarantined(played.boxes)
+
+
+@pytest.mark.parametrize("boxes", FLEETS)
+def test_parts_that_crash_engines_are_known_where_every_caller_leaves(boxes, monkeypatch):
+    """Guards against boxes that refuse no part, as none of their answers ends."""
+    played = Simulation(boxes, ("bad",), boxes, leave=True)
+    monkeypatch.setattr(quarantine_module, "monotonic", lambda: played.now)
+    played.run()
+    assert played.late("bad") <= MAX_LATE
+    assert played.refused <= MAX_REFUSED_SHARE * played.sound
+    assert part_digest("bad") in all_quarantined(played.boxes)
+
+
 def test_engines_that_crash_by_themselves_quarantine_no_part(monkeypatch):
     """Guards against popular parts that are at many crashes by chance."""
     played = Simulation(6, (), 1)
