Review case 3: a part of prompts that crashes runners under new weights is sent on for a minute

Cause: Quarantine.record_crashes in stairquay/serving/quarantine.py records no crash of a part that the box has served in the 60 s before, though that was before the first of these crashes.

Nothing is fixed.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,6 +18,7 @@
     Record,
     Runner,
     configuration,
+    garbles_now,
     main,
     start_table,
     trouble,
@@ -33,7 +34,7 @@
 
 
 async def repeat_late(runner: Runner, channel: Channel, status: int, answer: bytes) -> None:
-    if random.random() < REPEATED_SHARE:
+    if garbles_now(runner.record) and random.random() < REPEATED_SHARE:
         runner.record.line("repeats_answer_late", at=runner.id, status=status)
         channel.late = answer
 
--- a/review/common.py
+++ b/review/common.py
@@ -62,6 +62,15 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+GARBLE_S, PAUSE_S = 5.0, 1.0
+"""Length of one `garble` as the site file has it, and of the pause before the next one."""
+
+
+def garbles_now(record: "Record") -> bool:
+    """Tell whether a faulty runner garbles now: by turns, as the disruption may come more than once."""
+    return (time.monotonic() - record.started) % (GARBLE_S + PAUSE_S) < GARBLE_S
+
+
 class Record:
     """Writes what was sent, answered and run to record.txt in the folder of a case."""
 
@@ -360,6 +369,7 @@
     record: Record
     answers: dict[str, Message] = field(default_factory=dict)
     sent: int = 0
+    sent_ids: list[str] = field(default_factory=list)
 
     async def call(
         self,
@@ -371,6 +381,7 @@
         more: dict[str, str] | None = None,
     ) -> None:
         self.sent += 1
+        self.sent_ids.append(request_id)
         headers = {"Request-Id": request_id, "Deadline-Ms": str(wait_ms), "Authorization": f"Bearer {KEY}"}
         headers |= more or {}
         self.record.line("sent", id=request_id, method=method, path=path)
--- a/review/engine.py
+++ b/review/engine.py
@@ -10,6 +10,9 @@
 from tests.standins.table import TableService
 
 LOAD_S = 0.6
+DOWN_S = 2.0
+"""Seconds for which a runner is away after a crash."""
+
 FIRST_EVENT_S = 0.03
 EVENTS = 5
 EVENT_S = 0.03
@@ -29,7 +32,12 @@
 
 @dataclass
 class Engine:
-    """A runner of prompts. late_s: delays of the next orders, which get no answer."""
+    """A runner of prompts.
+
+    late_s: delays of the next orders, which get no answer. crashing_part: ends it once it begins to answer a
+    prompt that has this part, on weights of some version or a newer one; it is back after some seconds.
+    arrived, crashes: with times.
+    """
 
     id: str
     record: Record
@@ -38,10 +46,16 @@
     slots: int = 16
     versions_by_model: dict[str, int] = field(default_factory=lambda: {"m0": 1})
     late_s: list[float] = field(default_factory=list)
+    crashing_part: str = ""
+    crashes_from_version: int = 1
+    arrived: list[tuple[float, str]] = field(default_factory=list)
+    begun: set[str] = field(default_factory=set)
+    crashes: list[float] = field(default_factory=list)
     born: int = 1_700_000_000_000
     boot_epoch: int = 1
     sequence: int = 0
     busy: bool = False
+    is_down: bool = False
     beats: int = 0
     running: int = 0
     runs: list[tuple[str, str, int]] = field(default_factory=list)
@@ -61,7 +75,11 @@
 
     async def crash(self, down_s: float) -> None:
         """End at once, and start again under the same id at the same address."""
+        if self.is_down:
+            return
+        self.is_down = True
         self.record.line("crashes", at=self.id)
+        self.crashes.append(time.monotonic())
         assert self.server is not None and self.heartbeat is not None
         self.heartbeat.cancel()
         self.server.close()
@@ -72,6 +90,7 @@
         self.boot_epoch += 1
         self.sequence, self.busy, self.beats = 0, False, 0
         await self.start()
+        self.is_down = False
         self.record.line("starts_again", at=self.id, versions=self.versions_by_model)
 
     def write_entry(self) -> None:
@@ -203,9 +222,14 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def _crashes_on(self, request: Message, version: int) -> bool:
+        is_bad = self.crashing_part and self.crashing_part in request.headers.get("prompt-prefix", "")
+        return bool(is_bad) and version >= self.crashes_from_version
+
     async def _run(self, channel: Channel, request: Message) -> None:
         request_id, model = request.headers["request-id"], request.headers.get("model", "")
         headers = {"Request-Id": request_id, "Content-Type": "text/event-stream"}
+        self.arrived.append((time.monotonic(), request_id))
         version = self.versions_by_model[model]
         expected = request.headers.get("expect-version", str(version))
         if request.headers.get("target-instance", self.id) != self.id or int(expected) != version:
@@ -221,6 +245,10 @@
         self.running += 1
         try:
             await asyncio.sleep(FIRST_EVENT_S)
+            if self._crashes_on(request, version):
+                self._start(self.crash(DOWN_S))
+                return
+            self.begun.add(request_id)
             lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers.items())]
             lines += [f"Response-Signature: {self.id}.{len(self.runs)}", f"Versions: {version}"]
             lines.append("Transfer-Encoding: chunked")
