--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,8 @@
-"""Under new weights a part of prompts crashes each runner; boxes must stop sending it."""
+"""New weights of one model are named; the other model of these runners must still be served."""
 
 import asyncio
-import random
 import sys
-import time
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
@@ -21,89 +20,81 @@
     start_table,
     trouble,
 )
-from review.engine import Engine, engine_service
+from review.engine import Engine, engine_service, prompt_headers
 
 ENGINES = 5
-BOXES = 3
-BAD_PER_S = 3
-SOUND_PER_S = 16
-CONTACT_S = 3.0
-MAX_LATE = 3
-"""Requests with the part that the rule allows later than `contact_ms` after the fifth crash."""
-
-BEFORE_S = 12.0
-CRASHING_S = 35.0
-BAD_PART = "bad0"
+PER_S = 60
+VERSION_ALL_S = 17.0
+FIRST, SECOND = "m0", "m1"
 
 
 async def case(folder: Path, record: Record) -> int:
-    streams = route(
-        "streams", "/s/", "llm", kind="streaming", resumable=True, max_attempts=2, timeout_ms=12000
-    )
-    config = configuration(1, routes=[streams], services=[engine_service(["m0"])])
-    table = await start_table([], config)
-    engines = [Engine(f"i-{number}", record, table) for number in range(ENGINES)]
+    first = route("first", "/first/", "llm", kind="streaming", timeout_ms=3000, max_attempts=1)
+    later = route("later", "/later/", "llm", kind="streaming", timeout_ms=3000, max_attempts=1)
+    services = [engine_service([FIRST, SECOND])]
+    table = await start_table([], configuration(1, routes=[first], services=services))
+    engines = [
+        Engine(f"i-{number}", record, table, versions_by_model={FIRST: 1, SECOND: 1})
+        for number in range(ENGINES)
+    ]
     for engine in engines:
         await engine.start()
-    boxes = [Box(table.address, folder, f"edge-{number}", zone=f"hall-{number}") for number in range(BOXES)]
+    box = Box(table.address, folder)
+    await box.start()
     try:
-        for box in boxes:
-            await box.start()
-        for box in boxes:
-            if not await box.until_ready():
-                return COULD_NOT_RUN
-        callers = [Caller(box.front, record) for box in boxes]
-        await asyncio.sleep(4.0)
-        await ask(callers, "early", BEFORE_S)
-        for engine in engines:
-            engine.crashes_from_version = 2
-            engine.crashing_part = BAD_PART if trouble() else ""
-        table.put("op", "version/m0", {"model": "m0", "version": 2})
-        record.line("version_confirmed", model="m0", version=2, part_that_crashes_runners=trouble())
-        await ask(callers, "later", CRASHING_S)
+        if not await box.until_ready():
+            return COULD_NOT_RUN
+        caller = Caller(box.front, record)
+        await ask(caller, "start", 3.0, with_later=False)
+        table.put("op", "config", configuration(2, routes=[first, later], services=services))
+        record.line("config_confirmed", version=2, adds="/later/")
+        await asyncio.sleep(2.5)
+        before = await ask(caller, "before", 4.0)
+        if trouble():
+            table.put("op", f"version/{FIRST}", {"model": FIRST, "version": 2})
+            record.line("version_confirmed", model=FIRST, version=2)
+        await asyncio.sleep(12.0)
+        after = await ask(caller, "after", 10.0)
+        if trouble():
+            table.put("op", f"version/{SECOND}", {"model": SECOND, "version": 2})
+            record.line("version_confirmed", model=SECOND, version=2)
+        await asyncio.sleep(2.0)
+        last = await ask(caller, "last", VERSION_ALL_S + 3.0)
     finally:
-        for box in boxes:
-            await box.stop()
-    crashes = sorted(at for engine in engines for at in engine.crashes)
-    fifth = crashes[4] if len(crashes) > 4 else float("inf")
-    arrivals = [item for engine in engines for item in engine.arrived]
-    late = sorted((at, name) for at, name in arrivals if "-bad-" in name and at > fifth + CONTACT_S)
-    for at, name in late:
-        record.line("BUDGET", id=name, after_fifth_crash_s=round(at - fifth, 2))
-    begun = set().union(*(engine.begun for engine in engines))
-    sound_early = share(callers, begun, "early-sound-")
-    sound_later = share(callers, begun, "later-sound-")
-    print(
-        f"crashes {len(crashes)}, requests with the part later than a contact time after the fifth crash "
-        f"{len(late)}; sound prompts begun before {sound_early:.2f}, from then on {sound_later:.2f}"
-    )
-    if sound_early < 0.95 or time.monotonic() < fifth + CONTACT_S:
-        return COULD_NOT_RUN if trouble() or sound_early < 0.95 else HELD
-    return BROKEN if len(late) > MAX_LATE else HELD
+        await box.stop()
+    shares = {"before": before, "after": after, "last": last}
+    versions = [engine.versions_by_model for engine in engines]
+    print(f"served of first and later routes: {shares}; versions {versions}")
+    record.line("served", **shares)
+    if min(before["first"], before["later"]) < 0.6:
+        return COULD_NOT_RUN
+    neglected = after["later"] < after["first"] / 4
+    behind = [engine.id for engine in engines if trouble() and engine.versions_by_model[SECOND] < 2]
+    if neglected:
+        record.line("CONFIG", first=after["first"], later=after["later"])
+    if len(behind) > max(1, ENGINES / 10):
+        record.line("VERSION", model=SECOND, behind=behind)
+    return BROKEN if neglected or len(behind) > max(1, ENGINES / 10) else HELD
 
 
-async def ask(callers: list[Caller], name: str, seconds: float) -> None:
-    """Send prompts that share their first part; some have the part that crashes runners later."""
+async def ask(caller: Caller, name: str, seconds: float, with_later: bool = True) -> dict[str, float]:
+    """Send prompts of both models; return the share served, by route."""
     tasks = []
-    per_s = BAD_PER_S + SOUND_PER_S
-    for number in range(int(seconds * per_s)):
-        is_bad = number * BAD_PER_S % per_s < BAD_PER_S
-        kind, part = ("bad", BAD_PART) if is_bad else ("sound", f"{number % 8 + 4096:x}")
-        more = {
-            "Model": "m0",
-            "Token-Usage": "1200,20",
-            "Prompt-Prefix": f"5c1e07a2:500,{part}:300,{number + 65536:x}:400",
-        }
-        body = f"prompt {name} {number}".encode()
-        call = random.choice(callers).call(f"{name}-{kind}-{number}", "POST", "/s/a", body, 12000, more)
+    for number in range(int(seconds * PER_S)):
+        is_later = with_later and number % 2 == 1
+        kind, model = ("later", SECOND) if is_later else ("first", FIRST)
+        more = prompt_headers(model, number)
+        call = caller.call(f"{name}-{kind}-{number}", "POST", f"/{kind}/a", b"prompt", 3000, more)
         tasks.append(asyncio.create_task(call))
-        await asyncio.sleep(1 / per_s)
+        await asyncio.sleep(1 / PER_S)
     await asyncio.gather(*tasks)
-
-
-def share(callers: list[Caller], begun: set[str], prefix: str) -> float:
-    sent = [name for caller in callers for name in caller.sent_ids if name.startswith(prefix)]
-    return sum(name in begun for name in sent) / max(1, len(sent))
+    sent, served = Counter[str](), Counter[str]()
+    for number in range(len(tasks)):
+        kind = "later" if with_later and number % 2 == 1 else "first"
+        answer = caller.answers.get(f"{name}-{kind}-{number}")
+        sent[kind] += 1
+        served[kind] += answer is not None and answer.status == 200 and answer.whole
+    return {kind: round(served[kind] / sent[kind], 3) for kind in sent}
 
 
 if __name__ == "__main__":
