--- a/review/2/case.py
+++ b/review/2/case.py
@@ -28,8 +28,8 @@
 """Requests a second to each box, half of them on the later route once it is there."""
 
 ENTRY = b'{"a":' + b"[" * 45_000
-"""What another writer leaves: 45,005 bytes that no reader can make a value of, 60,008 in base64, where `row_bytes`
-allows 65,536."""
+"""What another writer leaves: 45,005 bytes that no reader can make a value of, 60,008 in base64, where
+`row_bytes` allows 65,536."""
 
 LATER = "later"
 LATER_RUNNERS = 3
