--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,8 @@
-"""One request crashes each runner that begins to run it; after three, boxes must hold it back."""
+"""New weights of one model are named; the other model of these runners must still be served."""
 
 import asyncio
 import sys
-import time
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
@@ -20,82 +20,81 @@
     start_table,
     trouble,
 )
-from review.engine import Engine, engine_service
+from review.engine import Engine, engine_service, prompt_headers
 
 ENGINES = 5
-BOXES = 2
-SOUND_PER_S = 10
-BAD_PER_S = 2
-BEFORE_S = 8.0
-CRASHING_S = 30.0
-CONTACT_S = 3.0
-MAX_RETRIES = 3
-"""Retries that the rule allows later than `contact_ms` after the third crash."""
-
-BAD_PART = "bad0"
+PER_S = 60
+VERSION_ALL_S = 17.0
+FIRST, SECOND = "m0", "m1"
 
 
 async def case(folder: Path, record: Record) -> int:
-    prompts = route(
-        "prompts", "/s/", "llm", kind="streaming", resumable=True, max_attempts=2, timeout_ms=12000
-    )
-    table = await start_table([], configuration(1, routes=[prompts], services=[engine_service(["m0"])]))
-    engines = [Engine(f"i-{number}", record, table) for number in range(ENGINES)]
+    first = route("first", "/first/", "llm", kind="streaming", timeout_ms=3000, max_attempts=1)
+    later = route("later", "/later/", "llm", kind="streaming", timeout_ms=3000, max_attempts=1)
+    services = [engine_service([FIRST, SECOND])]
+    table = await start_table([], configuration(1, routes=[first], services=services))
+    engines = [
+        Engine(f"i-{number}", record, table, versions_by_model={FIRST: 1, SECOND: 1})
+        for number in range(ENGINES)
+    ]
     for engine in engines:
-        engine.crashing_part = BAD_PART if trouble() else ""
         await engine.start()
-    boxes = [Box(table.address, folder, f"edge-{number}") for number in range(BOXES)]
+    box = Box(table.address, folder)
+    await box.start()
     try:
-        for box in boxes:
-            await box.start()
-        for box in boxes:
-            if not await box.until_ready():
-                return COULD_NOT_RUN
-        callers = [Caller(box.front, record) for box in boxes]
-        await asyncio.sleep(3.0)
-        sound = asyncio.create_task(ask(callers, "sound", BEFORE_S + CRASHING_S, SOUND_PER_S))
-        await asyncio.sleep(BEFORE_S)
-        await ask(callers, "bad", CRASHING_S, BAD_PER_S, bad=True)
-        await sound
+        if not await box.until_ready():
+            return COULD_NOT_RUN
+        caller = Caller(box.front, record)
+        await ask(caller, "start", 3.0, with_later=False)
+        table.put("op", "config", configuration(2, routes=[first, later], services=services))
+        record.line("config_confirmed", version=2, adds="/later/")
+        await asyncio.sleep(2.5)
+        before = await ask(caller, "before", 4.0)
+        if trouble():
+            table.put("op", f"version/{FIRST}", {"model": FIRST, "version": 2})
+            record.line("version_confirmed", model=FIRST, version=2)
+        await asyncio.sleep(12.0)
+        after = await ask(caller, "after", 10.0)
+        if trouble():
+            table.put("op", f"version/{SECOND}", {"model": SECOND, "version": 2})
+            record.line("version_confirmed", model=SECOND, version=2)
+        await asyncio.sleep(2.0)
+        last = await ask(caller, "last", VERSION_ALL_S + 3.0)
     finally:
-        for box in boxes:
-            await box.stop()
-    crashes = sorted(at for engine in engines for at in engine.crashes)
-    third = crashes[2] if len(crashes) > 2 else float("inf")
-    late = sorted(
-        (at, name)
-        for engine in engines
-        for at, name in engine.arrived
-        if name.startswith("bad") and at > third + CONTACT_S
-    )
-    for at, name in late:
-        record.line("BUDGET", id=name, after_third_crash_s=round(at - third, 2))
-    answers = [answer for caller in callers for answer in caller.answers.values()]
-    served = sum(answer.status == 200 and answer.whole for answer in answers)
-    sent = sum(caller.sent for caller in callers)
-    print(
-        f"crashes {len(crashes)}, of the request later than a contact time after the third {len(late)}; "
-        f"{served} of {sent} requests served"
-    )
-    record.line("seen", crashes=len(crashes), late=len(late))
-    if trouble() and time.monotonic() < third + CONTACT_S:
+        await box.stop()
+    shares = {"before": before, "after": after, "last": last}
+    versions = [engine.versions_by_model for engine in engines]
+    print(f"served of first and later routes: {shares}; versions {versions}")
+    record.line("served", **shares)
+    if min(before["first"], before["later"]) < 0.6:
         return COULD_NOT_RUN
-    return BROKEN if len(late) > MAX_RETRIES else HELD
-
-
-async def send(callers: list[Caller], name: str, number: int, bad: bool = False) -> None:
-    parts = f"{BAD_PART}:500,77aa:300,77ab:100" if bad else f"{number + 65536:x}:400"
-    more = {"Model": "m0", "Token-Usage": "900,20", "Prompt-Prefix": parts}
-    body = b"the same prompt" if bad else f"prompt {name}".encode()
-    await callers[number % len(callers)].call(name, "POST", "/s/a", body, 12000, more)
+    neglected = after["later"] < after["first"] / 4
+    behind = [engine.id for engine in engines if trouble() and engine.versions_by_model[SECOND] < 2]
+    if neglected:
+        record.line("CONFIG", first=after["first"], later=after["later"])
+    if len(behind) > max(1, ENGINES / 10):
+        record.line("VERSION", model=SECOND, behind=behind)
+    return BROKEN if neglected or len(behind) > max(1, ENGINES / 10) else HELD
 
 
-async def ask(callers: list[Caller], name: str, seconds: float, per_s: int, bad: bool = False) -> None:
+async def ask(caller: Caller, name: str, seconds: float, with_later: bool = True) -> dict[str, float]:
+    """Send prompts of both models; return the share served, by route."""
     tasks = []
-    for number in range(int(seconds * per_s)):
-        tasks.append(asyncio.create_task(send(callers, f"{name}-{number}", number, bad)))
-        await asyncio.sleep(1 / per_s)
+    for number in range(int(seconds * PER_S)):
+        is_later = with_later and number % 2 == 1
+        kind, model = ("later", SECOND) if is_later else ("first", FIRST)
+        more = prompt_headers(model, number)
+        call = caller.call(f"{name}-{kind}-{number}", "POST", f"/{kind}/a", b"prompt", 3000, more)
+        tasks.append(asyncio.create_task(call))
+        await asyncio.sleep(1 / PER_S)
     await asyncio.gather(*tasks)
+    sent, served = Counter[str](), Counter[str]()
+    for number in range(len(tasks)):
+        kind = "later" if with_later and number % 2 == 1 else "first"
+        answer = caller.answers.get(f"{name}-{kind}-{number}")
+        sent[kind] += 1
+        served[kind] += answer is not None and answer.status == 200 and answer.whole
+    return {kind: round(served[kind] / sent[kind], 3) for kind in sent}
 
 
 if __name__ == "__main__":
