--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -194,6 +194,7 @@
     lose_orders: int = 0
     load_s: float = 0.1
     queued: int = 0
+    slots: int = 4
     busy: bool = False
     sequence: int = 0
     hall: str = "hall-a"
@@ -229,7 +230,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.hall,
-            "slots": 4,
+            "slots": self.slots,
             "state": state,
             "models": models,
             "sequence": 1,
@@ -260,7 +261,9 @@
         self.report_requests += 1
         models = [{"name": self.model, "version": self.version, "adapters": []}]
         report = {"stage": "both", "models": models, "busy": self.busy, "sequence": self.sequence}
-        report |= {"queued": self.queued, "next_page_token": 9_000, "running": 0, "kv_used": 0}
+        running = min(self.slots, self.in_progress) if self.room is not None else 0
+        queued = self.queued + (max(0, self.in_progress - self.slots) if self.room is not None else 0)
+        report |= {"queued": queued, "next_page_token": 9_000, "running": running, "kv_used": 0}
         report |= {"kv_total": 100_000, "clock_ms": self.clock_ms, **self._birth()}
         return web.json_response(report)
 
