--- a/bench/repeats.py
+++ b/bench/repeats.py
@@ -12,14 +12,15 @@
 """
 
 import argparse
-import json
 import sys
 from bisect import bisect_left
 from collections import defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+
+from stairquay.core.budget import RetryAllowance
+from stairquay.explain import Line, read_logs
 
 NOT_RUN = "not run"
 NOT_SENT_AGAIN = "not_sent_again"
@@ -33,15 +34,6 @@
     service: str
 
 
-@dataclass(frozen=True)
-class Allowance:
-    """Repeats allowed in any window: `ratio` of the requests in it, plus `slack`."""
-
-    ratio: float
-    slack: float
-    window_s: float
-
-
 @dataclass
 class ServiceLoad:
     """Times of a service's requests and repeats."""
@@ -60,20 +52,7 @@
     share: float = 0.0
 
 
-def parse_lines(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
-    """Yield the log lines of boxes, which may stand behind a time and a name."""
-    for line in lines:
-        start = line.find('{"at":')
-        if start < 0:
-            continue
-        try:
-            yield json.loads(line[start:])
-        except json.JSONDecodeError:
-            # A box that was killed may have written half a line.
-            continue
-
-
-def load_by_service(lines: Iterable[dict[str, Any]]) -> dict[str, ServiceLoad]:
+def load_by_service(lines: Iterable[Line]) -> dict[str, ServiceLoad]:
     """Return the requests and repeats of each service."""
     attempts_by_request: dict[str, list[Attempt]] = defaultdict(list)
     service_by_endpoint: dict[str, str] = {}
@@ -93,10 +72,11 @@
             elif begun is None and key[2] in service_by_endpoint:
                 at = line["at"] - line.get("took_s", 0.0)
                 attempts_by_request[request].append(Attempt(at, service_by_endpoint[key[2]]))
-    return _sort(attempts_by_request)
+    return _separate_repeats(attempts_by_request)
 
 
-def _sort(attempts_by_request: dict[str, list[Attempt]]) -> dict[str, ServiceLoad]:
+def _separate_repeats(attempts_by_request: dict[str, list[Attempt]]) -> dict[str, ServiceLoad]:
+    """Take each request's first arrival for the request, and all others for repeats."""
     loads: dict[str, ServiceLoad] = defaultdict(ServiceLoad)
     for attempts in attempts_by_request.values():
         for number, attempt in enumerate(sorted(attempts, key=lambda item: item.at)):
@@ -108,13 +88,13 @@
     return loads
 
 
-def fullest_window(load: ServiceLoad, allowance: Allowance) -> Window:
+def fullest_window(load: ServiceLoad, allowance: RetryAllowance) -> Window:
     """Return the window whose repeats come closest to what is allowed, or exceed it most."""
     windows = [_window(load, allowance, start) for start in load.repeats]
     return max(windows, key=lambda window: window.share, default=Window())
 
 
-def _window(load: ServiceLoad, allowance: Allowance, start: float) -> Window:
+def _window(load: ServiceLoad, allowance: RetryAllowance, start: float) -> Window:
     width = allowance.window_s
     requests = max(_count(load.requests, start - back, width) for back in (0.0, width / 2, width))
     repeats = _count(load.repeats, start, width)
@@ -133,9 +113,8 @@
     parser.add_argument("--slack", type=float, required=True)
     parser.add_argument("--window", type=float, default=10.0)
     given = parser.parse_args(args)
-    allowance = Allowance(given.ratio, given.slack, given.window)
-    with given.log.open(errors="replace") as log:
-        loads = load_by_service(parse_lines(log))
+    allowance = RetryAllowance(given.ratio, given.slack, given.window)
+    loads = load_by_service(read_logs([given.log], sys.stdin).lines)
     worst = 0.0
     for service, load in sorted(loads.items()):
         window = fullest_window(load, allowance)
--- a/stairquay/core/absence.py
+++ b/stairquay/core/absence.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass, field
 
+from stairquay.core.reach import NEVER
+
 GONE_AFTER_S = 2.0
 """Seconds of refusals after which a box counts as gone; one that is started again is back before."""
 
@@ -19,9 +21,6 @@
 LOOK_INTERVAL_S = 0.1
 """Seconds for which an answer holds, since each request to a brittle endpoint asks some times."""
 
-NEVER = float("-inf")
-"""A time before any other."""
-
 
 @dataclass
 class RefusedConnections:
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -212,10 +212,9 @@
         Where the one before was so old that others may have given this box up, they count it again only with
         their next heartbeats. Until then they share out its part of what all boxes may use.
         """
-        state = self.state
-        if state.row_written_at > NEVER and now - state.row_written_at >= state.row_valid_s:
-            state.counted_from = now + self._heartbeat_interval_s() * (1 + JITTER)
-        state.row_written_at = now
+        if not self.state.is_row_valid(now):
+            self.state.counted_from = now + self._heartbeat_interval_s() * (1 + JITTER)
+        self.state.row_written_at = now
 
     def _own_heartbeat(self, offset: ClockOffset) -> BoxHeartbeat:
         """Return this box's row. offset: of the table service's clock to the local one."""
--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -57,7 +57,7 @@
     def connection_broken(self, job: Job, started_attempt: StartedAttempt, events: int) -> None:
         """Probe the endpoint of a broken connection. events: events of the answer received before."""
         endpoint, now = started_attempt.choice.endpoint, monotonic()
-        incarnation = f"{endpoint.id}/{started_attempt.endpoint_state.born}"
+        incarnation = _incarnation(started_attempt)
         probe = self.probes_by_incarnation.get(incarnation)
         if probe is None:
             probe = self.probes_by_incarnation[incarnation] = CrashProbe()
@@ -83,8 +83,7 @@
         """
         if started_attempt.first_byte_at is None or not job.part_digests:
             return
-        endpoint_state = started_attempt.endpoint_state
-        incarnation = f"{started_attempt.choice.endpoint.id}/{endpoint_state.born}"
+        incarnation = _incarnation(started_attempt)
 
         def record() -> None:
             crashed = (known for _, known in self.state.quarantine.own_crashes)
@@ -160,6 +159,11 @@
         return endpoint_id in self.state.fleet.by_id and known is not None and known.born == born
 
 
+def _incarnation(started_attempt: StartedAttempt) -> str:
+    """Return the name of the endpoint process that an attempt was sent to."""
+    return f"{started_attempt.choice.endpoint.id}/{started_attempt.endpoint_state.born}"
+
+
 def _events_received(job: Job, started_attempt: StartedAttempt, events: int) -> int | None:
     """Return the events received, None if an engine had not begun its answer.
 
--- a/stairquay/serving/forwarding.py
+++ b/stairquay/serving/forwarding.py
@@ -97,10 +97,9 @@
         try_next = CANNOT_HELP | {ErrorKind.OVERLOADED} if holders else CANNOT_HELP
         progress.asked_other_boxes = True
         asked: set[str] = set()
-        not_listening: set[str] = set()
         full: Refusal | None = None
-        most = MAX_HOLDERS_ASKED if holders else MAX_BOXES_ASKED
-        while len(asked - not_listening) < most and job.deadline > monotonic():
+        left = MAX_HOLDERS_ASKED if holders else MAX_BOXES_ASKED
+        while left > 0 and job.deadline > monotonic():
             fronts = {box: at for box, at in candidates.items() if box not in asked}
             box = helpers.pick(fronts, monotonic(), self.random)
             if box is None:
@@ -109,8 +108,7 @@
             result = await self._forward_to(box, fronts[box], job, progress, request, helpers)
             if result is None or isinstance(result, Ok) or result.err_value.kind not in try_next:
                 return result
-            if self.state.refused_connections.is_refusing(box):
-                not_listening.add(box)
+            left -= not self.state.refused_connections.is_refusing(box)
             if result.err_value.kind not in CANNOT_HELP:
                 full = result.err_value
         if full is not None:
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -219,14 +219,15 @@
     def report_to_forward(self) -> CrashReport:
         """Return clearances, and crashes of requests that are quarantined or present at several crashes."""
         by_digest: dict[str, list[Crash]] = {}
-        for crash in unexplained_crashes(self._counted_crashes(), self.quarantined_by_digest):
+        latest = self._latest_clearances()
+        for crash in unexplained_crashes(self._counted_crashes(latest), self.quarantined_by_digest):
             by_digest.setdefault(crash.digest, []).append(crash)
         suspected = [group for group in by_digest.values() if len({crash.incarnation for crash in group}) > 1]
         suspected.sort(key=lambda group: -len({crash.incarnation for crash in group}))
         groups = [list(item.crashes) for item in self.quarantined_by_digest.values()] + suspected
         newest = (sorted(group, key=_newest_first)[:MAX_FORWARDED_PER_REQUEST] for group in groups)
         crashes = tuple(crash for group in newest for crash in group)[:MAX_FORWARDED]
-        cleared = sorted(self._latest_clearances().items(), key=lambda item: -item[1])
+        cleared = sorted(latest.items(), key=lambda item: -item[1])
         return CrashReport(crashes, dict(cleared[:MAX_FORWARDED]))
 
     def _mark_unpublished(self) -> None:
@@ -265,12 +266,11 @@
                 cleared[digest] = max(at, cleared.get(digest, NEVER))
         return cleared
 
-    def _counted_crashes(self) -> list[Crash]:
+    def _counted_crashes(self, cleared: Mapping[str, float]) -> list[Crash]:
         """Return the crashes that no later clearance covers, duplicates included."""
         received = [crash for source in self._received_reports() for crash in source.crashes]
         if len(received) > MAX_PEER_CRASHES:
             received = sorted(received, key=_newest_first)[:MAX_PEER_CRASHES]
-        cleared = self._latest_clearances()
         return [
             crash
             for crash in (*self.own_crashes.values(), *received)
@@ -278,10 +278,9 @@
         ]
 
     def _update_quarantine(self) -> None:
-        crashes = self._counted_crashes()
-        self.part_cleared_at = max(
-            (at for digest, at in self._latest_clearances().items() if is_part(digest)), default=NEVER
-        )
+        cleared = self._latest_clearances()
+        crashes = self._counted_crashes(cleared)
+        self.part_cleared_at = max((at for digest, at in cleared.items() if is_part(digest)), default=NEVER)
         self.crashes_by_digest = Counter(
             digest for digest, _ in {(item.digest, item.incarnation) for item in crashes}
         )
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -440,8 +440,11 @@
         """Return the seconds since this box knows the number of boxes, 0 if others may not count it."""
         if self.boxes_known_at == NEVER:
             return 0.0
-        is_counted = self.row_written_at == NEVER or now - self.row_written_at < self.row_valid_s
-        return max(0.0, now - max(self.boxes_known_at, self.counted_from)) if is_counted else 0.0
+        return max(0.0, now - max(self.boxes_known_at, self.counted_from)) if self.is_row_valid(now) else 0.0
+
+    def is_row_valid(self, now: float) -> bool:
+        """Tell whether others still count this box by its row, as far as it has written one."""
+        return self.row_written_at == NEVER or now - self.row_written_at < self.row_valid_s
 
     def drop_removed_endpoints(self) -> None:
         """Drop the state of unlisted endpoints without active limits or requests."""
--- a/tests/loads/test_brittle_endpoints.py
+++ b/tests/loads/test_brittle_endpoints.py
@@ -123,13 +123,17 @@
         self.states = [self._new_box(number) for number in range(self.boxes)]
         self._schedule(0.0, self._arrive)
         self._schedule(0.0, self._gossip)
-        if self.restarts_at:
-            self._schedule(self.restarts_at, self._restart)
+        self._schedule(0.0, self._disturb)
         while self.queue and self.queue[0][0] < ENDS_AT:
             Simulation.now, _, callback = heappop(self.queue)
             callback(Simulation.now)
         return self
 
+    def _disturb(self, now: float) -> None:
+        """Schedule what happens to the boxes."""
+        if self.restarts_at:
+            self._schedule(self.restarts_at, self._restart)
+
     @property
     def falls(self) -> int:
         return sum(len(item.fell_at) for item in self.endpoints)
--- a/tests/loads/test_brittle_endpoints_and_boxes.py
+++ b/tests/loads/test_brittle_endpoints_and_boxes.py
@@ -44,16 +44,9 @@
     down_until: float = 0.0
     dead: frozenset[int] = frozenset()
 
-    def run(self) -> Simulation:
-        self.starting = True
-        return super().run()
-
-    def _gossip(self, now: float) -> None:
-        if self.starting:
-            self.starting = False
-            self._schedule(CHANGES_AT, lambda _: self.change(self))
-            self._schedule(self.random.random(), self._probe)
-        super()._gossip(now)
+    def _disturb(self, now: float) -> None:
+        self._schedule(CHANGES_AT, lambda _: self.change(self))
+        self._schedule(self.random.random(), self._probe)
 
     def _request(self, box: int, now: float, until: float, counted: bool) -> None:
         """Send a request; callers come to a box that lives."""
--- a/tests/loads/test_retries_of_all_boxes.py
+++ b/tests/loads/test_retries_of_all_boxes.py
@@ -5,13 +5,13 @@
 slack and a fifth of the requests in it, in the one before, or in the one half a window before.
 """
 
-from bisect import bisect_left
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
 import pytest
 
+from bench.repeats import ServiceLoad, fullest_window
 from stairquay.core.budget import RetryAllowance, WindowedRetryBudget
 
 WINDOW_S = 10.0
@@ -37,26 +37,6 @@
     recent: list[float] = field(default_factory=list)
 
 
-@dataclass
-class Traffic:
-    """Times of requests and of retries over all boxes, in order."""
-
-    requests: list[float] = field(default_factory=list)
-    retries: list[float] = field(default_factory=list)
-
-    def worst_share(self, slack: float) -> float:
-        """Return the retries of the fullest window, as a share of what is allowed in it."""
-        return max((self._share(start, slack) for start in self.retries), default=0.0)
-
-    def _share(self, start: float, slack: float) -> float:
-        requests = max(count_between(self.requests, start - back, WINDOW_S) for back in (0.0, 5.0, 10.0))
-        return count_between(self.retries, start, WINDOW_S) / (RATIO * requests + slack)
-
-
-def count_between(times: list[float], start: float, for_s: float) -> int:
-    return bisect_left(times, start + for_s) - bisect_left(times, start)
-
-
 Event = Callable[[float, list[SimulatedBox], Random], None]
 """Changes boxes at each step."""
 
@@ -116,11 +96,11 @@
     random = Random(seed)
     per_s, slack = FLEETS[boxes_number]
     boxes = [SimulatedBox(new_budget(slack), STARTS_AT) for _ in range(boxes_number)]
-    traffic = Traffic()
+    traffic = ServiceLoad()
 
     def retry(box: SimulatedBox, now: float) -> None:
         if box.budget.take(now, boxes_number, now - box.known_at):
-            traffic.retries.append(now)
+            traffic.repeats.append(now)
 
     for step in range(int(ENDS_AT / STEP_S)):
         now = step * STEP_S
@@ -138,7 +118,7 @@
             box.recent = [at for at in box.recent if at > now - 1.5] + [now]
             if now > BREAKS_AT and random.random() < BROKEN_SHARE:
                 retry(box, now)
-    return traffic.worst_share(slack)
+    return fullest_window(traffic, RetryAllowance(RATIO, slack, WINDOW_S)).share
 
 
 @pytest.mark.parametrize("share", (0.2, 0.6, 1.0))
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -2,7 +2,9 @@
 
 import json
 
-from bench.repeats import Allowance, fullest_window, load_by_service, main, parse_lines
+from bench.repeats import ServiceLoad, fullest_window, load_by_service, main
+from stairquay.core.budget import RetryAllowance
+from stairquay.explain import Logs
 
 
 def line(at: float, kind: str, request: str, **fields: object) -> str:
@@ -28,15 +30,20 @@
 ]
 
 
+def service_load() -> ServiceLoad:
+    logs = Logs()
+    logs.read(LOG)
+    return load_by_service(logs.lines)["svc"]
+
+
 def test_only_what_reached_an_endpoint_before_is_a_repeat():
     """Guards against sends that never left a box counted, and first sends of a busy box left out."""
-    load = load_by_service(parse_lines(LOG))["svc"]
+    load = service_load()
     assert load.requests == [1.0, 1.5, 1.5] and load.repeats == [1.2, 1.7]
 
 
 def test_the_fullest_window_counts_the_requests_of_the_best_of_three():
-    load = load_by_service(parse_lines(LOG))["svc"]
-    window = fullest_window(load, Allowance(0.5, 1.0, 10.0))
+    window = fullest_window(service_load(), RetryAllowance(0.5, 1.0, 10.0))
     assert (window.repeats, window.requests) == (2, 3) and window.share == 2 / 2.5
 
 
--- a/tests/test_retries_of_several_boxes.py
+++ b/tests/test_retries_of_several_boxes.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from bench.repeats import ServiceLoad, fullest_window
+from stairquay.core.budget import RetryAllowance
 from stairquay.serving.boxes import HEARTBEAT_INTERVAL_S
 from tests.cut_box import CutKind
 from tests.many_boxes import several_boxes
@@ -13,7 +15,12 @@
 from tests.test_cut_from_endpoints import cut
 
 BOXES = 4
-BOUNDS = {"retry_budget_ratio": 0.2, "budget_window_s": 4, "budget_slack": 24}
+ALLOWANCE = RetryAllowance(0.2, 24, 4)
+BOUNDS = {
+    "retry_budget_ratio": ALLOWANCE.ratio,
+    "budget_window_s": ALLOWANCE.window_s,
+    "budget_slack": ALLOWANCE.slack,
+}
 PRESSED_S = 8.0
 PAUSE_S = 0.02
 MIN_USED_SHARE = 0.2
@@ -70,21 +77,6 @@
     return times
 
 
-def fullest_window_share(sent_at: list[float], repeats: list[float]) -> float:
-    """Return the repeats of the fullest window, as a share of what is allowed in it."""
-    window_s = BOUNDS["budget_window_s"]
-
-    def count(times: list[float], start: float) -> int:
-        return sum(start <= at < start + window_s for at in times)
-
-    def share(start: float) -> float:
-        requests = max(count(sent_at, start - back) for back in (0.0, window_s / 2, window_s))
-        allowed = BOUNDS["retry_budget_ratio"] * requests + BOUNDS["budget_slack"]
-        return count(repeats, start) / allowed
-
-    return max(map(share, repeats), default=0.0)
-
-
 @pytest.mark.parametrize("disturb", (two_boxes_are_cut_off, links_hang))
 @pytest.mark.parametrize("spoil", (all_fail, all_reject))
 def test_requests_that_are_passed_on_or_held_up_are_repeated_within_the_budget(
@@ -92,18 +84,17 @@
 ):
     """Guards against arrivals that no box's budget has counted, or that come together later."""
 
-    async def scenario() -> tuple[list[float], list[float]]:
+    async def scenario() -> ServiceLoad:
         async with several_boxes(BOXES, module="tests.cut_box", engines=1, bounds=BOUNDS) as boxes:
             await eventually(lambda: len(box_rows(boxes[0])) == BOXES)
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S * 1.2 + BOUNDS["budget_window_s"])
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S * 1.2 + ALLOWANCE.window_s)
             sent_at: list[float] = []
             pressing = asyncio.create_task(press(boxes, sent_at))
-            await asyncio.sleep(BOUNDS["budget_window_s"])
+            await asyncio.sleep(ALLOWANCE.window_s)
             spoil(boxes)
             await disturb(boxes)
             pressing.cancel()
             await asyncio.gather(pressing, return_exceptions=True)
-            return sent_at, repeat_times(boxes)
+            return ServiceLoad(sent_at, repeat_times(boxes))
 
-    sent_at, repeats = asyncio.run(scenario())
-    assert MIN_USED_SHARE <= fullest_window_share(sent_at, repeats) <= 1.0
+    assert MIN_USED_SHARE <= fullest_window(asyncio.run(scenario()), ALLOWANCE).share <= 1.0
--- a/tests/test_substitutes.py
+++ b/tests/test_substitutes.py
@@ -50,9 +50,8 @@
         assert not boxes_to_probe(state, 1.0)
         for endpoint in (PLAIN, ENGINE):
             apply_tolerance(state, endpoint, state.endpoint_state(endpoint), LimitReport(2.0, 1.0, 1.0))
-        probes = ranked[: ranked.index(name)] if name != ranked[-1] else []
-        expected = set() if ranked.index(name) >= holders + SUBSTITUTES else set(probes)
-        assert boxes_to_probe(state, 1.0) == expected
+        rank = ranked.index(name)
+        assert boxes_to_probe(state, 1.0) == (set(ranked[:rank]) if rank < holders + SUBSTITUTES else set())
 
 
 async def press(boxes: list[Site], seconds: float, name: str) -> list[int]:
