A brittle engine has one account at a time

Seen by callers: engines fell over in a burst while their router was paused or slow, 502 and refusals. Cause: the router's account keeps the bound of all boxes; a second router, and each box by itself, placed at the same engines by accounts of their own as soon as they suspected the router, after 80 ms without an answer. Besides, the queue admitted to engines that are left alone after a rejection, and the prompt then went to another engine that had no room. Why this works: only the router that an engine belongs to places there while it is brittle. One that takes it over waits until the one before has answered no ping for 2.5 s, and that one finds by its own clock that it was paused for as long, and begins anew. The queue admits only to engines that may be used.

--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -47,6 +47,7 @@
 from stairquay.serving.state import BoxState
 from stairquay.serving.statements import backoffs_by_id, limit_of
 from stairquay.serving.substitutes import probe_place_holders
+from stairquay.serving.takeover import probe_suspected_routers
 from stairquay.serving.upkeep import StoreGarbageCollector
 from stairquay.serving.watching import EndpointWatcher
 
@@ -99,6 +100,7 @@
     tasks_by_name = background_tasks(state, surroundings, links, router, notices, rng)
     tasks_by_name["origins"] = origins.run
     tasks_by_name["substitutes"] = partial(probe_place_holders, state, surroundings.boxes)
+    tasks_by_name["takeover"] = partial(probe_suspected_routers, state, surroundings.boxes)
     tasks_by_name["reload"] = partial(_reload_settings, state, load)
     for name, task_function in tasks_by_name.items():
         tasks.start(run_with_restarts(state, name, task_function))
--- a/stairquay/serving/brittleness.py
+++ b/stairquay/serving/brittleness.py
@@ -49,6 +49,11 @@
     return report is not None and report.per_s < UNLIMITED and now - report.received_at < TOLERANCE_TTL_S
 
 
+def has_brittle_service(state: BoxState, now: float) -> bool:
+    """Tell whether the endpoints of any service state that they are brittle."""
+    return any(binds(report, now) for report in state.tolerance_by_service.values())
+
+
 def apply_tolerance(
     state: BoxState, endpoint: Endpoint, endpoint_state: EndpointState, report: LimitReport
 ) -> None:
@@ -112,12 +117,20 @@
     endpoint_state = state.endpoint_state(endpoint)
     if now < endpoint_state.rejected_until:
         return endpoint_state.rejected_until - now
-    if endpoint.id in state.routed_engines or places_left(state, endpoint, now) > 0:
-        # A router counts the requests of all boxes.
+    if is_routed(state, endpoint.service):
+        # Its router counts the requests of all boxes. One that stops is gone for the others, which take over.
+        handover_s = None if state.stopping else state.handovers.wait_s(endpoint.id, now)
+        return inf if handover_s is None else handover_s
+    if places_left(state, endpoint, now) > 0:
         return 0.0
     return endpoint_state.response_time_s if held_places(state, endpoint, now) else inf
 
 
+def is_routed(state: BoxState, service: str) -> bool:
+    """Tell whether routers place the requests for a service."""
+    return bool(state.routers) and state.catalog is not None and state.catalog.engine_of(service) is not None
+
+
 def place_holders(state: BoxState, service: str, tried: Collection[str], now: float) -> frozenset[str]:
     """Return the boxes to pass a plain request on to.
 
--- a/stairquay/serving/engine_accounts.py
+++ b/stairquay/serving/engine_accounts.py
@@ -9,7 +9,7 @@
 from stairquay.core.placement import RUN_DURATION_S, USABLE_MEMORY_SHARE
 from stairquay.core.places import places
 from stairquay.core.room import EngineAccount, MeanDuration, Room
-from stairquay.serving.brittleness import is_brittle
+from stairquay.serving.brittleness import brittle_wait_s, is_brittle
 from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.messages import PlaceRequest
@@ -54,7 +54,9 @@
         return [
             room(endpoint)
             for endpoint in self._routed(request.service)
-            if endpoint.id not in request.tried and takes_work(self.state, endpoint)
+            if endpoint.id not in request.tried
+            and takes_work(self.state, endpoint)
+            and brittle_wait_s(self.state, endpoint, now) == 0
         ]
 
     def place(self, request: PlaceRequest, parts: SharedParts, endpoint: Endpoint, now: float) -> None:
@@ -81,6 +83,18 @@
         duration = self.durations_by_kind.get((service, priority))
         return RUN_DURATION_S if duration is None else duration.mean_s
 
+    def update_handovers(self, now: float) -> None:
+        """Record the engines that this box routes for, and which of those taken over others still use."""
+        handovers, catalog = self.state.handovers, self.state.catalog
+        handovers.update(self.state.routed_engines, now)
+        for engine in handovers.pending():
+            endpoint = self.state.fleet.by_id.get(engine)
+            spec = None if endpoint is None or catalog is None else catalog.engine_of(endpoint.service)
+            if endpoint is None or spec is None or not is_brittle(self.state, endpoint, now):
+                continue
+            if self._account(endpoint, spec, now).unknown_runs:
+                handovers.record_foreign_runs(engine, now)
+
     def observe_metrics(self) -> None:
         """Write the free slots of each service to the metrics, and drop accounts of engines that left."""
         free_slots: Counter[str] = Counter()
--- a/stairquay/serving/links.py
+++ b/stairquay/serving/links.py
@@ -11,9 +11,11 @@
 import msgspec
 
 from stairquay.adapters.channels import CHANNEL_OPTIONS
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.program import being_cancelled
 from stairquay.core.answer_times import AnswerTimes
 from stairquay.core.routers import Member
+from stairquay.serving.brittleness import has_brittle_service
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.messages import (
     EndpointsReply,
@@ -180,6 +182,7 @@
     def record_answer(self, router: Member, answer: Reply | None, question: str) -> Reply | None:
         """Return a router's answer, and record whether it came. A router without answer is suspected."""
         if answer is not None:
+            self._end_suspicion(router)
             if router.id in self.lost_ids:
                 self.lost_ids.remove(router.id)
                 self._log(router, "regained", question)
@@ -192,6 +195,15 @@
             self._log(router, "lost", question, "" if client is None else client.last_failure)
         return None
 
+    def _end_suspicion(self, router: Member) -> None:
+        """End the suspicion of a router that answered while an endpoint is brittle, as it goes on placing."""
+        now = monotonic()
+        if not self.state.is_suspected(router.id) or not has_brittle_service(self.state, now):
+            return
+        del self.state.suspected_until_by_id[router.id]
+        self.state.handovers.restart(now)
+        self.state.changed.notify_all()
+
     def _log(self, router: Member, outcome: str, question: str, detail: str = "") -> None:
         name = f"router {router.id}"
         self.state.log.line(LogEvent.DEPENDENCY, name=name, outcome=outcome, question=question, detail=detail)
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -47,6 +47,7 @@
 from stairquay.serving.router_admission import RouterAdmission, reply_without_room, shared_parts
 from stairquay.serving.saving import choose_with_save_targets
 from stairquay.serving.state import BoxState
+from stairquay.serving.takeover import takes_over
 from stairquay.serving.telling import apply_peer_feedback, limit_feedback
 from stairquay.serving.view_replies import endpoints_reply, operators_reply
 
@@ -289,6 +290,10 @@
             await self._close()
         state.routed_engines = self._engines() if is_router else frozenset()
         self._expire(monotonic())
+        self.accounts.update_handovers(monotonic())
+        if takes_over(state, monotonic()):
+            # Wakes the probes of routers whose engines this one takes over.
+            state.changed.notify_all()
         self.accounts.observe_metrics()
         self.speeds.update(monotonic())
         self.admission.observe_metrics(monotonic())
--- a/stairquay/serving/notices.py
+++ b/stairquay/serving/notices.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.routers import Member
+from stairquay.serving.brittleness import has_brittle_service
 from stairquay.serving.change_notifier import ChangeNotifier
 from stairquay.serving.links import RouterClients
 from stairquay.serving.local_router import LocalRouter
@@ -71,8 +73,9 @@
         Routers to which a notice is under way are left out.
         """
         now = monotonic()
+        brittle = has_brittle_service(self.state, now)
         waits_s = [
-            max(0.0, self.state.suspected_until_by_id.get(router.id, now) - now)
+            0.0 if brittle else max(0.0, self.state.suspected_until_by_id.get(router.id, now) - now)
             for router in self.ended_by_router
             if router not in self.sending_by_router
         ]
@@ -119,7 +122,7 @@
 
         Queues of former routers are dropped.
         """
-        live = set(self.state.live_routers())
+        live = set(self._notified_routers())
         feedback = feedback_for_peers(self.state, monotonic())
         for router in list(self.ended_by_router):
             if router not in self.state.routers:
@@ -140,9 +143,17 @@
                 self.prefilled_by_router.pop(router, None)
                 self.samples_by_router.pop(router, None)
 
+    def _notified_routers(self) -> Sequence[Member]:
+        """Return the routers that get notices: those that are not suspected, and all while one is brittle.
+
+        A suspected one may still place at brittle endpoints, and has to hear what ended there.
+        """
+        brittle = has_brittle_service(self.state, monotonic())
+        return self.state.routers if brittle else self.state.live_routers()
+
     def _queue_pings(self) -> None:
         """Queue a notice, which may be empty, for every other live router."""
-        for router in self.state.live_routers():
+        for router in self._notified_routers():
             if router.id != self.state.settings.id:
                 self.ended_by_router.setdefault(router, [])
         self.queue_changed.notify_all()
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -9,6 +9,7 @@
 from stairquay.core.budget import WindowedRetryBudget
 from stairquay.core.catalog import Catalog
 from stairquay.core.fleet import Endpoint, Fleet
+from stairquay.core.handover import Handovers
 from stairquay.core.helpers import Helpers
 from stairquay.core.holdings import Holdings
 from stairquay.core.limits import LimitReport
@@ -128,6 +129,7 @@
     routers: tuple[Member, ...] = ()
     # Ids of engines that this box routes for.
     routed_engines: frozenset[str] = frozenset()
+    handovers: Handovers = field(default_factory=Handovers)
     # Latest retry time given to a refused caller.
     retry_at_by_service: dict[str, float] = field(default_factory=dict)
     # Routers that recently did not answer.
@@ -230,6 +232,10 @@
         if not known:
             self.changed.notify_all()
 
+    def is_suspected(self, router: str) -> bool:
+        """Tell whether a router did not answer lately."""
+        return self.suspected_until_by_id.get(router, NEVER) > monotonic()
+
     def live_routers(self) -> list[Member]:
         """Return the routers that are not suspected; this box never suspects itself."""
         now = monotonic()
--- a/stairquay/serving/substitutes.py
+++ b/stairquay/serving/substitutes.py
@@ -9,7 +9,7 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.core.ownership import rank_owners
 from stairquay.core.places import holders_number
-from stairquay.serving.brittleness import binds, is_brittle
+from stairquay.serving.brittleness import has_brittle_service, is_brittle
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.ports import BoxSender
 from stairquay.serving.state import BoxState
@@ -38,11 +38,6 @@
         await asyncio.sleep(PROBE_INTERVAL_S)
 
 
-def has_brittle_service(state: BoxState, now: float) -> bool:
-    """Tell whether the endpoints of any service state that they are brittle."""
-    return any(binds(report, now) for report in state.tolerance_by_service.values())
-
-
 def boxes_to_probe(state: BoxState, now: float) -> set[str]:
     """Return the boxes before this one in the rankings of brittle endpoints that no router places on."""
     own, found = state.settings.id, set[str]()
