Bound answers without end: their memory in sum, their heads, framing and trailers

Seen by callers: 502 after the deadline, or a box that its system kills: a plain body without end took a box from 58 to 779 MB, interim answers and chunk extensions were read until the deadline. Cause: each body had a bound and nothing their sum; bytes that are no body had none. Class: a bound on each part in place of one on the whole. A connection ends when an answer has more than 256 KiB besides its body, or 16 bytes for each byte of it, after 32 interim answers, and with any byte while idle. Answers to orders are read up to 64 KiB.

--- a/stairquay/adapters/whole_bodies.py
+++ b/stairquay/adapters/whole_bodies.py
@@ -19,13 +19,13 @@
         """Fail the pending body, unless the orderly end of the connection is its end."""
         payload = self._payload
         if exc is not None:
-            _fail(payload, f"the connection broke: {type(exc).__name__}")
+            fail(payload, f"the connection broke: {type(exc).__name__}")
         super().connection_lost(exc)
-        _fail(payload, "the body is incomplete or invalid")
+        fail(payload, "the body is incomplete or invalid")
 
     def close(self) -> None:
         """Close the connection, and fail the pending body."""
-        _fail(self._payload, "the connection was closed by this side")
+        fail(self._payload, "the connection was closed by this side")
         super().close()
 
 
@@ -38,6 +38,7 @@
     return connector
 
 
-def _fail(payload: StreamReader | None, reason: str) -> None:
+def fail(payload: StreamReader | None, reason: str) -> None:
+    """Fail a body, unless it has ended."""
     if payload is not None and not payload.is_eof() and payload.exception() is None:
         payload.set_exception(ClientPayloadError(reason))
--- a/stairquay/platform/connection_pool.py
+++ b/stairquay/platform/connection_pool.py
@@ -9,7 +9,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from aiohttp import StreamReader
+from aiohttp import ClientPayloadError, StreamReader
 from aiohttp.http import RawResponseMessage
 
 from stairquay.adapters.clock import monotonic
@@ -27,6 +27,9 @@
 NO_BODY_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE"))
 """Methods of requests whose length is not named if they have no body."""
 
+MAX_INTERIM_ANSWERS = 32
+"""Interim answers, such as 100 Continue, that may come before an answer."""
+
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 
@@ -64,11 +67,15 @@
         transport.write(head + body)
 
     async def read_head(self) -> tuple[RawResponseMessage, StreamReader]:
-        """Return the head of the answer and the reader of its body, without interim answers."""
-        while True:
+        """Return the head of the answer and the reader of its body, without interim answers.
+
+        Raises ClientError if the connection fails or interim answers do not end.
+        """
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
             message, payload = await self.protocol.read()
             if message.code >= FIRST_FINAL_STATUS or message.code == SWITCHING_PROTOCOLS:
                 return message, payload
+        raise ClientPayloadError("too many interim answers")
 
 
 def encode_head(method: str, target: str, headers: list[tuple[str, str]], body_bytes: int) -> bytes:
@@ -113,6 +120,7 @@
             connection.protocol.close()
             return
         connection.reused = True
+        connection.protocol.is_idle = True
         connection.idle_since = monotonic()
         self.idle_by_address.setdefault(connection.address, deque()).append(connection)
         if self.expiry is None:
--- a/stairquay/platform/connections.py
+++ b/stairquay/platform/connections.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from aiohttp import ClientSession, ClientTimeout, DummyCookieJar, TCPConnector
+from aiohttp import ClientPayloadError, ClientSession, ClientTimeout, DummyCookieJar, TCPConnector
 
 from stairquay.adapters.clock import monotonic
-from stairquay.adapters.whole_bodies import WholeBodyProtocol, check_bodies
+from stairquay.adapters.whole_bodies import WholeBodyProtocol, check_bodies, fail
 
 CONNECT_TIMEOUT_S = 0.4
 """Timeout of opening a connection, in seconds. Data halls are a millisecond apart, and a dead box sends
@@ -38,14 +38,31 @@
 """Maximum size of a header field and of the status line of a response."""
 
 
+MAX_OVERHEAD_BYTES = 262_144
+"""Maximum size of what an answer has besides its body: heads, the framing of chunks and trailers."""
+
+OVERHEAD_PER_BODY_BYTE = 16
+"""The same for each byte of the body; a chunk of one byte has five."""
+
+MAX_HEADS_PARSED = 64
+"""Answers parsed before one is read, interim ones included."""
+
+PARSED_AT_ONCE_BYTES = 16_384
+"""Bytes parsed at a time before the head of an answer is complete; heads of many answers fit into each."""
+
+
 class CheckedProtocol(WholeBodyProtocol):
-    """A connection that is not reused if stale or after unexpected data.
+    """A connection that is not reused if stale or after unexpected data, and whose answers are bounded.
 
     stale_at: monotonic seconds. listener: called after data was parsed, and after the connection ended.
+    is_idle: no request is under way, so that any data is unexpected.
     """
 
     listener: Callable[[], None] | None = None
     stale_at = float("inf")
+    is_idle = False
+    # Bytes of the answer that is under way, with its head and framing.
+    answer_bytes = 0
 
     def set_keep_alive(self, keep_alive: str) -> None:
         """Apply the Keep-Alive header of a response that was just received."""
@@ -59,12 +76,49 @@
         if self.listener is not None:
             self.listener()
 
+    def set_response_params(self, **params: Any) -> None:
+        """Expect the answer to a request."""
+        self.is_idle = False
+        self.answer_bytes = 0
+        super().set_response_params(**params)
+
     def data_received(self, data: bytes) -> None:
-        """Parse data, and tell the listener."""
-        super().data_received(data)
+        """Parse data, and tell the listener. Ends the connection on data without end that is no body."""
+        if self.is_idle:
+            self.close()
+            return
+        before_body = self._payload is None or self._payload.is_eof()
+        if before_body and len(data) > PARSED_AT_ONCE_BYTES:
+            for start in range(0, len(data), PARSED_AT_ONCE_BYTES):
+                if not self._has_failed():
+                    self._parse(data[start : start + PARSED_AT_ONCE_BYTES])
+        else:
+            self._parse(data)
         if self.listener is not None and data:
             self.listener()
 
+    def _parse(self, data: bytes) -> None:
+        super().data_received(data)
+        self.answer_bytes += len(data)
+        payload = self._payload
+        body_bytes = 0 if payload is None else payload.total_bytes
+        if self.answer_bytes - body_bytes > MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * body_bytes:
+            self._give_up("too many bytes that are no body")
+        elif len(self._buffer) > MAX_HEADS_PARSED:
+            self._give_up("too many answers")
+
+    def _has_failed(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
+
+    def _give_up(self, reason: str) -> None:
+        fail(self._payload, reason)
+        # The end of the connection would give its reader another error.
+        self._payload = None
+        self.set_exception(ClientPayloadError(reason))
+        transport = self.transport
+        if transport is not None:
+            transport.abort()
+
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Resume reading if it was paused; a reader calls this after each piece that it takes."""
         if self._reading_paused or self._buffer_paused:
--- a/stairquay/platform/peers.py
+++ b/stairquay/platform/peers.py
@@ -29,6 +29,9 @@
 RESPONSE_TIMEOUT_S = 0.5
 """Timeout of a call in seconds, on top of the wait of a long poll."""
 
+MAX_ORDER_ANSWER_BYTES = 65_536
+"""Bytes read of the body of an answer to an order, which says nothing."""
+
 HTTP_OK = 200
 NO_HEADERS: Mapping[str, str] = {}
 METHOD_RETAIN = "retain"
@@ -196,7 +199,8 @@
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT_S):
                 async with self.session.post(url, json=body, headers=headers) as response:
-                    await response.read()
+                    if len(await response.content.read(MAX_ORDER_ANSWER_BYTES)) == MAX_ORDER_ANSWER_BYTES:
+                        response.close()
                     return response.status
         except (ClientError, TimeoutError, OSError):
             return None
--- a/stairquay/platform/polling.py
+++ b/stairquay/platform/polling.py
@@ -11,11 +11,18 @@
 from httptools import HttpParserError, HttpResponseParser
 
 from stairquay.adapters.clock import monotonic
+from stairquay.core.buffers import BufferBudget
 from stairquay.platform.connections import CONNECT_TIMEOUT_S, IDLE_TIMEOUT_S, set_socket_options
 
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Size of a response at which its connection is closed; the longest are lists of cached parts."""
 
+MAX_HEAD_BYTES = 65_536
+"""Size of the head of a response, without the bytes that arrived last, at which its connection is closed."""
+
+MAX_INCOMPLETE_BYTES = 32 * 1024 * 1024
+"""Bytes that all incomplete responses of a client may have together."""
+
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 """Headers without which a body ends where its connection does."""
 
@@ -34,14 +41,15 @@
 class PollConnection(asyncio.Protocol):
     """A connection that carries one request at a time."""
 
-    def __init__(self) -> None:
+    def __init__(self, budget: BufferBudget) -> None:
         self.transport: asyncio.Transport | None = None
         self.idle_since = monotonic()
         self.response: asyncio.Future[PollResponse] | None = None
         # Whether any byte of the pending response has arrived.
         self.answered = False
         self._parser = HttpResponseParser(self)
-        self._body: list[bytes] = []
+        self._budget = budget
+        self._body = budget.buffer()
         self._size = 0
         # Whether the head of the pending response is complete, and whether it tells where the body ends.
         self._head_complete = False
@@ -84,6 +92,10 @@
             self.close()
             return
         self.answered = True
+        if not self._head_complete and self._size > MAX_HEAD_BYTES + len(data):
+            self._fail(ConnectionError("the head of the response is too large"))
+            self.close()
+            return
         try:
             self._parser.feed_data(data)
         except HttpParserError as error:
@@ -96,6 +108,7 @@
         if exc is None and self._head_complete and not self._framed:
             self.on_message_complete()
         self._fail(ConnectionError("the connection was closed") if exc is None else exc)
+        self._body.release()
 
     def on_message_begin(self) -> None:
         """Close the connection after bytes that follow a response; called by the parser."""
@@ -112,12 +125,14 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body; called by the parser."""
-        self._body.append(body)
+        if not self._body.extend(body):
+            self._fail(ConnectionError("responses take too much memory"))
+            self.close()
 
     def on_message_complete(self) -> None:
         """Resolve the pending request; called by the parser."""
         status = self._parser.get_status_code()
-        body, self._body, self._size = b"".join(self._body), [], 0
+        body, self._size = self._body.take(), 0
         self._head_complete = self._framed = False
         reusable = self._parser.should_keep_alive()
         # A parser is not used for a second response, so that nothing of the first can remain in it.
@@ -140,6 +155,7 @@
     """Sends GET requests over connections that it keeps, by address."""
 
     idle_by_address: dict[str, list[PollConnection]] = field(default_factory=dict)
+    budget: BufferBudget = field(default_factory=lambda: BufferBudget(MAX_INCOMPLETE_BYTES))
     swept_at: float = field(default_factory=monotonic)
 
     async def get(
@@ -171,7 +187,7 @@
                 # The other side may close a connection while it is idle. A GET can be sent again.
                 if kept.answered:
                     raise
-        return await self._send(await _connect(address, deadline), address, request, deadline)
+        return await self._send(await self._connect(address, deadline), address, request, deadline)
 
     async def _send(
         self, connection: PollConnection, address: str, request: bytes, deadline: float
@@ -191,6 +207,13 @@
             self.idle_by_address.setdefault(address, []).append(connection)
         return found
 
+    async def _connect(self, address: str, deadline: float) -> PollConnection:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout_at(min(deadline, loop.time() + CONNECT_TIMEOUT_S)):
+            _, connection = await loop.create_connection(lambda: PollConnection(self.budget), host, int(port))
+        return connection
+
     def _take_idle(self, address: str) -> PollConnection | None:
         now = monotonic()
         if now - self.swept_at > SWEEP_INTERVAL_S:
@@ -214,11 +237,3 @@
             self.idle_by_address[address] = fresh
             if not fresh:
                 del self.idle_by_address[address]
-
-
-async def _connect(address: str, deadline: float) -> PollConnection:
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-    async with asyncio.timeout_at(min(deadline, loop.time() + CONNECT_TIMEOUT_S)):
-        _, connection = await loop.create_connection(PollConnection, host, int(port))
-    return connection
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -338,6 +338,7 @@
                 on_first_event=lambda: self._on_first_event(job, started_attempt, progress),
                 should_close=self.state.should_close_connections,
                 may_collect=lambda: self.state.load.is_busy,
+                buffers=self.state.answer_buffers,
             )
             response = progress.stream.response
             if body is not None:
--- a/stairquay/serving/forwarding.py
+++ b/stairquay/serving/forwarding.py
@@ -177,6 +177,7 @@
             on_first_event=lambda: record_first_byte(self.state, job, monotonic()),
             should_close=self.state.should_close_connections,
             may_collect=lambda: self.state.load.is_busy,
+            buffers=self.state.answer_buffers,
         )
         if body is not None:
             return buffered_response(reply, body)
--- a/stairquay/serving/relay.py
+++ b/stairquay/serving/relay.py
@@ -13,6 +13,7 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.unfinished import begin_response, finish_response
+from stairquay.core.buffers import Buffer, BufferBudget
 from stairquay.core.event_stream import (
     complete_events_end,
     count_events,
@@ -32,6 +33,14 @@
 EVENTS_PASSED_AT_ONCE = 3
 """First events, which are passed on one by one, so that the first token and short answers are not later."""
 
+LONG_EVENT_BYTES = 65_536
+"""Size from which an event that has not ended counts among the answers that this box keeps."""
+
+LAST_BYTES = 3
+"""Bytes before the newest ones in which the end of an event may begin."""
+
+NO_MEMORY = "incomplete answers take too much memory"
+
 MIN_ERROR_STATUS = 400
 """Lowest HTTP status of an error."""
 
@@ -52,24 +61,30 @@
     trailing_bytes: int = 0
 
 
-async def read_body(reply: Reply, deadline: float) -> bytes:
-    """Return the body of a response that is not streamed.
+async def read_body(reply: Reply, deadline: float, buffers: BufferBudget) -> bytes:
+    """Return the body of a response that is not streamed. buffers: of this box's incomplete answers.
 
     Raises IncompleteResponseError if it breaks off or is too large, and TimeoutError at the deadline.
     """
     whole = reply.whole_body()
     if whole is not None:
         return whole
-    body = bytearray()
+    body = buffers.buffer()
 
     def take(data: bytes) -> None:
-        body.extend(data)
-        if len(body) > MAX_RESPONSE_BYTES:
+        if not body.extend(data):
+            raise IncompleteResponseError(NO_MEMORY)
+        if len(body.data) > MAX_RESPONSE_BYTES:
             raise IncompleteResponseError("the answer is too large")
 
-    async with asyncio.timeout(deadline - monotonic()):
-        await reply.forward(take, lambda: 0.0)
-    return bytes(body)
+    try:
+        async with asyncio.timeout(deadline - monotonic()):
+            await reply.forward(take, lambda: 0.0)
+        if body.dropped:
+            raise IncompleteResponseError(NO_MEMORY)
+        return body.take()
+    finally:
+        body.release()
 
 
 def buffered_response(reply: Reply, body: bytes) -> web.Response:
@@ -89,18 +104,22 @@
     on_first_event: Callable[[], None],
     should_close: Callable[[], bool],
     may_collect: Callable[[], bool],
+    buffers: BufferBudget,
 ) -> bytes | None:
     """Relay a stream of events and return None, or return the body of any other reply.
 
+    buffers: of what this box keeps of incomplete answers.
     Raises IncompleteResponseError or TimeoutError if it ends early, or is no stream where one was begun.
     """
     if is_event_stream(reply):
-        await relay_stream(request, reply, progress, deadline, on_first_event, should_close, may_collect)
+        await relay_stream(
+            request, reply, progress, deadline, on_first_event, should_close, may_collect, buffers
+        )
         return None
     if progress.response is not None:
         # The caller already has the head of a stream, which no other answer may follow.
         raise IncompleteResponseError(f"status {reply.status} in place of the rest of a stream")
-    return await read_body(reply, deadline)
+    return await read_body(reply, deadline, buffers)
 
 
 def is_event_stream(reply: Reply) -> bool:
@@ -116,16 +135,21 @@
     on_first_event: Callable[[], None],
     should_close: Callable[[], bool],
     may_collect: Callable[[], bool],
+    buffers: BufferBudget,
 ) -> None:
     """Relay a stream, complete events only. Raises IncompleteResponseError or TimeoutError if it ends early.
 
     The head is sent with the first event, so that a stream that breaks off earlier can still be retried.
     may_collect: tells whether later events may be passed on together, a little late.
     """
-    relay = EventRelay(request, reply, progress, on_first_event, should_close, may_collect)
-    async with asyncio.timeout(deadline - monotonic()):
-        await reply.forward(relay.take, relay.hold_s)
-        await relay.finish()
+    incomplete = buffers.buffer()
+    relay = EventRelay(request, reply, progress, on_first_event, should_close, may_collect, incomplete)
+    try:
+        async with asyncio.timeout(deadline - monotonic()):
+            await reply.forward(relay.take, relay.hold_s)
+            await relay.finish()
+    finally:
+        incomplete.release()
 
 
 class EventRelay:
@@ -139,6 +163,7 @@
         on_first_event: Callable[[], None],
         should_close: Callable[[], bool],
         may_collect: Callable[[], bool],
+        long_event: Buffer,
     ) -> None:
         self.request = request
         self.reply = reply
@@ -148,16 +173,39 @@
         self.may_collect = may_collect
         self.writer: StreamWriter | None = None
         self.incomplete = b""
+        # Keeps an event that has not ended, once it is long; then `incomplete` is empty.
+        self.long_event = long_event
 
     def take(self, data: bytes) -> Awaitable[None] | None:
         """Write the events that are complete now. Return what to wait for before more is taken."""
+        long = self.long_event
+        if long.data or long.dropped:
+            return self._take_long(data)
         data = self.incomplete + data
         end = complete_events_end(data)
         if end == 0:
+            if len(data) > LONG_EVENT_BYTES:
+                self.incomplete = b""
+                return self._take_long(data)
             self.incomplete = data
-            if len(data) > MAX_EVENT_BYTES:
+            return None
+        return self._take_complete(data, end)
+
+    def _take_long(self, data: bytes) -> Awaitable[None] | None:
+        """Keep a part of a long event; write it once it has ended."""
+        long = self.long_event
+        before = bytes(long.data[-LAST_BYTES:])
+        if not long.extend(data):
+            raise IncompleteResponseError(NO_MEMORY)
+        if complete_events_end(before + data) == 0:
+            if len(long.data) > MAX_EVENT_BYTES:
                 raise IncompleteResponseError("an event is too large")
             return None
+        whole = long.take()
+        return self._take_complete(whole, complete_events_end(whole))
+
+    def _take_complete(self, data: bytes, end: int) -> Awaitable[None] | None:
+        """Write the events up to `end`."""
         self.incomplete = data[end:]
         events = data[:end] if self.incomplete else data
         if self.writer is None:
@@ -172,6 +220,9 @@
 
     async def finish(self) -> None:
         """End the caller's stream. Raises IncompleteResponseError if the endpoint's was broken off."""
+        if self.long_event.dropped:
+            raise IncompleteResponseError(NO_MEMORY)
+        self.incomplete += self.long_event.take()
         self._check_end()
         if self.incomplete or self.writer is None:
             await self._write_first(self.incomplete)
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -7,6 +7,7 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.core.absence import RefusedConnections
 from stairquay.core.budget import WindowedRetryBudget
+from stairquay.core.buffers import BufferBudget
 from stairquay.core.catalog import Catalog
 from stairquay.core.fleet import Endpoint, Fleet
 from stairquay.core.handover import Handovers
@@ -56,6 +57,13 @@
 their rows that was read in that time takes nothing back."""
 
 
+MAX_ANSWER_BYTES = 64_000_000
+"""Bytes that all incomplete answers may take together."""
+
+ANSWER_MEMORY_SHARE = 0.15
+"""The same, as a share of the box's memory. A quarter is for request bodies."""
+
+
 @lru_cache
 def _without(boxes: tuple[str, ...], gone: frozenset[str]) -> tuple[str, ...]:
     """Return the boxes that are not gone; brittle endpoints ask for them with each request."""
@@ -163,6 +171,8 @@
     # Notified when `lost_services` changes.
     reach_changed: ChangeNotifier = field(default_factory=ChangeNotifier)
     body_bytes: int = 0
+    # Of what this box keeps of incomplete answers.
+    answer_buffers: BufferBudget = field(default_factory=lambda: BufferBudget(MAX_ANSWER_BYTES))
     stopping: bool = False
     refusing: bool = False
     # Notified when views, routers or their suspicion change, an endpoint is marked as leaving, routers start
@@ -171,8 +181,11 @@
     quarantine: Quarantine = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the quarantine, which needs the log."""
+        """Create the quarantine, which needs the log, and bound the answers by the box's memory."""
         self.quarantine = Quarantine(self.log)
+        if self.settings.memory_mb:
+            share = int(self.settings.memory_mb * 1_000_000 * ANSWER_MEMORY_SHARE)
+            self.answer_buffers.max_bytes = min(MAX_ANSWER_BYTES, share)
 
     def use_settings(self, settings: BoxSettings) -> None:
         """Apply changed settings; addresses take effect at the next start."""
--- a/tests/test_peer_polls.py
+++ b/tests/test_peer_polls.py
@@ -181,6 +181,37 @@
     asyncio.run(scenario())
 
 
+def test_responses_without_end_take_little_memory_together(monkeypatch):
+    """Guards against a router that runs out of memory for the reports of some engines."""
+    monkeypatch.setattr(polling, "MAX_INCOMPLETE_BYTES", 40_000)
+
+    async def scenario():
+        long = b"HTTP/1.1 200 OK\r\nContent-Length: 30000\r\n\r\n" + b"x" * 29_000
+        async with server(answers(*[long] * 4, OK)) as (address, _, _):
+            client = polling.PollClient()
+            pending = [asyncio.create_task(get(address, client, timeout_s=0.6)) for _ in range(4)]
+            await asyncio.sleep(0.3)
+            assert 0 < client.budget.used_bytes <= 40_000
+            assert await get(address, client) == PollResponse(200, b"{}")
+            assert await asyncio.gather(*pending) == [None] * 4
+            await asyncio.sleep(0.05)
+            assert client.budget.used_bytes == 0
+            client.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_head_without_end_is_given_up():
+    async def scenario():
+        endless = b"HTTP/1.1 200 OK\r\n" + b"A: b\r\n" * 100_000
+        async with server(answers(endless)) as (address, client, _):
+            started = asyncio.get_running_loop().time()
+            assert await get(address, client, timeout_s=5.0) is None
+            assert asyncio.get_running_loop().time() - started < 2.0
+
+    asyncio.run(scenario())
+
+
 def test_requests_at_one_time_have_connections_of_their_own():
     async def scenario():
         open_connections = set()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,6 +9,7 @@
 from aiohttp import ClientError, ClientSession, web
 
 from stairquay.adapters.clock import monotonic
+from stairquay.core.buffers import BufferBudget
 from stairquay.serving.ports import HoldSeconds, IncompleteResponseError, Reply, Take
 from stairquay.serving.relay import (
     COLLECT_EVENTS_S,
@@ -22,6 +23,8 @@
 SLOW_MACHINE_S = 60.0
 """Seconds within which a busy machine relays 50 MB."""
 
+MAX_KEPT_BYTES = 10_000_000
+
 Forward = Callable[[Take, HoldSeconds], Awaitable[None]]
 
 
@@ -46,6 +49,7 @@
                 on_first_event=lambda: first_at.append(progress.events),
                 should_close=lambda: False,
                 may_collect=lambda: busy,
+                buffers=BufferBudget(MAX_KEPT_BYTES),
             )
         except (Exception, asyncio.CancelledError) as error:
             errors.append(error)
