Take no answer to another request for a rejection of this one

Seen by callers: a request that must not be repeated ran twice, or was answered 503 though it ran. Cause: _validate_response looked at Not-Executed and at status 421 before it compared the id, so that the second, late answer to a rejected request counted as the rejection of the next one on that connection. Class: an answer trusted before it is known whose it is. Change: the id is compared first; an answer with the id of another request ends the connection, and whether the request ran is unknown. One without an id is judged as before.

--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -286,6 +286,13 @@
 def _validate_response(call: Call, response: Response, attempt: Attempt) -> Result[Reply, SendFailure]:
     """Return the response if it belongs to this request and was signed by an endpoint."""
     status = response.status
+    if response.headers.get(REQUEST_ID, call.id) != call.id:
+        # It says nothing of this request, also where it is a rejection: one may come a second time, late.
+        response.close()
+        attempt.lose()
+        return Err(
+            SendFailure(ErrorKind.ENDPOINT_GARBAGE, attempt.ran, "an answer to another request", status)
+        )
     if NOT_RUN in response.headers or status == HTTP_MISDIRECTED:
         response.close()
         attempt.refuse()
@@ -298,12 +305,10 @@
                 ErrorKind.ENDPOINT_REFUSED, attempt.ran, detail, status, misdirected, feedback=feedback
             )
         )
-    if response.headers.get(REQUEST_ID) != call.id:
+    if REQUEST_ID not in response.headers:
         response.close()
         attempt.lose()
-        return Err(
-            SendFailure(ErrorKind.ENDPOINT_GARBAGE, attempt.ran, "an answer to another request", status)
-        )
+        return Err(SendFailure(ErrorKind.ENDPOINT_GARBAGE, attempt.ran, "an answer without id", status))
     if SIGNATURE not in response.headers:
         response.close()
         attempt.lose()
