Take rows and answers that are nested too deep for malformed ones

Seen by callers: 503 on every route to new endpoints, for as long as one entry of another writer stood in the list; a box that restarted was never ready. Cause: the decoder raises RecursionError for about 1,000 levels, which was in no list of errors of a malformed row, so that it ended the task that follows the list. Class: errors of a library listed by hand, in twelve places. Change: core/malformed.py names them once for all readers of JSON: rows, answers to polls, refusals of boxes, crash rows, configurations and the separate programs.

--- a/stairquay/adapters/engine.py
+++ b/stairquay/adapters/engine.py
@@ -12,6 +12,8 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from result import Err, Ok, Result
 
+from stairquay.core.malformed import MALFORMED
+
 T = TypeVar("T")
 
 HTTP_OK = 200
@@ -177,5 +179,5 @@
             if response.status != HTTP_OK:
                 return Err(f"status {response.status}")
             return Ok(msgspec.json.decode(text, type=response_type))
-    except (ClientError, asyncio.TimeoutError, msgspec.MsgspecError) as error:
+    except (ClientError, asyncio.TimeoutError, *MALFORMED) as error:
         return Err(type(error).__name__)
--- a/stairquay/adapters/follower.py
+++ b/stairquay/adapters/follower.py
@@ -21,6 +21,7 @@
 from stairquay.adapters.settings import ViewSettings
 from stairquay.core.configuration import PREFIX, Configuration, merge
 from stairquay.core.freshness import Freshness, Reach
+from stairquay.core.malformed import MALFORMED
 from stairquay.core.membership import Membership
 from stairquay.core.models import BoxKind, BoxList
 from stairquay.core.row import Row
@@ -154,7 +155,7 @@
     if reply.boxes:
         try:
             boxes = msgspec.json.decode(reply.boxes, type=BoxList)
-        except msgspec.MsgspecError as error:
+        except MALFORMED as error:
             return Err(str(error))
     rows = tuple(
         Row(row.key, row.value if row.HasField("value") else None, row.revision) for row in reply.rows
--- a/stairquay/adapters/platform.py
+++ b/stairquay/adapters/platform.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from stairquay.adapters.ports import Changes, Commit, Committed, Conflict, PlatformFault
+from stairquay.core.malformed import MALFORMED
 from stairquay.core.models import BoxList
 from stairquay.core.row import Row
 
@@ -83,7 +84,7 @@
         return Err(PlatformFault.UNKNOWN)
     try:
         return Ok(msgspec.json.decode(body, type=response_type))
-    except msgspec.MsgspecError:
+    except MALFORMED:
         return Err(PlatformFault.UNKNOWN)
 
 
--- a/stairquay/adapters/store.py
+++ b/stairquay/adapters/store.py
@@ -12,6 +12,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from result import Err, Ok, Result
 
+from stairquay.core.malformed import MALFORMED
 from stairquay.core.residency import Segment
 
 HTTP_OK = 200
@@ -52,7 +53,7 @@
             if response.status != HTTP_OK:
                 return Err(f"status {response.status}")
             return Ok(msgspec.json.decode(text, type=Catalogue))
-    except (ClientError, asyncio.TimeoutError, msgspec.MsgspecError) as error:
+    except (ClientError, asyncio.TimeoutError, *MALFORMED) as error:
         return Err(type(error).__name__)
 
 
--- a/stairquay/boxes.py
+++ b/stairquay/boxes.py
@@ -12,6 +12,7 @@
 from aiohttp import ClientError, ClientSession
 from result import Err, Ok, Result
 
+from stairquay.core.malformed import MALFORMED
 from stairquay.core.routers import Member, pick_followers, pick_routers
 from stairquay.core.row import Row
 from stairquay.platform.connections import open_session
@@ -199,7 +200,7 @@
     try:
         heartbeat = msgspec.json.decode(row.value or "", type=BoxHeartbeat)
         readable = True
-    except msgspec.MsgspecError:
+    except MALFORMED:
         heartbeat, readable = BoxHeartbeat(0), False
     member = Member(name, heartbeat.address, heartbeat.capacity, heartbeat.data_hall)
     async with semaphore:
--- a/stairquay/core/configuration.py
+++ b/stairquay/core/configuration.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from stairquay.core.malformed import MALFORMED
 from stairquay.core.models import ModelVersion, Placement, Service, ServiceKind, Workspace
 from stairquay.core.row import Row
 
@@ -94,7 +95,7 @@
 def _read(value: str, kind: type[T]) -> T | None:
     try:
         return msgspec.json.decode(value, type=kind)
-    except msgspec.MsgspecError:
+    except MALFORMED:
         return None
 
 
--- a/stairquay/platform/box_client.py
+++ b/stairquay/platform/box_client.py
@@ -10,6 +10,7 @@
 from stairquay.core.attempt import Attempt
 from stairquay.core.call import Call
 from stairquay.core.errors import ErrorKind, ExecutionStatus
+from stairquay.core.malformed import MALFORMED
 from stairquay.platform.connection_pool import ConnectionPool, PooledConnection
 from stairquay.platform.endpoints import Response, close_connection, reply_of, request_target
 from stairquay.platform.names import (
@@ -116,7 +117,7 @@
     try:
         await response.forward(take, lambda: 0.0)
         said = msgspec.json.decode(body, type=WireRefusal).error
-    except (IncompleteResponseError, msgspec.MsgspecError) as error:
+    except (IncompleteResponseError, *MALFORMED) as error:
         response.close()
         attempt.lose()
         return BoxRefusal(ErrorKind.ENDPOINT_GARBAGE, attempt.ran, f"no refusal: {error}")
--- a/stairquay/platform/feeds.py
+++ b/stairquay/platform/feeds.py
@@ -21,6 +21,7 @@
 )
 from stairquay.core.cold import ColdLimit
 from stairquay.core.fleet import Endpoint
+from stairquay.core.malformed import MALFORMED
 from stairquay.core.position import Position
 from stairquay.platform.names import (
     CONFIG_KEY,
@@ -47,7 +48,7 @@
 CHECKED_ADDRESSES = 1_024
 """Valid addresses that are remembered, since endpoints write their entries again and again."""
 
-DECODE_ERRORS = (msgspec.MsgspecError, ValueError)
+DECODE_ERRORS = (*MALFORMED, ValueError)
 """Exceptions raised on decoding a malformed row."""
 
 
--- a/stairquay/platform/peers.py
+++ b/stairquay/platform/peers.py
@@ -9,6 +9,7 @@
 from aiohttp import ClientError, ClientSession
 
 from stairquay.core.holdings import PartEvent, PartKey
+from stairquay.core.malformed import MALFORMED
 from stairquay.platform.connections import CONNECT_TIMEOUT_S
 from stairquay.platform.names import (
     CACHE_EVENTS_PATH,
@@ -191,7 +192,7 @@
             return None
         try:
             return msgspec.json.decode(response.body, type=kind)
-        except msgspec.MsgspecError as error:
+        except MALFORMED as error:
             LOGGER.warning("invalid response from %s%s: %s", address, target, error)
             return None
 
--- a/stairquay/platform/rows.py
+++ b/stairquay/platform/rows.py
@@ -16,6 +16,7 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.ports import Changes, Commit, Committed, Conflict, PlatformFault
 from stairquay.core.clock import ClockOffset
+from stairquay.core.malformed import MALFORMED
 from stairquay.core.position import Position
 from stairquay.core.row import Row
 from stairquay.platform.names import COMMIT_PATH, ERA, FEED_PATH, OWN_TABLE, ROWS_PATH
@@ -144,7 +145,7 @@
             if answer.status == HTTP_CONFLICT:
                 rows = msgspec.json.decode(answer.content, type=WireRows).rows
                 return Ok(Conflict(tuple(decode_row(row, answer.era) for row in rows)))
-        except msgspec.MsgspecError as error:
+        except MALFORMED as error:
             LOGGER.warning("the answer to a write is malformed: %s", error)
             return Err(PlatformFault.UNKNOWN)
         refused = answer.status in (HTTP_TOO_MANY, HTTP_UNAVAILABLE)
@@ -163,7 +164,7 @@
             return Err(FeedFault.UNREACHED)
         try:
             return Ok(self._decode(answer, requested_at))
-        except msgspec.MsgspecError:
+        except MALFORMED:
             return Err(FeedFault.UNREACHED)
 
     async def _exchange(
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -11,6 +11,7 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.ports import Commit, Committed, Condition, Write
 from stairquay.core.clock import ClockOffset
+from stairquay.core.malformed import MALFORMED
 from stairquay.core.position import Position
 from stairquay.core.routers import Member, pick_routers
 from stairquay.core.row import Row
@@ -286,6 +287,6 @@
     """Decode a row. A box with an invalid row, as of another release, is alive but cannot be a router."""
     try:
         return msgspec.json.decode(row.value or "", type=BoxHeartbeat)
-    except msgspec.MsgspecError as error:
+    except MALFORMED as error:
         LOGGER.warning("row %s cannot be read: %s", row.key, error)
         return BoxHeartbeat(0)
--- a/stairquay/serving/crash_rows.py
+++ b/stairquay/serving/crash_rows.py
@@ -15,6 +15,7 @@
 from stairquay.adapters.ports import Changes, Commit, Committed, Condition, Write
 from stairquay.core.clock import ClockOffset
 from stairquay.core.crashes import CRASH_TTL_S, Crash
+from stairquay.core.malformed import MALFORMED
 from stairquay.core.position import NO_POSITION
 from stairquay.core.row import Row
 from stairquay.serving.ports import CrashTable, FeedFault
@@ -171,7 +172,7 @@
     """Return a row's report with times of this box's clock; an empty one if the row is malformed."""
     try:
         decoded = msgspec.json.decode(row.value or "{}", type=CrashRow)
-    except msgspec.MsgspecError as error:
+    except MALFORMED as error:
         LOGGER.warning("cannot decode crash row %s: %s", row.key, error)
         return CrashReport()
     now = monotonic()
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -1,16 +1,20 @@
 """Decoding of arbitrary rows and reports: typed values, or an error for that entry only."""
 
+import asyncio
 import json
 from base64 import b64encode
 from typing import Any
 
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from stairquay.platform.feeds import endpoint_changes, operator_changes
-from stairquay.platform.peers import WireCacheEvents, WireCacheSnapshot, WireReport
+from stairquay.platform.peers import PeerClient, WireCacheEvents, WireCacheSnapshot, WireReport
+from stairquay.platform.polling import PollResponse
 from stairquay.platform.rows import WireRow, WireRows, decode_row
+from stairquay.serving.ports import EngineReport
 
 VALID_ENTRY = {
     "service": "plain",
@@ -72,3 +76,23 @@
             assert isinstance(msgspec.json.decode(content, type=kind), kind)
         except msgspec.MsgspecError:
             continue
+
+
+@pytest.mark.parametrize("content", (b"[" * 45_000, b'{"a":' * 4_000, b'{"a":' + b"[" * 45_000))
+def test_an_entry_or_row_that_is_nested_too_deep_is_malformed_and_the_others_hold(content: bytes):
+    """Guards against a list or a configuration that nobody can read any more for the sake of one entry."""
+    valid = json.dumps(VALID_ENTRY).encode()
+    changes = endpoint_changes(rows_of("servers", {"deep": content, "good": valid}), whole=True)
+    assert [item.id for item in changes.present] == ["good"] and list(changes.unreadable) == ["deep"]
+    assert "config" in operator_changes(rows_of("op", {"config": content}), whole=True).unreadable
+
+
+def test_an_answer_that_is_nested_too_deep_is_no_answer():
+    async def scenario() -> EngineReport | None:
+        class Polls:
+            async def get(self, *_: Any) -> PollResponse:
+                return PollResponse(200, b'{"a":' + b"[" * 45_000)
+
+        return await PeerClient(None, Polls()).report("127.0.0.1:1")  # type: ignore[arg-type]
+
+    assert asyncio.run(scenario()) is None
