Keep the version that an answer names for the model of its prompt only

Seen by callers: after new weights of one model, 503 for prompts of the other model of the same engines, for good; that one was never updated. Cause: the version of an answer was kept with the endpoint, and taken as the lower bound for each of its models. Class: a fact kept under a key that is too coarse. Change: kept by model.

--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -434,10 +434,8 @@
         started_attempt.endpoint_state.response_time_s += RESPONSE_TIME_WEIGHT * (
             (now - started_attempt.sent_at) - started_attempt.endpoint_state.response_time_s
         )
-        if reply.version is not None:
-            started_attempt.endpoint_state.version = max(
-                started_attempt.endpoint_state.version, reply.version
-            )
+        if reply.version is not None and job.call.prompt is not None:
+            started_attempt.endpoint_state.on_answered_version(job.call.prompt.model, reply.version)
         if is_event_stream(reply):
             progress.timing = attempt_timing(job, started_attempt, progress, now)
         record_answered(self.state, job, started_attempt, reply, progress, now)
--- a/stairquay/serving/endpoint.py
+++ b/stairquay/serving/endpoint.py
@@ -74,7 +74,8 @@
     report: EngineReport | None = None
     # When the report was requested.
     reported_at: float = NEVER
-    version: int = 0
+    # The newest version of each model's weights that an answer named.
+    answered_versions_by_model: dict[str, int] = field(default_factory=dict)
     refused_until: float = NEVER
     failure_rate: float = 0.0
     failure_rate_at: float = NEVER
@@ -109,7 +110,13 @@
         """Return the version of a model's weights that the endpoint runs."""
         report = self.report
         reported = 0 if report is None else report.versions_by_model.get(model, 0)
-        return max(endpoint.versions_by_model.get(model, 0), reported, self.version)
+        answered = self.answered_versions_by_model.get(model, 0)
+        return max(endpoint.versions_by_model.get(model, 0), reported, answered)
+
+    def on_answered_version(self, model: str, version: int) -> None:
+        """Record the version of a model's weights that an answer named."""
+        known = self.answered_versions_by_model.get(model, 0)
+        self.answered_versions_by_model[model] = max(known, version)
 
     def on_placed(self, prefill_s: float, now: float) -> None:
         """As the engine's router, add the prefill time of a placed prompt to its queue."""
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -10,6 +10,7 @@
 from stairquay.core.rollout import IssuedOrder
 from stairquay.core.routers import Member
 from stairquay.serving.cold import POST_EVACUATION_COLD_S, cold_for_s
+from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.following import apply_endpoints, apply_operators
 from stairquay.serving.local_router import LocalRouter
 from stairquay.serving.messages import (
@@ -64,7 +65,8 @@
 def test_all_that_was_believed_of_an_endpoint_goes_with_its_life():
     state = state_with(ENGINE)
     endpoint_state = state.endpoint_state(ENGINE)
-    endpoint_state.in_flight, endpoint_state.version, endpoint_state.failure_rate = 7, 4, 0.9
+    endpoint_state.in_flight, endpoint_state.failure_rate = 7, 0.9
+    endpoint_state.on_answered_version("m", 4)
     endpoint_state.on_report(
         EngineReport({"m": 4}, running=5, used_tokens=9_000, total_tokens=10_000), monotonic()
     )
@@ -74,7 +76,8 @@
     assert (
         new_state is not endpoint_state
         and new_state.report is None
-        and (new_state.in_flight, new_state.version, new_state.failure_rate) == (0, 0, 0.0)
+        and (new_state.in_flight, new_state.answered_versions_by_model, new_state.failure_rate)
+        == (0, {}, 0.0)
     )
     assert not state.holdings.holders("/m/4", "aa")
     assert state.version_of(state.fleet.by_id["e"], "m") == 1
@@ -236,3 +239,12 @@
     assert len(state.placing_routers()) == 1, (
         "one router must remain to be asked when all halls are evacuated"
     )
+
+
+def test_an_answer_for_one_model_says_nothing_of_the_weights_of_another():
+    """Guards against prompts refused, and weights never updated, for the version of another model."""
+    endpoint_state = EndpointState()
+    endpoint_state.on_answered_version("m", 2)
+    endpoint_state.on_answered_version("m", 1)
+    assert endpoint_state.version_of(ENGINE, "m") == 2
+    assert endpoint_state.version_of(ENGINE, "other") == ENGINE.versions_by_model.get("other", 0) < 2
