Take a head that is made of two answers for none

Seen by callers: a 500 of an endpoint arrived as 200. Cause: the beginning of a second answer that is broken off within a line, and the answer that follows, make one head with the status of the first and the id and signature of the second. The parser accepts that where the line is the status line or a header's. Change: a status line within the reason or a header of an answer ends the connection, for all clients of endpoints, boxes and the table service. Broken off elsewhere, the two are no head for the parser.

--- a/stairquay/platform/connections.py
+++ b/stairquay/platform/connections.py
@@ -38,6 +38,10 @@
 """Maximum size of a header field and of the status line of a response."""
 
 
+STATUS_LINE_MARK = b"HTTP/"
+STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}(?!\d)")
+"""Matches the first line of an answer. Within a head it shows that the one before was broken off there."""
+
 MAX_OVERHEAD_BYTES = 262_144
 """Maximum size of what an answer has besides its body: heads, the framing of chunks and trailers."""
 
@@ -119,6 +123,17 @@
         if transport is not None:
             transport.abort()
 
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Take the head of an answer and the reader of its body, unless the head is made of two."""
+        message = data[0]
+        if STATUS_LINE.search(message.reason) or any(
+            STATUS_LINE_MARK in value and STATUS_LINE.search(value.decode(errors="replace"))
+            for _, value in message.raw_headers
+        ):
+            self._give_up("two answers in one head")
+            return
+        super().feed_data(data, size)
+
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Resume reading if it was paused; a reader calls this after each piece that it takes."""
         if self._reading_paused or self._buffer_paused:
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -10,6 +10,16 @@
 from tests.site import Answer, Site, site
 
 REQUESTS = 6
+PARTS = (
+    "HTTP/1.1 200 OK",
+    "HTTP/1.1 200 OK\r\nDate: x",
+    "HTTP/1.1 200 OK\r\nServer: a b",
+    "HTTP/1.1 200 ",
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nDa",
+)
+"""Beginnings of a second answer that is broken off."""
+
 Respond = Callable[[str, str], str]
 """Returns what an endpoint writes on the connection: for this request, and the one before."""
 
@@ -96,3 +106,21 @@
             assert ran[name] <= 1
             assert answer.status != 503 or not ran[name], name
         assert answer.status in (200, 502, 503)
+
+
+@pytest.mark.parametrize("part", PARTS)
+def test_the_beginning_of_a_second_answer_does_not_change_the_next_one(part: str):
+    """Guards against a failure of an endpoint that reaches the caller as a success."""
+
+    def respond(call_id: str, before: str) -> str:
+        if not before:
+            return signed(call_id)
+        return part + signed(call_id, "500 Internal Server Error")
+
+    async def scenario():
+        async with box_before(respond) as (here, _):
+            return await send_all(here, "/once/x")
+
+    answers = asyncio.run(scenario())
+    assert answers["r-0"].status == 200
+    assert answers["r-1"].status in (500, 502)
