Refuse a prompt that crashes engines also where a part of it is blamed and cannot be

Cause: from the fourth crash on a part of the prompt may explain all crashes, which ends the quarantine of the prompt; but a part is refused only where a prompt that shares parts ended well in the last minute. Class: blame handed to a suspect that cannot be held. Change: the requests to blame without parts are kept as well, and count while parts may not be refused; routers tell others of their crashes too. Nothing is computed twice while no part is blamed.

--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -109,18 +109,18 @@
         self.urgent = False
         self.changed = ChangeNotifier()
         self.quarantined_by_digest: dict[str, QuarantinedRequest] = {}
+        # The same where no part is blamed, for the time in which no part may be refused.
+        self.requests_by_digest: dict[str, QuarantinedRequest] = {}
         self.trials_by_part: dict[str, Trial] = {}
         self.crashes_by_digest: Counter[str] = Counter()
 
     def remaining_s(self, digest: str) -> float:
         """Return the seconds left of the quarantine of a request or a part, 0 if it is not refused."""
-        entry, now = self.quarantined_by_digest.get(digest), monotonic()
-        if entry is None:
-            return 0.0
-        if is_part(digest) and now - max(self.part_served_at, self.part_cleared_at) > SERVED_TRUST_S:
-            # Where no prompt has ended well, crashes show nothing of any part.
-            return 0.0
-        return max(0.0, entry.until - now)
+        now = monotonic()
+        # Where no prompt has ended well, crashes show nothing of any part.
+        parts_refused = now - max(self.part_served_at, self.part_cleared_at) <= SERVED_TRUST_S
+        entry = (self.quarantined_by_digest if parts_refused else self.requests_by_digest).get(digest)
+        return 0.0 if entry is None else max(0.0, entry.until - now)
 
     def take_trial(self, digests: Collection[str]) -> bool:
         """Tell whether a request with these quarantined parts may be sent once, to learn whether they crash
@@ -224,7 +224,9 @@
             by_digest.setdefault(crash.digest, []).append(crash)
         suspected = [group for group in by_digest.values() if len({crash.incarnation for crash in group}) > 1]
         suspected.sort(key=lambda group: -len({crash.incarnation for crash in group}))
-        groups = [list(item.crashes) for item in self.quarantined_by_digest.values()] + suspected
+        requests = [item for item in self.requests_by_digest.values() if item.digest not in by_digest]
+        known = {item.digest: item for item in (*self.quarantined_by_digest.values(), *requests)}
+        groups = [list(item.crashes) for item in known.values()] + suspected
         newest = (sorted(group, key=_newest_first)[:MAX_FORWARDED_PER_REQUEST] for group in groups)
         crashes = tuple(crash for group in newest for crash in group)[:MAX_FORWARDED]
         cleared = sorted(latest.items(), key=lambda item: -item[1])
@@ -288,6 +290,7 @@
             self.quarantined_by_digest,
             find_quarantined(crashes, monotonic()),
         )
+        self.requests_by_digest = self._without_parts(crashes)
         for digest in self.quarantined_by_digest.keys() - before.keys():
             incarnations = [crash.incarnation for crash in self.quarantined_by_digest[digest].crashes]
             self.log.line(LogEvent.QUARANTINE, outcome="begun", digest=digest, crashed=incarnations)
@@ -299,6 +302,12 @@
         for digest in before.keys() - self.quarantined_by_digest.keys():
             self.log.line(LogEvent.QUARANTINE, outcome="ended", digest=digest)
 
+    def _without_parts(self, crashes: Iterable[Crash]) -> dict[str, QuarantinedRequest]:
+        """Return the requests to blame if none of their parts is."""
+        if not any(map(is_part, self.quarantined_by_digest)):
+            return self.quarantined_by_digest
+        return find_quarantined((crash for crash in crashes if not is_part(crash.digest)), monotonic())
+
     def _prune_own_crashes(self, now: float) -> None:
         """Drop own crashes and clearances that are expired, cleared, or beyond MAX_OWN_CRASHES."""
         cleared = sorted(self.cleared.items(), key=lambda item: -item[1])[:MAX_OWN_CRASHES]
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,10 +1,26 @@
 """Which requests are quarantined: those that crash endpoints, not those that ran at the same time."""
 
+from dataclasses import dataclass
+
 from hypothesis import given
 from hypothesis import strategies as st
 
-from stairquay.core.crashes import CRASH_TTL_S, MIN_CRASHES, Crash, find_quarantined
-from stairquay.serving.quarantine import MAX_FORWARDED, MAX_OWN_CRASHES, MAX_SERVED, CrashReport, Quarantine
+from stairquay.core.crashes import (
+    CRASH_TTL_S,
+    MIN_CRASHES,
+    MIN_PART_CRASHES,
+    Crash,
+    find_quarantined,
+    part_digest,
+)
+from stairquay.serving.quarantine import (
+    MAX_FORWARDED,
+    MAX_OWN_CRASHES,
+    MAX_SERVED,
+    SERVED_TRUST_S,
+    CrashReport,
+    Quarantine,
+)
 from tests.states import box_state
 
 CRASHING = "guilty"
@@ -169,3 +185,45 @@
     assert not find_quarantined(waiting[:5] + others, 1.0)
     assert set(find_quarantined(waiting + others, 1.0)) == {"waits"}
     assert set(find_quarantined(waiting[:3], 1.0)) == {"waits"}
+
+
+PART = part_digest("aa")
+
+
+@dataclass
+class Clock:
+    now: float = 10.0
+
+
+def fixed_clock(monkeypatch) -> Clock:
+    clock = Clock()
+    monkeypatch.setattr("stairquay.serving.quarantine.monotonic", lambda: clock.now)
+    return clock
+
+
+def crash_of_a_prompt_and_its_part(incarnation: int, at: float) -> list[Crash]:
+    return [crash("a", incarnation, at=at), crash(PART, incarnation, at=at)]
+
+
+def test_a_request_stays_refused_where_its_part_is_blamed_and_cannot_be(monkeypatch):
+    """Guards against a prompt that goes on crashing engines, as a part is blamed that is not refused."""
+    clock = fixed_clock(monkeypatch)
+    here, other = new_quarantine(), new_quarantine()
+    for number in range(MIN_PART_CRASHES + 1):
+        here.record_crashes(crash_of_a_prompt_and_its_part(number, clock.now))
+        if number + 1 >= MIN_CRASHES:
+            assert here.remaining_s("a") > 0
+            forward(here, other)
+            assert other.remaining_s("a") > 0
+    assert PART in here.quarantined_by_digest and here.remaining_s(PART) == 0
+
+
+def test_a_part_is_refused_in_place_of_its_request_once_prompts_are_served(monkeypatch):
+    clock = fixed_clock(monkeypatch)
+    here = new_quarantine()
+    for number in range(MIN_PART_CRASHES):
+        here.record_crashes(crash_of_a_prompt_and_its_part(number, clock.now))
+    here.record_served(("b", part_digest("other")))
+    assert here.remaining_s(PART) > 0 and here.remaining_s("a") == 0
+    clock.now += SERVED_TRUST_S + 1
+    assert here.remaining_s(PART) == 0 and here.remaining_s("a") > 0
