Tell which brittle engines a router takes over; new connections hold a slot in the bursts

Cause: engines that a router has taken over stay unused for some seconds, and no line said so; and the stand-in's new connections held no slot, as the users' pages say that they may. Change: brittle lines with the outcome taking_over name the engines that are waited for, none once all are used; the stand-in of an engine may let a new connection hold a slot, 0.03 s in tests/brittle_engines.py.

--- a/stairquay/serving/engine_accounts.py
+++ b/stairquay/serving/engine_accounts.py
@@ -9,9 +9,10 @@
 from stairquay.core.placement import RUN_DURATION_S, USABLE_MEMORY_SHARE
 from stairquay.core.places import places
 from stairquay.core.room import EngineAccount, MeanDuration, Room
-from stairquay.serving.brittleness import brittle_wait_s, is_brittle
+from stairquay.serving.brittleness import brittle_wait_s, has_brittle_service, is_brittle
 from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.evacuation import takes_work
+from stairquay.serving.event_log import LogEvent
 from stairquay.serving.messages import PlaceRequest
 from stairquay.serving.state import BoxState
 
@@ -25,6 +26,8 @@
     def __init__(self, state: BoxState) -> None:
         self.state = state
         self.accounts_by_engine: dict[str, tuple[EndpointState, EngineAccount]] = {}
+        # Engines that this box takes over and does not use yet, as last logged.
+        self.known_pending: frozenset[str] = frozenset()
         self.durations_by_kind: dict[RunKind, MeanDuration] = {}
 
     def has_room(self, engine: str, needed_tokens: int, spec: EngineSpec, now: float) -> bool:
@@ -87,6 +90,9 @@
         """Record the engines that this box routes for, and which of those taken over others still use."""
         handovers, catalog = self.state.handovers, self.state.catalog
         handovers.update(self.state.routed_engines, now)
+        if not has_brittle_service(self.state, now):
+            return
+        self._log_taken_over()
         for engine in handovers.pending():
             endpoint = self.state.fleet.by_id.get(engine)
             spec = None if endpoint is None or catalog is None else catalog.engine_of(endpoint.service)
@@ -95,6 +101,12 @@
             if self._account(endpoint, spec, now).unknown_runs:
                 handovers.record_foreign_runs(engine, now)
 
+    def _log_taken_over(self) -> None:
+        pending = frozenset(self.state.handovers.pending())
+        if pending != self.known_pending:
+            self.known_pending = pending
+            self.state.log.line(LogEvent.BRITTLE, outcome="taking_over", engines=sorted(pending))
+
     def observe_metrics(self) -> None:
         """Write the free slots of each service to the metrics, and drop accounts of engines that left."""
         free_slots: Counter[str] = Counter()
--- a/tests/brittle_engines.py
+++ b/tests/brittle_engines.py
@@ -23,6 +23,7 @@
 SLOTS, QUEUE = 8, 2
 TOLERANCE = 2
 RUN_S, DEADLINE_MS = 0.5, "3000"
+CONNECTION_SLOT_S = 0.03
 CONTACT_S = 3.0
 """Seconds from the first statement on after which the queue is short."""
 
@@ -67,7 +68,7 @@
         table = self.boxes[0].table
         for engine in self.engines:
             engine.delay_s, engine.event_count, engine.event_s = RUN_S / 2, 5, RUN_S / 10
-            engine.room, engine.slots = SLOTS + 24, SLOTS
+            engine.room, engine.slots, engine.connection_slot_s = SLOTS + 24, SLOTS, CONNECTION_SLOT_S
             engine.brittle = None if self.full_before else str(TOLERANCE)
             engine.on_reject = lambda _, rejecting=engine: self._on_reject(rejecting)
             table.put("servers", engine.id, engine.entry())
--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -212,6 +212,9 @@
     client_ports: list[int] = field(default_factory=list)
     # Requests in progress above which it rejects; None for any number.
     room: int | None = None
+    # Seconds for which a new connection holds a slot.
+    connection_slot_s: float = 0.0
+    known_ports: set[int] = field(default_factory=set)
     on_reject: Callable[[str], None] = lambda call_id: None
     in_progress: int = 0
     most_in_progress: int = 0
@@ -317,6 +320,7 @@
                 self.retry_after_sent.append((asyncio.get_running_loop().time(), call_id, self.retry_after))
                 headers["Retry-After"] = self.retry_after
             return web.Response(status=503, headers=headers)
+        self._hold_slot_for_connection(request)
         if self.room is not None and self.in_progress >= self.room:
             self.on_reject(call_id)
             return web.Response(status=503, headers=self._rejection_headers(call_id))
@@ -345,6 +349,20 @@
         finally:
             self.in_progress -= 1
 
+    def _hold_slot_for_connection(self, request: web.Request) -> None:
+        """Let a new connection take a slot for a moment, besides its request."""
+        assert request.transport is not None
+        port = request.transport.get_extra_info("peername")[1]
+        if not self.connection_slot_s or port in self.known_ports:
+            return
+        self.known_ports.add(port)
+        self.in_progress += 1
+
+        def free() -> None:
+            self.in_progress -= 1
+
+        asyncio.get_running_loop().call_later(self.connection_slot_s, free)
+
     async def _begin_answer(self, request: web.Request, call_id: str) -> None:
         headers = {"Request-Id": call_id, "Response-Signature": f"sig-{self.id}", "Versions": "1"}
         response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
--- a/tests/test_brittle_placement.py
+++ b/tests/test_brittle_placement.py
@@ -89,3 +89,14 @@
     for engine in ENGINES:
         assert sent.count(engine.id) <= places(engine.slots), sent
     assert sent.count("e-1") == sent.count("e-2") == places(ENGINE.slots)
+
+
+def test_a_line_tells_which_engines_a_router_takes_over(monkeypatch):
+    """Guards against engines that stay unused for seconds, and no line that says why."""
+    state, told = routing_box(), []
+    router = LocalRouter(state, Random(1))
+    monkeypatch.setattr(state.log, "line", lambda kind, **fields: told.append(fields))
+    for engines in (("e-0",), ("e-0", "e-1"), ("e-0", "e-1")):
+        state.routed_engines = frozenset(engines)
+        router.accounts.update_handovers(monotonic())
+    assert [fields["engines"] for fields in told if fields["outcome"] == "taking_over"] == [["e-1"]]
