Ask a brittle engine's account once for a prompt, and keep no unused budget

Cause: a prompt that its sender decides on was checked in decide, and again before it is placed, since the check there covers all; a connection for polls kept the budget besides its buffer. Found on reading the change once more. Change: the check before a prompt is placed stays, the one in decide goes; its reply is the same. No behaviour changes.

--- a/stairquay/platform/polling.py
+++ b/stairquay/platform/polling.py
@@ -48,7 +48,6 @@
         # Whether any byte of the pending response has arrived.
         self.answered = False
         self._parser = HttpResponseParser(self)
-        self._budget = budget
         self._body = budget.buffer()
         self._size = 0
         # Whether the head of the pending response is complete, and whether it tells where the body ends.
--- a/stairquay/serving/router_admission.py
+++ b/stairquay/serving/router_admission.py
@@ -47,7 +47,7 @@
             return None
         wanted = room_request(request, prefill_s(placement.read, request.tokens))
         if wanted is None:
-            return self.reject_without_room(request, choice, now)
+            return None
         queue = self.queues_by_service.setdefault(request.service, PromptQueue())
         needed_tokens = wanted.tokens - placement.engine.tokens_in_use
         if queue.is_idle(now) and self.accounts.has_room(engine, needed_tokens, spec, now):
