Failing tests: surplus answers without id, answers that are due after them, promises of endpoints that worked

Callers saw requests that ran twice, or that were answered 503 though they ran. The tests put one endpoint that writes its answers byte for byte behind a real box.

--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -31,6 +31,19 @@
     )
 
 
+def without_id(answer: str) -> str:
+    """Return an answer that names no request."""
+    return "\r\n".join(line for line in answer.split("\r\n") if not line.startswith("Request-Id"))
+
+
+def in_chunks(call_id: str) -> str:
+    """Return a rejection with a body in chunks."""
+    chunks = "5\r\nagain\r\n" * 3
+    return rejection(call_id).replace("Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n") + (
+        f"{chunks}0\r\n\r\n"
+    )
+
+
 def signed(call_id: str, status: str = "200 OK") -> str:
     return (
         f"HTTP/1.1 {status}\r\nRequest-Id: {call_id}\r\nResponse-Signature: sig\r\n"
@@ -124,3 +137,100 @@
     answers = asyncio.run(scenario())
     assert answers["r-0"].status == 200
     assert answers["r-1"].status in (500, 502)
+
+
+SURPLUS = {
+    "rejection with its id": rejection,
+    "rejection without id": lambda call_id: without_id(rejection(call_id)),
+    "rejection in chunks": in_chunks,
+    "two rejections": lambda call_id: rejection(call_id) + without_id(rejection(call_id)),
+    "421 without id": lambda _: "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+    "success with its id": signed,
+    "success without id": lambda call_id: without_id(signed(call_id)),
+}
+"""Answers that come once more, before the one that is due: by what they are."""
+
+
+@pytest.mark.parametrize("path", ("/once/x", "/plain/x"))
+@pytest.mark.parametrize("surplus", SURPLUS)
+def test_the_answer_that_is_due_after_a_surplus_one_reaches_its_caller(surplus: str, path: str):
+    """Guards against requests that run twice, are refused though they run, or run for nobody."""
+
+    def respond(call_id: str, before: str) -> str:
+        if not before:
+            return rejection(call_id)
+        return SURPLUS[surplus](before) + signed(call_id)
+
+    async def scenario():
+        async with box_before(respond) as (here, endpoint):
+            return await send_all(here, path), endpoint.ran
+
+    answers, ran = asyncio.run(scenario())
+    for name, answer in answers.items():
+        assert ran[name] == (answer.status == 200) or path == "/plain/x", (name, answer.status, ran[name])
+        assert answer.status != 503 or not ran[name], name
+    assert [answers[f"r-{number}"].status for number in range(1, REQUESTS)] == [200] * (REQUESTS - 1)
+
+
+def test_a_surplus_answer_without_end_ends_the_connection_at_once():
+    """Guards against a box that reads a body for nobody, or holds a request until its time is over."""
+
+    def respond(call_id: str, before: str) -> str:
+        if not before:
+            return rejection(call_id)
+        endless = rejection(before).replace("Content-Length: 0", "Content-Length: 900000000")
+        return endless + "x" * 8_000_000
+
+    async def scenario():
+        async with box_before(respond) as (here, _):
+            return await send_all(here, "/once/x")
+
+    answers = asyncio.run(scenario())
+    assert {answer.status for answer in answers.values()} == {503, 502}
+    assert max(answer.took_s for answer in answers.values()) < 0.7
+
+
+def test_a_repeated_rejection_is_not_taken_for_that_of_a_request_with_the_same_id():
+    """Guards against a request that runs twice where its caller uses one id for all its requests."""
+
+    def respond(call_id: str, before: str) -> str:
+        if not before:
+            return rejection(call_id)
+        return rejection(before) + signed(call_id)
+
+    async def scenario():
+        async with box_before(respond) as (here, endpoint):
+            statuses = []
+            for _ in range(REQUESTS):
+                answer = await here.call("/once/x", call_id="r-0", headers={"Deadline-Ms": "900"})
+                statuses.append(answer.status)
+            return statuses, endpoint.ran["r-0"]
+
+    statuses, runs = asyncio.run(scenario())
+    assert runs <= len(statuses) - statuses.count(503), (statuses, runs)
+
+
+PROMISES = ("503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout")
+"""Statuses that tell a caller that its request has not run."""
+
+
+@pytest.mark.parametrize("status", PROMISES)
+def test_an_endpoint_that_may_have_run_a_request_gives_its_caller_no_promise(status: str):
+    """Guards against a caller who sends again what must run once, as it is told that it did not run."""
+
+    def respond(call_id: str, _: str) -> str:
+        return signed(call_id, status)
+
+    async def scenario():
+        async with box_before(respond) as (here, endpoint):
+            return await send_all(here, "/once/x"), await send_all(here, "/plain/x"), endpoint.ran
+
+    once, repeated, ran = asyncio.run(scenario())
+    assert ran["r-0"]
+    for answer in once.values():
+        assert answer.status == 502
+        assert "Response-Signature" not in answer.headers
+    # What may run again needs no promise, and gets the endpoint's own answer.
+    for answer in repeated.values():
+        assert answer.status == int(status.split()[0])
+        assert "Response-Signature" in answer.headers
