Log whether a rejection names its request, and how the origin of a stream that is taken up is known

`attempt_failed` says "without an id", `sent` has `origin` (here, router, one version). No decision changes.

--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -297,7 +297,7 @@
         response.close()
         attempt.refuse()
         misdirected = status == HTTP_MISDIRECTED
-        detail = f"refused with {status}"
+        detail = f"refused with {status}" + ("" if REQUEST_ID in response.headers else ", without an id")
         # A misdirected request was answered by another endpoint, whose feedback does not apply here.
         feedback = None if misdirected else parse_feedback(response.headers, status)
         return Err(
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -83,7 +83,8 @@
     attempt that succeeded, where it is comparable to others. rejected: why the routers refuse the job, empty
     if they don't. unreached: attempts that found no connection to their endpoint. asked_other_boxes: it was
     passed on to other boxes, none of which served it. origin: where its stream began, None before the first
-    event, or if it may go on at any endpoint. is_trial: it is sent once although its parts are quarantined.
+    event, or if it may go on at any endpoint. origin_source: how that was found out, empty where it was not
+    asked. is_trial: it is sent once although its parts are quarantined.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -99,6 +100,7 @@
     unreached: int = 0
     asked_other_boxes: bool = False
     origin: StreamOrigin | None = None
+    origin_source: str = ""
     is_trial: bool = False
 
 
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -102,9 +102,9 @@
         """
         if progress.origin is not None or not _goes_on(job, progress):
             return None
-        found = await self._find(job)
+        found = await self._find(job, progress)
         if isinstance(found, Err):
-            self._count("unknown")
+            self._count(progress, "unknown")
             return unresumable(progress.ran, found.err_value)
         progress.origin = found.ok_value
         return None
@@ -120,7 +120,7 @@
         detail = f"no endpoint has the version {progress.origin.software!r} that began it"
         return unresumable(progress.ran, detail)
 
-    async def _find(self, job: Job) -> Result[StreamOrigin | None, str]:
+    async def _find(self, job: Job, progress: JobProgress) -> Result[StreamOrigin | None, str]:
         """Return where a job's stream began, None if no version is named, or why that is not known."""
         state, asked_at, stream = self.state, monotonic(), job.stream_id
         # Other boxes' rows tell which versions left before this box started.
@@ -128,14 +128,14 @@
             return Err("versions that were there before this box started are not known yet")
         origin = state.origins.find(stream, asked_at)
         if origin is not None:
-            self._count("here")
+            self._count(progress, "here")
             return Ok(origin)
         services = _services_of(job)
         others = [router for router in state.routers if router.id != state.settings.id]
         answers = await self._ask(others, OriginRequest(stream, services))
         origin = merge_origins(item.origin for item in answers if item.origin is not None)
         if origin is not None:
-            self._count("router")
+            self._count(progress, "router")
             return Ok(origin)
         versions = recent_versions(state, services, monotonic()).union(*(item.versions for item in answers))
         if not _differ(versions) and len(answers) < len(others):
@@ -147,7 +147,7 @@
                 return Err("versions that left before this box started are not known")
         if _differ(versions) or job.service.id not in dict(versions):
             return Err(f"none of {len(answers)} routers knows the version that began {stream!r}")
-        self._count("one version")
+        self._count(progress, "one version")
         software = dict(versions)[job.service.id]
         return Ok(StreamOrigin(job.service.id, "", software) if software else None)
 
@@ -159,8 +159,9 @@
             await asyncio.sleep(LIST_POLL_S)
         return True
 
-    def _count(self, how: str) -> None:
-        self.state.metrics.taken_up.labels(how).inc()
+    def _count(self, progress: JobProgress, source: str) -> None:
+        progress.origin_source = source
+        self.state.metrics.taken_up.labels(source).inc()
 
     async def _ask(self, routers: Iterable[Member], request: OriginRequest) -> list[OriginReply]:
         """Return the routers' answers, up to the first one that knows the stream."""
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -51,7 +51,7 @@
         fields["software"] = choice.endpoint.software
     after = progress.stream.last_event_id or job.call.resume_after
     if after is not None:
-        fields.update(resume_after=after, resumes=job.call.resumes)
+        fields.update(resume_after=after, resumes=job.call.resumes, origin=progress.origin_source)
     if choice.placement is not None:
         fields.update(_placement_fields(state, choice, choice.placement))
     if choice.version is not None and job.call.prompt is not None:
