Read past surplus answers to the one that is due, and take no answer without id for a rejection

Cause: an answer was believed before it was known whose it is. One without Request-Id counted as one to the request under way, though each answer of an endpoint names its request; and a surplus answer that was recognized took the place of the due one. Where a caller uses one id twice, the id did not tell the two apart either. Change: a connection remembers the ids of its last 64 requests. Any other id, or none on a new connection, ends the connection, and whether the request ran is unknown. A connection does not carry the same id twice. The stand-in's own 421 had no id, which no endpoint's answer lacks; it has one now.

--- a/stairquay/platform/connection_pool.py
+++ b/stairquay/platform/connection_pool.py
@@ -8,6 +8,7 @@
 import socket
 from collections import deque
 from dataclasses import dataclass, field
+from logging import getLogger
 
 from aiohttp import ClientPayloadError, StreamReader
 from aiohttp.http import RawResponseMessage
@@ -17,9 +18,13 @@
     CONNECT_TIMEOUT_S,
     IDLE_TIMEOUT_S,
     MAX_FIELD_BYTES,
+    MAX_OVERHEAD_BYTES,
     CheckedProtocol,
     set_socket_options,
 )
+from stairquay.platform.names import REQUEST_ID
+
+LOGGER = getLogger(__name__)
 
 READ_BUFFER_BYTES = 65_536
 """Bytes of an answer that wait to be read before reading from the connection pauses."""
@@ -30,6 +35,15 @@
 MAX_INTERIM_ANSWERS = 32
 """Interim answers, such as 100 Continue, that may come before an answer."""
 
+MAX_SURPLUS_ANSWERS = 32
+"""Answers to earlier requests that may come before the one that is due."""
+
+MAX_SURPLUS_BYTES = MAX_OVERHEAD_BYTES
+"""Maximum size of the body of each."""
+
+MAX_IDS_KEPT = 64
+"""Ids of the last requests on a connection that are remembered, to know a surplus answer to one of them."""
+
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 
@@ -42,13 +56,15 @@
 class PooledConnection:
     """One connection to an endpoint.
 
-    reused: it has carried a request before. idle_since: monotonic seconds.
+    reused: it has carried a request before. idle_since: monotonic seconds. earlier_ids: of the requests
+    before the one under way.
     """
 
     address: str
     protocol: CheckedProtocol
     reused: bool = False
     idle_since: float = 0.0
+    earlier_ids: deque[str] = field(default_factory=lambda: deque(maxlen=MAX_IDS_KEPT))
 
     def send(self, method: str, target: str, headers: list[tuple[str, str]], body: bytes) -> None:
         """Write a request. Raises ValueError if a header has a line break."""
@@ -77,6 +93,44 @@
                 return message, payload
         raise ClientPayloadError("too many interim answers")
 
+    async def read_answer(self, request_id: str) -> tuple[RawResponseMessage, StreamReader]:
+        """Return the head of the answer to a request and the reader of its body, without surplus answers.
+
+        An endpoint may repeat its answer to an earlier request once the next one is under way. What it says
+        is not believed: the answer that is due still comes. Raises ClientError as `read_head` does, and if
+        no other answer can follow the surplus one.
+        """
+        for _ in range(MAX_SURPLUS_ANSWERS + 1):
+            message, payload = await self.read_head()
+            answered_id = message.headers.get(REQUEST_ID)
+            if not self._is_surplus(answered_id):
+                self.earlier_ids.append(request_id)
+                return message, payload
+            LOGGER.warning(
+                "%s: surplus answer to %s, status %d, before that to %s",
+                self.address,
+                answered_id or "an unnamed request",
+                message.code,
+                request_id,
+            )
+            await _skip_body(message, payload)
+        raise ClientPayloadError("too many surplus answers")
+
+    def _is_surplus(self, answered_id: str | None) -> bool:
+        """Tell whether an answer belongs to an earlier request; all answers of endpoints name theirs."""
+        return bool(self.earlier_ids) if answered_id is None else answered_id in self.earlier_ids
+
+
+async def _skip_body(message: RawResponseMessage, payload: StreamReader) -> None:
+    """Read a body to its end. Raises ClientPayloadError if no answer can follow it."""
+    if message.should_close:
+        raise ClientPayloadError("a surplus answer ends the connection")
+    skipped = 0
+    while data := await payload.readany():
+        skipped += len(data)
+        if skipped > MAX_SURPLUS_BYTES:
+            raise ClientPayloadError("a surplus answer is too large")
+
 
 def encode_head(method: str, target: str, headers: list[tuple[str, str]], body_bytes: int) -> bytes:
     """Return the head of a request. Raises ValueError if a part of it has a line break."""
@@ -100,15 +154,19 @@
     closed: bool = False
     expiry: asyncio.TimerHandle | None = None
 
-    async def acquire(self, address: str) -> PooledConnection:
+    async def acquire(self, address: str, request_id: str = "") -> PooledConnection:
         """Return an idle connection, or a new one.
 
-        Raises OSError if none can be opened, and ConnectTimeoutError if that takes too long.
+        request_id: a connection that has carried this id before is not used, as a surplus answer to that
+        request would look like the answer to the next. Raises OSError if none can be opened, and
+        ConnectTimeoutError if that takes too long.
         """
-        idle = self.idle_by_address.get(address)
+        idle = self.idle_by_address.get(address, ())
         oldest = monotonic() - self.idle_s
-        while idle:
-            connection = idle.popleft()
+        for connection in list(idle):
+            if request_id in connection.earlier_ids:
+                continue
+            self.idle_by_address[address].remove(connection)
             if connection.idle_since > oldest and connection.protocol.is_connected():
                 return connection
             connection.protocol.close()
--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -70,12 +70,12 @@
         connection: PooledConnection | None = None
         try:
             async with asyncio.timeout(wait_s):
-                connection = await self.pool.acquire(dispatch.address)
+                connection = await self.pool.acquire(dispatch.address, call.id)
                 if not (guard() and attempt.send()):
                     self.pool.release(connection)
                     return _not_sent(attempt)
                 connection.send(call.method, request_target(call), _request_headers(call, dispatch), body)
-                message, payload = await connection.read_head()
+                message, payload = await connection.read_answer(call.id)
         except ConnectTimeoutError as error:
             attempt.lose()
             return Err(_broken_send(call, connection, attempt, error))
@@ -286,18 +286,18 @@
 def _validate_response(call: Call, response: Response, attempt: Attempt) -> Result[Reply, SendFailure]:
     """Return the response if it belongs to this request and was signed by an endpoint."""
     status = response.status
-    if response.headers.get(REQUEST_ID, call.id) != call.id:
+    answered_id = response.headers.get(REQUEST_ID)
+    if answered_id != call.id:
         # It says nothing of this request, also where it is a rejection: one may come a second time, late.
         response.close()
         attempt.lose()
-        return Err(
-            SendFailure(ErrorKind.ENDPOINT_GARBAGE, attempt.ran, "an answer to another request", status)
-        )
+        detail = "an answer without id" if answered_id is None else "an answer to another request"
+        return Err(SendFailure(ErrorKind.ENDPOINT_GARBAGE, attempt.ran, detail, status))
     if NOT_RUN in response.headers or status == HTTP_MISDIRECTED:
         response.close()
         attempt.refuse()
         misdirected = status == HTTP_MISDIRECTED
-        detail = f"refused with {status}" + ("" if REQUEST_ID in response.headers else ", without an id")
+        detail = f"refused with {status}"
         # A misdirected request was answered by another endpoint, whose feedback does not apply here.
         feedback = None if misdirected else parse_feedback(response.headers, status)
         return Err(
@@ -305,10 +305,6 @@
                 ErrorKind.ENDPOINT_REFUSED, attempt.ran, detail, status, misdirected, feedback=feedback
             )
         )
-    if REQUEST_ID not in response.headers:
-        response.close()
-        attempt.lose()
-        return Err(SendFailure(ErrorKind.ENDPOINT_GARBAGE, attempt.ran, "an answer without id", status))
     if SIGNATURE not in response.headers:
         response.close()
         attempt.lose()
--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -310,7 +310,7 @@
         target_id = request.headers.get("Target-Instance", self.id)
         version = request.headers.get("Expect-Version", str(self.version))
         if target_id != self.id or version != str(self.version):
-            return web.Response(status=421, headers={"Instance-Id": self.id})
+            return web.Response(status=421, headers={"Instance-Id": self.id, "Request-Id": call_id})
         self.arrivals.append((asyncio.get_running_loop().time(), call_id))
         if self.refuse:
             self.refuse -= 1
