Pass no promise on for a request that may have run at the endpoint that gives it

Cause: a signed answer was passed on whatever its status promises. The promise holds where the request must run once: the box answers 502 of its own, without the endpoint's signature. What may run again gets the answer as it is. The same for a box that another one passes such an answer on to.

--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -33,7 +33,14 @@
     record_retry_denied,
     record_sent,
 )
-from stairquay.serving.refusals import RETRY_AFTER_S, all_throttled, no_room, overloaded, reconcile_status
+from stairquay.serving.refusals import (
+    RETRY_AFTER_S,
+    all_throttled,
+    is_false_promise,
+    no_room,
+    overloaded,
+    reconcile_status,
+)
 from stairquay.serving.relay import (
     abort_connection,
     buffered_response,
@@ -342,6 +349,9 @@
             )
             response = progress.stream.response
             if body is not None:
+                if is_false_promise(reply.status, job.route):
+                    self._fail_reply(job, started_attempt, progress, reply)
+                    return None
                 if reply.status >= SERVER_ERROR and self._handle_error_reply(
                     job, started_attempt, progress, reply, body
                 ):
@@ -373,16 +383,19 @@
         should_retry = job.route.retryable and progress.runs + 1 < job.max_attempts
         if not should_retry:
             return False
+        self._fail_reply(job, started_attempt, progress, reply)
+        return True
+
+    def _fail_reply(
+        self, job: Job, started_attempt: StartedAttempt, progress: JobProgress, reply: Reply
+    ) -> None:
+        """Record a complete reply that the caller does not get as a failed attempt, which may have run."""
         started_attempt.attempt.lose()
+        detail = f"status {reply.status}"
         failure = SendFailure(
-            ErrorKind.ENDPOINT_FAILED,
-            started_attempt.attempt.ran,
-            f"status {reply.status}",
-            reply.status,
-            fault=False,
+            ErrorKind.ENDPOINT_FAILED, started_attempt.attempt.ran, detail, reply.status, fault=False
         )
         self._on_failed(job, started_attempt, progress, failure)
-        return True
 
     def _on_first_event(self, job: Job, started_attempt: StartedAttempt, progress: JobProgress) -> None:
         self.origins.begun(job, progress, started_attempt.choice.endpoint)
--- a/stairquay/serving/forwarding.py
+++ b/stairquay/serving/forwarding.py
@@ -27,7 +27,7 @@
     SendFailure,
 )
 from stairquay.serving.records import record_answered_elsewhere, record_first_byte
-from stairquay.serving.refusals import RETRY_AFTER_S
+from stairquay.serving.refusals import RETRY_AFTER_S, is_false_promise
 from stairquay.serving.relay import buffered_response, relay_or_read
 from stairquay.serving.state import BoxState
 
@@ -150,6 +150,15 @@
             return None
         finally:
             sent.ok_value.close()
+        if is_false_promise(sent.ok_value.status, job.route):
+            # A box of an earlier release passes these on.
+            attempt.lose()
+            detail = f"status {sent.ok_value.status}"
+            self._log(job, box, ErrorKind.ENDPOINT_FAILED.value, attempt, detail, sent_at)
+            _record_failure(
+                progress, SendFailure(ErrorKind.ENDPOINT_FAILED, attempt.ran, detail, fault=False)
+            )
+            return None
         attempt.finish()
         self._log(job, box, "answered", attempt, "", sent_at)
         record_answered_elsewhere(self.state, job, box, sent.ok_value, progress)
--- a/stairquay/serving/refusals.py
+++ b/stairquay/serving/refusals.py
@@ -1,5 +1,6 @@
 """Builds refusals whose HTTP status agrees with whether the request ran on an endpoint."""
 
+from stairquay.core.catalog import Route
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
 from stairquay.serving.endpoint_choice import Choice
 
@@ -16,6 +17,14 @@
 """Lowest status that leaves open whether the request ran; those in NOT_RUN_STATUSES don't."""
 
 
+def is_false_promise(status: int, route: Route) -> bool:
+    """Tell whether an endpoint's own answer would let its caller send again what must run once.
+
+    Such an answer has no sign that the endpoint rejected the request, so that it may have run there.
+    """
+    return status in NOT_RUN_STATUSES and not route.retryable
+
+
 def overloaded(choice: Choice) -> Refusal:
     """Return the refusal of a request that is shed because even the least loaded engine is behind."""
     detail = f"engines are {choice.backlog_s:.2f} s behind"
