Failing test: streams of a version that came right before all boxes were killed are joined from two

Callers got streams of which the first part came from one software version and the rest from another, with nothing in the answer to show it.

--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -5,11 +5,16 @@
 import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from itertools import permutations
 
+import pytest
+
+from stairquay.core.routers import FOLLOWER_COUNT
 from stairquay.serving.boxes import HEARTBEAT_INTERVAL_S
 from tests.cut_box import CutKind
 from tests.many_boxes import several_boxes
 from tests.site import Site, box_rows, eventually, site
+from tests.standins.endpoints import Endpoint
 from tests.streams import Stream, mixed, ran_at_several, slow_streams
 from tests.test_cut_from_endpoints import cut
 
@@ -206,3 +211,98 @@
             assert_whole_and_not_mixed(streams, boxes, STREAMS)
 
     asyncio.run(scenario())
+
+
+def drop_version(box: Site, software: str) -> None:
+    """Let the entries of all engines of a version leave the list."""
+    for engine in box.engines():
+        if engine.software == software:
+            box.table.remove("servers", engine.id)
+
+
+async def start_in_turn(boxes: list[Site], order: tuple[int, ...], pause_s: float) -> None:
+    """Start boxes that were killed, each this long after the one before."""
+    for number in order:
+        await boxes[number].start_box(same_addresses=True)
+        await asyncio.sleep(pause_s)
+    for box in boxes:
+        await box.until_ready()
+
+
+@pytest.mark.parametrize("pause_s", (0.0, 1.5))
+@pytest.mark.parametrize("order", list(permutations(range(BOXES))))
+def test_streams_are_not_joined_from_two_versions_after_all_boxes_were_killed(
+    order: tuple[int, ...], pause_s: float
+):
+    """The old version left while all boxes were away, and boxes that had just started knew of one only."""
+
+    async def scenario():
+        async with boxes_with(TWO_VERSIONS) as boxes:
+            streams = await begin_streams(boxes, 2)
+            for box in boxes:
+                await box.kill_box()
+            drop_version(boxes[0], "v1")
+            await start_in_turn(boxes, order, pause_s)
+            for at in range(BOXES):
+                for number, stream in enumerate(streams):
+                    if not stream.complete:
+                        await stream.take(boxes[(number + at) % BOXES], f"t-{at}-{number}")
+            assert_whole_and_not_mixed(streams, boxes, 0)
+
+    asyncio.run(scenario())
+
+
+async def start_engines(boxes: list[Site], software: str, count: int) -> None:
+    """Start engines of a version, so that new streams begin there and no longer at the others."""
+    for engine in boxes[0].engines():
+        boxes[0].table.put("servers", engine.id, engine.entry("draining"))
+    for number in range(count):
+        engine = Endpoint(id=f"{software}-{number}", service="llm", model="m", software=software)
+        slow_streams([engine])
+        await engine.start()
+        boxes[0].endpoints.append(engine)
+        boxes[0].table.put("servers", engine.id, engine.entry())
+
+
+async def until_no_heartbeat_is_due(box: Site, for_s: float) -> None:
+    """Wait until the boxes that follow the table service write no row for some time."""
+    loop = asyncio.get_running_loop()
+    written_at: dict[str, float] = {}
+    rows: dict[str, dict] = {}
+    while True:
+        now = loop.time()
+        for row in box_rows(box):
+            key = row["address"]
+            if "software" in row and rows.get(key, row) != row:
+                written_at[key] = now
+            rows[key] = row
+        due_at = [at + HEARTBEAT_INTERVAL_S * 0.9 for at in written_at.values()]
+        if len(due_at) == FOLLOWER_COUNT and min(due_at) > now + for_s and max(written_at.values()) < now:
+            return
+        await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize("served_s", (0.8, 1.2))
+def test_streams_of_a_version_that_came_right_before_all_boxes_were_killed_are_not_joined(served_s: float):
+    """A version that was there only between two heartbeats was known to nobody after a start of all boxes."""
+
+    async def scenario():
+        async with boxes_with(("v1",)) as boxes:
+            older = boxes[0].engines()
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            await until_no_heartbeat_is_due(boxes[0], served_s + 0.5)
+            await start_engines(boxes, "v2", 4)
+            await asyncio.sleep(served_s)
+            streams = await begin_streams(boxes, 2)
+            for box in boxes:
+                await box.kill_box()
+            drop_version(boxes[0], "v2")
+            for engine in older:
+                boxes[0].table.put("servers", engine.id, engine.entry())
+            await start_in_turn(boxes, (0, 1, 2), 0.0)
+            assert any(b"v2" in stream.versions for stream in streams)
+            for number, stream in enumerate(streams):
+                await stream.take(boxes[number % BOXES], f"t-{number}")
+            assert_whole_and_not_mixed(streams, boxes, 0)
+
+    asyncio.run(scenario())
