Failing test: no stream goes on after all boxes were killed while two software versions serve

Callers that took their streams up after a kill of all boxes got 503 each time, as no box knew any longer at which version they had begun.

--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -306,3 +306,22 @@
             assert_whole_and_not_mixed(streams, boxes, 0)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("pause_s", (0.0, 1.5))
+def test_streams_go_on_at_their_version_after_all_boxes_were_killed(pause_s: float):
+    """All were refused where two versions serve, as nobody knew any longer at which one they began."""
+
+    async def scenario():
+        async with boxes_with(TWO_VERSIONS) as boxes:
+            streams = await begin_streams(boxes, 2)
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S * 1.2)
+            for box in boxes:
+                await box.kill_box()
+            await start_in_turn(boxes, (2, 0, 1), pause_s)
+            await asyncio.gather(
+                *(stream.take(boxes[number % BOXES], f"t-{number}") for number, stream in enumerate(streams))
+            )
+            assert_whole_and_not_mixed(streams, boxes, STREAMS // 2)
+
+    asyncio.run(scenario())
