Tell boxes that start after all others ended at which version streams began

Cause: where a stream began was known to boxes and routers only, in memory. Class: state that has to outlive all processes and is written nowhere. Change: while versions of a service differ, the rows of the two followers name the streams whose callers may still come back (digests, the newest 2,000, 16 kB), and a box that starts learns them from the rows that it reads anyway, for 20 s. Streams are told to the followers first. The first follower writes its row each second while new streams begin, without reading the others' rows.

--- a/stairquay/core/stream_origins.py
+++ b/stairquay/core/stream_origins.py
@@ -1,9 +1,13 @@
 """Where streams began: what a box has to know to go on with one at the version that began it."""
 
+from base64 import urlsafe_b64encode
+from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import islice
 
 import msgspec
+from xxhash import xxh3_64_digest
 
 from stairquay.core.fleet import Endpoint
 from stairquay.core.software import SoftwareHistory
@@ -12,6 +16,16 @@
 """Streams that are remembered; the oldest are forgotten first. At 570 streams a second over all boxes, each
 remembered for 15 s by each of three routers, a router has 8,550."""
 
+MAX_PUBLISHED = 2_000
+"""Streams of which a box that others learn from tells at a time, the newest ones."""
+
+DIGEST_BYTES = 6
+DIGEST_CHARS = 8
+"""Length of the base64 digest of a stream's id; one in 10^8 of 2,000 streams has the digest of another."""
+
+LEARNED_S = 20.0
+"""Seconds for which a box that starts keeps what it learns of streams, longer than callers wait."""
+
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
     """The endpoint that sent the first event of a stream, its service, and the version of its software.
@@ -35,6 +49,20 @@
     services: tuple[str, ...] = ()
 
 
+class BegunStreams(msgspec.Struct, frozen=True, array_like=True):
+    """Streams that began at a version of a service's software, as their digests in a row."""
+
+    service: str
+    software: str
+    digests: str
+
+
+def stream_digest(stream: str) -> str:
+    """Return the digest of a stream's id, which is short enough to tell many streams in one row."""
+    digest = xxh3_64_digest(stream.encode(errors="surrogateescape"))[:DIGEST_BYTES]
+    return urlsafe_b64encode(digest).decode()
+
+
 def merge_origins(origins: Iterable[StreamOrigin]) -> StreamOrigin | None:
     """Return the origin that several boxes know of one stream, None if there is none.
 
@@ -62,12 +90,19 @@
 
 @dataclass
 class StreamOrigins:
-    """The origins of streams whose callers may still come back, by the id of the request that began them."""
+    """The origins of streams whose callers may still come back, by the id of the request that began them.
+
+    learned_by_digest: of streams that boxes before this one's start told of, by the digest of that id.
+    recorded: number of origins recorded so far.
+    """
 
     known_by_id: dict[str, KnownStream] = field(default_factory=dict)
+    learned_by_digest: dict[str, KnownStream] = field(default_factory=dict)
+    recorded: int = 0
 
     def record(self, stream: str, known: KnownStream) -> None:
         """Record where a stream began; what is known already has to agree."""
+        self.recorded += 1
         before = self.known_by_id.pop(stream, None)
         if before is not None:
             origin = merge_origins((before.origin, known.origin))
@@ -85,8 +120,33 @@
     def find(self, stream: str, now: float) -> StreamOrigin | None:
         """Return where a stream began, None if that is not known."""
         known = self.known_by_id.get(stream)
+        if known is None and self.learned_by_digest:
+            known = self.learned_by_digest.get(stream_digest(stream))
         return None if known is None or known.until < now else known.origin
 
+    def learn(self, begun: Iterable[BegunStreams], now: float) -> None:
+        """Keep what boxes before this one's start told of streams. What they disagree on stays unknown."""
+        for item in begun:
+            origin = StreamOrigin(item.service, "", item.software)
+            for at in range(0, len(item.digests) - DIGEST_CHARS + 1, DIGEST_CHARS):
+                digest = item.digests[at : at + DIGEST_CHARS]
+                before = self.learned_by_digest.get(digest)
+                agreed = origin if before is None else merge_origins((before.origin, origin))
+                assert agreed is not None
+                self.learned_by_digest[digest] = KnownStream(agreed, now + LEARNED_S, own=False)
+
+    def begun_streams(self, now: float) -> tuple[BegunStreams, ...]:
+        """Return the newest streams, for boxes that start after all that know them have ended."""
+        newest = islice(reversed(self.known_by_id.items()), MAX_PUBLISHED)
+        found_by_digest = {stream_digest(key): known for key, known in newest}
+        for digest in islice(self.learned_by_digest, MAX_PUBLISHED - len(found_by_digest)):
+            found_by_digest.setdefault(digest, self.learned_by_digest[digest])
+        digests_by_version: dict[tuple[str, str], list[str]] = defaultdict(list)
+        for digest, known in found_by_digest.items():
+            if known.origin.software and known.until >= now:
+                digests_by_version[known.origin.service, known.origin.software].append(digest)
+        return tuple(BegunStreams(*key, "".join(found)) for key, found in digests_by_version.items())
+
     def own_streams(self, now: float) -> dict[str, KnownStream]:
         """Return the streams whose first events this box passed on, by id."""
         return {key: known for key, known in self.known_by_id.items() if known.own and known.until >= now}
@@ -95,3 +155,5 @@
         """Forget the streams whose callers have stopped waiting."""
         for stream in [key for key, known in self.known_by_id.items() if known.until < now]:
             del self.known_by_id[stream]
+        for digest in [key for key, known in self.learned_by_digest.items() if known.until < now]:
+            del self.learned_by_digest[digest]
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -15,6 +15,7 @@
 from stairquay.core.position import Position
 from stairquay.core.routers import Member, pick_routers
 from stairquay.core.row import Row
+from stairquay.core.stream_origins import BegunStreams
 from stairquay.serving.endpoint import NEVER
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.ports import OwnTable
@@ -41,6 +42,10 @@
 JITTER = 0.2
 """Random share of the interval, so that boxes do not write together."""
 
+TELL_INTERVAL_S = 1.0
+"""Seconds between two rows of the box that tells of streams while versions of endpoints' software differ.
+When all boxes end at once, streams that began since the last one can't be taken up."""
+
 RETRY_S = 0.5
 """Pause after a failed write."""
 
@@ -67,7 +72,8 @@
     named: target versions, which tell starting boxes for how long weights have been replaced. viewed_at_s:
     time of the box's view by the table service's clock; versions that `named` lacks were set later.
     software: the versions that were listed lately, which tell starting boxes after all others have ended at
-    which ones streams may have begun. Only followers of the table service write it.
+    which ones streams may have begun. begun: where such versions differ, the streams whose callers may still
+    come back. Only followers of the table service write these two.
     """
 
     beat: int
@@ -78,6 +84,7 @@
     viewed_at_s: float | None = None
     front: str = ""
     software: tuple[ListedSoftware, ...] | UnsetType = UNSET
+    begun: tuple[BegunStreams, ...] | UnsetType = UNSET
 
 
 class BoxRegistry:
@@ -99,6 +106,8 @@
         # Rows that a restore of the table service lost, until they are written again.
         self.lost_rows_by_key: dict[str, Row] = {}
         self.published_versions: dict[str, int] = {}
+        # Number of stream origins that had been recorded when this box's row was written.
+        self.published_streams = 0
         # Versions of endpoints' software in this box's row, by service.
         self.published_software: frozenset[tuple[str, str]] = frozenset()
 
@@ -115,7 +124,25 @@
             if not self.state.version_history_known:
                 continue
             pause_s = self._next_pause_s() * (1 + JITTER * (self.random.random() - 0.5))
-            await self.state.changed.wait_for(self._has_unpublished_versions, pause_s)
+            await self._pause(pause_s)
+
+    async def _pause(self, pause_s: float) -> None:
+        """Wait until the next heartbeat is due, and tell of streams meanwhile if that is up to this box."""
+        due_at = monotonic() + pause_s
+        while (left_s := due_at - monotonic()) > 0:
+            limit_s = min(left_s, TELL_INTERVAL_S) if self._tells_streams() else left_s
+            if await self.state.changed.wait_for(self._has_unpublished_versions, limit_s):
+                return
+            if not self._tells_streams() or self.state.origins.recorded == self.published_streams:
+                continue
+            self.write_failed = not await self._write_heartbeat()
+            if self.write_failed:
+                return
+
+    def _tells_streams(self) -> bool:
+        """Tell whether this box writes its row more often, to tell of streams: the first follower does."""
+        first = self.state.following_routers()[:1]
+        return [item.id for item in first] == [self.state.settings.id] and self._versions_differ()
 
     def _apply_rows(self, found: tuple[Row, ...], asked_at: float) -> None:
         """Apply rows that were requested at a time, at which those of live boxes were recent enough."""
@@ -140,6 +167,7 @@
         }
         if self.state.boxes_known_at == NEVER:
             self.state.boxes_known_at = asked_at
+            self._learn_begun_streams(rows)
         self.state.row_valid_s = (MISSED_HEARTBEATS - 1) * self._heartbeat_interval_s()
         self._use_routers(pick_routers(members) or (self.state.member,))
         self._learn_target_versions(rows)
@@ -199,20 +227,20 @@
             return False
         self.beat += 1
         key = KEY_PREFIX + self.state.settings.id
+        recorded = self.state.origins.recorded
         named = dict(self.state.target_version_by_model)
         heartbeat = self._own_heartbeat(offset)
         value = msgspec.json.encode(heartbeat).decode()
         answer = await self.own.commit(Commit("", (Condition(key, self.revision),), (Write(key, value),)))
-        written = not isinstance(answer, Err) and isinstance(answer.ok_value, Committed)
-        if written:
-            # Only after the write: a failed one published nothing.
-            self.published_versions = named
-            if not isinstance(heartbeat.software, UnsetType):
-                self.published_software = frozenset(
-                    (item.service, item.version) for item in heartbeat.software
-                )
-            self._record_written_row(monotonic())
-        return written
+        if isinstance(answer, Err) or not isinstance(answer.ok_value, Committed):
+            return False
+        self.revision = answer.ok_value.revision
+        # Only after the write: a failed one published nothing.
+        self.published_versions, self.published_streams = named, recorded
+        if not isinstance(heartbeat.software, UnsetType):
+            self.published_software = frozenset((item.service, item.version) for item in heartbeat.software)
+        self._record_written_row(monotonic())
+        return True
 
     def _record_written_row(self, now: float) -> None:
         """Record that this box has just written its row.
@@ -241,6 +269,7 @@
             None if viewed_at is None else offset.to_remote(viewed_at),
             member.front,
             self._listed_software(offset),
+            self._begun_streams(),
         )
 
     def _listed_software(self, offset: ClockOffset) -> tuple[ListedSoftware, ...] | UnsetType:
@@ -251,6 +280,17 @@
         seen = history.seen_at_by_version | dict.fromkeys(history.listed, now)
         return tuple(ListedSoftware(*key, round(offset.to_remote(at), 1)) for key, at in seen.items())
 
+    def _begun_streams(self) -> tuple[BegunStreams, ...] | UnsetType:
+        """Return the streams that a box has to know which starts after all others have ended."""
+        if not (self.state.is_follower and self._versions_differ()):
+            return UNSET
+        return self.state.origins.begun_streams(monotonic())
+
+    def _versions_differ(self) -> bool:
+        """Tell whether endpoints of any service had several versions lately."""
+        software = self.state.software
+        return any(software.differs(service, monotonic()) for service, _ in software.listed)
+
     def _has_unpublished_versions(self) -> bool:
         """Tell whether to publish versions early, which only followers of the table service do.
 
@@ -264,6 +304,13 @@
             return True
         return bool(self.published_software) and not self.published_software >= self.state.software.listed
 
+    def _learn_begun_streams(self, rows: tuple[Row, ...]) -> None:
+        """Learn from rows of before this box's start where streams began whose callers may come here."""
+        for row in rows:
+            begun = _decode_heartbeat(row).begun
+            if not isinstance(begun, UnsetType):
+                self.state.origins.learn(begun, monotonic())
+
     def _learn_target_versions(self, rows: tuple[Row, ...]) -> None:
         """Record target versions from rows, also from those of boxes that are gone."""
         offset = self.own.clock_offset()
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -189,7 +189,10 @@
             return
         begun = BegunStream(stream, known.origin, known.until - now)
         routers_by_id = {item.id: item for item in self.state.routers if item.id != self.state.settings.id}
-        for router in rank_owners(stream.encode(errors="surrogateescape"), routers_by_id, ROUTERS_TOLD):
+        # The followers write what they are told to the table service.
+        followers = [item.id for item in self.state.following_routers() if item.id in routers_by_id]
+        ranked = rank_owners(stream.encode(errors="surrogateescape"), routers_by_id, len(routers_by_id))
+        for router in list(dict.fromkeys([*followers, *ranked]))[:ROUTERS_TOLD]:
             self.notices.add_begun(routers_by_id[router], begun)
 
     def _audience(self) -> Audience:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -15,12 +15,17 @@
 from stairquay.core.routers import Member
 from stairquay.core.software import MEMORY_S, SoftwareHistory
 from stairquay.core.stream_origins import (
+    DIGEST_CHARS,
+    LEARNED_S,
     MAX_ORIGINS,
+    MAX_PUBLISHED,
+    BegunStreams,
     KnownStream,
     StreamOrigin,
     StreamOrigins,
     may_continue,
     merge_origins,
+    stream_digest,
 )
 from stairquay.serving.following import apply_endpoints
 from stairquay.serving.jobs import Job, JobProgress
@@ -416,3 +421,48 @@
         assert (await router._on_origin(OriginRequest("t", ("plain",)))) == OriginReply()
 
     asyncio.run(scenario())
+
+
+def test_a_box_that_starts_learns_from_rows_where_streams_began():
+    """Guards against streams that nobody can go on with after all boxes were killed."""
+    before = StreamOrigins()
+    for number, software in enumerate(("v1", "v2", "")):
+        known = KnownStream(StreamOrigin("llm", f"e-{number}", software), 9.0, own=True)
+        before.record(f"s-{number}", known)
+    before.record("over", KnownStream(StreamOrigin("llm", "e-0", "v1"), 0.5, own=True))
+    after = StreamOrigins()
+    after.learn(before.begun_streams(1.0), 1.0)
+    assert after.find("s-0", 2.0) == StreamOrigin("llm", "", "v1")
+    assert after.find("s-1", 2.0) == StreamOrigin("llm", "", "v2")
+    assert after.find("s-2", 2.0) is None and after.find("over", 2.0) is None
+    # A box that starts while the next one is still away tells it on.
+    again = StreamOrigins()
+    again.learn(after.begun_streams(2.0), 2.0)
+    assert again.find("s-1", 3.0) == StreamOrigin("llm", "", "v2")
+    assert again.find("s-1", 2.0 + LEARNED_S + 0.1) is None
+    again.expire(2.0 + LEARNED_S + 0.1)
+    assert not again.learned_by_digest
+
+
+def test_rows_that_differ_over_a_stream_leave_it_unknown():
+    """Guards against a stream that is joined from two versions since a row was wrong."""
+    origins = StreamOrigins()
+    for software in ("v1", "v2"):
+        teller = StreamOrigins()
+        teller.record("s", KnownStream(StreamOrigin("llm", "e", software), 9.0, own=True))
+        origins.learn(teller.begun_streams(0.0), 0.0)
+    assert origins.find("s", 1.0) == StreamOrigin("llm", "", "")
+    assert origins.begun_streams(1.0) == ()
+
+
+def test_a_row_tells_of_the_newest_streams_and_stays_small():
+    """Guards against rows that the table service takes no more, or that lack the streams of right before."""
+    origins = StreamOrigins()
+    for number in range(MAX_PUBLISHED * 2):
+        origins.record(f"s-{number}", KnownStream(StreamOrigin("llm", "e", "v1"), 9.0, own=False))
+    [told] = origins.begun_streams(0.0)
+    assert len(told.digests) == MAX_PUBLISHED * DIGEST_CHARS
+    assert stream_digest(f"s-{MAX_PUBLISHED * 2 - 1}") in told.digests
+    broken = StreamOrigins()
+    broken.learn([BegunStreams("llm", "v1", told.digests[: DIGEST_CHARS * 2 - 3])], 0.0)
+    assert len(broken.learned_by_digest) == 1
