Send no request on a connection that holds the first part of a surplus answer

Callers got 502 for requests that ran: a surplus answer that came in two parts, the first in the same read as the answer before, cost the next request on that connection. Seen in a soak of six boxes. Cause: a connection counted as free unless a whole head of another answer had come; the first part of a head is held by the parser alone, which the next request replaces. The rest was then no answer, and the connection was given up while the request ran. Class: bytes after an answer that were read before the connection counted as idle. Change: before a connection is used again, its parser is asked whether an answer has begun; if so it is closed. Measured: 13 of 21 new cases of tests/test_second_answers.py fail without the change, none with it.

--- a/stairquay/platform/connection_pool.py
+++ b/stairquay/platform/connection_pool.py
@@ -66,6 +66,10 @@
     idle_since: float = 0.0
     earlier_ids: deque[str] = field(default_factory=lambda: deque(maxlen=MAX_IDS_KEPT))
 
+    def can_be_reused(self) -> bool:
+        """Tell whether an idle connection can carry the next request."""
+        return self.protocol.is_connected() and not self.protocol.has_begun_answer()
+
     def send(self, method: str, target: str, headers: list[tuple[str, str]], body: bytes) -> None:
         """Write a request. Raises ValueError if a header has a line break."""
         head = encode_head(method, target, headers, len(body))
@@ -167,7 +171,7 @@
             if request_id in connection.earlier_ids:
                 continue
             self.idle_by_address[address].remove(connection)
-            if connection.idle_since > oldest and connection.protocol.is_connected():
+            if connection.idle_since > oldest and connection.can_be_reused():
                 return connection
             connection.protocol.close()
         return await self.open(address)
--- a/stairquay/platform/connections.py
+++ b/stairquay/platform/connections.py
@@ -146,6 +146,19 @@
         idle = self._payload is None or self._payload.is_eof()
         return not idle or not (self._buffer or self._tail or monotonic() > self.stale_at)
 
+    def has_begun_answer(self) -> bool:
+        """Tell whether an idle connection holds the first part of a surplus answer.
+
+        Only its parser knows, and is of no use afterwards if so: the connection is to be closed.
+        """
+        if self._parser is None:
+            return False
+        try:
+            return self._parser.feed_eof() is not None
+        except Exception:
+            # What has come of the head is invalid as one.
+            return True
+
 
 def open_session(connect_s: float = CONNECT_TIMEOUT_S, idle_s: float = IDLE_TIMEOUT_S) -> ClientSession:
     """Return a session without cookies and decompression that detects dead connections quickly."""
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -172,6 +172,29 @@
     assert [answers[f"r-{number}"].status for number in range(1, REQUESTS)] == [200] * (REQUESTS - 1)
 
 
+SPLITS = {"after one byte": 1, "in its head": 40, "before its last byte": -1}
+"""Where a surplus answer is cut: by what it is."""
+
+
+@pytest.mark.parametrize("split", SPLITS)
+@pytest.mark.parametrize("surplus", SURPLUS)
+def test_a_surplus_answer_that_comes_in_two_parts_costs_no_request(surplus: str, split: str):
+    """Guards against requests that run for nobody, on a connection that holds the first part."""
+    at = SPLITS[split]
+
+    def respond(call_id: str, before: str) -> str:
+        rest = SURPLUS[surplus](before)[at:] if before else ""
+        return rest + signed(call_id) + SURPLUS[surplus](call_id)[:at]
+
+    async def scenario():
+        async with box_before(respond) as (here, endpoint):
+            return await send_all(here, "/once/x"), endpoint.ran
+
+    answers, ran = asyncio.run(scenario())
+    assert [answer.status for answer in answers.values()] == [200] * REQUESTS
+    assert set(ran.values()) == {1}
+
+
 def test_a_surplus_answer_without_end_ends_the_connection_at_once():
     """Guards against a box that reads a body for nobody, or holds a request until its time is over."""
 
