Failing test: boxes that have written no row take slack that others take too

Cause, by reading: a box counts the slack from its first read of the rows on. Whether it has written its own row, by which others count it, is asked only once it has written one.

--- a/tests/loads/test_retries_of_added_boxes.py
+++ b/tests/loads/test_retries_of_added_boxes.py
@@ -47,12 +47,13 @@
 
 
 class Table:
-    """A table service without delays. cut: boxes that it does not answer."""
+    """A table service without delays. cut: boxes that it does not answer. unwritten: whose writes it refuses."""
 
     def __init__(self) -> None:
         self.rows_by_key: dict[str, Row] = {}
         self.revision = 0
         self.cut: set[str] = set()
+        self.unwritten: set[str] = set()
 
 
 class BoxTable:
@@ -65,8 +66,8 @@
         return Err("cut") if self.box in self.table.cut else Ok(tuple(self.table.rows_by_key.values()))
 
     async def commit(self, commit: Commit):
-        if self.box in self.table.cut:
-            return Err("cut")
+        if self.box in self.table.cut | self.table.unwritten:
+            return Err("refused")
         self.table.revision += 1
         for write in commit.writes:
             self.table.rows_by_key[write.key] = Row(write.key, write.value, self.table.revision)
@@ -250,6 +251,35 @@
     assert fleet.share() <= 1.0
 
 
+@pytest.mark.parametrize("boxes", FLEETS)
+def test_added_boxes_that_never_wrote_a_row_take_no_slack(boxes):
+    """Guards against boxes that read the others' rows, and that no other box can count."""
+    fleet = Simulation(boxes)
+    fleet.table.unwritten = {f"added-{number}" for number in range(boxes)}
+    fleet.boxes += fleet.add(boxes, "added")
+    fleet.run(3 * WINDOW_S)
+    fleet.table.unwritten = set()
+    fleet.run(4 * WINDOW_S)
+    assert fleet.share() <= 1.0
+
+
+@pytest.mark.parametrize("silent", ("cut", "unwritten"))
+@pytest.mark.parametrize("boxes", FLEETS)
+def test_boxes_that_start_together_as_the_table_service_fails_do_not_each_take_the_whole_slack(boxes, silent):
+    """Guards against boxes that know only those that had written a row before them, for as long as it lasts."""
+    fleet = Simulation(boxes, settled=False)
+    names = {box.name for box in fleet.boxes}
+    if silent == "cut":
+        fleet.run(STEP_S)
+        while len(fleet.table.rows_by_key) < boxes / 2:
+            fleet.run(STEP_S)
+    setattr(fleet.table, silent, names)
+    fleet.run(3 * WINDOW_S)
+    setattr(fleet.table, silent, set())
+    fleet.run(4 * WINDOW_S)
+    assert fleet.share() <= 1.0
+
+
 MIN_USED_SHARE = 0.55
 """Share of what is allowed that boxes use in a window in which nothing changes."""
 
