Take none of the slack before a box has read the rows after writing its own

Cause: the slack counted from a box's first read of the rows, whether or not others could count the box, and whether or not it could know those that started beside it. Class: a share of a common bound that two sides count from different times, as for boxes that thaw. Change: a box takes its part from the first read of the rows that it requested after writing its own, about a second after its start; the part grows from the write on. A box that can write no row repeats only what its requests earn. The test of a box that cannot write its row now reads the rows once more after the write, as a box does; without that its first check would hold before any row was written, so that it is no weaker.

--- a/stairquay/core/budget.py
+++ b/stairquay/core/budget.py
@@ -84,7 +84,8 @@
     its whole slack, and the growing slack of all others lasts no longer than the window in total.
 
     Boxes that underestimate their number may exceed the slack: while they start together (little, as slack
-    has hardly grown by then), or when a removed box returns within one window.
+    has hardly grown by then, and none is taken before a box has read the rows after writing its own), or when
+    a removed box returns within one window.
     """
 
     allowance: RetryAllowance
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from logging import getLogger
+from math import inf
 from random import Random
 
 import msgspec
@@ -138,12 +139,22 @@
         self.state.fronts_by_box = {
             member.id: member.front for member in members if member.front and member.id != own_id
         }
-        if self.state.boxes_known_at == NEVER:
-            self.state.boxes_known_at = asked_at
+        self._advance_counted_from(asked_at)
         self.state.row_valid_s = (MISSED_HEARTBEATS - 1) * self._heartbeat_interval_s()
         self._use_routers(pick_routers(members) or (self.state.member,))
         self._learn_target_versions(rows)
 
+    def _advance_counted_from(self, asked_at: float) -> None:
+        """Let this box take its part of what all share once it has read the rows after writing its own.
+
+        Before, boxes that start beside it may not count it, nor it them. The part counts from the write.
+        """
+        if self.state.boxes_known_at == NEVER:
+            self.state.boxes_known_at = asked_at
+            self.state.counted_from = inf
+        elif self.state.counted_from == inf and self.state.row_written_at != NEVER:
+            self.state.counted_from = self.state.row_written_at
+
     def _advance_heard_at(self, asked_at: float) -> None:
         """Advance the time that rows age by; it stops while the table service is silent or takes no writes.
 
@@ -220,7 +231,7 @@
         Where the one before was so old that others may have given this box up, they count it again only with
         their next heartbeats. Until then they share out its part of what all boxes may use.
         """
-        if not self.state.is_row_valid(now):
+        if not self.state.is_row_valid(now) and self.state.counted_from != inf:
             self.state.counted_from = now + self._heartbeat_interval_s() * (1 + JITTER)
         self.state.row_written_at = now
 
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -108,7 +108,7 @@
     # When this box last wrote its row, and the seconds after which others may count it as gone.
     row_written_at: float = NEVER
     row_valid_s: float = inf
-    # When all others count this box again, after its row was too old.
+    # From when all others count this box: `inf` before it has read the rows after writing its own.
     counted_from: float = NEVER
     # Where other live boxes take callers' requests, by id.
     fronts_by_box: dict[str, str] = field(default_factory=dict)
--- a/tests/loads/test_boxes_counted.py
+++ b/tests/loads/test_boxes_counted.py
@@ -82,6 +82,8 @@
     at, pause_s = monotonic(), interval_s(boxes)
     registry._apply_rows(rows(boxes, 0), at - MISSED_HEARTBEATS * pause_s)
     state.row_written_at = at - MISSED_HEARTBEATS * pause_s
+    # A box takes nothing before it has read the rows after writing its own.
+    registry._apply_rows(rows(boxes, 1), at)
     assert state.known_boxes_for_s(at) == 0
     state.row_written_at = at - pause_s
     assert state.known_boxes_for_s(at) > 0
--- a/tests/loads/test_retries_of_added_boxes.py
+++ b/tests/loads/test_retries_of_added_boxes.py
@@ -47,7 +47,10 @@
 
 
 class Table:
-    """A table service without delays. cut: boxes that it does not answer. unwritten: whose writes it refuses."""
+    """A table service without delays.
+
+    cut: boxes that it does not answer. unwritten: boxes whose writes it refuses.
+    """
 
     def __init__(self) -> None:
         self.rows_by_key: dict[str, Row] = {}
@@ -266,7 +269,7 @@
 @pytest.mark.parametrize("silent", ("cut", "unwritten"))
 @pytest.mark.parametrize("boxes", FLEETS)
 def test_boxes_that_start_together_as_the_table_service_fails_do_not_each_take_the_whole_slack(boxes, silent):
-    """Guards against boxes that know only those that had written a row before them, for as long as it lasts."""
+    """Guards against boxes that know only those that had written a row before them."""
     fleet = Simulation(boxes, settled=False)
     names = {box.name for box in fleet.boxes}
     if silent == "cut":
