Pass requests on with the sender's configuration, and run nothing by an older one

Callers saw: 404 on a route that their box knew, or an answer of the service that had the route before, where a box that reaches no endpoint passed the request on to one that is cut from the table service.

Cause: the request did not say by which configuration it was passed on. The other box judged it by its own, and its 401 or 404 was handed on.

Change: Stairquay-Configuration names era and version of the sender's configuration. A box that knows an older one refuses, not run (older_configuration), is left out for 0.25 s, and another box is asked. 401, 404 and 413 of a box are never handed on. A box of an earlier release names none and is served as before, as is a value that can't be read.

--- a/stairquay/core/call.py
+++ b/stairquay/core/call.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from stairquay.core.catalog import CatalogVersion
+
 DIGEST_BYTES = 12
 """Length of a request digest in bytes. Two of a million requests have the same one with a probability below
 1e-16."""
@@ -46,7 +48,8 @@
     headers: the caller's headers to pass on to the endpoint. key: the API key, a secret. time_left_s: how
     long the caller waits. resume_after: the last event that the caller received of an earlier answer.
     resumes: id of the request that brought the first event of that stream. forwarded_attempts: endpoints
-    that it may be sent to if another box passed it on, None from a caller.
+    that it may be sent to if another box passed it on, None from a caller. forwarded_configuration: the one
+    that this box went by, None from a caller and from a box that does not say.
     """
 
     id: str
@@ -61,6 +64,7 @@
     resume_after: str | None = None
     resumes: str | None = None
     forwarded_attempts: int | None = None
+    forwarded_configuration: CatalogVersion | None = None
 
 
 class Dispatch(msgspec.Struct, frozen=True):
--- a/stairquay/core/catalog.py
+++ b/stairquay/core/catalog.py
@@ -99,6 +99,16 @@
     max_body_bytes: int = 4_194_304
 
 
+class CatalogVersion(msgspec.Struct, frozen=True, order=True):
+    """Which configuration a box goes by: operators' version of it, in an era of the table service.
+
+    Operators' versions rise, but those that a restore of the table service took back are issued again.
+    """
+
+    era: int
+    version: int
+
+
 @dataclass(frozen=True)
 class Catalog:
     """One complete version of the configuration.
--- a/stairquay/core/errors.py
+++ b/stairquay/core/errors.py
@@ -30,6 +30,7 @@
     OVERLOADED = "overloaded"
     STOPPING = "stopping"
     NOT_READY = "not_ready"
+    OLDER_CONFIGURATION = "older_configuration"
     NO_ENDPOINT = "no_endpoint"
     ENDPOINT_REFUSED = "endpoint_refused"
     ENDPOINTS_UNREACHED = "endpoints_unreached"
@@ -93,6 +94,12 @@
     ErrorKind.NOT_READY: ErrorResponse(
         503, SERVER_ERROR, "This box has no current configuration", retry=True
     ),
+    ErrorKind.OLDER_CONFIGURATION: ErrorResponse(
+        503,
+        SERVER_ERROR,
+        "This box knows an older configuration than the one that passed this on",
+        retry=True,
+    ),
     ErrorKind.NO_ENDPOINT: ErrorResponse(
         503, SERVER_ERROR, "No endpoint of the service can be used now", retry=True
     ),
--- a/stairquay/core/helpers.py
+++ b/stairquay/core/helpers.py
@@ -14,6 +14,10 @@
 UNHELPFUL_S = 2.0
 """Seconds for which a box that could not help is left out."""
 
+BEHIND_S = 0.25
+"""Seconds for which a box with an older configuration is left out. Most boxes learn of a new one within that
+time of each other."""
+
 MAX_UNHELPFUL = 8
 """Boxes left out, with none that has helped, from which the service counts as down everywhere."""
 
@@ -34,10 +38,16 @@
             self.helped_at_by_id.pop(box, None)
             self.unhelpful_until_by_id[box] = now + UNHELPFUL_S
 
+    def record_behind(self, box: str, now: float) -> None:
+        """Record that a box goes by an older configuration, which says nothing of its way to the service."""
+        self.unhelpful_until_by_id[box] = max(now + BEHIND_S, self.unhelpful_until_by_id.get(box, now))
+
     def pick(self, boxes: Collection[str], now: float, random: Random) -> str | None:
         """Return the box to ask next, None if none is left that may help."""
         self._expire(boxes, now)
-        helping = [box for box in boxes if box in self.helped_at_by_id]
+        helping = [
+            box for box in boxes if box in self.helped_at_by_id and box not in self.unhelpful_until_by_id
+        ]
         if len(helping) >= ENOUGH_HELPERS:
             return random.choice(helping)
         if not helping and len(self.unhelpful_until_by_id) >= MAX_UNHELPFUL:
--- a/stairquay/platform/box_client.py
+++ b/stairquay/platform/box_client.py
@@ -16,6 +16,7 @@
 from stairquay.platform.names import (
     AUTHORIZATION,
     BEARER,
+    CONFIGURATION,
     FORWARDED,
     LAST_EVENT_ID,
     REQUEST_ID,
@@ -98,6 +99,8 @@
         (TIME_LEFT, str(max(1, int(forward.time_left_s * 1000)))),
         (FORWARDED, str(forward.attempts)),
     ]
+    if forward.configuration is not None:
+        headers.append((CONFIGURATION, f"{forward.configuration.era}.{forward.configuration.version}"))
     if call.key is not None:
         headers.append((AUTHORIZATION, f"{BEARER}{call.key}"))
     if forward.resume_after is not None:
--- a/stairquay/platform/callers.py
+++ b/stairquay/platform/callers.py
@@ -10,10 +10,12 @@
 
 from stairquay.adapters.early_answer import RequestHead
 from stairquay.core.call import Call, Part, PromptShape
+from stairquay.core.catalog import CatalogVersion
 from stairquay.core.errors import ErrorKind, Refusal
 from stairquay.platform.names import (
     AUTHORIZATION,
     BEARER,
+    CONFIGURATION,
     FORWARDED,
     HOP_BY_HOP_HEADERS,
     LAST_EVENT_ID,
@@ -38,6 +40,9 @@
 MAX_PARTS = 64
 """Maximum number of parts of a prompt."""
 
+MAX_VERSION_DIGITS = 18
+"""Maximum length of each number that names a configuration."""
+
 MAX_TOKENS = 10_000_000
 """Maximum token count in a header."""
 
@@ -73,6 +78,9 @@
                 resume_after=headers.get(LAST_EVENT_ID),
                 resumes=headers.get(RESUMES) or None,
                 forwarded_attempts=_parse_attempts(headers.get(FORWARDED)),
+                forwarded_configuration=(
+                    _parse_configuration(headers.get(CONFIGURATION, "")) if FORWARDED in headers else None
+                ),
             )
         )
 
@@ -168,6 +176,16 @@
     return max(1, int(value)) if value.isascii() and value.isdecimal() and len(value) <= 3 else 1
 
 
+def _parse_configuration(value: str) -> CatalogVersion | None:
+    """Return the configuration that a box names; one that can't be read counts as not named."""
+    numbers = value.split(".")
+    if len(numbers) != 2 or not all(
+        item.isascii() and item.isdecimal() and len(item) <= MAX_VERSION_DIGITS for item in numbers
+    ):
+        return None
+    return CatalogVersion(int(numbers[0]), int(numbers[1]))
+
+
 def _parse_prompt(
     model: str | None, tokens: str | None, parts: str | None
 ) -> Result[PromptShape | None, Refusal]:
--- a/stairquay/platform/names.py
+++ b/stairquay/platform/names.py
@@ -62,6 +62,10 @@
 FORWARDED = "Stairquay-Forwarded"
 """Set by a box that passes a caller's request on: how many endpoints the other box may send it to."""
 
+CONFIGURATION = "Stairquay-Configuration"
+"""Set by such a box: the era of the table service and the version of the configuration that it goes by,
+separated by a dot. A box of an earlier release sends none."""
+
 RESERVED_HEADERS = frozenset(
     name.lower()
     for name in (
@@ -77,6 +81,7 @@
         SAVE,
         LAST_EVENT_ID,
         FORWARDED,
+        CONFIGURATION,
         "Hold",
         "Pin-Ms",
         "Kv-Backup",
--- a/stairquay/serving/forwarding.py
+++ b/stairquay/serving/forwarding.py
@@ -39,8 +39,23 @@
 """The same for boxes that hold places at brittle endpoints. One that goes by another list of boxes may hold
 none, and refuses at once."""
 
-CANNOT_HELP = frozenset((ErrorKind.ENDPOINTS_UNREACHED, ErrorKind.NOT_READY, ErrorKind.STOPPING))
-"""Refusals that tell of the box that gave them, not of the endpoints."""
+OTHER_CONFIGURATION = frozenset(
+    (
+        ErrorKind.OLDER_CONFIGURATION,
+        ErrorKind.UNKNOWN_PATH,
+        ErrorKind.UNAUTHENTICATED,
+        ErrorKind.BODY_TOO_LARGE,
+    )
+)
+"""Refusals that tell of another configuration at the box that gave them: this one found nothing wrong with
+the route, the key and the body."""
+
+CANNOT_HELP = OTHER_CONFIGURATION | {
+    ErrorKind.ENDPOINTS_UNREACHED,
+    ErrorKind.NOT_READY,
+    ErrorKind.STOPPING,
+}
+"""Refusals that tell of the box that gave them, not of the endpoints. They are never handed on."""
 
 
 def unreached_refusal(ran: ExecutionStatus) -> Refusal:
@@ -131,6 +146,7 @@
             job.deadline - sent_at,
             max(1, job.max_attempts - progress.runs),
             progress.stream.last_event_id or job.call.resume_after,
+            self.state.catalog_version,
         )
         sent = await self.boxes.send(job.call, job.body, forward, attempt)
         if isinstance(sent, Err):
@@ -171,7 +187,9 @@
         if refusal.ran != ExecutionStatus.NOT_RUN:
             _record_failure(progress, SendFailure(refusal.kind, refusal.ran, refusal.detail, fault=False))
             return None
-        if refusal.kind in CANNOT_HELP:
+        if refusal.kind in OTHER_CONFIGURATION:
+            helpers.record_behind(box, monotonic())
+        elif refusal.kind in CANNOT_HELP:
             helpers.record(box, False, monotonic())
         return Err(Refusal(refusal.kind, progress.ran, refusal.detail, refusal.retry_after_s))
 
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -114,6 +114,8 @@
             return Err(self._not_ready_refusal("no configuration yet"))
         if not self.state.crashes_known():
             return Err(self._not_ready_refusal("crashes that other boxes reported are not known yet"))
+        if self._knows_less_than_sender(call):
+            return Err(Refusal(ErrorKind.OLDER_CONFIGURATION, retry_after_s=NOT_READY_RETRY_S))
         exhausted = self._exhausted_resource(request)
         if exhausted:
             self.state.metrics.box_refusals.labels(exhausted).inc()
@@ -156,6 +158,11 @@
         finally:
             self.state.body_bytes -= len(body.ok_value)
 
+    def _knows_less_than_sender(self, call: Call) -> bool:
+        """Tell whether another box passed a request on by a newer configuration than is in force here."""
+        sent_by, known = call.forwarded_configuration, self.state.catalog_version
+        return sent_by is not None and known is not None and known < sent_by
+
     def _route_and_authenticate(
         self, catalog: Catalog, call: Call
     ) -> Result[tuple[Route, WorkspacePolicy | None], Refusal]:
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -17,7 +17,7 @@
 from stairquay.adapters.ports import Changes, Commit, Committed, Conflict, PlatformFault
 from stairquay.core.attempt import Attempt
 from stairquay.core.call import Call, Dispatch
-from stairquay.core.catalog import Catalog
+from stairquay.core.catalog import Catalog, CatalogVersion
 from stairquay.core.clock import ClockOffset
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
 from stairquay.core.fleet import Endpoint
@@ -299,13 +299,15 @@
     """How a request is passed on to another box.
 
     address: where it takes callers' requests. attempts: endpoints that it may send the request to.
-    resume_after: as in Call, of the answer that the caller has by now.
+    resume_after: as in Call, of the answer that the caller has by now. configuration: the one that this box
+    goes by.
     """
 
     address: str
     time_left_s: float
     attempts: int
     resume_after: str | None = None
+    configuration: CatalogVersion | None = None
 
 
 class BoxRefusal(msgspec.Struct, frozen=True):
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -8,7 +8,7 @@
 from stairquay.core.absence import RefusedConnections
 from stairquay.core.budget import WindowedRetryBudget
 from stairquay.core.buffers import BufferBudget
-from stairquay.core.catalog import Catalog
+from stairquay.core.catalog import Catalog, CatalogVersion
 from stairquay.core.fleet import Endpoint, Fleet
 from stairquay.core.handover import Handovers
 from stairquay.core.helpers import Helpers
@@ -298,6 +298,11 @@
         """Return the age of the configuration in seconds."""
         return monotonic() - self.view_asked_at
 
+    @property
+    def catalog_version(self) -> CatalogVersion | None:
+        """Return which configuration is in force, None before the first."""
+        return None if self.catalog is None else CatalogVersion(self.catalog_era, self.catalog.version)
+
     def keys_fresh(self) -> bool:
         """Tell whether requests with a key may be sent, that is, a revoked key would be known."""
         return self.view_age() < self.settings.freshness.keyed_s
