Let no stream go on at an endpoint whose entry is of a life before

Callers saw: events of two software versions in one stream, with endpoints that crashed and came back under their ids as another version.

Cause: the version in the entry counted, also when a report had told of a newer start than the entry's. Boxes that are no routers ask for no reports and were not told of the start.

Change: an entry is outdated while a newer start of its endpoint is known (BoxState.is_entry_outdated). No stream goes on there until the entry is of that life; one that begins there has an origin without a version where the service has several. Routers name the newest start with each placed prompt (PlaceReply.born). Services whose entries name one version are taken up as before after a crash, but not at the endpoint that is back.

--- a/stairquay/core/stream_origins.py
+++ b/stairquay/core/stream_origins.py
@@ -16,7 +16,7 @@
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
     """The endpoint that sent the first event of a stream, its service, and the version of its software.
 
-    software: empty where its entry named none.
+    software: empty where its entry named none, or was of a life before the one that began the stream.
     """
 
     service: str
@@ -48,13 +48,22 @@
     return found[0] if found else None
 
 
-def may_continue(origin: StreamOrigin, endpoint: Endpoint, history: SoftwareHistory, now: float) -> bool:
-    """Tell whether a stream may go on at an endpoint."""
+def may_continue(
+    origin: StreamOrigin,
+    endpoint: Endpoint,
+    history: SoftwareHistory,
+    now: float,
+    entry_outdated: bool = False,
+) -> bool:
+    """Tell whether a stream may go on at an endpoint.
+
+    entry_outdated: the endpoint started again since it wrote its entry, perhaps as another version.
+    """
     if origin.endpoint in history.changed or endpoint.id in history.changed:
         return False
     if endpoint.service != origin.service or endpoint.software != origin.software:
         return False
-    if origin.software or endpoint.id == origin.endpoint:
+    if not entry_outdated and (origin.software or endpoint.id == origin.endpoint):
         return True
     # A service whose entries name no version at all is taken to have one.
     return history.versions(origin.service, now) == {""}
--- a/stairquay/serving/endpoint_chooser.py
+++ b/stairquay/serving/endpoint_chooser.py
@@ -236,6 +236,8 @@
                 progress.retry_after_s = min(reply.come_back_s, progress.retry_after_s or reply.come_back_s)
             return None
         endpoint = self._usable_endpoint(reply, prompt)
+        if endpoint is not None:
+            self.state.learn_start(endpoint, reply.born, monotonic(), "router")
         if endpoint is None or not may_use(self.state, progress, endpoint):
             self.notices.add_ended(router, EndedAttempt(request.ticket, Outcome.NOT_SENT))
             return None
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -139,7 +139,8 @@
         full = self.admission.reject_without_room(request, choice, now)
         if full is not None:
             return reply_without_room(full, choice)
-        said = limit_feedback(choice.endpoint, self.state.endpoint_state(choice.endpoint), now)
+        endpoint_state = self.state.endpoint_state(choice.endpoint)
+        said = limit_feedback(choice.endpoint, endpoint_state, now)
         most_backlog_s = None if decided else request.most_backlog_s
         rejected = most_backlog_s is not None and choice.backlog_s > most_backlog_s
         if not rejected and request.may_wait and self._awaits_shared_prefill(choice, request):
@@ -163,6 +164,7 @@
             backlog_s=choice.backlog_s,
             said=said,
             decided=decided,
+            born=endpoint_state.born,
         )
 
     def prefill_finished(self, ticket: str) -> None:
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -103,6 +103,8 @@
     rejected: str = ""
     # The router decided on admission, by the times that the sender gave.
     decided: bool = False
+    # The newest start of the endpoint that the router knows of, as for Endpoint.
+    born: int = 0
 
 
 class Outcome(str, Enum):
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -86,6 +86,10 @@
         listed = self.state.fleet.by_id.get(endpoint.id, endpoint)
         # The entry may have changed since the request was sent.
         software = endpoint.software if listed.software == endpoint.software else ""
+        if self.state.is_entry_outdated(listed) and self.state.software.differs(
+            endpoint.service, monotonic()
+        ):
+            software = ""
         if progress.origin is None:
             progress.origin = StreamOrigin(endpoint.service, endpoint.id, software)
         now = monotonic()
@@ -206,7 +210,8 @@
     """Tell whether a job may be sent to an endpoint, given where its stream began."""
     if progress.origin is None:
         return True
-    return may_continue(progress.origin, endpoint, state.software, monotonic())
+    outdated = state.is_entry_outdated(endpoint)
+    return may_continue(progress.origin, endpoint, state.software, monotonic(), outdated)
 
 
 def excluded_ids(state: BoxState, job: Job, progress: JobProgress) -> frozenset[str]:
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -344,15 +344,27 @@
 
         The report of a new incarnation may arrive before its entry, so the endpoint has just started.
         """
-        endpoint_state = self.endpoint_state(endpoint)
-        if 0 < report.born < endpoint_state.born:
+        if 0 < report.born < self.endpoint_state(endpoint).born:
             return
-        if report.born > endpoint_state.born:
-            known = endpoint_state
-            endpoint_state = self._reset_endpoint(endpoint, endpoint_state, report.born, "report")
-            if endpoint_state is not known:
-                endpoint_state.cold_until = now + self.cold_start_s(endpoint.service)
-        endpoint_state.on_report(report, now, asked_at)
+        self.learn_start(endpoint, report.born, now, "report")
+        self.endpoint_state(endpoint).on_report(report, now, asked_at)
+
+    def learn_start(self, endpoint: Endpoint, born: int, now: float, source: str) -> None:
+        """Record a start of an endpoint that its entry may not tell of yet, 0 for unknown."""
+        known = self.endpoint_state(endpoint)
+        if born <= known.born:
+            return
+        endpoint_state = self._reset_endpoint(endpoint, known, born, source)
+        if endpoint_state is not known:
+            endpoint_state.cold_until = now + self.cold_start_s(endpoint.service)
+
+    def is_entry_outdated(self, endpoint: Endpoint) -> bool:
+        """Tell whether an endpoint is known to have started since it wrote this entry.
+
+        Until it has written one in its new life, the version of its software is not known.
+        """
+        known = self.endpoints_by_id.get(endpoint.id)
+        return known is not None and 0 < endpoint.born < known.born
 
     def cold_start_s(self, service: str) -> float:
         """Return the seconds for which endpoints of a service are cold after a start."""
--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -387,6 +387,14 @@
         self.crashed = False
         await self.start()
 
+    async def start_again(self) -> None:
+        """Restart after a crash at the same address, as a process that has the id of the one before."""
+        assert self.runner is not None
+        await self.runner.cleanup()
+        self.crashed = False
+        port = int(self.address.rpartition(":")[2])
+        self.runner, self.address = await serve_app(self._handle, port)
+
     async def _answer(self, request: web.Request, call_id: str) -> web.StreamResponse:
         headers = {
             "Request-Id": call_id,
--- a/tests/standins/table.py
+++ b/tests/standins/table.py
@@ -18,13 +18,13 @@
     return (monotonic() - TABLE_STARTED_S) * 1000
 
 
-async def serve_app(handler: Any) -> tuple[web.AppRunner, str]:
-    """Serve one handler for all paths on a free port, and return its address."""
+async def serve_app(handler: Any, port: int = 0) -> tuple[web.AppRunner, str]:
+    """Serve one handler for all paths on a port, or a free one, and return its address."""
     app = web.Application()
     app.router.add_route("*", "/{path:.*}", handler)
     runner = web.AppRunner(app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1)
     await runner.setup()
-    site = web.TCPSite(runner, "127.0.0.1", 0)
+    site = web.TCPSite(runner, "127.0.0.1", port)
     await site.start()
     host, port = runner.addresses[0][:2]
     return runner, f"{host}:{port}"
