Send each order and each freeing of parts on a connection of its own

Operators could see an order of new weights count as under way, in force or refused by the answer to the one before, and parts of a store box counted as freed that were refused; read in the code and shown by a stand-in, not in a run. Cause: orders shared connections that are kept, and their answers (202, 200, 409, 412) name no request. One that comes a second time takes the place of the one that is due. Class: as of, an answer believed before it is known whose. Change: orders and freeings use a session that closes each connection after its call; the table service keeps the other. They are rare: an order per engine and version, a freeing per store box and second by one box while old parts are left.

--- a/stairquay/platform/connections.py
+++ b/stairquay/platform/connections.py
@@ -147,9 +147,17 @@
         return not idle or not (self._buffer or self._tail or monotonic() > self.stale_at)
 
 
-def open_session(connect_s: float = CONNECT_TIMEOUT_S, idle_s: float = IDLE_TIMEOUT_S) -> ClientSession:
-    """Return a session without cookies and decompression that detects dead connections quickly."""
-    connector = TCPConnector(limit=0, keepalive_timeout=idle_s, socket_factory=_open_socket)
+def open_session(
+    connect_s: float = CONNECT_TIMEOUT_S, idle_s: float = IDLE_TIMEOUT_S, reuse: bool = True
+) -> ClientSession:
+    """Return a session without cookies and decompression that detects dead connections quickly.
+
+    Without `reuse`, each request has a connection of its own, on which no answer to another one can come.
+    """
+    if reuse:
+        connector = TCPConnector(limit=0, keepalive_timeout=idle_s, socket_factory=_open_socket)
+    else:
+        connector = TCPConnector(limit=0, force_close=True, socket_factory=_open_socket)
     return ClientSession(
         connector=check_bodies(connector, CheckedProtocol),
         cookie_jar=DummyCookieJar(),
--- a/stairquay/platform/peers.py
+++ b/stairquay/platform/peers.py
@@ -98,10 +98,14 @@
 
 
 class PeerClient:
-    """Queries engines and store boxes, and sends orders to them."""
+    """Queries engines and store boxes, and sends orders to them.
 
-    def __init__(self, session: ClientSession, polls: PollClient) -> None:
-        self.session = session
+    order_session: gives each call a connection of its own. On another one, an answer to an earlier order that
+    comes a second time could not be told from the one that is due.
+    """
+
+    def __init__(self, order_session: ClientSession, polls: PollClient) -> None:
+        self.order_session = order_session
         self.polls = polls
 
     async def report(self, address: str) -> EngineReport | None:
@@ -199,7 +203,7 @@
     async def _post(self, url: str, body: dict[str, Any], headers: dict[str, str]) -> int | None:
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                async with self.session.post(url, json=body, headers=headers) as response:
+                async with self.order_session.post(url, json=body, headers=headers) as response:
                     if len(await response.content.read(MAX_ORDER_ANSWER_BYTES)) == MAX_ORDER_ANSWER_BYTES:
                         response.close()
                     return response.status
--- a/stairquay/platform/surroundings.py
+++ b/stairquay/platform/surroundings.py
@@ -16,19 +16,21 @@
 def open_clients(table_address: str) -> Ports:
     """Open the clients; an event loop must be running."""
     request_pool = ConnectionPool()
-    control_session = open_session()
+    table_session = open_session()
+    order_session = open_session(reuse=False)
     polls = PollClient()
-    table = TableClient(table_address, control_session)
+    table = TableClient(table_address, table_session)
 
     async def close() -> None:
         await request_pool.close()
-        await control_session.close()
+        await table_session.close()
+        await order_session.close()
         polls.close()
 
     return Ports(
         feeds=Feeds(table),
         own=OwnRows(table),
-        peers=PeerClient(control_session, polls),
+        peers=PeerClient(order_session, polls),
         endpoints=EndpointClient(request_pool),
         callers=PlatformCallerCodec(),
         ready_path=READY_PATH,
