Share connections of polls only among those of one kind, and believe no falling position of a cache

Seen with a stand-in that repeats its last answer: a report was decoded as the changes of a cache, and the position that is asked for next jumped to its tokens (9,000), after which no event is received; changes were taken for an empty list. Cause: all polls of an address shared connections, and a report, a list and changes have the same fields. Change: connections are kept by address and path; a list, which is rare, has one of its own. Changes of a lower position than the one asked for, within one life, are not believed and asked for again, without dropping a store box's view. No header and no call more; one more connection per engine is kept where a box reads its reports and its events in turn. tests/test_peer_polls.py looks up kept connections by address and path in place of the address; its checks are the same. A repeated answer of the same kind still delays what is known by one poll.

--- a/stairquay/platform/peers.py
+++ b/stairquay/platform/peers.py
@@ -141,8 +141,11 @@
         return CacheChanges(found.boot_epoch, found.next_page_token, found.lost, events, clock_ms)
 
     async def cache_snapshot(self, address: str) -> CacheSnapshot | None:
-        """Return the contents of a cache, or None if its holder does not answer."""
-        found = await self._get(address, CACHE_LIST_PATH, WireCacheSnapshot, RESPONSE_TIMEOUT_S)
+        """Return the contents of a cache, or None if its holder does not answer.
+
+        Lists are rare, and an earlier one that came a second time would bring back parts that were dropped.
+        """
+        found = await self._get(address, CACHE_LIST_PATH, WireCacheSnapshot, RESPONSE_TIMEOUT_S, reuse=False)
         if found is None:
             return None
         parts = tuple(((item[0] or "", item[1]), item[2]) for item in found.held)
@@ -190,8 +193,9 @@
         kind: type[T],
         timeout_s: float,
         headers: Mapping[str, str] = NO_HEADERS,
+        reuse: bool = True,
     ) -> T | None:
-        response = await self.polls.get(address, target, headers, timeout_s)
+        response = await self.polls.get(address, target, headers, timeout_s, reuse)
         if response is None or response.status != HTTP_OK:
             return None
         try:
--- a/stairquay/platform/polling.py
+++ b/stairquay/platform/polling.py
@@ -149,61 +149,69 @@
             response.set_exception(error)
 
 
+PollKind = tuple[str, str]
+"""Address and path. An answer that comes a second time, in the place of the next one, has the form that is
+expected only where the connection carries requests of one kind."""
+
+
 @dataclass
 class PollClient:
-    """Sends GET requests over connections that it keeps, by address."""
+    """Sends GET requests over connections that it keeps, by kind of request."""
 
-    idle_by_address: dict[str, list[PollConnection]] = field(default_factory=dict)
+    idle_by_kind: dict[PollKind, list[PollConnection]] = field(default_factory=dict)
     budget: BufferBudget = field(default_factory=lambda: BufferBudget(MAX_INCOMPLETE_BYTES))
     swept_at: float = field(default_factory=monotonic)
 
     async def get(
-        self, address: str, target: str, headers: Mapping[str, str], timeout_s: float
+        self, address: str, target: str, headers: Mapping[str, str], timeout_s: float, reuse: bool = True
     ) -> PollResponse | None:
-        """Return the response of `IP:port`, or None if none came in time."""
+        """Return the response of `IP:port`, or None if none came in time.
+
+        Without `reuse`, the request has a connection of its own, on which nothing but its answer can come.
+        """
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         request = f"GET {target} HTTP/1.1\r\nHost: {address}\r\n{lines}\r\n".encode()
         deadline = asyncio.get_running_loop().time() + timeout_s
         try:
-            return await self._exchange(address, request, deadline)
+            if reuse:
+                return await self._exchange((address, target.partition("?")[0]), request, deadline)
+            return await self._exchange_alone(address, request, deadline)
         except (TimeoutError, OSError, ValueError):
             # ValueError: the address is malformed.
             return None
 
     def close(self) -> None:
         """Close the idle connections."""
-        for connections in self.idle_by_address.values():
+        for connections in self.idle_by_kind.values():
             for connection in connections:
                 connection.close()
-        self.idle_by_address.clear()
+        self.idle_by_kind.clear()
+
+    async def _exchange_alone(self, address: str, request: bytes, deadline: float) -> PollResponse:
+        connection = await self._connect(address, deadline)
+        try:
+            return await _send(connection, request, deadline)
+        finally:
+            connection.close()
 
-    async def _exchange(self, address: str, request: bytes, deadline: float) -> PollResponse:
-        kept = self._take_idle(address)
+    async def _exchange(self, kind: PollKind, request: bytes, deadline: float) -> PollResponse:
+        kept = self._take_idle(kind)
         if kept is not None:
             try:
-                return await self._send(kept, address, request, deadline)
+                return await self._send_and_keep(kept, kind, request, deadline)
             except ConnectionError:
                 # The other side may close a connection while it is idle. A GET can be sent again.
                 if kept.answered:
                     raise
-        return await self._send(await self._connect(address, deadline), address, request, deadline)
+        connection = await self._connect(kind[0], deadline)
+        return await self._send_and_keep(connection, kind, request, deadline)
 
-    async def _send(
-        self, connection: PollConnection, address: str, request: bytes, deadline: float
+    async def _send_and_keep(
+        self, connection: PollConnection, kind: PollKind, request: bytes, deadline: float
     ) -> PollResponse:
-        response = connection.send(request)
-        # Takes half the processor time of `asyncio.timeout`.
-        timer = asyncio.get_running_loop().call_at(deadline, connection.time_out)
-        try:
-            found = await response
-        except BaseException:
-            # Also on a time-out: a late response must not be taken for that of the next request.
-            connection.close()
-            raise
-        finally:
-            timer.cancel()
+        found = await _send(connection, request, deadline)
         if connection.usable:
-            self.idle_by_address.setdefault(address, []).append(connection)
+            self.idle_by_kind.setdefault(kind, []).append(connection)
         return found
 
     async def _connect(self, address: str, deadline: float) -> PollConnection:
@@ -213,11 +221,11 @@
             _, connection = await loop.create_connection(lambda: PollConnection(self.budget), host, int(port))
         return connection
 
-    def _take_idle(self, address: str) -> PollConnection | None:
+    def _take_idle(self, kind: PollKind) -> PollConnection | None:
         now = monotonic()
         if now - self.swept_at > SWEEP_INTERVAL_S:
             self._close_stale(now)
-        connections = self.idle_by_address.get(address, [])
+        connections = self.idle_by_kind.get(kind, [])
         while connections:
             connection = connections.pop()
             if connection.usable and now - connection.idle_since < IDLE_TIMEOUT_S:
@@ -228,11 +236,26 @@
     def _close_stale(self, now: float) -> None:
         """Close connections that nobody has used for long, such as those to endpoints that are gone."""
         self.swept_at = now
-        for address, connections in list(self.idle_by_address.items()):
+        for kind, connections in list(self.idle_by_kind.items()):
             fresh = [item for item in connections if item.usable and now - item.idle_since < IDLE_TIMEOUT_S]
             for connection in connections:
                 if connection not in fresh:
                     connection.close()
-            self.idle_by_address[address] = fresh
+            self.idle_by_kind[kind] = fresh
             if not fresh:
-                del self.idle_by_address[address]
+                del self.idle_by_kind[kind]
+
+
+async def _send(connection: PollConnection, request: bytes, deadline: float) -> PollResponse:
+    """Return the response; close the connection if there is none."""
+    response = connection.send(request)
+    # Takes half the processor time of `asyncio.timeout`.
+    timer = asyncio.get_running_loop().call_at(deadline, connection.time_out)
+    try:
+        return await response
+    except BaseException:
+        # Also on a time-out: a late response must not be taken for that of the next request.
+        connection.close()
+        raise
+    finally:
+        timer.cancel()
--- a/stairquay/serving/watching.py
+++ b/stairquay/serving/watching.py
@@ -149,6 +149,10 @@
                 if position != 0:
                     position = 0
                     continue
+            elif changes.position < position:
+                # An answer to an earlier call that came a second time: positions only rise within a life.
+                await asyncio.sleep(RETRY_S)
+                continue
             if changes.lost and asked_at - snapshot_at > MIN_SNAPSHOT_INTERVAL_S:
                 snapshot_at = asked_at
                 await self._apply_snapshot(address, asked_at)
@@ -190,6 +194,10 @@
                 return "silent"
             if changes.incarnation != incarnation:
                 return "started anew"
+            if changes.position < position:
+                # An answer to an earlier call that came a second time; the view expires if no other comes.
+                await asyncio.sleep(RETRY_S)
+                continue
             if changes.lost:
                 return "events lost"
             self.state.holdings.apply(address, changes.events, changes.position, asked_at)
--- a/tests/test_peer_polls.py
+++ b/tests/test_peer_polls.py
@@ -10,6 +10,7 @@
 from stairquay.platform.polling import PollClient, PollResponse
 from tests.ports import free_port
 
+PATH = "/-/report"
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 Serve = Callable[[int, int, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[bool]]
@@ -61,7 +62,7 @@
 
 
 async def get(address: str, client: PollClient, timeout_s: float = 2.0) -> PollResponse | None:
-    return await client.get(address, "/-/report", {"Wait-Ms": "7"}, timeout_s)
+    return await client.get(address, PATH, {"Wait-Ms": "7"}, timeout_s)
 
 
 def test_a_connection_is_used_again_and_the_request_is_complete():
@@ -163,9 +164,9 @@
     async def scenario():
         async with server(answers(OK + extra, OK)) as (address, client, _):
             assert await get(address, client) == PollResponse(200, b"{}")
-            assert not client.idle_by_address.get(address)
+            assert not client.idle_by_kind.get((address, PATH))
             assert await get(address, client) == PollResponse(200, b"{}")
-            assert len(client.idle_by_address[address]) == 1
+            assert len(client.idle_by_kind[address, PATH]) == 1
 
     asyncio.run(scenario())
 
@@ -237,10 +238,10 @@
     async def scenario():
         async with server(answers(OK)) as (gone, client, _), server(answers(OK)) as (staying, _, _):
             await get(gone, client)
-            (connection,) = client.idle_by_address[gone]
+            (connection,) = client.idle_by_kind[gone, PATH]
             await asyncio.sleep(0.2)
             await get(staying, client)
-            assert list(client.idle_by_address) == [staying]
+            assert list(client.idle_by_kind) == [(staying, PATH)]
             assert not connection.usable
 
     asyncio.run(scenario())
