At the separate entry, believe only an engine's answer that names the run

Callers could get a run twice, or the answer to another one: an engine's answer without X-Request-Id counted as that to the run under way, also with X-Not-Run. Shown by a stand-in; no such run is on record. Cause: _classify_response took a missing id for the right one, though engines echo it (docs/ENDPOINTS.md). Change: with verify_run_id an answer has to name this run; else it is garbage, and the run may have happened. The page says that refusals echo the id too; the stand-in engine's refusals, which lacked it, have it now. The test of the plain relay says verify_run_id=False, as plain services echo nothing; what it checks is the same.

--- a/stairquay/entry/upstream.py
+++ b/stairquay/entry/upstream.py
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True)
 class OutgoingRequest:
-    """A request to an endpoint. verify_run_id: reject a response that carries another run's id."""
+    """A request to an endpoint. verify_run_id: reject a response that does not name this run."""
 
     method: str
     url: str
@@ -139,10 +139,11 @@
 def _classify_response(
     response: ClientResponse, attempt: Attempt, verify_run_id: bool
 ) -> Result[ClientResponse, Failure]:
-    if verify_run_id and response.headers.get(RUN_ID_HEADER, attempt.run_id) != attempt.run_id:
+    if verify_run_id and response.headers.get(RUN_ID_HEADER) != attempt.run_id:
+        # It says nothing of this run, also where it is a refusal: one may come a second time, late.
         response.close()
         attempt.lose()
-        return Err(Failure(ErrorKind.ENDPOINT_GARBAGE, attempt.ran, "the response carries another run's id"))
+        return Err(Failure(ErrorKind.ENDPOINT_GARBAGE, attempt.ran, "the response does not name this run"))
     if response.headers.get(NOT_RUN_HEADER) == TRUE:
         response.close()
         attempt.refuse()
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -105,7 +105,7 @@
         if self.faults.never > 0:
             self.faults.never -= 1
             await asyncio.sleep(3600)
-        refusal = self.refusal(body)
+        refusal = self.refusal(run_id, body)
         if refusal is not None:
             return refusal
         if self.faults.fail > 0 or self.random.random() < self.faults.fail_share:
@@ -124,8 +124,8 @@
             request.transport.abort()
         return await self.answer(request, run, 0)
 
-    def refusal(self, body: dict) -> web.Response | None:
-        not_run = {"X-Not-Run": "true"}
+    def refusal(self, run_id: str, body: dict) -> web.Response | None:
+        not_run = {"X-Request-Id": run_id, "X-Not-Run": "true"}
         if self.faults.leaving:
             self.turned_away += 1
             return reply({"error": "leaving"}, 503, **not_run, **{"X-Leaving": "true"})
--- a/tests/test_plain_relay.py
+++ b/tests/test_plain_relay.py
@@ -38,7 +38,7 @@
 
     async def handle(request: web.Request) -> web.StreamResponse:
         attempt = Attempt("r", "e")
-        outgoing = OutgoingRequest("GET", f"http://{address}/x", {}, None)
+        outgoing = OutgoingRequest("GET", f"http://{address}/x", {}, None, verify_run_id=False)
         deadline = monotonic() + 5
         response = (await open_response(upstream, outgoing, attempt, deadline, 5.0)).unwrap()
         context = SimpleNamespace(settings=SimpleNamespace(stall_timeout_s=2.0))
