At the separate programs, use no connection again on which bytes came while it was idle

A plain request that may be repeated got the answer to the one before, which may be another caller's, if an endpoint sent it once more before the next request (seen with a stand-in that does so). Cause: aiohttp keeps an answer that comes on an idle connection, and gives it to the next request. The box ends such connections (CheckedProtocol); the separate programs use WholeBodyProtocol, which did not look. Change: the check moves from CheckedProtocol to WholeBodyProtocol, which it extends. Not covered: a repeated answer that comes after the next plain request was sent, as plain services echo no id. Such requests may be repeated, so that none runs twice against its caller's will, but its caller may get another's answer.

--- a/stairquay/adapters/whole_bodies.py
+++ b/stairquay/adapters/whole_bodies.py
@@ -11,6 +11,8 @@
 class WholeBodyProtocol(ResponseHandler):
     """A connection whose pending body fails with ClientPayloadError unless it ends as it should.
 
+    It is not used again after bytes that came while no request was under way.
+
     The base class takes any end of the connection for that of a body without length and chunks, also a reset
     and its own `close`; and a body whose chunks are invalid never ends there.
     """
@@ -23,6 +25,11 @@
         super().connection_lost(exc)
         fail(payload, "the body is incomplete or invalid")
 
+    def is_connected(self) -> bool:
+        """Tell whether the connection can be used; an answer that waits to be read is to no request."""
+        idle = self._payload is None or self._payload.is_eof()
+        return super().is_connected() and not (idle and (self._buffer or self._tail))
+
     def close(self) -> None:
         """Close the connection, and fail the pending body."""
         fail(self._payload, "the connection was closed by this side")
--- a/stairquay/platform/connections.py
+++ b/stairquay/platform/connections.py
@@ -144,7 +144,7 @@
         if not super().is_connected():
             return False
         idle = self._payload is None or self._payload.is_eof()
-        return not idle or not (self._buffer or self._tail or monotonic() > self.stale_at)
+        return not (idle and monotonic() > self.stale_at)
 
 
 def open_session(
--- a/tests/test_surplus_answers_at_entry.py
+++ b/tests/test_surplus_answers_at_entry.py
@@ -113,3 +113,19 @@
             return found
 
     assert [outcome for _, outcome in asyncio.run(scenario())] == [f"run-{n}" for n in range(4)]
+
+
+def test_an_answer_that_comes_again_on_an_idle_connection_is_not_that_to_the_next_run():
+    """Guards against a plain request that gets the answer to the one before, maybe another caller's."""
+
+    async def scenario():
+        session = open_session(1.0, reuse=True)
+        async with endpoint(lambda run, _: f"{SUCCESS}X-Request-Id: {run}\r\n{NOTHING}", 0.05) as address:
+            found = []
+            for number in range(4):
+                found.append(await send(session, address, f"run-{number}", verify_run_id=False))
+                await asyncio.sleep(0.2)
+            await session.close()
+            return found
+
+    assert [outcome for _, outcome in asyncio.run(scenario())] == [f"run-{n}" for n in range(4)]
