Give each order, import, export and manifest call of the separate programs a connection of its own

Operators could see an order counted as accepted that an engine had refused, by the answer to the one before; an export could get the block ids and checksums of another one. Cause: the router and the control sent everything to endpoints over one session, whose answers name no request. Change: a second session that closes each connection after its call, for what endpoints and store boxes are told to do; reports and catalogues stay on kept connections, one kind per address. gRPC numbers its calls: rpc.py needs nothing.

--- a/stairquay/control/app.py
+++ b/stairquay/control/app.py
@@ -3,7 +3,6 @@
 import secrets
 
 from absl import logging
-from aiohttp import ClientSession
 
 from stairquay.adapters.follower import View, follow
 from stairquay.adapters.followers import router_first_round
@@ -17,6 +16,7 @@
     wait_for_stop,
 )
 from stairquay.adapters.rpc import RouterChannels
+from stairquay.adapters.sessions import open_endpoint_sessions
 from stairquay.adapters.settings import ControlSettings, KeepSettings, Settings
 from stairquay.control.api import OperatorApi
 from stairquay.control.leader import Leader, run_while_leading
@@ -40,7 +40,7 @@
     leader = Leader(platform, name, control.lease_s, metrics)
     plans = PlanService(platform, settings.platform.timeout_s * 2)
     api = OperatorApi(control, view, plans, channels, metrics)
-    async with ClientSession() as session:
+    async with open_endpoint_sessions() as sessions:
         site = await listen(
             api.application(),
             control.listen,
@@ -52,9 +52,9 @@
         one_round = router_first_round(settings.view, control.router, platform, channels)
         tasks.start(follow(view, one_round, settings.view.poll_s, settings.round_timeout_s))
         tasks.start(leader.run())
-        reconciler = Reconciler(view, leader, session, control, metrics)
+        reconciler = Reconciler(view, leader, sessions, control, metrics)
         tasks.start(run_while_leading(leader, reconciler.reconcile, control.reconcile_s))
-        store_upkeep = StoreUpkeep(view, leader, session, keep, metrics)
+        store_upkeep = StoreUpkeep(view, leader, sessions, keep, metrics)
         tasks.start(run_while_leading(leader, store_upkeep.run_once, control.upkeep_s))
         table_upkeep = TableUpkeep(platform, leader, control)
         tasks.start(run_while_leading(leader, table_upkeep.run_once, control.upkeep_s * 10))
--- a/stairquay/control/orders.py
+++ b/stairquay/control/orders.py
@@ -9,12 +9,12 @@
 from dataclasses import dataclass
 
 from absl import logging
-from aiohttp import ClientSession
 from result import Ok
 
 from stairquay.adapters.engine import EngineState, Order, OrderKind, OrderOutcome, fetch_state, send_order
 from stairquay.adapters.follower import View
 from stairquay.adapters.metrics import ControlMetrics
+from stairquay.adapters.sessions import EndpointSessions
 from stairquay.adapters.settings import ControlSettings
 from stairquay.control.leader import Leader
 from stairquay.core.models import EndpointSpec, Placement, Service
@@ -39,13 +39,13 @@
         self,
         view: View,
         leader: Leader,
-        session: ClientSession,
+        sessions: EndpointSessions,
         settings: ControlSettings,
         metrics: ControlMetrics,
     ) -> None:
         self.view = view
         self.leader = leader
-        self.session = session
+        self.sessions = sessions
         self.settings = settings
         self.metrics = metrics
 
@@ -77,7 +77,7 @@
             if box is None:
                 return None
             address = box.addresses["http"]
-            found = await fetch_state(self.session, address, -1, self.settings.order_timeout_s)
+            found = await fetch_state(self.sessions.reports, address, -1, self.settings.order_timeout_s)
             return EndpointReport(endpoint, address, found.ok_value) if isinstance(found, Ok) else None
 
         results = await asyncio.gather(*(fetch_report(endpoint) for endpoint in service.endpoints))
@@ -96,7 +96,7 @@
             version=version.id,
             adapters=version.adapters,
         )
-        outcome = await send_order(self.session, item.address, order, self.settings.order_timeout_s)
+        outcome = await send_order(self.sessions.orders, item.address, order, self.settings.order_timeout_s)
         self.metrics.orders.labels(outcome.value).inc()
         if outcome == OrderOutcome.ACCEPTED:
             logging.info("endpoint %s accepted the order to load version %s", item.endpoint.id, version.id)
--- a/stairquay/control/upkeep.py
+++ b/stairquay/control/upkeep.py
@@ -8,13 +8,13 @@
 
 import msgspec
 from absl import logging
-from aiohttp import ClientSession
 from result import Err, Ok
 
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.follower import View
 from stairquay.adapters.metrics import ControlMetrics
 from stairquay.adapters.ports import Commit, Condition, Table, Write
+from stairquay.adapters.sessions import EndpointSessions
 from stairquay.adapters.settings import ControlSettings, KeepSettings
 from stairquay.adapters.store import Catalogue, delete_manifest, fetch_catalogue, free_data
 from stairquay.control.leader import Leader
@@ -38,13 +38,13 @@
         self,
         view: View,
         leader: Leader,
-        session: ClientSession,
+        sessions: EndpointSessions,
         keep: KeepSettings,
         metrics: ControlMetrics,
     ) -> None:
         self.view = view
         self.leader = leader
-        self.session = session
+        self.sessions = sessions
         self.keep = keep
         self.metrics = metrics
         self.orphaned_since: dict[tuple[str, str], float] = {}
@@ -59,7 +59,7 @@
 
     async def _maintain_store(self, box: Box) -> None:
         address = box.addresses["http"]
-        read = await fetch_catalogue(self.session, address, NO_INCARNATION, 0, CALL_TIMEOUT_S)
+        read = await fetch_catalogue(self.sessions.reports, address, NO_INCARNATION, 0, CALL_TIMEOUT_S)
         if isinstance(read, Err):
             return
         await self._evict(box, address, read.ok_value)
@@ -75,7 +75,7 @@
         for segment in evicted:
             if not self.leader.may_act():
                 return
-            await delete_manifest(self.session, address, segment.name, CALL_TIMEOUT_S)
+            await delete_manifest(self.sessions.orders, address, segment.name, CALL_TIMEOUT_S)
             self.metrics.evictions.labels(box.id).inc()
 
     def _recent_inflow(self, store: str, segments: list[Segment]) -> int:
@@ -100,7 +100,7 @@
             since = self.orphaned_since.setdefault(key, now)
             if now - since < self.keep.grace_s or not self.leader.may_act():
                 continue
-            await free_data(self.session, address, key[1], CALL_TIMEOUT_S)
+            await free_data(self.sessions.orders, address, key[1], CALL_TIMEOUT_S)
 
     def _drop_recovered(self, store: str, orphaned: set[tuple[str, str]]) -> None:
         for key in list(self.orphaned_since):
--- a/stairquay/router/app.py
+++ b/stairquay/router/app.py
@@ -5,7 +5,6 @@
 
 import grpc
 from absl import logging
-from aiohttp import ClientSession
 
 from stairquay.adapters.follower import View, follow
 from stairquay.adapters.followers import platform_first_round
@@ -13,6 +12,7 @@
 from stairquay.adapters.program import BackgroundTasks, listen_for_monitoring, wait_for_stop, wait_until
 from stairquay.adapters.router_pb2_grpc import add_RouterServicer_to_server
 from stairquay.adapters.rpc import RouterChannels, bind
+from stairquay.adapters.sessions import open_endpoint_sessions
 from stairquay.adapters.settings import RouterSettings, Settings
 from stairquay.router.exporting import Exporter
 from stairquay.router.importing import Importer
@@ -31,10 +31,10 @@
     platform = HttpPlatform(settings.platform.url, settings.platform.timeout_s)
     channels = RouterChannels(settings.internal_tls)
     state = RouterState(settings.box.id, router, view, random.Random())
-    async with ClientSession() as session:
-        importer = Importer(state, session)
+    async with open_endpoint_sessions() as sessions:
+        importer = Importer(state, sessions.orders)
         tasks = BackgroundTasks()
-        exporter = Exporter(state, session, tasks.start)
+        exporter = Exporter(state, sessions.orders, tasks.start)
         service = RouterService(state, importer, exporter)
         server = grpc.aio.server()
         add_RouterServicer_to_server(service, server)
@@ -46,7 +46,7 @@
         )
         one_round = platform_first_round(settings.view, router.listen, platform, channels)
         tasks.start(follow(view, one_round, settings.view.poll_s, settings.round_timeout_s))
-        tasks.start(Poller(state, session).run())
+        tasks.start(Poller(state, sessions.reports).run())
         logging.info("router %s listens on %s", settings.box.id, router.listen)
         await wait_for_stop(tasks)
         stopping.set()
--- a/tests/test_surplus_answers_at_entry.py
+++ b/tests/test_surplus_answers_at_entry.py
@@ -9,6 +9,8 @@
 from result import Result
 
 from stairquay.adapters.clock import monotonic
+from stairquay.adapters.engine import Order, OrderKind, OrderOutcome, send_order
+from stairquay.adapters.sessions import open_endpoint_sessions
 from stairquay.core.attempt import Attempt
 from stairquay.core.errors import ErrorKind, ExecutionStatus
 from stairquay.entry.upstream import Failure, OutgoingRequest, open_response, open_session
@@ -129,3 +131,17 @@
             return found
 
     assert [outcome for _, outcome in asyncio.run(scenario())] == [f"run-{n}" for n in range(4)]
+
+
+def test_the_answer_to_an_earlier_order_of_a_control_is_not_that_to_the_next_one():
+    """Guards against an order that counts as accepted though the engine has refused it."""
+    order = Order(OrderKind.LOAD, 1, 0.0)
+
+    def respond(_: str, before: str) -> str:
+        return (SUCCESS + NOTHING if before else "") + "HTTP/1.1 409 X\r\n" + NOTHING
+
+    async def scenario():
+        async with endpoint(respond) as address, open_endpoint_sessions() as sessions:
+            return [await send_order(sessions.orders, address, order, 1.0) for _ in range(3)]
+
+    assert asyncio.run(scenario()) == [OrderOutcome.FENCED] * 3
