--- a/stairquay/platform/peers.py
+++ b/stairquay/platform/peers.py
@@ -98,10 +98,14 @@
 
 
 class PeerClient:
-    """Queries engines and store boxes, and sends orders to them."""
+    """Queries engines and store boxes, and sends orders to them.
 
-    def __init__(self, session: ClientSession, polls: PollClient) -> None:
-        self.session = session
+    order_session: gives each call a connection of its own. On another one, an answer to an earlier order that
+    comes a second time could not be told from the one that is due.
+    """
+
+    def __init__(self, order_session: ClientSession, polls: PollClient) -> None:
+        self.order_session = order_session
         self.polls = polls
 
     async def report(self, address: str) -> EngineReport | None:
@@ -137,8 +141,11 @@
         return CacheChanges(found.boot_epoch, found.next_page_token, found.lost, events, clock_ms)
 
     async def cache_snapshot(self, address: str) -> CacheSnapshot | None:
-        """Return the contents of a cache, or None if its holder does not answer."""
-        found = await self._get(address, CACHE_LIST_PATH, WireCacheSnapshot, RESPONSE_TIMEOUT_S)
+        """Return the contents of a cache, or None if its holder does not answer.
+
+        Lists are rare, and an earlier one that came a second time would bring back parts that were dropped.
+        """
+        found = await self._get(address, CACHE_LIST_PATH, WireCacheSnapshot, RESPONSE_TIMEOUT_S, reuse=False)
         if found is None:
             return None
         parts = tuple(((item[0] or "", item[1]), item[2]) for item in found.held)
@@ -186,8 +193,9 @@
         kind: type[T],
         timeout_s: float,
         headers: Mapping[str, str] = NO_HEADERS,
+        reuse: bool = True,
     ) -> T | None:
-        response = await self.polls.get(address, target, headers, timeout_s)
+        response = await self.polls.get(address, target, headers, timeout_s, reuse)
         if response is None or response.status != HTTP_OK:
             return None
         try:
@@ -199,7 +207,7 @@
     async def _post(self, url: str, body: dict[str, Any], headers: dict[str, str]) -> int | None:
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                async with self.session.post(url, json=body, headers=headers) as response:
+                async with self.order_session.post(url, json=body, headers=headers) as response:
                     if len(await response.content.read(MAX_ORDER_ANSWER_BYTES)) == MAX_ORDER_ANSWER_BYTES:
                         response.close()
                     return response.status
