Bound what a surplus answer may do: its trailer, its wait, and answers that name two requests

A skipped answer in chunks gets a new parser after it; where more has come by then, the connection ends and the request may have run. - An endpoint that forgets ids held a request for its whole time on connections from before (5 of 10 got 504 after 1.98 s). After an answer that names no request the due one may take half of the time left, 2 s at most; then it counts as the endpoint's fault. A switch of protocols is no surplus answer. - Of two Request-Id fields the first one was believed. An answer names its request if it names exactly one. - A warning for each skipped answer: now the first of a connection.

--- a/stairquay/platform/box_client.py
+++ b/stairquay/platform/box_client.py
@@ -11,7 +11,7 @@
 from stairquay.core.call import Call
 from stairquay.core.errors import ErrorKind, ExecutionStatus
 from stairquay.core.malformed import MALFORMED
-from stairquay.platform.connection_pool import ConnectionPool, PooledConnection
+from stairquay.platform.connection_pool import ConnectionPool, PooledConnection, named_request
 from stairquay.platform.endpoints import Response, close_connection, reply_of, request_target
 from stairquay.platform.names import (
     AUTHORIZATION,
@@ -19,7 +19,6 @@
     CONFIGURATION,
     FORWARDED,
     LAST_EVENT_ID,
-    REQUEST_ID,
     RETRY_AFTER,
     SIGNATURE,
     TIME_LEFT,
@@ -62,7 +61,7 @@
                 connection.send(call.method, request_target(call), _headers(call, forward), body)
                 message, payload = await connection.read_head()
                 response = Response(message, payload, connection, self.pool)
-                if response.headers.get(REQUEST_ID) != call.id:
+                if named_request(response.headers) != call.id:
                     raise ValueError("an answer to another request")
                 if SIGNATURE not in response.headers:
                     return Err(await _read_refusal(response, attempt))
--- a/stairquay/platform/connection_pool.py
+++ b/stairquay/platform/connection_pool.py
@@ -12,6 +12,7 @@
 
 from aiohttp import ClientPayloadError, StreamReader
 from aiohttp.http import RawResponseMessage
+from multidict import CIMultiDictProxy
 
 from stairquay.adapters.clock import monotonic
 from stairquay.platform.connections import (
@@ -41,6 +42,11 @@
 MAX_SURPLUS_BYTES = MAX_OVERHEAD_BYTES
 """Maximum size of the body of each."""
 
+MAX_UNNAMED_WAIT_S = 2.0
+UNNAMED_WAIT_SHARE = 0.5
+"""Time to wait for an answer after one that names no request, in seconds and as a share of the time left. It
+may have been the answer that was due, from an endpoint that forgets to name requests."""
+
 MAX_IDS_KEPT = 64
 """Ids of the last requests on a connection that are remembered, to know a surplus answer to one of them."""
 
@@ -57,7 +63,8 @@
     """One connection to an endpoint.
 
     reused: it has carried a request before. idle_since: monotonic seconds. earlier_ids: of the requests
-    before the one under way.
+    before the one under way. has_logged: a surplus answer has been logged. is_head: the request under way has
+    an answer without a body.
     """
 
     address: str
@@ -65,6 +72,8 @@
     reused: bool = False
     idle_since: float = 0.0
     earlier_ids: deque[str] = field(default_factory=lambda: deque(maxlen=MAX_IDS_KEPT))
+    has_logged: bool = False
+    is_head: bool = False
 
     def can_be_reused(self) -> bool:
         """Tell whether an idle connection can carry the next request."""
@@ -73,18 +82,22 @@
     def send(self, method: str, target: str, headers: list[tuple[str, str]], body: bytes) -> None:
         """Write a request. Raises ValueError if a header has a line break."""
         head = encode_head(method, target, headers, len(body))
+        self.is_head = method == "HEAD"
+        self._expect_answer()
+        transport = self.protocol.transport
+        if transport is None:
+            raise ConnectionResetError("the connection was closed")
+        transport.write(head + body)
+
+    def _expect_answer(self) -> None:
         self.protocol.set_response_params(
-            skip_payload=method == "HEAD",
+            skip_payload=self.is_head,
             read_until_eof=True,
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
             max_line_size=MAX_FIELD_BYTES,
             max_field_size=MAX_FIELD_BYTES,
         )
-        transport = self.protocol.transport
-        if transport is None:
-            raise ConnectionResetError("the connection was closed")
-        transport.write(head + body)
 
     async def read_head(self) -> tuple[RawResponseMessage, StreamReader]:
         """Return the head of the answer and the reader of its body, without interim answers.
@@ -97,43 +110,67 @@
                 return message, payload
         raise ClientPayloadError("too many interim answers")
 
-    async def read_answer(self, request_id: str) -> tuple[RawResponseMessage, StreamReader]:
+    async def read_answer(self, request_id: str, left_s: float) -> tuple[RawResponseMessage, StreamReader]:
         """Return the head of the answer to a request and the reader of its body, without surplus answers.
 
         An endpoint may repeat its answer to an earlier request once the next one is under way. What it says
-        is not believed: the answer that is due still comes. Raises ClientError as `read_head` does, and if
-        no other answer can follow the surplus one.
+        is not believed: the answer that is due still comes. left_s: seconds that the request has left. Raises
+        ClientError as `read_head` does, if no other answer can follow the surplus one, or if none comes for
+        long after one that names no request.
         """
+        wait_s = None
         for _ in range(MAX_SURPLUS_ANSWERS + 1):
-            message, payload = await self.read_head()
-            answered_id = message.headers.get(REQUEST_ID)
-            if not self._is_surplus(answered_id):
-                self.earlier_ids.append(request_id)
-                return message, payload
-            LOGGER.warning(
-                "%s: surplus answer to %s, status %d, before that to %s",
-                self.address,
-                answered_id or "an unnamed request",
-                message.code,
-                request_id,
-            )
-            await _skip_body(message, payload)
+            try:
+                async with asyncio.timeout(wait_s):
+                    message, payload = await self.read_head()
+                    answered_id = named_request(message.headers)
+                    if not self._is_surplus(message, answered_id):
+                        self.earlier_ids.append(request_id)
+                        return message, payload
+                    self._log_surplus(message, answered_id, request_id)
+                    await self._skip(message, payload)
+            except TimeoutError as error:
+                raise ClientPayloadError("no answer after one that names no request") from error
+            if answered_id is None:
+                wait_s = min(MAX_UNNAMED_WAIT_S, left_s * UNNAMED_WAIT_SHARE)
         raise ClientPayloadError("too many surplus answers")
 
-    def _is_surplus(self, answered_id: str | None) -> bool:
+    def _is_surplus(self, message: RawResponseMessage, answered_id: str | None) -> bool:
         """Tell whether an answer belongs to an earlier request; all answers of endpoints name theirs."""
+        if message.code == SWITCHING_PROTOCOLS:
+            return False
         return bool(self.earlier_ids) if answered_id is None else answered_id in self.earlier_ids
 
+    def _log_surplus(self, message: RawResponseMessage, answered_id: str | None, request_id: str) -> None:
+        """Log the first surplus answer of a connection; a faulty endpoint may send many."""
+        if self.has_logged:
+            return
+        self.has_logged = True
+        answered = answered_id or "an unnamed request"
+        text = "%s: surplus answer to %s, status %d, before that to %s"
+        LOGGER.warning(text, self.address, answered, message.code, request_id)
+
+    async def _skip(self, message: RawResponseMessage, payload: StreamReader) -> None:
+        """Read a surplus answer to its end. Raises ClientPayloadError if no answer can follow it."""
+        if message.should_close:
+            raise ClientPayloadError("a surplus answer ends the connection")
+        skipped = 0
+        while data := await payload.readany():
+            skipped += len(data)
+            if skipped > MAX_SURPLUS_BYTES:
+                raise ClientPayloadError("a surplus answer is too large")
+        if not message.chunked:
+            return
+        # The parser takes the last field of a trailer for one of the next head.
+        if self.protocol.holds_more():
+            raise ClientPayloadError("an answer came together with the trailer of a surplus one")
+        self._expect_answer()
+
 
-async def _skip_body(message: RawResponseMessage, payload: StreamReader) -> None:
-    """Read a body to its end. Raises ClientPayloadError if no answer can follow it."""
-    if message.should_close:
-        raise ClientPayloadError("a surplus answer ends the connection")
-    skipped = 0
-    while data := await payload.readany():
-        skipped += len(data)
-        if skipped > MAX_SURPLUS_BYTES:
-            raise ClientPayloadError("a surplus answer is too large")
+def named_request(headers: CIMultiDictProxy[str]) -> str | None:
+    """Return the id of the request that an answer names, None unless it names exactly one."""
+    found = headers.getall(REQUEST_ID, [])
+    return found[0] if len(found) == 1 else None
 
 
 def encode_head(method: str, target: str, headers: list[tuple[str, str]], body_bytes: int) -> bytes:
--- a/stairquay/platform/connections.py
+++ b/stairquay/platform/connections.py
@@ -146,6 +146,10 @@
         idle = self._payload is None or self._payload.is_eof()
         return not (idle and monotonic() > self.stale_at)
 
+    def holds_more(self) -> bool:
+        """Tell whether anything has come after the answer that was read last."""
+        return bool(self._buffer or self._tail) or self.has_begun_answer()
+
     def has_begun_answer(self) -> bool:
         """Tell whether an idle connection holds the first part of a surplus answer.
 
--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -12,7 +12,12 @@
 from stairquay.core.attempt import Attempt
 from stairquay.core.call import Call, Dispatch
 from stairquay.core.errors import ErrorKind, ExecutionStatus
-from stairquay.platform.connection_pool import ConnectionPool, ConnectTimeoutError, PooledConnection
+from stairquay.platform.connection_pool import (
+    ConnectionPool,
+    ConnectTimeoutError,
+    PooledConnection,
+    named_request,
+)
 from stairquay.platform.names import (
     EXPECT_VERSION,
     FETCH,
@@ -75,7 +80,7 @@
                     self.pool.release(connection)
                     return _not_sent(attempt)
                 connection.send(call.method, request_target(call), _request_headers(call, dispatch), body)
-                message, payload = await connection.read_answer(call.id)
+                message, payload = await connection.read_answer(call.id, wait_s)
         except ConnectTimeoutError as error:
             attempt.lose()
             return Err(_broken_send(call, connection, attempt, error))
@@ -286,7 +291,7 @@
 def _validate_response(call: Call, response: Response, attempt: Attempt) -> Result[Reply, SendFailure]:
     """Return the response if it belongs to this request and was signed by an endpoint."""
     status = response.status
-    answered_id = response.headers.get(REQUEST_ID)
+    answered_id = named_request(response.headers)
     if answered_id != call.id:
         # It says nothing of this request, also where it is a rejection: one may come a second time, late.
         response.close()
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -20,10 +20,18 @@
 )
 """Beginnings of a second answer that is broken off."""
 
+LATER = "\0"
+"""Stands in what an endpoint writes for a pause, after which the rest is written."""
+
+LATER_S = 0.03
+
 Respond = Callable[[str, str], str]
 """Returns what an endpoint writes on the connection: for this request, and the one before."""
 
 
+SIGNATURE = "Response-Signature: sig\r\n"
+
+
 def rejection(call_id: str) -> str:
     return (
         f"HTTP/1.1 503 X\r\nRequest-Id: {call_id}\r\nNot-Executed: 1\r\nRetry-After: 0\r\n"
@@ -66,8 +74,10 @@
                 call_id = head.partition("Request-Id: ")[2].partition("\r\n")[0]
                 text = self.respond(call_id, before)
                 self.ran[call_id] += "Signature" in text
-                writer.write(text.encode())
-                await writer.drain()
+                for number, part in enumerate(text.split(LATER)):
+                    await asyncio.sleep(LATER_S if number else 0.0)
+                    writer.write(part.encode())
+                    await writer.drain()
                 before = call_id
         except (ConnectionError, asyncio.IncompleteReadError):
             return
@@ -142,7 +152,7 @@
 SURPLUS = {
     "rejection with its id": rejection,
     "rejection without id": lambda call_id: without_id(rejection(call_id)),
-    "rejection in chunks": in_chunks,
+    "rejection in chunks": lambda call_id: in_chunks(call_id) + LATER,
     "two rejections": lambda call_id: rejection(call_id) + without_id(rejection(call_id)),
     "421 without id": lambda _: "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
     "success with its id": signed,
@@ -257,3 +267,80 @@
     for answer in repeated.values():
         assert answer.status == int(status.split()[0])
         assert "Response-Signature" in answer.headers
+
+
+TRAILERS = {
+    "rejection": ("Not-Executed: 1", signed),
+    "signature": ("Response-Signature: old", lambda call_id: signed(call_id).replace(SIGNATURE, "")),
+    "two fields": ("X: 1\r\nNot-Executed: 1", signed),
+}
+"""Trailers of a surplus answer, and the answer that is due."""
+
+
+@pytest.mark.parametrize("pause", ("", LATER))
+@pytest.mark.parametrize("trailer", TRAILERS)
+def test_the_trailer_of_a_surplus_answer_says_nothing_of_the_answer_that_is_due(trailer: str, pause: str):
+    """Guards against a field that the parser carries from one answer into the next one."""
+    field, due = TRAILERS[trailer]
+
+    def respond(call_id: str, before: str) -> str:
+        if not before:
+            return rejection(call_id)
+        return in_chunks(before)[:-2] + f"{field}\r\n\r\n" + pause + due(call_id)
+
+    async def scenario():
+        async with box_before(respond) as (here, endpoint):
+            return await send_all(here, "/once/x"), endpoint.ran
+
+    answers, ran = asyncio.run(scenario())
+    for name, answer in answers.items():
+        assert answer.status != 503 or not ran[name], name
+        assert answer.headers.get("Response-Signature") != "old"
+    if pause and due is signed:
+        assert [answers[f"r-{number}"].status for number in range(1, REQUESTS)] == [200] * (REQUESTS - 1)
+
+
+NO_ANSWERS = {
+    "names none": lambda call_id: without_id(signed(call_id)),
+    "400 that names none": lambda _: "HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n",
+    "a switch of protocols": lambda _: "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+    "names two": lambda call_id: signed(call_id).replace("\r\n", "\r\nRequest-Id: other\r\n", 1),
+}
+"""Answers in the place of one that names its request, as of an endpoint that has just become faulty."""
+
+
+@pytest.mark.parametrize("kind", NO_ANSWERS)
+def test_a_request_whose_answer_names_no_request_does_not_wait_out_its_time(kind: str):
+    """Guards against callers who are held up to their deadlines by an endpoint that forgets ids."""
+    sent = Counter()
+
+    def respond(call_id: str, _: str) -> str:
+        sent["all"] += 1
+        return signed(call_id) if sent["all"] == 1 else NO_ANSWERS[kind](call_id)
+
+    async def scenario():
+        async with box_before(respond) as (here, _):
+            return await send_all(here, "/once/x")
+
+    answers = asyncio.run(scenario())
+    assert [answer.status for answer in answers.values()] == [200] + [502] * (REQUESTS - 1)
+    assert max(answer.took_s for answer in answers.values()) < 0.6
+
+
+def test_a_rejection_that_names_two_requests_is_taken_for_that_of_none():
+    """Guards against a request that is refused though it runs, since the first of two ids was believed."""
+
+    def respond(call_id: str, before: str) -> str:
+        if not before:
+            return rejection(call_id)
+        two = rejection(call_id).replace("\r\n", f"\r\nRequest-Id: {before}\r\n", 1)
+        return two + signed(call_id)
+
+    async def scenario():
+        async with box_before(respond) as (here, endpoint):
+            return await send_all(here, "/once/x"), endpoint.ran
+
+    answers, ran = asyncio.run(scenario())
+    assert ran["r-1"]
+    for name, answer in answers.items():
+        assert answer.status != 503 or not ran[name], name
