Publish software versions early also after an empty row, as a new follower and where one returns

Cause: what the row says was kept as a set that was never emptied. Now it is kept with the times in the row, emptied by a row without versions, and a version counts as published if the row has a time of the last minute. After failed writes nothing is published early for 1, 2, 4 s.

--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -16,6 +16,7 @@
 from stairquay.core.position import Position
 from stairquay.core.routers import Member, pick_routers
 from stairquay.core.row import Row
+from stairquay.core.software import MEMORY_S
 from stairquay.core.stream_origins import BegunStreams
 from stairquay.serving.endpoint import NEVER
 from stairquay.serving.event_log import LogEvent
@@ -50,6 +51,9 @@
 RETRY_S = 0.5
 """Pause after a failed write."""
 
+MAX_FAILURES_COUNTED = 3
+"""Failed writes in a row that lengthen the pause before anything is published early."""
+
 
 class TargetVersion(msgspec.Struct, frozen=True):
     """A target version of a model, set at `at_s` seconds of the table service's monotonic clock."""
@@ -109,8 +113,10 @@
         self.published_versions: dict[str, int] = {}
         # Number of stream origins that had been recorded when this box's row was written.
         self.published_streams = 0
-        # Versions of endpoints' software in this box's row, by service.
-        self.published_software: frozenset[tuple[str, str]] = frozenset()
+        # When each version of endpoints' software was last listed, as this box's row says; empty if it says
+        # nothing of versions.
+        self.published_software: dict[tuple[str, str], float] = {}
+        self.failed_writes = 0
 
     async def run(self) -> None:
         """Read rows and write heartbeats, until cancelled."""
@@ -119,7 +125,7 @@
             found = await self.own.list_prefix(KEY_PREFIX)
             if not isinstance(found, Err):
                 self._apply_rows(found.ok_value, asked_at)
-            self.write_failed = not await self._write_heartbeat()
+            await self._renew_row()
             if self.write_failed:
                 await asyncio.sleep(RETRY_S)
             if not self.state.version_history_known:
@@ -130,16 +136,23 @@
     async def _pause(self, pause_s: float) -> None:
         """Wait until the next heartbeat is due, and tell of streams meanwhile if that is up to this box."""
         due_at = monotonic() + pause_s
+        if self.write_failed:
+            # Nothing is published early while writes fail again and again.
+            await asyncio.sleep(min(pause_s, RETRY_S * 2**self.failed_writes))
         while (left_s := due_at - monotonic()) > 0:
             limit_s = min(left_s, TELL_INTERVAL_S) if self._tells_streams() else left_s
             if await self.state.changed.wait_for(self._has_unpublished_versions, limit_s):
                 return
             if not self._tells_streams() or self.state.origins.recorded == self.published_streams:
                 continue
-            self.write_failed = not await self._write_heartbeat()
+            await self._renew_row()
             if self.write_failed:
                 return
 
+    async def _renew_row(self) -> None:
+        self.write_failed = not await self._write_heartbeat()
+        self.failed_writes = min(MAX_FAILURES_COUNTED, self.failed_writes + 1) if self.write_failed else 0
+
     def _tells_streams(self) -> bool:
         """Tell whether this box writes its row more often, to tell of streams: the first follower does."""
         first = self.state.following_routers()[:1]
@@ -241,6 +254,7 @@
         key = KEY_PREFIX + self.state.settings.id
         recorded = self.state.origins.recorded
         named = dict(self.state.target_version_by_model)
+        software_seen = self._software_seen(monotonic())
         heartbeat = self._own_heartbeat(offset)
         value = msgspec.json.encode(heartbeat).decode()
         answer = await self.own.commit(Commit("", (Condition(key, self.revision),), (Write(key, value),)))
@@ -249,8 +263,7 @@
         self.revision = answer.ok_value.revision
         # Only after the write: a failed one published nothing.
         self.published_versions, self.published_streams = named, recorded
-        if not isinstance(heartbeat.software, UnsetType):
-            self.published_software = frozenset((item.service, item.version) for item in heartbeat.software)
+        self.published_software = {} if heartbeat.software is UNSET else software_seen
         self._record_written_row(monotonic())
         return True
 
@@ -288,10 +301,14 @@
         """Return what this box knows of versions; a few rows are enough."""
         if not self.state.is_follower:
             return UNSET
-        now, history = monotonic(), self.state.software
-        seen = history.seen_at_by_version | dict.fromkeys(history.listed, now)
+        seen = self._software_seen(monotonic())
         return tuple(ListedSoftware(*key, round(offset.to_remote(at), 1)) for key, at in seen.items())
 
+    def _software_seen(self, now: float) -> dict[tuple[str, str], float]:
+        """Return when each version of endpoints' software was last listed."""
+        history = self.state.software
+        return history.seen_at_by_version | dict.fromkeys(history.listed, now)
+
     def _begun_streams(self) -> tuple[BegunStreams, ...] | UnsetType:
         """Return the streams that a box has to know which starts after all others have ended."""
         if not (self.state.is_follower and self._versions_differ()):
@@ -307,14 +324,14 @@
         """Tell whether to publish versions early, which only followers of the table service do.
 
         Boxes that start learn from any row when a target version was set, and at which versions of
-        endpoints' software streams may have begun, so a few rows are enough. The first row may be written
-        before the list of endpoints is known; the next one follows soon.
+        endpoints' software streams may have begun, so a few rows are enough.
         """
         if not self.state.is_follower:
             return False
         if self.state.target_version_by_model != self.published_versions:
             return True
-        return bool(self.published_software) and not self.published_software >= self.state.software.listed
+        oldest = monotonic() - MEMORY_S / 2
+        return any(self.published_software.get(key, NEVER) < oldest for key in self.state.software.listed)
 
     def _learn_begun_streams(self, rows: tuple[Row, ...]) -> None:
         """Learn from rows of before this box's start where streams began whose callers may come here."""
