Let a later report count in place of what an answer named of an engine's weights

Seen: an engine that carried out an order of the life before kept older weights for good, while prompts sent there name the newer ones.

Cause: the newest version that an answer had named counted for the rest of the engine's life. An order that was not answered may be carried out late; an engine that came back under its id counts orders from 0 again, so that the order's condition holds, and the id in Target-Instance is its own.

Change: an answer's version counts until a report that was asked for more than a second later names the model. A report of older weights than before notifies those who wait to send orders.

--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -448,7 +448,8 @@
             (now - started_attempt.sent_at) - started_attempt.endpoint_state.response_time_s
         )
         if reply.version is not None and job.call.prompt is not None:
-            started_attempt.endpoint_state.on_answered_version(job.call.prompt.model, reply.version)
+            began_at = now if started_attempt.first_byte_at is None else started_attempt.first_byte_at
+            started_attempt.endpoint_state.on_answered_version(job.call.prompt.model, reply.version, began_at)
         if is_event_stream(reply):
             progress.timing = attempt_timing(job, started_attempt, progress, now)
         record_answered(self.state, job, started_attempt, reply, progress, now)
--- a/stairquay/serving/endpoint.py
+++ b/stairquay/serving/endpoint.py
@@ -37,10 +37,21 @@
 REPORT_LAG_S = 0.2
 """Seconds by which an engine's report may lag behind its state."""
 
+MAX_REPORT_LAG_S = 1.0
+"""Seconds by which the weights that a report names may lag behind at most: reports are 0.2 to 0.5 s old."""
+
 LIMIT_TTL_S = 600.0
 """Seconds for which a rate limit is remembered for an endpoint that is no longer listed."""
 
 
+@dataclass(frozen=True)
+class AnsweredVersion:
+    """A version of weights that an answer named, and when (monotonic seconds)."""
+
+    version: int
+    at: float
+
+
 @dataclass
 class EndpointState:
     """State of one incarnation of an endpoint; times are monotonic seconds. born: as for Endpoint."""
@@ -74,8 +85,8 @@
     report: EngineReport | None = None
     # When the report was requested.
     reported_at: float = NEVER
-    # The newest version of each model's weights that an answer named.
-    answered_versions_by_model: dict[str, int] = field(default_factory=dict)
+    # The newest version of each model's weights that an answer named, until a later report names one.
+    answered_versions_by_model: dict[str, AnsweredVersion] = field(default_factory=dict)
     refused_until: float = NEVER
     failure_rate: float = 0.0
     failure_rate_at: float = NEVER
@@ -100,6 +111,7 @@
             return
         self.report = report
         self.reported_at = reported_at
+        self._forget_answered_versions(report)
         self.unplaced_tokens = max(0, report.used_tokens - self.memory.peak_tokens)
         if report.born:
             self.unreachable_at = NEVER
@@ -107,16 +119,35 @@
             self.cold_until = now + report.cold_s
 
     def version_of(self, endpoint: Endpoint, model: str) -> int:
-        """Return the version of a model's weights that the endpoint runs."""
+        """Return the version of a model's weights that the endpoint runs: the newest that its entry, its last
+        report or an answer since names.
+
+        It falls where an order of an earlier incarnation is carried out late.
+        """
         report = self.report
         reported = 0 if report is None else report.versions_by_model.get(model, 0)
-        answered = self.answered_versions_by_model.get(model, 0)
+        known = self.answered_versions_by_model.get(model)
+        answered = 0 if known is None else known.version
         return max(endpoint.versions_by_model.get(model, 0), reported, answered)
 
-    def on_answered_version(self, model: str, version: int) -> None:
-        """Record the version of a model's weights that an answer named."""
-        known = self.answered_versions_by_model.get(model, 0)
-        self.answered_versions_by_model[model] = max(known, version)
+    def on_answered_version(self, model: str, version: int, at: float) -> None:
+        """Record the version of a model's weights that an answer named at a time."""
+        if self.report is not None and model in self.report.versions_by_model and self._is_older(at):
+            return
+        known = self.answered_versions_by_model.get(model)
+        if known is None or version >= known.version:
+            self.answered_versions_by_model[model] = AnsweredVersion(version, at)
+
+    def _forget_answered_versions(self, report: EngineReport) -> None:
+        """Forget what answers named before what a report tells of."""
+        for model in report.versions_by_model:
+            known = self.answered_versions_by_model.get(model)
+            if known is not None and self._is_older(known.at):
+                del self.answered_versions_by_model[model]
+
+    def _is_older(self, at: float) -> bool:
+        """Tell whether what was learned at a time is older than what the last report tells of."""
+        return at < self.reported_at - MAX_REPORT_LAG_S
 
     def on_placed(self, prefill_s: float, now: float) -> None:
         """As the engine's router, add the prefill time of a placed prompt to its queue."""
--- a/stairquay/serving/orders.py
+++ b/stairquay/serving/orders.py
@@ -94,8 +94,8 @@
     def _engines_if_outdated(self) -> list[EngineState]:
         """Return the states of all engines if any is outdated and this box is a router, else nothing.
 
-        Engines never return to older weights, so that only a change of the list or a new target version can
-        make one outdated.
+        Only a change of the list, a new target version or a report of older weights than before can make one
+        outdated, all of which notify `changed`.
         """
         if not self.state.is_router or self.state.stopping:
             return []
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -347,7 +347,12 @@
         if 0 < report.born < self.endpoint_state(endpoint).born:
             return
         self.learn_start(endpoint, report.born, now, "report")
-        self.endpoint_state(endpoint).on_report(report, now, asked_at)
+        endpoint_state = self.endpoint_state(endpoint)
+        before = {model: endpoint_state.version_of(endpoint, model) for model in report.versions_by_model}
+        endpoint_state.on_report(report, now, asked_at)
+        if any(endpoint_state.version_of(endpoint, model) < version for model, version in before.items()):
+            # It may have to be updated again.
+            self.changed.notify_all()
 
     def learn_start(self, endpoint: Endpoint, born: int, now: float, source: str) -> None:
         """Record a start of an endpoint that its entry may not tell of yet, 0 for unknown."""
@@ -390,7 +395,7 @@
         return new_state
 
     def version_of(self, endpoint: Endpoint, model: str) -> int:
-        """Return the version of a model's weights that an endpoint runs; it never decreases."""
+        """Return the version of a model's weights that an endpoint runs."""
         return self.endpoint_state(endpoint).version_of(endpoint, model)
 
     def record_target_version(self, model: str, version: int, at: float, source: str) -> None:
--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -284,6 +284,15 @@
             await asyncio.sleep(30)
         return web.Response(status=202)
 
+    async def carry_out(self, order: dict[str, Any]) -> bool:
+        """Carry out an order that came late, as the body says it; return whether its condition held."""
+        if order.get("expected") not in (None, self.sequence):
+            return False
+        self.sequence += 1
+        self.busy = True
+        await self._load(order["version"])
+        return True
+
     async def _load(self, version: int) -> None:
         await asyncio.sleep(self.load_s)
         self.version = version
