Name the era of the configuration in a router's view

Seen in a test: after a restore, boxes took a configuration that their router held back (it may be written again) for one of the new era. They would not go on to an older one that stays, and as requests that are passed on name the era, their router would have refused all that they passed on.

Cause: a view told the era in which it was read, not that of the configuration in it.

Change: OperatorChanges.catalog_era; a change of it alone is passed on too. A router of an earlier release names none: as before.

--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -202,8 +202,8 @@
     return state.operators_snapshot_at < state.restored_at + RESTORE_GRACE_S and not state.in_restore_grace()
 
 
-def _operators_state(state: BoxState) -> tuple[Catalog | None, dict[str, int], frozenset[str]]:
-    return state.catalog, dict(state.target_version_by_model), state.evacuated
+def _operators_state(state: BoxState) -> tuple[Catalog | None, int, dict[str, int], frozenset[str]]:
+    return state.catalog, state.catalog_era, dict(state.target_version_by_model), state.evacuated
 
 
 def _supersedes(state: BoxState, catalog: Catalog, changes: OperatorChanges) -> bool:
@@ -215,18 +215,27 @@
     previous = state.catalog
     if previous is None or catalog.version > previous.version:
         return True
-    if changes.era <= state.catalog_era or catalog == previous:
+    if _catalog_era(changes) <= state.catalog_era or catalog == previous:
         return False
     return catalog.version == previous.version or changes.forwarded or not state.in_restore_grace()
 
 
+def _catalog_era(changes: OperatorChanges) -> int:
+    """Return the era of a configuration that was read.
+
+    A router may hold one back that the table service has lost in a restore. One of an earlier release doesn't
+    tell, and its configuration counts as one of the era of its view.
+    """
+    return changes.catalog_era or changes.era
+
+
 def _apply_catalog(state: BoxState, catalog: Catalog, changes: OperatorChanges) -> None:
     previous = state.catalog
     if not _supersedes(state, catalog, changes):
         if catalog == previous:
-            state.catalog_era = changes.era
+            state.catalog_era = max(state.catalog_era, _catalog_era(changes))
         return
-    state.catalog, state.catalog_era = catalog, changes.era
+    state.catalog, state.catalog_era = catalog, _catalog_era(changes)
     state.log.line(
         LogEvent.CONFIGURATION,
         outcome="in_force",
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -58,6 +58,8 @@
     era: int = 0
     # A router sent this, not the table service.
     forwarded: bool = False
+    # Era in which the table service last returned the configuration, if a router sent this and knows it.
+    catalog_era: int = 0
 
 
 class EndpointChanges(msgspec.Struct, Positioned, frozen=True):
--- a/stairquay/serving/view_replies.py
+++ b/stairquay/serving/view_replies.py
@@ -26,7 +26,14 @@
     if state.operators_changed_position > request.known_in(position.era):
         named, evacuated = dict(state.target_version_by_model), tuple(sorted(state.evacuated))
         changes = OperatorChanges(
-            position.revision, True, state.catalog, "", named, evacuated=evacuated, era=position.era
+            position.revision,
+            True,
+            state.catalog,
+            "",
+            named,
+            evacuated=evacuated,
+            era=position.era,
+            catalog_era=state.catalog_era,
         )
     else:
         changes = OperatorChanges(position.revision, False, era=position.era)
--- a/tests/test_forwarded_configurations.py
+++ b/tests/test_forwarded_configurations.py
@@ -20,12 +20,15 @@
 from stairquay.platform.callers import PlatformCallerCodec
 from stairquay.platform.names import CONFIGURATION, FORWARDED
 from stairquay.serving.boxes import HEARTBEAT_INTERVAL_S
+from stairquay.serving.following import apply_operators
 from stairquay.serving.forwarding import Forwarder
 from stairquay.serving.front import Frontend
 from stairquay.serving.jobs import Job, JobProgress
-from stairquay.serving.ports import BoxRefusal, Forward
+from stairquay.serving.messages import OperatorsRequest
+from stairquay.serving.ports import BoxRefusal, Forward, OperatorChanges
 from stairquay.serving.reach import record_unreached
-from stairquay.serving.state import BoxState
+from stairquay.serving.state import RESTORE_GRACE_S, BoxState
+from stairquay.serving.view_replies import operators_reply
 from tests.cut_box import CutKind, write_cut
 from tests.many_boxes import several_boxes
 from tests.site import Site, box_rows, configuration, eventually, route
@@ -196,6 +199,55 @@
     assert helpers.pick(names, 100.5, Random(1)) in names
 
 
+def pass_on(router: BoxState, box: BoxState) -> None:
+    """Let a box apply a router's view, whose request names the position that the box knows."""
+    known = box.operators_position
+    request = OperatorsRequest(known.revision, 0.0, era=known.era)
+    changes = operators_reply(router, request, monotonic()).changes
+    apply_operators(box, structs.replace(changes, forwarded=True), monotonic())
+
+
+def test_a_configuration_that_a_router_holds_back_after_a_restore_stays_one_of_the_era_before():
+    """A box took it for one of the new era, knew more than its router, and never went on to what is there."""
+    router, box, new_box = box_state("b-1"), box_state("b-2"), box_state("b-3")
+    newest, restored = replace(OLD, version=5), replace(OLD, version=4)
+    apply_operators(router, OperatorChanges(90, True, newest, era=1), monotonic())
+    pass_on(router, box)
+    assert box.catalog_version == CatalogVersion(1, 5)
+    apply_operators(router, OperatorChanges(80, True, restored, era=2), monotonic())
+    assert router.catalog_version == CatalogVersion(1, 5), "the newest may be written again"
+    for each in (box, new_box):
+        pass_on(router, each)
+        assert each.catalog_version == CatalogVersion(1, 5)
+    router.restored_at -= 2 * RESTORE_GRACE_S
+    apply_operators(router, OperatorChanges(81, True, restored, era=2), monotonic())
+    assert router.catalog_version == CatalogVersion(2, 4)
+    for each in (box, new_box):
+        pass_on(router, each)
+        assert each.catalog_version == CatalogVersion(2, 4)
+
+
+def test_boxes_learn_of_the_era_in_which_the_configuration_was_written_again():
+    """Boxes behind a router went on to count its configuration as older, and refused all it passed on."""
+    router, box = box_state("b-1"), box_state("b-2")
+    apply_operators(router, OperatorChanges(90, True, NEWER, era=1), monotonic())
+    pass_on(router, box)
+    apply_operators(router, OperatorChanges(80, True, OLD, era=2), monotonic())
+    pass_on(router, box)
+    assert box.catalog_version == router.catalog_version == CatalogVersion(1, 7)
+    apply_operators(router, OperatorChanges(82, False, NEWER, era=2), monotonic())
+    assert router.catalog_version == CatalogVersion(2, 7)
+    pass_on(router, box)
+    assert box.catalog_version == CatalogVersion(2, 7)
+
+
+def test_a_router_of_an_earlier_release_names_no_era_of_its_configuration():
+    """Its view counts as before: the configuration is of the era of the view."""
+    box = box_state()
+    apply_operators(box, OperatorChanges(80, True, OLD, era=2, forwarded=True), monotonic())
+    assert box.catalog_version == CatalogVersion(2, 4)
+
+
 MOVED_TO = "other"
 
 
