Count a request's body from when its length is known, else as it comes in

Seen: 20 bodies of 4.1 MB at once took a box to 155 MB, 40 to 267 MB, where 150 MB are allowed (168 and 280 MB in chunks). A box that takes more is killed, and all its requests with it. Cause: Frontend._exhausted_resource compared the length with what whole bodies take; bodies that were being received counted nothing, so that any number was let in at once, and a body in chunks was compared with nothing. Change: a request claims its announced length before its body is read, and a body without length as it comes in. The claim is released in every way out; what doesn't fit is refused at once (overloaded, not run), also within a body. A caller that announces much and sends nothing keeps its claim until its body is too slow (10 s).

--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -12,6 +12,7 @@
 from stairquay.core.call import Call
 from stairquay.core.catalog import Catalog, Route, WorkspacePolicy, engine_priority, pick_service
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
+from stairquay.serving.body_memory import BodyClaim, NoBodyMemoryError, body_fits
 from stairquay.serving.dispatch import Dispatcher
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.jobs import Job
@@ -32,8 +33,9 @@
 MAX_REQUESTS_PER_DESCRIPTOR = 0.35
 """Below 0.5, as each request has a connection on both sides and idle connections stay open."""
 
-BODY_MEMORY_SHARE = 0.25
-"""Share of the box's memory that request bodies may take."""
+DESCRIPTORS = "descriptors"
+MEMORY = "memory"
+"""Resources of which a box may have too little, in its metrics."""
 
 CONTINUE = "100-continue"
 """The only value of an Expect header that HTTP defines."""
@@ -116,8 +118,7 @@
             return Err(self._not_ready_refusal("crashes that other boxes reported are not known yet"))
         exhausted = self._exhausted_resource(request)
         if exhausted:
-            self.state.metrics.box_refusals.labels(exhausted).inc()
-            return Err(Refusal(ErrorKind.OVERLOADED, detail="this box has as many requests as it can hold"))
+            return Err(self._exhausted_refusal(exhausted))
         resolved = self._route_and_authenticate(catalog, call)
         if isinstance(resolved, Err):
             return resolved
@@ -143,18 +144,18 @@
         workspace: WorkspacePolicy | None,
         arrived_at: float,
     ) -> Result[web.StreamResponse, Refusal]:
-        body = await self._read_body(request, catalog)
-        if isinstance(body, Err):
-            return body
-        job = self._create_job(call, body.ok_value, catalog, route, workspace, arrived_at)
-        if isinstance(job, Err):
-            return job
-        self._count_request(job.ok_value)
-        self.state.body_bytes += len(body.ok_value)
+        claim = BodyClaim(self.state)
         try:
+            body = await self._read_body(request, catalog, claim)
+            if isinstance(body, Err):
+                return body
+            job = self._create_job(call, body.ok_value, catalog, route, workspace, arrived_at)
+            if isinstance(job, Err):
+                return job
+            self._count_request(job.ok_value)
             return await self.dispatcher.run(job.ok_value, request)
         finally:
-            self.state.body_bytes -= len(body.ok_value)
+            claim.release()
 
     def _route_and_authenticate(
         self, catalog: Catalog, call: Call
@@ -176,29 +177,36 @@
         return Ok((route, workspace))
 
     def _exhausted_resource(self, request: web.BaseRequest) -> str:
-        """Return which limit this request exceeds, `descriptors` or `memory`, or an empty string."""
-        settings = self.state.settings
-        if self.state.in_flight > settings.max_descriptors * MAX_REQUESTS_PER_DESCRIPTOR:
-            return "descriptors"
-        body_memory_bytes = settings.memory_mb * 1_000_000 * BODY_MEMORY_SHARE
-        body_bytes = self.state.body_bytes + (request.content_length or 0)
-        return "memory" if 0 < body_memory_bytes < body_bytes else ""
+        """Return which limit this request exceeds, or an empty string."""
+        if self.state.in_flight > self.state.settings.max_descriptors * MAX_REQUESTS_PER_DESCRIPTOR:
+            return DESCRIPTORS
+        return "" if body_fits(self.state, request.content_length or 0) else MEMORY
+
+    def _exhausted_refusal(self, resource: str) -> Refusal:
+        self.state.metrics.box_refusals.labels(resource).inc()
+        return Refusal(ErrorKind.OVERLOADED, detail="this box has as many requests as it can hold")
 
     def _not_ready_refusal(self, detail: str) -> Refusal:
         return Refusal(ErrorKind.NOT_READY, ExecutionStatus.NOT_RUN, detail, NOT_READY_RETRY_S)
 
-    async def _read_body(self, request: web.BaseRequest, catalog: Catalog) -> Result[bytes, Refusal]:
+    async def _read_body(
+        self, request: web.BaseRequest, catalog: Catalog, claim: BodyClaim
+    ) -> Result[bytes, Refusal]:
         if not request.body_exists:
             return Ok(b"")
         limit = catalog.limits.max_body_bytes
         if request.content_length is not None and request.content_length > limit:
             return Err(Refusal(ErrorKind.BODY_TOO_LARGE))
         try:
+            claim.cover(request.content_length or 0)
             if request.content.is_eof():
                 # Usual, as a small body comes with the head: there is nothing to wait for.
                 body = request.content.read_nowait()
+                claim.cover(len(body))
             else:
-                body = await _receive_body(request, limit)
+                body = await _receive_body(request, limit, claim)
+        except NoBodyMemoryError:
+            return Err(self._exhausted_refusal(MEMORY))
         except TimeoutError:
             return Err(Refusal(ErrorKind.SLOW_SENDER))
         except web.RequestPayloadError as error:
@@ -259,12 +267,16 @@
     writer.output_size = 0
 
 
-async def _receive_body(request: web.BaseRequest, limit: int) -> bytes:
-    """Return the body, or a beginning of it that exceeds the limit. Raises TimeoutError if it is too slow."""
+async def _receive_body(request: web.BaseRequest, limit: int, claim: BodyClaim) -> bytes:
+    """Return the body, or a beginning of it that exceeds the limit.
+
+    Raises TimeoutError if it is too slow, and NoBodyMemoryError if the box has no memory for the rest.
+    """
     body = bytearray()
     async with asyncio.timeout(BODY_TIMEOUT_S):
         async for chunk in request.content.iter_any():
             body += chunk
             if len(body) > limit:
                 break
+            claim.cover(len(body))
     return bytes(body)
