Hold SIGHUP and SIGTERM from a box's first line on, until its event loop handles them

Cause: both handlers came with the event loop, the one of SIGTERM after the listeners; loading the modules takes most of the time before. Class: a signal whose default action ends the process is handled only once all is loaded. Change: `box` remembers both before it loads anything but `signal`. A SIGHUP that was remembered reloads the settings as soon as the loop runs; a SIGTERM ends the box with 0 after its modules are loaded, or, from then on, as any stop does: the handler is there before the listeners are. The other commands don't reload, and end on signals as before.

--- a/stairquay/__main__.py
+++ b/stairquay/__main__.py
@@ -2,14 +2,26 @@
 
 import sys
 
-from stairquay.box import parse_plain_box_command, start_box
-from stairquay.environment import Environment
-from stairquay.status import run_command
+from stairquay.adapters.early_signals import hold_signals
+
+BOX_COMMAND = "box"
+"""The only command that reloads its settings on SIGHUP. Others end on a signal as any program does."""
 
 
 def run() -> int:
     """Run the command line on the process's own arguments."""
-    args, env = sys.argv[1:], Environment()
+    args = sys.argv[1:]
+    if args[:1] == [BOX_COMMAND]:
+        hold_signals()
+    return _run(args)
+
+
+def _run(args: list[str]) -> int:
+    from stairquay.box import parse_plain_box_command, start_box
+    from stairquay.environment import Environment
+    from stairquay.status import run_command
+
+    env = Environment()
     metrics_port = parse_plain_box_command(args)
     if metrics_port is not None:
         return int(run_command(env, lambda: start_box(None, metrics_port, env)))
--- a/stairquay/adapters/program.py
+++ b/stairquay/adapters/program.py
@@ -10,6 +10,8 @@
 
 from aiohttp import web
 
+from stairquay.adapters.early_signals import has_arrived
+
 if TYPE_CHECKING:
     # The serving process doesn't load the settings module and its JSON5 parser.
     from stairquay.adapters.settings import TlsSettings
@@ -57,12 +59,20 @@
         self.failed.set_exception(error)
 
 
-async def wait_for_stop(tasks: BackgroundTasks) -> None:
-    """Wait for a stop signal; raise the error of a background task that fails."""
+def catch_signals(*signals: signal.Signals) -> asyncio.Event:
+    """Return an event that any of these signals sets, also one that arrived while the program started."""
     loop = asyncio.get_running_loop()
-    stopped = asyncio.Event()
-    for signal_number in STOP_SIGNALS:
-        loop.add_signal_handler(signal_number, stopped.set)
+    caught = asyncio.Event()
+    for number in signals:
+        loop.add_signal_handler(number, caught.set)
+        if has_arrived(number):
+            caught.set()
+    return caught
+
+
+async def wait_for_stop(tasks: BackgroundTasks, stopped: asyncio.Event | None = None) -> None:
+    """Wait for a stop signal, or the event that one sets; raise the error of a background task that fails."""
+    stopped = stopped or catch_signals(*STOP_SIGNALS)
     stop_wait = asyncio.ensure_future(stopped.wait())
     outcomes: set[asyncio.Future[Any]] = {stop_wait, tasks.failed}
     await asyncio.wait(outcomes, return_when=asyncio.FIRST_COMPLETED)
--- a/stairquay/box.py
+++ b/stairquay/box.py
@@ -6,6 +6,7 @@
 from contextlib import contextmanager
 from logging import INFO, WARNING, Handler, LogRecord, getLogger
 from pathlib import Path
+from signal import SIGTERM
 
 from result import Err
 
@@ -31,6 +32,7 @@
     _silence_grpc_core()
     with reduced_import_cost():
         from stairquay.adapters.clock import run
+        from stairquay.adapters.early_signals import has_arrived
         from stairquay.adapters.program import write_stacks_on_signal
         from stairquay.platform.boot import load_boot_settings
         from stairquay.platform.names import SETTINGS_VARIABLE
@@ -43,6 +45,8 @@
         for mistake in boot.err_value:
             env.write_error(f"{settings_path}: {mistake}")
         return ExitStatus.BAD_SETTINGS
+    if has_arrived(SIGTERM):
+        return ExitStatus.SUCCESS
     configure_logging()
     write_stacks_on_signal()
     table_address = boot.ok_value.table_address
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -14,8 +14,10 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.early_answer import EarlyAnswerRunner
 from stairquay.adapters.program import (
+    STOP_SIGNALS,
     BackgroundTasks,
     being_cancelled,
+    catch_signals,
     listen,
     start_site,
     wait_for_stop,
@@ -81,6 +83,8 @@
 
     load: reads the settings, called on SIGHUP and periodically.
     """
+    # Before anything listens: a request that was accepted is finished.
+    stopped = catch_signals(*STOP_SIGNALS)
     log = EventLog(settings.id)
     state = BoxState(settings, log)
     state.boxes = (settings.id,)
@@ -106,7 +110,7 @@
         tasks.start(run_with_restarts(state, name, task_function))
     log.line(LogEvent.START, front=settings.front, data_hall=settings.data_hall)
     runners = await _listen_all(state, front, surroundings.ready_path)
-    await wait_for_stop(tasks)
+    await wait_for_stop(tasks, stopped)
     await _drain(state)
     for runner in runners:
         await runner.cleanup()
@@ -149,8 +153,7 @@
 
 async def _reload_settings(state: BoxState, load: LoadSettings) -> None:
     """Apply changed settings on SIGHUP and periodically; invalid settings are logged and ignored."""
-    hangup = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, hangup.set)
+    hangup = catch_signals(signal.SIGHUP)
     error_logged = False
     while True:
         hangup_received = await _wait_for_event(hangup, RELOAD_INTERVAL_S)
