Give each request of a test on connections an id of its own

tests/test_box.py asked that the second of three requests with one id comes on the connection of the first. Callers give each attempt its own id; the test does now, its checks are as they were.

--- a/tests/test_box.py
+++ b/tests/test_box.py
@@ -261,9 +261,10 @@
         async with site() as here:
             endpoint = here.endpoints[0]
             endpoint.keep_alive = "timeout=1"
-            for pause_s in (0.0, 0.2, 1.1):
+            for number, pause_s in enumerate((0.0, 0.2, 1.1)):
                 await asyncio.sleep(pause_s)
-                assert (await here.call("/once/x", "POST", body=b"x")).status == 200
+                answer = await here.call("/once/x", "POST", call_id=f"call-{number}", body=b"x")
+                assert answer.status == 200
             assert endpoint.client_ports[0] == endpoint.client_ports[1] != endpoint.client_ports[2]
 
     asyncio.run(scenario())
