Take none of the slack by rows that are too old

Cause and class as in: a common bound that two sides count from different times. Change: rows that were asked for longer ago than a box's own row may be old (10 s with six boxes) give no part of the slack.

--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -140,6 +140,7 @@
             member.id: member.front for member in members if member.front and member.id != own_id
         }
         self._advance_counted_from(asked_at)
+        self.state.rows_asked_at = asked_at
         self.state.row_valid_s = (MISSED_HEARTBEATS - 1) * self._heartbeat_interval_s()
         self._use_routers(pick_routers(members) or (self.state.member,))
         self._learn_target_versions(rows)
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -105,6 +105,8 @@
     boxes_known_at: float = NEVER
     # Boxes that refuse connections although their rows are not old yet.
     refused_connections: RefusedConnections = field(default_factory=RefusedConnections)
+    # When this box last asked for the rows that it has.
+    rows_asked_at: float = inf
     # When this box last wrote its row, and the seconds after which others may count it as gone.
     row_written_at: float = NEVER
     row_valid_s: float = inf
@@ -456,10 +458,14 @@
         return _without(self.boxes, gone) if gone else self.boxes
 
     def known_boxes_for_s(self, now: float) -> float:
-        """Return the seconds since this box knows the number of boxes, 0 if others may not count it."""
-        if self.boxes_known_at == NEVER:
+        """Return the seconds since this box knows the number of boxes.
+
+        It is 0 if others may not count this box, and if it may not count others that came since.
+        """
+        rows_too_old = now - self.rows_asked_at >= self.row_valid_s
+        if self.boxes_known_at == NEVER or rows_too_old or not self.is_row_valid(now):
             return 0.0
-        return max(0.0, now - max(self.boxes_known_at, self.counted_from)) if self.is_row_valid(now) else 0.0
+        return max(0.0, now - max(self.boxes_known_at, self.counted_from))
 
     def is_row_valid(self, now: float) -> bool:
         """Tell whether others still count this box by its row, as far as it has written one."""
