--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -182,6 +182,7 @@
         if self.state.boxes_known_at == NEVER:
             self._learn_begun_streams(rows)
         self._advance_counted_from(asked_at)
+        self.state.rows_asked_at = asked_at
         self.state.row_valid_s = (MISSED_HEARTBEATS - 1) * self._heartbeat_interval_s()
         self._use_routers(pick_routers(members) or (self.state.member,))
         self._learn_target_versions(rows)
