--- a/tests/test_box_weights.py
+++ b/tests/test_box_weights.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.site import KEY, MODEL, SCOPE, Site, eventually, site
+from tests.site import KEY, MODEL, SCOPE, Site, box_rows, eventually, site
 from tests.standins.endpoints import StoreBox
 
 
@@ -160,6 +160,8 @@
     async def scenario():
         async with site(plain=0, engines=2) as here:
             await asyncio.sleep(0.8)
+            # From its second heartbeat on, a box may repeat more than its own requests earn.
+            await eventually(lambda: any(row["beat"] >= 2 for row in box_rows(here)))
             assert (await here.prompt(call_id="first")).status == 200
             for engine in here.engines():
                 engine.silent = True
