Let an answer that comes together with a surplus one in chunks reach its caller

Cause: since a skipped answer in chunks ended the connection if anything had come after it in the same read, as the parser may carry a field of its trailer into the next head. Change: what follows the end of a body in chunks that has no trailer is parsed by a new parser, so that nothing can be carried over; only after a trailer, or where the end is split over two reads, the connection ends as before.

--- a/stairquay/platform/connection_pool.py
+++ b/stairquay/platform/connection_pool.py
@@ -168,7 +168,7 @@
             skipped += len(data)
             if skipped > MAX_SURPLUS_BYTES:
                 raise ClientPayloadError("a surplus answer is too large")
-        if not message.chunked:
+        if not message.chunked or any(payload is ended for ended in self.protocol.ended_cleanly):
             return
         # The parser takes the last field of a trailer for one of the next head.
         if self.protocol.holds_more():
--- a/stairquay/platform/connections.py
+++ b/stairquay/platform/connections.py
@@ -5,7 +5,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from aiohttp import ClientPayloadError, ClientSession, ClientTimeout, DummyCookieJar, TCPConnector
+from aiohttp import (
+    ClientPayloadError,
+    ClientSession,
+    ClientTimeout,
+    DummyCookieJar,
+    StreamReader,
+    TCPConnector,
+)
 
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.whole_bodies import WholeBodyProtocol, check_bodies, fail
@@ -51,6 +58,9 @@
 MAX_HEADS_PARSED = 64
 """Answers parsed before one is read, interim ones included."""
 
+LAST_CHUNK = b"\r\n0\r\n\r\n"
+"""The end of a body in chunks without a trailer."""
+
 PARSED_AT_ONCE_BYTES = 16_384
 """Bytes parsed at a time before the head of an answer is complete; heads of many answers fit into each."""
 
@@ -67,6 +77,8 @@
     is_idle = False
     # Bytes of the answer that is under way, with its head and framing.
     answer_bytes = 0
+    # Whether the body of the last head comes in chunks.
+    in_chunks = False
 
     def set_keep_alive(self, keep_alive: str) -> None:
         """Apply the Keep-Alive header of a response that was just received."""
@@ -84,6 +96,9 @@
         """Expect the answer to a request."""
         self.is_idle = False
         self.answer_bytes = 0
+        self.response_params = params
+        # Bodies after which a new parser has begun.
+        self.ended_cleanly: list[StreamReader] = []
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
@@ -102,6 +117,24 @@
             self.listener()
 
     def _parse(self, data: bytes) -> None:
+        start = 0
+        while 0 <= (at := data.find(LAST_CHUNK, start)) < len(data) - len(LAST_CHUNK):
+            end = at + len(LAST_CHUNK)
+            self._parse_piece(data[start:end])
+            if self._has_failed():
+                return
+            self._renew_parser()
+            start = end
+        self._parse_piece(data[start:])
+
+    def _renew_parser(self) -> None:
+        """Parse what follows a body in chunks on its own, so that no field is carried into the next head."""
+        payload = self._payload
+        if self.in_chunks and payload is not None and payload.is_eof():
+            self.ended_cleanly.append(payload)
+            super().set_response_params(**self.response_params)
+
+    def _parse_piece(self, data: bytes) -> None:
         super().data_received(data)
         self.answer_bytes += len(data)
         payload = self._payload
@@ -132,6 +165,7 @@
         ):
             self._give_up("two answers in one head")
             return
+        self.in_chunks = message.chunked
         super().feed_data(data, size)
 
     def resume_reading(self, resume_parser: bool = True) -> None:
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -152,7 +152,8 @@
 SURPLUS = {
     "rejection with its id": rejection,
     "rejection without id": lambda call_id: without_id(rejection(call_id)),
-    "rejection in chunks": lambda call_id: in_chunks(call_id) + LATER,
+    "rejection in chunks": in_chunks,
+    "rejection in chunks, alone": lambda call_id: in_chunks(call_id) + LATER,
     "two rejections": lambda call_id: rejection(call_id) + without_id(rejection(call_id)),
     "421 without id": lambda _: "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
     "success with its id": signed,
