Clean up after the surplus answers and the rows of versions: same behaviour

Read once more, nothing seen by callers. A connection kept whether its request was a HEAD to be able to expect another answer, though its protocol keeps the same parameters: `expect_next_answer` uses those. Which services differ in version was asked for in two places: `SoftwareHistory.differing`. What a row says of versions was gathered twice for each row. Two tests of second answers shared a stand-in's answer word for word: `repeat_rejection`. No check changes.

--- a/stairquay/core/software.py
+++ b/stairquay/core/software.py
@@ -78,6 +78,11 @@
         """Tell whether endpoints of a service had several versions lately."""
         return len(self.versions(service, now)) > 1
 
+    def differing(self, now: float) -> frozenset[str]:
+        """Return the listed services whose endpoints had several versions lately."""
+        services = {service for service, _ in self.listed}
+        return frozenset(service for service in services if self.differs(service, now))
+
     def unseen_s(self) -> float:
         """Return the seconds between what other boxes told and this box's first list, infinite if unknown."""
         return float("inf") if self.since is None else max(0.0, self.since - self.learned_at)
--- a/stairquay/platform/connection_pool.py
+++ b/stairquay/platform/connection_pool.py
@@ -63,8 +63,7 @@
     """One connection to an endpoint.
 
     reused: it has carried a request before. idle_since: monotonic seconds. earlier_ids: of the requests
-    before the one under way. has_logged: a surplus answer has been logged. is_head: the request under way has
-    an answer without a body.
+    before the one under way. has_logged: a surplus answer has been logged.
     """
 
     address: str
@@ -73,7 +72,6 @@
     idle_since: float = 0.0
     earlier_ids: deque[str] = field(default_factory=lambda: deque(maxlen=MAX_IDS_KEPT))
     has_logged: bool = False
-    is_head: bool = False
 
     def can_be_reused(self) -> bool:
         """Tell whether an idle connection can carry the next request."""
@@ -82,22 +80,18 @@
     def send(self, method: str, target: str, headers: list[tuple[str, str]], body: bytes) -> None:
         """Write a request. Raises ValueError if a header has a line break."""
         head = encode_head(method, target, headers, len(body))
-        self.is_head = method == "HEAD"
-        self._expect_answer()
-        transport = self.protocol.transport
-        if transport is None:
-            raise ConnectionResetError("the connection was closed")
-        transport.write(head + body)
-
-    def _expect_answer(self) -> None:
         self.protocol.set_response_params(
-            skip_payload=self.is_head,
+            skip_payload=method == "HEAD",
             read_until_eof=True,
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
             max_line_size=MAX_FIELD_BYTES,
             max_field_size=MAX_FIELD_BYTES,
         )
+        transport = self.protocol.transport
+        if transport is None:
+            raise ConnectionResetError("the connection was closed")
+        transport.write(head + body)
 
     async def read_head(self) -> tuple[RawResponseMessage, StreamReader]:
         """Return the head of the answer and the reader of its body, without interim answers.
@@ -173,7 +167,7 @@
         # The parser takes the last field of a trailer for one of the next head.
         if self.protocol.holds_more():
             raise ClientPayloadError("an answer came together with the trailer of a surplus one")
-        self._expect_answer()
+        self.protocol.expect_next_answer()
 
 
 def named_request(headers: CIMultiDictProxy[str]) -> str | None:
--- a/stairquay/platform/connections.py
+++ b/stairquay/platform/connections.py
@@ -101,6 +101,10 @@
         self.ended_cleanly: list[StreamReader] = []
         super().set_response_params(**params)
 
+    def expect_next_answer(self) -> None:
+        """Expect another answer to the same request, with a new parser."""
+        self.set_response_params(**self.response_params)
+
     def data_received(self, data: bytes) -> None:
         """Parse data, and tell the listener. Ends the connection on data without end that is no body."""
         if self.is_idle:
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -1,6 +1,7 @@
 """Registry of live boxes: each writes heartbeats to the table service and reads those of the others."""
 
 import asyncio
+from collections.abc import Mapping
 from logging import getLogger
 from math import inf
 from random import Random
@@ -256,7 +257,7 @@
         recorded = self.state.origins.recorded
         named = dict(self.state.target_version_by_model)
         software_seen = self._software_seen(monotonic())
-        heartbeat = self._own_heartbeat(offset)
+        heartbeat = self._own_heartbeat(offset, software_seen)
         value = msgspec.json.encode(heartbeat).decode()
         answer = await self.own.commit(Commit("", (Condition(key, self.revision),), (Write(key, value),)))
         if isinstance(answer, Err) or not isinstance(answer.ok_value, Committed):
@@ -278,8 +279,13 @@
             self.state.counted_from = now + self._heartbeat_interval_s() * (1 + JITTER)
         self.state.row_written_at = now
 
-    def _own_heartbeat(self, offset: ClockOffset) -> BoxHeartbeat:
-        """Return this box's row. offset: of the table service's clock to the local one."""
+    def _own_heartbeat(
+        self, offset: ClockOffset, software_seen: Mapping[tuple[str, str], float]
+    ) -> BoxHeartbeat:
+        """Return this box's row.
+
+        offset: of the table service's clock to the local one. software_seen: when versions were last listed.
+        """
         member = self.state.member
         viewed_at = self.state.last_view_at()
         return BoxHeartbeat(
@@ -294,15 +300,16 @@
             ),
             None if viewed_at is None else offset.to_remote(viewed_at),
             member.front,
-            self._listed_software(offset),
+            self._listed_software(offset, software_seen),
             self._begun_streams(),
         )
 
-    def _listed_software(self, offset: ClockOffset) -> tuple[ListedSoftware, ...] | UnsetType:
+    def _listed_software(
+        self, offset: ClockOffset, seen: Mapping[tuple[str, str], float]
+    ) -> tuple[ListedSoftware, ...] | UnsetType:
         """Return what this box knows of versions; a few rows are enough."""
         if not self.state.is_follower:
             return UNSET
-        seen = self._software_seen(monotonic())
         return tuple(ListedSoftware(*key, round(offset.to_remote(at), 1)) for key, at in seen.items())
 
     def _software_seen(self, now: float) -> dict[tuple[str, str], float]:
@@ -318,8 +325,7 @@
 
     def _versions_differ(self) -> bool:
         """Tell whether endpoints of any service had several versions lately."""
-        software = self.state.software
-        return any(software.differs(service, monotonic()) for service, _ in software.listed)
+        return bool(self.state.software.differing(monotonic()))
 
     def _has_unpublished_versions(self) -> bool:
         """Tell whether to publish versions early, which only followers of the table service do.
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -200,12 +200,11 @@
             self.notices.add_begun(routers_by_id[router], begun)
 
     def _audience(self) -> Audience:
-        state, now = self.state, monotonic()
-        services = {service for service, _ in state.software.listed}
+        state = self.state
         return (
             tuple(router.id for router in state.routers),
             tuple(sorted(state.starts_by_router.items())),
-            frozenset(item for item in services if state.software.differs(item, now)),
+            state.software.differing(monotonic()),
         )
 
 
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -59,6 +59,11 @@
     )
 
 
+def repeat_rejection(call_id: str, before: str) -> str:
+    """Reject the first request of a connection, and repeat the rejection before the next answer."""
+    return rejection(before) + signed(call_id) if before else rejection(call_id)
+
+
 class RawEndpoint:
     """An endpoint that writes its answers byte for byte. ran: how often each request ran."""
 
@@ -113,13 +118,8 @@
 def test_a_late_second_rejection_says_nothing_of_the_next_request(path: str):
     """Guards against a request that runs twice, or is answered 503, though it runs."""
 
-    def respond(call_id: str, before: str) -> str:
-        if not before:
-            return rejection(call_id)
-        return rejection(before) + signed(call_id)
-
     async def scenario():
-        async with box_before(respond) as (here, endpoint):
+        async with box_before(repeat_rejection) as (here, endpoint):
             return await send_all(here, path), endpoint.ran
 
     answers, ran = asyncio.run(scenario())
@@ -227,13 +227,8 @@
 def test_a_repeated_rejection_is_not_taken_for_that_of_a_request_with_the_same_id():
     """Guards against a request that runs twice where its caller uses one id for all its requests."""
 
-    def respond(call_id: str, before: str) -> str:
-        if not before:
-            return rejection(call_id)
-        return rejection(before) + signed(call_id)
-
     async def scenario():
-        async with box_before(respond) as (here, endpoint):
+        async with box_before(repeat_rejection) as (here, endpoint):
             statuses = []
             for _ in range(REQUESTS):
                 answer = await here.call("/once/x", call_id="r-0", headers={"Deadline-Ms": "900"})
