Serve cut answers at ports that the tests reserve

Each cut had a server at a port from the system's range, which TIME_WAIT then held for a minute: within 60 s nearly all 28,000 were gone.

--- a/tests/cut_answers.py
+++ b/tests/cut_answers.py
@@ -34,6 +34,7 @@
 from stairquay.entry.upstream import open_session as open_entry_session
 from stairquay.platform.surroundings import open_clients
 from stairquay.serving.ports import Forward, IncompleteResponseError, OrderAnswer, Ports, VersionOrder
+from tests.ports import free_port
 
 CALL_ID = "r-2"
 EARLIER_ID = "r-1"
@@ -96,9 +97,11 @@
         finally:
             writer.close()
 
-    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    # Ports that the system hands out would run short: each answer leaves one behind for a minute.
+    port = free_port()
+    server = await asyncio.start_server(handle, "127.0.0.1", port)
     try:
-        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        yield f"127.0.0.1:{port}"
     finally:
         server.close()
 
