Quarantine parts of prompts that were sound and crash engines from now on

Cause: a good end in the last 60 s kept a part innocent, whenever the crashes came.

Change: - A good end clears a part of crashes before its answer began, and of no later ones; other boxes are told that time, once. - A crash under a prompt that had got four events does not count against its parts, nor do crashes before that prompt was sent. It stays in the rows, so that all boxes see it. - A part with good ends in the last 60 s takes three crashes that nothing quarantined explains; one of 0.2 or more of a box's prompts takes twelve, or three at which no other part was. Refusing it costs the most, and it is at most crashes. It is tried after 1 s in place of 3. - Of 64 crashes that a box publishes, those of requests and parts at two or more come first. Requests at one crash had taken the place of the part.

The load test gives the time at which an answer began, as the box does.

--- a/stairquay/core/crashes.py
+++ b/stairquay/core/crashes.py
@@ -4,7 +4,9 @@
 a prompt with it, and no two of these prompts are alike.
 """
 
-from collections.abc import Collection, Iterable
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping
+from types import MappingProxyType
 
 import msgspec
 
@@ -22,10 +24,17 @@
 PART_PREFIX = "part "
 """Begins the digest of a part; digests of requests are hexadecimal."""
 
+MIN_UNEXPLAINED_PROVEN, MIN_UNEXPLAINED_POPULAR = 3, 12
+"""Minimum of these that no other quarantined request explains, for a part that prompts have ended well with
+lately, and for such a part of many prompts: it is at most crashes, and refusing it costs the most. The first
+is enough of those that no other part can have caused."""
+
+POPULAR_SHARE = 0.2
+"""Share of the prompts that ended well at a box from which a part counts as one of many prompts."""
+
 MIN_UNEXPLAINED_CRASHES = 2
-"""Minimum of these that no other quarantined request explains, weighted likewise. Two requests that crash
-endpoints are often at the same one when it crashes; a request that only ran beside them was at few crashes
-without either."""
+"""The same for all others. Two requests that crash endpoints are often at the same one when it crashes; a
+request that only ran beside them was at few crashes without either."""
 
 UNSTARTED_WEIGHT = 0.5
 """Weight of a crash for a request that the engine had not begun to answer while it answered others: it was
@@ -83,14 +92,17 @@
 """The crashes of one request, by the incarnation of the endpoint."""
 
 
-def find_quarantined(crashes: Iterable[Crash], now: float) -> dict[str, QuarantinedRequest]:
+def find_quarantined(
+    crashes: Iterable[Crash], now: float, share_by_proven_part: Mapping[str, float] = MappingProxyType({})
+) -> dict[str, QuarantinedRequest]:
     """Return by digest the requests and parts that probably crashed as many incarnations as it takes.
 
-    Each crash has one cause but many concurrent requests. The request with the most unexplained crashes is
-    taken first and explains all of its crashes, until none has MIN_UNEXPLAINED_CRASHES left. Ties go to the
-    shortest mean run, since the other requests had mostly started earlier, and among the parts of a prompt
-    to the last one: others share the first ones.
+    Each crash has one cause but many concurrent requests. The request with the most unexplained crashes,
+    relative to those that it takes, is taken first and explains all of its crashes, until none has enough
+    left. Ties go to the shortest mean run, since the other requests had mostly started earlier, and among the
+    parts of a prompt to the last one: others share the first ones.
     A request that is quarantined wrongly is released by the next crash of the right one.
+    share_by_proven_part: parts that prompts have ended well with lately, with their share of these prompts.
     """
     known = _by_digest(crashes, now)
     started = {
@@ -106,24 +118,38 @@
         )
         return len(by_incarnation) - (1 - UNSTARTED_WEIGHT) * unstarted
 
-    at_same_point = {digest: _at_same_point(by_incarnation) for digest, by_incarnation in known.items()}
+    counted = {digest: _counted(digest, by_incarnation) for digest, by_incarnation in known.items()}
     candidates = {
         digest: by_incarnation
-        for digest, by_incarnation in at_same_point.items()
+        for digest, by_incarnation in counted.items()
         if weight(by_incarnation) >= min_crashes(digest)
     }
+    required = {digest: _min_unexplained(share) for digest, share in share_by_proven_part.items()}
+    parts_at = Counter(
+        incarnation
+        for digest, by_incarnation in counted.items()
+        if is_part(digest)
+        for incarnation in by_incarnation
+    )
+    beside_others = {incarnation for incarnation, parts in parts_at.items() if parts > 1}
     order = {digest: number for number, digest in enumerate(known)}
     found: dict[str, QuarantinedRequest] = {}
     explained: set[str] = set()
+
+    def strength_of(digest: str, by_incarnation: CrashesByIncarnation) -> float:
+        """Return the unexplained crashes relative to those that it takes."""
+        unexplained = _without(by_incarnation, explained)
+        if digest not in required:
+            return weight(unexplained) / MIN_UNEXPLAINED_CRASHES
+        alone = _without(unexplained, beside_others)
+        return max(weight(unexplained) / required[digest], weight(alone) / MIN_UNEXPLAINED_PROVEN)
+
     while candidates:
-        unexplained_weight = {
-            key: weight(_without(by_incarnation, explained)) for key, by_incarnation in candidates.items()
-        }
+        strength = {key: strength_of(key, by_incarnation) for key, by_incarnation in candidates.items()}
         digest = max(
-            candidates,
-            key=lambda key: (unexplained_weight[key], -_mean_duration_s(candidates[key]), order[key]),
+            candidates, key=lambda key: (strength[key], -_mean_duration_s(candidates[key]), order[key])
         )
-        if unexplained_weight[digest] < MIN_UNEXPLAINED_CRASHES:
+        if strength[digest] < 1:
             break
         by_incarnation = candidates.pop(digest)
         explained |= by_incarnation.keys()
@@ -132,6 +158,36 @@
     return found
 
 
+def _min_unexplained(share: float) -> int:
+    """Return the unexplained crashes required to quarantine a part that prompts have ended well with."""
+    return MIN_UNEXPLAINED_POPULAR if share >= POPULAR_SHARE else MIN_UNEXPLAINED_PROVEN
+
+
+def _counted(digest: str, by_incarnation: CrashesByIncarnation) -> CrashesByIncarnation:
+    """Return the crashes that may count against a request or a part."""
+    return _since_innocent(by_incarnation) if is_part(digest) else _at_same_point(by_incarnation)
+
+
+def _since_innocent(by_incarnation: CrashesByIncarnation) -> CrashesByIncarnation:
+    """Return the crashes that a part may have caused.
+
+    A prompt that had got some events when the engine crashed shows that the part was innocent when it was
+    sent: of crashes before that, and probably of this one.
+    """
+    innocent = [crash for crash in by_incarnation.values() if shows_innocence(crash)]
+    innocent_at = max((crash.at - crash.ran_s for crash in innocent), default=float("-inf"))
+    return {
+        incarnation: crash
+        for incarnation, crash in by_incarnation.items()
+        if crash.at > innocent_at and not shows_innocence(crash)
+    }
+
+
+def shows_innocence(crash: Crash) -> bool:
+    """Tell whether a prompt had got so much of its answer that none of its parts crashes engines."""
+    return is_part(crash.digest) and event_count(crash) >= INNOCENT_EVENTS
+
+
 def _by_digest(crashes: Iterable[Crash], now: float) -> dict[str, CrashesByIncarnation]:
     """Return the crashes that have not expired. If several report one incarnation, the one with the most
     events counts."""
--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -68,7 +68,7 @@
             task.add_done_callback(self.tasks.discard)
         received = _events_received(job, started_attempt, events)
         if events >= INNOCENT_EVENTS:
-            self.state.quarantine.record_served(job.part_digests)
+            self.state.quarantine.record_served(job.part_digests, _began_at(started_attempt))
         crash = Crash(job.digest, incarnation, now, now - started_attempt.sent_at, received)
         probe.crashes_by_digest[job.digest] = crash
         for digest in job.part_digests:
@@ -88,7 +88,7 @@
         def record() -> None:
             crashed = (known for _, known in self.state.quarantine.own_crashes)
             if incarnation not in self.probes_by_incarnation and incarnation not in crashed:
-                self.state.quarantine.record_served(job.part_digests)
+                self.state.quarantine.record_served(job.part_digests, _began_at(started_attempt))
 
         asyncio.get_running_loop().call_later(OUTLIVED_S, record)
 
@@ -164,6 +164,12 @@
     return f"{started_attempt.choice.endpoint.id}/{started_attempt.endpoint_state.born}"
 
 
+def _began_at(started_attempt: StartedAttempt) -> float:
+    """Return when an answer began, or when its request was sent if that is not known."""
+    began_at = started_attempt.first_byte_at
+    return started_attempt.sent_at if began_at is None else began_at
+
+
 def _events_received(job: Job, started_attempt: StartedAttempt, events: int) -> int | None:
     """Return the events received, None if an engine had not begun its answer.
 
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -442,7 +442,8 @@
     ) -> None:
         now = monotonic()
         if reply.status < SERVER_ERROR:
-            self.state.quarantine.record_served((job.digest, *job.part_digests))
+            digests = (job.digest, *job.part_digests)
+            self.state.quarantine.record_served(digests, started_attempt.first_byte_at)
         started_attempt.endpoint_state.on_outcome(False, now)
         started_attempt.endpoint_state.response_time_s += RESPONSE_TIME_WEIGHT * (
             (now - started_attempt.sent_at) - started_attempt.endpoint_state.response_time_s
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -16,6 +16,7 @@
     find_quarantined,
     is_part,
     min_crashes,
+    shows_innocence,
     unexplained_crashes,
 )
 from stairquay.core.position import NO_POSITION, Position
@@ -38,13 +39,18 @@
 SERVED_TRUST_S = 60.0
 """Seconds after a complete answer in which crashes do not count against the request. Such a request ran
 beside another that caused them, or its endpoints were lost for another reason. A request that begins to crash
-endpoints is sent for that much longer."""
+endpoints is sent for that much longer. A part of prompts is only harder to quarantine for that long: weights
+or software may change beneath it."""
 
 FIRST_TRIAL_S, NEXT_TRIAL_S, TRIAL_GROWTH = 3.0, 30.0, 4.0
 """Seconds from the begin of a part's quarantine to the first request that is sent all the same, from there to
 the next one, and the growth of that time. Where all engines crashed before any prompt had ended, a part that
 all prompts share is quarantined, and only its being served can tell."""
 
+PROVEN_TRIAL_S = 1.0
+"""The same to the first request for a part that prompts have ended well with lately, as many prompts may
+share it."""
+
 MAX_SERVED = 2_000
 """Completed requests that a box remembers (0.4 MB)."""
 
@@ -99,6 +105,10 @@
         self.router_position = NO_POSITION
         # When this box last served a request, by digest.
         self.served_at: OrderedDict[str, float] = OrderedDict()
+        # Good ends of prompts by part, and of all of them; both are halved from time to time.
+        self.ends_by_part: Counter[str] = Counter()
+        self.ends = 0
+        self.ends_halved_at = NEVER
         # When this box last served a prompt that shares a part with others.
         self.part_served_at = NEVER
         # When any box last cleared a part, which shows that prompts end well at some engine.
@@ -113,6 +123,7 @@
         self.requests_by_digest: dict[str, QuarantinedRequest] = {}
         self.trials_by_part: dict[str, Trial] = {}
         self.crashes_by_digest: Counter[str] = Counter()
+        self.first_crash_at_by_digest: dict[str, float] = {}
 
     def remaining_s(self, digest: str) -> float:
         """Return the seconds left of the quarantine of a request or a part, 0 if it is not refused."""
@@ -136,36 +147,62 @@
         return True
 
     def record_crashes(self, crashes: Iterable[Crash]) -> None:
-        """Record crashes that this box detected, except of requests that it served recently."""
+        """Record crashes that this box detected, except of requests that it served recently.
+
+        Good ends of a part before a crash say nothing about it.
+        """
         now = monotonic()
         for crash in crashes:
-            if now - self.served_at.get(crash.digest, NEVER) > SERVED_TRUST_S:
+            served_at = self.served_at.get(crash.digest, NEVER)
+            if (crash.at > served_at) if is_part(crash.digest) else (now - served_at > SERVED_TRUST_S):
                 self.own_crashes[crash.digest, crash.incarnation] = crash
         self._prune_own_crashes(now)
         self._mark_unpublished()
         self._update_quarantine()
 
-    def record_served(self, digests: Collection[str]) -> None:
-        """Record an answer that shows that a request, or its parts, crash nothing."""
+    def record_served(self, digests: Collection[str], began_at: float | None = None) -> None:
+        """Record an answer that shows that a request, or its parts, crash nothing.
+
+        began_at: when the answer began, None for now. A part would have crashed the engine then; later
+        crashes may still be its own.
+        """
         now = monotonic()
+        self._count_ends(digests, now)
         for digest in digests:
-            self.served_at[digest] = now
+            at = now if began_at is None or not is_part(digest) else began_at
+            self.served_at[digest] = max(at, self.served_at.get(digest, NEVER))
             self.served_at.move_to_end(digest)
             if is_part(digest):
                 self.part_served_at = now
         while len(self.served_at) > MAX_SERVED:
-            self.served_at.popitem(last=False)
+            forgotten, _ = self.served_at.popitem(last=False)
+            self.ends_by_part.pop(forgotten, None)
         suspected = [digest for digest in digests if self._is_suspected(digest)]
         if self.own_crashes:
             # What few crashes suggest needs no published clearance.
             self.own_crashes = {
                 key: crash
                 for key, crash in self.own_crashes.items()
-                if key[0] not in digests or key[0] in suspected
+                if key[0] not in digests or key[0] in suspected or self._counts_since_served(crash)
             }
         if suspected:
             self._clear_suspicion(suspected)
 
+    def _count_ends(self, digests: Collection[str], now: float) -> None:
+        if now - self.ends_halved_at > SERVED_TRUST_S:
+            self.ends_halved_at = now
+            self.ends //= 2
+            halves = {part: number // 2 for part, number in self.ends_by_part.items()}
+            self.ends_by_part = Counter({part: number for part, number in halves.items() if number})
+        parts = list(filter(is_part, digests))
+        if parts:
+            self.ends += 1
+            self.ends_by_part.update(parts)
+
+    def _counts_since_served(self, crash: Crash) -> bool:
+        """Tell whether a crash of a part came after all prompts with it that ended well at this box."""
+        return is_part(crash.digest) and crash.at > self.served_at.get(crash.digest, NEVER)
+
     def _is_suspected(self, digest: str) -> bool:
         """Tell whether one more crash may quarantine a request or a part at some box."""
         return self.crashes_by_digest.get(digest, 0) >= min_crashes(digest) - 1
@@ -222,8 +259,8 @@
         latest = self._latest_clearances()
         for crash in unexplained_crashes(self._counted_crashes(latest), self.quarantined_by_digest):
             by_digest.setdefault(crash.digest, []).append(crash)
-        suspected = [group for group in by_digest.values() if len({crash.incarnation for crash in group}) > 1]
-        suspected.sort(key=lambda group: -len({crash.incarnation for crash in group}))
+        suspected = [group for group in by_digest.values() if _incriminating(group) > 1]
+        suspected.sort(key=lambda group: -_incriminating(group))
         requests = [item for item in self.requests_by_digest.values() if item.digest not in by_digest]
         known = {item.digest: item for item in (*self.quarantined_by_digest.values(), *requests)}
         groups = [list(item.crashes) for item in known.values()] + suspected
@@ -238,13 +275,25 @@
 
     def _clear_suspicion(self, digests: Iterable[str]) -> None:
         now = monotonic()
-        for digest in digests:
-            self.cleared[digest] = now
+        cleared_at_by_digest = {digest: self._innocent_at(digest, now) for digest in digests}
+        changed = {
+            digest: at
+            for digest, at in cleared_at_by_digest.items()
+            if at > self.cleared.get(digest, NEVER) and at >= self.first_crash_at_by_digest.get(digest, NEVER)
+        }
+        if not changed:
+            return
+        self.cleared |= changed
+        for digest in changed:
             self.log.line(LogEvent.QUARANTINE, outcome="cleared", digest=digest)
         self._prune_own_crashes(now)
         self._mark_unpublished()
         self._update_quarantine()
 
+    def _innocent_at(self, digest: str, now: float) -> float:
+        """Return until when a request or part that was served is innocent; a part may change its nature."""
+        return self.served_at.get(digest, now) if is_part(digest) else now
+
     def _on_reports_changed(self) -> None:
         """Update the quarantine, and clear suspected requests that this box has served."""
         self._update_quarantine()
@@ -286,9 +335,15 @@
         self.crashes_by_digest = Counter(
             digest for digest, _ in {(item.digest, item.incarnation) for item in crashes}
         )
+        proven = self._shares_of_proven_parts(cleared)
+        judged = [crash for crash in crashes if not is_part(crash.digest) or self._counts_since_served(crash)]
+        self.first_crash_at_by_digest = {}
+        for crash in crashes:
+            first_at = self.first_crash_at_by_digest.get(crash.digest, crash.at)
+            self.first_crash_at_by_digest[crash.digest] = min(first_at, crash.at)
         before, self.quarantined_by_digest = (
             self.quarantined_by_digest,
-            find_quarantined(crashes, monotonic()),
+            find_quarantined(judged, monotonic(), proven),
         )
         self.requests_by_digest = self._without_parts(crashes)
         for digest in self.quarantined_by_digest.keys() - before.keys():
@@ -296,12 +351,21 @@
             self.log.line(LogEvent.QUARANTINE, outcome="begun", digest=digest, crashed=incarnations)
             self.urgent |= any(crash_digest == digest for crash_digest, _ in self.own_crashes)
             if is_part(digest):
-                self.trials_by_part.setdefault(digest, Trial(monotonic() + FIRST_TRIAL_S))
+                trial_s = PROVEN_TRIAL_S if digest in proven else FIRST_TRIAL_S
+                self.trials_by_part.setdefault(digest, Trial(monotonic() + trial_s))
         while len(self.trials_by_part) > MAX_OWN_CRASHES:
             del self.trials_by_part[next(iter(self.trials_by_part))]
         for digest in before.keys() - self.quarantined_by_digest.keys():
             self.log.line(LogEvent.QUARANTINE, outcome="ended", digest=digest)
 
+    def _shares_of_proven_parts(self, cleared: Mapping[str, float]) -> dict[str, float]:
+        """Return the parts that prompts have ended well with lately, at this box or as others say, and their
+        share of all such prompts at this box."""
+        since = monotonic() - SERVED_TRUST_S
+        ended_well = (*self.served_at.items(), *cleared.items())
+        proven = {digest for digest, at in ended_well if at > since and is_part(digest)}
+        return {digest: self.ends_by_part[digest] / max(1, self.ends) for digest in proven}
+
     def _without_parts(self, crashes: Iterable[Crash]) -> dict[str, QuarantinedRequest]:
         """Return the requests to blame if none of their parts is."""
         if not any(map(is_part, self.quarantined_by_digest)):
@@ -317,10 +381,22 @@
             for crash in self.own_crashes.values()
             if now - crash.at < CRASH_TTL_S and crash.at > self.cleared.get(crash.digest, NEVER)
         ]
-        kept = sorted(counted, key=_newest_first)[:MAX_OWN_CRASHES]
+        own_by_digest = Counter(crash.digest for crash in counted)
+
+        def publication_order(crash: Crash) -> tuple[bool, bool, float]:
+            """Put first what may quarantine something: most requests are at one crash only."""
+            crashes = max(own_by_digest[crash.digest], self.crashes_by_digest[crash.digest])
+            return (crashes < 2, shows_innocence(crash), _newest_first(crash))
+
+        kept = sorted(counted, key=publication_order)[:MAX_OWN_CRASHES]
         self.own_crashes = {(crash.digest, crash.incarnation): crash for crash in kept}
 
 
+def _incriminating(crashes: Iterable[Crash]) -> int:
+    """Return the number of incarnations whose crash may have been caused by the request or part."""
+    return len({crash.incarnation for crash in crashes if not shows_innocence(crash)})
+
+
 def _newest_first(crash: Crash) -> float:
     """Return a sort key that puts the newest first."""
     return -crash.at
--- a/tests/loads/test_parts_that_crash_engines.py
+++ b/tests/loads/test_parts_that_crash_engines.py
@@ -46,6 +46,10 @@
     sent_at: float
     bad: str = ""
 
+    def began_at(self) -> float:
+        """Return when the answer begins, if the engine lives that long."""
+        return self.sent_at + FIRST_EVENT_S
+
     def digests(self) -> tuple[str, ...]:
         return (self.digest, *(part_digest(part) for part in self.parts))
 
@@ -130,14 +134,14 @@
         if self.leave:
             self._after(OUTLIVED_S, lambda: self._outlived(engine, life, prompt))
         else:
-            self.boxes[prompt.box].record_served(prompt.digests())
+            self.boxes[prompt.box].record_served(prompt.digests(), prompt.began_at())
 
     def _outlived(self, engine: Engine, life: int, prompt: Prompt) -> None:
         """Count an answer that its caller left, unless its box noticed that the engine crashed."""
         incarnation = f"e-{self.engines.index(engine)}/{life}"
         box = self.boxes[prompt.box]
         if incarnation not in (known for _, known in box.own_crashes):
-            box.record_served(prompt.digests()[1:])
+            box.record_served(prompt.digests()[1:], prompt.began_at())
 
     def _crash_if_running(self, engine: Engine, life: int, prompt: Prompt) -> None:
         if prompt.digest in engine.running:
@@ -207,7 +211,7 @@
     assert {part_digest(part) for part in bad_parts} <= all_quarantined(played.boxes)
 
 
-@pytest.mark.parametrize("bad_parts", (("bad",), ("bad", "worse")))
+@pytest.mark.parametrize("bad_parts", (("bad",), ("bad", "worse"), ("bad", "worse", "worst")))
 @pytest.mark.parametrize("boxes", FLEETS)
 def test_parts_that_were_sound_and_crash_engines_from_now_on_are_known_at_all_boxes(
     boxes, bad_parts, monkeypatch
@@ -232,6 +236,17 @@
     assert part_digest("bad") in all_quarantined(played.boxes)
 
 
+@pytest.mark.parametrize("boxes", FLEETS)
+def test_parts_that_were_sound_and_crash_engines_are_known_where_every_caller_leaves(boxes, monkeypatch):
+    """Guards against a part that callers who left keep innocent, since they saw it begin well before."""
+    played = Simulation(boxes, ("bad",), boxes, turn=True, leave=True)
+    monkeypatch.setattr(quarantine_module, "monotonic", lambda: played.now)
+    played.run()
+    assert played.late("bad") <= MAX_LATE
+    assert played.refused <= MAX_REFUSED_SHARE * played.sound
+    assert part_digest("bad") in all_quarantined(played.boxes)
+
+
 def test_engines_that_crash_by_themselves_quarantine_no_part(monkeypatch):
     """Guards against popular parts that are at many crashes by chance."""
     played = Simulation(6, (), 1)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -227,3 +227,82 @@
     assert here.remaining_s(PART) > 0 and here.remaining_s("a") == 0
     clock.now += SERVED_TRUST_S + 1
     assert here.remaining_s(PART) == 0 and here.remaining_s("a") > 0
+
+
+def part_crash(part: str, incarnation: int, at: float, ran_s: float = 0.1, events: int = 0) -> Crash:
+    return crash(part_digest(part), incarnation, at, ran_s, events)
+
+
+def test_a_good_end_before_the_first_crash_does_not_keep_a_part_innocent(monkeypatch):
+    """Guards against a part that was sound, and is sent on for a minute after it began to crash engines."""
+    now = 10.0
+    monkeypatch.setattr("stairquay.serving.quarantine.monotonic", lambda: now)
+    here = new_quarantine()
+    here.record_served((part_digest("turned"), part_digest("other")))
+    now = 12.0
+    here.record_crashes(part_crash("turned", number, now) for number in range(MIN_PART_CRASHES))
+    assert here.remaining_s(part_digest("turned")) > 0
+
+
+def test_a_good_end_that_began_after_the_crashes_clears_a_part_and_one_that_began_before_does_not(
+    monkeypatch,
+):
+    """Guards against long answers that began before weights changed and clear the part as they end."""
+    now = 10.0
+    monkeypatch.setattr("stairquay.serving.quarantine.monotonic", lambda: now)
+    here, digest = new_quarantine(), part_digest("turned")
+    here.record_served((part_digest("other"),))
+    here.record_crashes(part_crash("turned", number, 9.0) for number in range(MIN_PART_CRASHES))
+    here.record_served((digest,), began_at=5.0)
+    assert here.remaining_s(digest) > 0
+    here.record_served((digest,), began_at=9.5)
+    assert here.remaining_s(digest) == 0 and here.cleared[digest] == 9.5
+
+
+def test_a_crash_under_a_prompt_that_had_got_events_does_not_count_against_its_parts():
+    """Guards against a popular part that is blamed for crashes under prompts that had begun well."""
+    begun = [part_crash("popular", number, 9.0, ran_s=0.5, events=20) for number in range(9)]
+    assert not find_quarantined(begun, 10.0)
+    unborn = [part_crash("popular", number, 8.0) for number in range(10, 14)]
+    assert find_quarantined(unborn, 10.0)
+    # The prompts that had begun well were sent after these crashes.
+    assert not find_quarantined([*unborn, *begun], 10.0)
+
+
+def test_a_part_of_many_prompts_that_ended_well_takes_more_crashes_that_another_part_was_at():
+    """Guards against refusing what all prompts share beside two parts that crash engines by turns."""
+    crashes = []
+    for number in range(6):
+        beside = ("bad", "worse")[number % 2]
+        crashes += [part_crash("popular", number, 9.0), part_crash(beside, number, 9.0)]
+    popular = part_digest("popular")
+    assert popular in find_quarantined(crashes, 10.0)
+    assert popular not in find_quarantined(crashes, 10.0, {popular: 0.5})
+    # Other parts explain nothing where they were not.
+    alone = [part_crash("popular", number, 9.0) for number in range(MIN_PART_CRASHES)]
+    assert popular in find_quarantined(alone, 10.0, {popular: 0.5})
+
+
+def test_what_may_quarantine_something_is_published_before_requests_at_one_crash(monkeypatch):
+    """Guards against the many requests beside a part that take its place in a box's row."""
+    monkeypatch.setattr("stairquay.serving.quarantine.monotonic", lambda: 10.0)
+    here = new_quarantine()
+    here.record_served((part_digest("other"),))
+    for number in range(MIN_PART_CRASHES):
+        beside = [crash(f"well-{number}-{index}", number, at=9.0 + number / 10) for index in range(40)]
+        here.record_crashes([part_crash("bad", number, 9.0), *beside])
+    assert len(here.own_crashes) == MAX_OWN_CRASHES
+    assert here.remaining_s(part_digest("bad")) > 0
+
+
+def test_a_box_does_not_write_its_row_again_for_a_part_whose_good_ends_it_has_told(monkeypatch):
+    """Guards against a write of the table service for each change that a box reads."""
+    monkeypatch.setattr("stairquay.serving.quarantine.monotonic", lambda: 10.0)
+    here, digest = new_quarantine(), part_digest("turned")
+    here.record_served((digest,), began_at=5.0)
+    crashes = [part_crash("turned", number, 4.0 + number) for number in range(6)]
+    here.apply_rows({"b-2": CrashReport(tuple(crashes))}, True)
+    assert here.unpublished and here.cleared[digest] == 5.0
+    here.unpublished = False
+    here.apply_rows({"b-3": CrashReport(tuple(crashes))}, False)
+    assert not here.unpublished and here.remaining_s(digest) > 0
