--- a/tests/soak_crashes.py
+++ b/tests/soak_crashes.py
@@ -14,8 +14,10 @@
 from pathlib import Path
 from random import Random
 
+from aiohttp import ClientError
+
 from tests.many_boxes import several_boxes
-from tests.site import Site
+from tests.site import HOST, KEY, MODEL, Site
 from tests.standins.endpoints import Endpoint
 
 MAX_PROPAGATION_S = 3.0
@@ -42,6 +44,12 @@
 POISONS_PER_S = 2.0
 """Rate at which such requests are sent."""
 
+TURN_S = 4.0
+"""Time for which each second part of prompts is sound, before it crashes engines."""
+
+LEAVING_SHARE = 0.2
+"""Share of the other prompts whose callers hang up after the first event."""
+
 
 @dataclass
 class Outcome:
@@ -58,6 +66,19 @@
     sent: int = 0
 
 
+def prompt_headers(call_id: str) -> dict[str, str]:
+    """Return the headers of a prompt with the parts that all others share."""
+    return {
+        "Host": HOST,
+        "Request-Id": call_id,
+        "Deadline-Ms": "5000",
+        "Authorization": f"Bearer {KEY}",
+        "Model": MODEL,
+        "Token-Usage": "900,20",
+        "Prompt-Prefix": "aa:500,bb:300,cc:100",
+    }
+
+
 class Soak:
     """Sends requests to boxes, injects faults and records what reaches endpoints."""
 
@@ -77,6 +98,7 @@
         self.timeline: list[tuple[float, str]] = []
         self.restart_count = 0
         self.calls: set[asyncio.Task] = set()
+        self.first_sent_at_by_part: dict[str, float] = {}
 
     async def run(self) -> Outcome:
         """Run to the end, and count crashes and late arrivals."""
@@ -145,6 +167,9 @@
             call_id = f"other-{number}-{retry}"
             if plain:
                 answer = await box.call(f"/plain/{number}", "POST", call_id=call_id, body=b"plain")
+            elif self.random.random() < LEAVING_SHARE:
+                await self._leave_after_first_event(box, call_id, number)
+                return
             else:
                 body = f"prompt {number}".encode()
                 answer = await box.prompt(f"/again/{number}", call_id=call_id, body=body)
@@ -155,6 +180,24 @@
             if answer.status == 503 and b"quarantined" in answer.body:
                 self.outcome.barred += 1
 
+    async def _leave_after_first_event(self, box: Site, call_id: str, number: int) -> None:
+        """Send a prompt, and hang up as soon as its answer has begun."""
+        assert box.session is not None
+        url, headers = f"http://{box.front}/again/{number}", prompt_headers(call_id)
+        try:
+            async with box.session.post(url, headers=headers, data=f"prompt {number}".encode()) as response:
+                await response.content.readany()
+                response.close()
+        except ClientError:
+            # A box that is killed, as some are.
+            return
+
+    def _is_sound_yet(self, name: str, number: int) -> bool:
+        """Tell whether a part of prompts crashes nothing yet; each second one turns."""
+        now = asyncio.get_running_loop().time()
+        first_at = self.first_sent_at_by_part.setdefault(name, now)
+        return number % 2 == 0 and now - first_at < TURN_S
+
     async def _send_poison_requests(self) -> None:
         while self._running():
             issued = 2 + int((asyncio.get_running_loop().time() - self.started_at) / NEW_POISON_INTERVAL_S)
@@ -164,6 +207,8 @@
             name, box = f"{'part' if is_part else 'crash'}-{number}", self.random.choice(self.boxes)
             body, call_id = f"{name} POISON".encode(), f"{name}-{self.random.random()}"
             self.box_by_call[call_id] = box.name
+            if is_part and self._is_sound_yet(name, number):
+                body = body.replace(b"POISON", b"sound")
             if is_part:
                 body += call_id.encode()
                 headers = {"Prompt-Prefix": f"aa:500,bb:300,{name}:200,own{call_id}:100"}
