Tell operators why a part of prompts is or is not quarantined, and let them release it

`stairquay explain` shows for a request refused as quarantined the quarantine lines of its digests and the crashes under them, whenever they were (before: only 5 s back, and neither kind of line). A part at four crashes that is not quarantined is logged once, as spared, with its crashes, those that count and its share of the box's good ends.

--- a/stairquay/cli.py
+++ b/stairquay/cli.py
@@ -84,6 +84,7 @@
     app.command(_status(env), name="status")
     app.command(_check_settings(env), name="check-settings")
     app.command(_boxes(env), name="boxes")
+    app.command(_release(env), name="release")
     app.command(_key(env), name="key")
     app.command(_explain(env), name="explain")
     return app
@@ -218,6 +219,24 @@
     return command
 
 
+def _release(env: Environment) -> Callable[..., ExitStatus]:
+    def command(table: TABLE, *digests: str) -> ExitStatus:
+        """End quarantines on the users' platform: DIGESTS as logged, "part ID" for a part of prompts."""
+        from stairquay.release import release
+
+        if not digests:
+            env.write_error("name the digests to release")
+            return ExitStatus.ERROR
+        done = asyncio.run(release(table, digests))
+        if isinstance(done, Err):
+            env.write_error(done.err_value)
+            return ExitStatus.UNREACHED
+        env.write_line(f"released: {', '.join(digests)}")
+        return ExitStatus.SUCCESS
+
+    return command
+
+
 def _key(env: Environment) -> Callable[..., ExitStatus]:
     def command(*, as_json: AS_JSON = False) -> ExitStatus:
         """Make a new key, and the hash of it that settings and workspaces hold."""
--- a/stairquay/explain.py
+++ b/stairquay/explain.py
@@ -42,6 +42,7 @@
 )
 """Kinds of lines that record a change of a box's state, which may explain later decisions."""
 
+QUARANTINED = "quarantined"
 ATTEMPT_END_KINDS = ("ended", "attempt_failed")
 DROPPED_KIND = "left_out"
 HEADER_FIELDS = ("at", "box", "kind", "request")
@@ -94,7 +95,8 @@
     last = max(line["at"] for line in request_lines)
     boxes = {line["box"] for line in request_lines}
     state_lines = [line for line in logs.lines if _is_state_change(line, boxes, first, last)]
-    ordered = sorted([*request_lines, *state_lines], key=lambda line: line["at"])
+    why_quarantined = _quarantine_lines(logs, request_lines)
+    ordered = sorted([*request_lines, *state_lines, *why_quarantined], key=lambda line: line["at"])
     lines = [f"request {request}, first seen at {first:.3f} by {min(request_lines, key=_timestamp)['box']}"]
     lines += [_format_line(line, first) for line in ordered]
     lines += _prediction_lines(sorted(request_lines, key=_timestamp))
@@ -111,6 +113,17 @@
     return line["kind"] in STATE_KINDS and _is_in_window(line, boxes, first, last)
 
 
+def _quarantine_lines(logs: Logs, request_lines: Sequence[Line]) -> list[Line]:
+    """Return the lines about the digests that a request was refused for, and about the crashes under them."""
+    refused = [str(line.get("detail", "")) for line in request_lines if line.get("cause") == QUARANTINED]
+    digests = {
+        digest for detail in refused for digest in detail.removeprefix("digest ").split(", ") if digest
+    }
+    lines = [line for line in logs.lines if line["kind"] == "quarantine" and line.get("digest") in digests]
+    lives = {life for line in lines for life in line.get("crashed", ())}
+    return lines + [line for line in logs.lines if line["kind"] == "crashed" and line.get("life") in lives]
+
+
 def _is_in_window(line: Line, boxes: set[str], first: float, last: float) -> bool:
     return line.get("box") in boxes and first - LOOKBACK_S <= line["at"] <= last + CLOCK_SKEW_S
 
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -7,6 +7,7 @@
 from collections import Counter, OrderedDict
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.crashes import (
@@ -124,6 +125,8 @@
         self.trials_by_part: dict[str, Trial] = {}
         self.crashes_by_digest: Counter[str] = Counter()
         self.first_crash_at_by_digest: dict[str, float] = {}
+        # Parts at many crashes for which they are not quarantined.
+        self.spared: set[str] = set()
 
     def remaining_s(self, digest: str) -> float:
         """Return the seconds left of the quarantine of a request or a part, 0 if it is not refused."""
@@ -348,7 +351,8 @@
         self.requests_by_digest = self._without_parts(crashes)
         for digest in self.quarantined_by_digest.keys() - before.keys():
             incarnations = [crash.incarnation for crash in self.quarantined_by_digest[digest].crashes]
-            self.log.line(LogEvent.QUARANTINE, outcome="begun", digest=digest, crashed=incarnations)
+            fields = _share_field(digest, proven)
+            self.log.line(LogEvent.QUARANTINE, outcome="begun", digest=digest, crashed=incarnations, **fields)
             self.urgent |= any(crash_digest == digest for crash_digest, _ in self.own_crashes)
             if is_part(digest):
                 trial_s = PROVEN_TRIAL_S if digest in proven else FIRST_TRIAL_S
@@ -357,6 +361,27 @@
             del self.trials_by_part[next(iter(self.trials_by_part))]
         for digest in before.keys() - self.quarantined_by_digest.keys():
             self.log.line(LogEvent.QUARANTINE, outcome="ended", digest=digest)
+        self._log_spared(judged, proven)
+
+    def _log_spared(self, judged: Iterable[Crash], shares: Mapping[str, float]) -> None:
+        """Log once which parts are at enough crashes to be quarantined, and are not."""
+        crashes_by_part: dict[str, list[Crash]] = {}
+        for crash in judged:
+            if is_part(crash.digest) and crash.digest not in self.quarantined_by_digest:
+                crashes_by_part.setdefault(crash.digest, []).append(crash)
+        at_many = {
+            digest: crashes
+            for digest, crashes in crashes_by_part.items()
+            if len({crash.incarnation for crash in crashes}) >= min_crashes(digest)
+        }
+        for digest in at_many.keys() - self.spared:
+            crashes, counted = at_many[digest], _incriminating(at_many[digest])
+            count = len({crash.incarnation for crash in crashes})
+            fields = _share_field(digest, shares)
+            self.log.line(
+                LogEvent.QUARANTINE, outcome="spared", digest=digest, crashes=count, counted=counted, **fields
+            )
+        self.spared = set(at_many)
 
     def _shares_of_proven_parts(self, cleared: Mapping[str, float]) -> dict[str, float]:
         """Return the parts that prompts have ended well with lately, at this box or as others say, and their
@@ -392,6 +417,11 @@
         self.own_crashes = {(crash.digest, crash.incarnation): crash for crash in kept}
 
 
+def _share_field(digest: str, shares: Mapping[str, float]) -> dict[str, Any]:
+    """Return the share of this box's good ends that prompts with a part have, if there were any lately."""
+    return {"share": round(shares[digest], 3)} if digest in shares else {}
+
+
 def _incriminating(crashes: Iterable[Crash]) -> int:
     """Return the number of incarnations whose crash may have been caused by the request or part."""
     return len({crash.incarnation for crash in crashes if not shows_innocence(crash)})
