Quarantine a part of many prompts once none with it ends well while others do

Such a part counts as any other now once four prompts with it should have ended well since its first crash, by its share of those that did: were it innocent, none of them would do so once in fifty times.

--- a/stairquay/core/crashes.py
+++ b/stairquay/core/crashes.py
@@ -6,7 +6,7 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
-from types import MappingProxyType
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -32,6 +32,10 @@
 POPULAR_SHARE = 0.2
 """Share of the prompts that ended well at a box from which a part counts as one of many prompts."""
 
+MIN_MISSED_ENDS = 4.0
+"""Prompts with a part that should have ended well since its first crash, by its share of those that did, from
+which the part does not count as one of many prompts. If it were innocent, the chance of none is 2 %."""
+
 MIN_UNEXPLAINED_CRASHES = 2
 """The same for all others. Two requests that crash endpoints are often at the same one when it crashes; a
 request that only ran beside them was at few crashes without either."""
@@ -88,12 +92,33 @@
     crashes: tuple[Crash, ...]
 
 
+@dataclass(frozen=True)
+class GoodEnds:
+    """Prompts that ended well lately.
+
+    share_by_part: of those at this box that have a part, by digest; 0 for a part that only other boxes have
+    seen end well. began_at: when answers at this box began, of those that ended last.
+    """
+
+    share_by_part: Mapping[str, float] = field(default_factory=dict)
+    began_at: Collection[float] = ()
+
+    def min_unexplained(self, part: str, first_crash_at: float) -> int:
+        """Return the unexplained crashes required to quarantine a part. None with it ended well since."""
+        share = self.share_by_part[part]
+        missed = share * sum(at > first_crash_at for at in self.began_at)
+        is_popular = share >= POPULAR_SHARE and missed < MIN_MISSED_ENDS
+        return MIN_UNEXPLAINED_POPULAR if is_popular else MIN_UNEXPLAINED_PROVEN
+
+
+NO_GOOD_ENDS = GoodEnds()
+
 CrashesByIncarnation = dict[str, Crash]
 """The crashes of one request, by the incarnation of the endpoint."""
 
 
 def find_quarantined(
-    crashes: Iterable[Crash], now: float, share_by_proven_part: Mapping[str, float] = MappingProxyType({})
+    crashes: Iterable[Crash], now: float, good_ends: GoodEnds = NO_GOOD_ENDS
 ) -> dict[str, QuarantinedRequest]:
     """Return by digest the requests and parts that probably crashed as many incarnations as it takes.
 
@@ -102,7 +127,6 @@
     left. Ties go to the shortest mean run, since the other requests had mostly started earlier, and among the
     parts of a prompt to the last one: others share the first ones.
     A request that is quarantined wrongly is released by the next crash of the right one.
-    share_by_proven_part: parts that prompts have ended well with lately, with their share of these prompts.
     """
     known = _by_digest(crashes, now)
     started = {
@@ -124,7 +148,11 @@
         for digest, by_incarnation in counted.items()
         if weight(by_incarnation) >= min_crashes(digest)
     }
-    required = {digest: _min_unexplained(share) for digest, share in share_by_proven_part.items()}
+    required = {
+        digest: good_ends.min_unexplained(digest, min(crash.at for crash in by_incarnation.values()))
+        for digest, by_incarnation in candidates.items()
+        if digest in good_ends.share_by_part
+    }
     parts_at = Counter(
         incarnation
         for digest, by_incarnation in counted.items()
@@ -158,11 +186,6 @@
     return found
 
 
-def _min_unexplained(share: float) -> int:
-    """Return the unexplained crashes required to quarantine a part that prompts have ended well with."""
-    return MIN_UNEXPLAINED_POPULAR if share >= POPULAR_SHARE else MIN_UNEXPLAINED_PROVEN
-
-
 def _counted(digest: str, by_incarnation: CrashesByIncarnation) -> CrashesByIncarnation:
     """Return the crashes that may count against a request or a part."""
     return _since_innocent(by_incarnation) if is_part(digest) else _at_same_point(by_incarnation)
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -4,7 +4,7 @@
 `stairquay.serving.crash_rows`).
 """
 
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, deque
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -13,6 +13,7 @@
 from stairquay.core.crashes import (
     CRASH_TTL_S,
     Crash,
+    GoodEnds,
     QuarantinedRequest,
     find_quarantined,
     is_part,
@@ -52,6 +53,9 @@
 """The same to the first request for a part that prompts have ended well with lately, as many prompts may
 share it."""
 
+MAX_ENDS_KEPT = 256
+"""Good ends of prompts whose times a box remembers."""
+
 MAX_SERVED = 2_000
 """Completed requests that a box remembers (0.4 MB)."""
 
@@ -110,6 +114,8 @@
         self.ends_by_part: Counter[str] = Counter()
         self.ends = 0
         self.ends_halved_at = NEVER
+        # When the answers began that ended well last.
+        self.ends_began_at: deque[float] = deque(maxlen=MAX_ENDS_KEPT)
         # When this box last served a prompt that shares a part with others.
         self.part_served_at = NEVER
         # When any box last cleared a part, which shows that prompts end well at some engine.
@@ -170,7 +176,7 @@
         crashes may still be its own.
         """
         now = monotonic()
-        self._count_ends(digests, now)
+        self._count_ends(digests, now, now if began_at is None else began_at)
         for digest in digests:
             at = now if began_at is None or not is_part(digest) else began_at
             self.served_at[digest] = max(at, self.served_at.get(digest, NEVER))
@@ -191,7 +197,7 @@
         if suspected:
             self._clear_suspicion(suspected)
 
-    def _count_ends(self, digests: Collection[str], now: float) -> None:
+    def _count_ends(self, digests: Collection[str], now: float, began_at: float) -> None:
         if now - self.ends_halved_at > SERVED_TRUST_S:
             self.ends_halved_at = now
             self.ends //= 2
@@ -200,6 +206,7 @@
         parts = list(filter(is_part, digests))
         if parts:
             self.ends += 1
+            self.ends_began_at.append(began_at)
             self.ends_by_part.update(parts)
 
     def _counts_since_served(self, crash: Crash) -> bool:
@@ -346,7 +353,7 @@
             self.first_crash_at_by_digest[crash.digest] = min(first_at, crash.at)
         before, self.quarantined_by_digest = (
             self.quarantined_by_digest,
-            find_quarantined(judged, monotonic(), proven),
+            find_quarantined(judged, monotonic(), GoodEnds(proven, self.ends_began_at)),
         )
         self.requests_by_digest = self._without_parts(crashes)
         for digest in self.quarantined_by_digest.keys() - before.keys():
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,6 +10,7 @@
     MIN_CRASHES,
     MIN_PART_CRASHES,
     Crash,
+    GoodEnds,
     find_quarantined,
     part_digest,
 )
@@ -277,10 +278,20 @@
         crashes += [part_crash("popular", number, 9.0), part_crash(beside, number, 9.0)]
     popular = part_digest("popular")
     assert popular in find_quarantined(crashes, 10.0)
-    assert popular not in find_quarantined(crashes, 10.0, {popular: 0.5})
+    assert popular not in find_quarantined(crashes, 10.0, GoodEnds({popular: 0.5}))
     # Other parts explain nothing where they were not.
     alone = [part_crash("popular", number, 9.0) for number in range(MIN_PART_CRASHES)]
-    assert popular in find_quarantined(alone, 10.0, {popular: 0.5})
+    assert popular in find_quarantined(alone, 10.0, GoodEnds({popular: 0.5}))
+
+
+def test_a_part_of_many_prompts_that_does_not_end_well_while_others_do_is_no_longer_spared():
+    """Guards against a part of a fifth of all prompts that crashes twelve engines before it is refused."""
+    crashes = [part_crash(part, number, 9.0) for number in range(4) for part in ("turned", "beside")]
+    turned, beside = part_digest("turned"), part_digest("beside")
+    shares = {turned: 0.25, beside: 0.9}
+    assert not find_quarantined(crashes, 10.0, GoodEnds(shares, (8.0,) * 40))
+    with_turned = [item for item in crashes if item.digest == turned or item.incarnation != "e-0"]
+    assert set(find_quarantined(with_turned, 10.0, GoodEnds(shares, (9.5,) * 16))) == {turned}
 
 
 def test_what_may_quarantine_something_is_published_before_requests_at_one_crash(monkeypatch):
