Try a part of few prompts later, and spare one of many for fewer missed ends

Two causes: a box whose share of the part was 0.2 by chance spared it until four prompts had been missed (four seconds there), and the first trial came a second after the quarantine, as one of the four.

--- a/stairquay/core/crashes.py
+++ b/stairquay/core/crashes.py
@@ -32,7 +32,7 @@
 POPULAR_SHARE = 0.2
 """Share of the prompts that ended well at a box from which a part counts as one of many prompts."""
 
-MIN_MISSED_ENDS = 4.0
+MIN_MISSED_ENDS = 2.0
 """Prompts with a part that should have ended well since its first crash, by its share of those that did, from
 which the part does not count as one of many prompts. If it were innocent, the chance of none is 2 %."""
 
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -12,6 +12,7 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.core.crashes import (
     CRASH_TTL_S,
+    POPULAR_SHARE,
     Crash,
     GoodEnds,
     QuarantinedRequest,
@@ -49,9 +50,9 @@
 the next one, and the growth of that time. Where all engines crashed before any prompt had ended, a part that
 all prompts share is quarantined, and only its being served can tell."""
 
-PROVEN_TRIAL_S = 1.0
-"""The same to the first request for a part that prompts have ended well with lately, as many prompts may
-share it."""
+POPULAR_TRIAL_S = 1.0
+"""The same to the first request for a part of many prompts that ended well lately, since all of these are
+refused. Such a part of few prompts is tried after NEXT_TRIAL_S: a trial may cost an engine."""
 
 MAX_ENDS_KEPT = 256
 """Good ends of prompts whose times a box remembers."""
@@ -362,8 +363,7 @@
             self.log.line(LogEvent.QUARANTINE, outcome="begun", digest=digest, crashed=incarnations, **fields)
             self.urgent |= any(crash_digest == digest for crash_digest, _ in self.own_crashes)
             if is_part(digest):
-                trial_s = PROVEN_TRIAL_S if digest in proven else FIRST_TRIAL_S
-                self.trials_by_part.setdefault(digest, Trial(monotonic() + trial_s))
+                self.trials_by_part.setdefault(digest, Trial(monotonic() + _first_trial_s(digest, proven)))
         while len(self.trials_by_part) > MAX_OWN_CRASHES:
             del self.trials_by_part[next(iter(self.trials_by_part))]
         for digest in before.keys() - self.quarantined_by_digest.keys():
@@ -424,6 +424,13 @@
         self.own_crashes = {(crash.digest, crash.incarnation): crash for crash in kept}
 
 
+def _first_trial_s(part: str, shares: Mapping[str, float]) -> float:
+    """Return the seconds from the begin of a part's quarantine to the first request that tries it."""
+    if part not in shares:
+        return FIRST_TRIAL_S
+    return POPULAR_TRIAL_S if shares[part] >= POPULAR_SHARE else NEXT_TRIAL_S
+
+
 def _share_field(digest: str, shares: Mapping[str, float]) -> dict[str, Any]:
     """Return the share of this box's good ends that prompts with a part have, if there were any lately."""
     return {"share": round(shares[digest], 3)} if digest in shares else {}
