Read the list of endpoints for streams that come back while a router is silent

Callers saw: streams of a service with one software version, taken up right after the box that served them was killed, were all refused at one of two other boxes (7 of 14; 'the list of endpoints may be older than the stream').

Cause: the box waits 1.2 s for a list that was asked since, but a follower's long poll is held longer where nothing changes.

Change: the box reads the list once for all streams that wait, at most each 0.5 s, and compares its versions. Nothing is called where all routers answer.

A list with a second version still refuses the streams.

--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -97,7 +97,7 @@
     chooser = Chooser(state, links, router, notices, rng)
     crash_detector = CrashDetector(state, surroundings.peers)
     forwarder = Forwarder(state, surroundings.boxes, rng)
-    origins = OriginTracker(state, links, notices)
+    origins = OriginTracker(state, links, notices, surroundings.feeds.read_endpoints)
     dispatcher = Dispatcher(state, surroundings.endpoints, chooser, crash_detector, forwarder, origins)
     front = Frontend(state, surroundings.callers, dispatcher, rng)
     tasks = BackgroundTasks()
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from collections.abc import Collection, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from dataclasses import replace
 
 from result import Err, Ok, Result
@@ -27,6 +27,7 @@
 from stairquay.serving.messages import BegunStream, OriginReply, OriginRequest
 from stairquay.serving.notices import NoticeSender
 from stairquay.serving.origin_replies import recent_versions
+from stairquay.serving.ports import EndpointChanges, FeedFault
 from stairquay.serving.refusals import RETRY_AFTER_S
 from stairquay.serving.state import BoxState
 
@@ -38,10 +39,13 @@
 many callers come back at once."""
 
 LIST_TIMEOUT_S = 1.2
-"""Seconds to wait for the next list of endpoints if a router does not answer: about two reads."""
+"""Seconds to wait for a list of endpoints that is newer than a stream if a router does not answer."""
 
 LIST_POLL_S = 0.05
 
+LIST_PAUSE_S = 0.5
+"""Seconds between two reads of the list for streams that are taken up, since calls are billed."""
+
 MAX_UNSEEN_S = 8.0
 """Seconds between the last heartbeat of a router and this box's first list within which no version comes and
 goes: a heartbeat and a restart. It counts only while no router answers, as when all boxes start at once."""
@@ -52,6 +56,9 @@
 EXPIRY_INTERVAL_S = 5.0
 """Seconds between two removals of what need not be remembered any longer."""
 
+ReadList = Callable[[], Awaitable[Result[EndpointChanges, FeedFault]]]
+"""Reads the list of endpoints from the table service."""
+
 Audience = tuple[tuple[str, ...], tuple[tuple[str, str], ...], frozenset[str]]
 """The routers, what tells their starts apart, and the services whose endpoints differ in version."""
 
@@ -59,8 +66,14 @@
 class OriginTracker:
     """Records where this box's streams began, and resolves where those began that callers take up."""
 
-    def __init__(self, state: BoxState, links: RouterClients, notices: NoticeSender) -> None:
+    def __init__(
+        self, state: BoxState, links: RouterClients, notices: NoticeSender, read_list: ReadList
+    ) -> None:
         self.state = state
+        self.read_list = read_list
+        # The read under way or the last one, and when it was or will be asked.
+        self.list_read: asyncio.Task[frozenset[tuple[str, str]] | None] | None = None
+        self.list_read_at = NEVER
         self.links = links
         self.notices = notices
         # Whom this box's streams were told to last.
@@ -144,9 +157,11 @@
         versions = recent_versions(state, services, monotonic()).union(*(item.versions for item in answers))
         if not _differ(versions) and len(answers) < len(others):
             # The box that began the stream may have its list from a router that did not answer.
-            if not await self._list_read_since(asked_at):
+            listed = await self._versions_listed_since(asked_at)
+            if listed is None:
                 return Err("the list of endpoints may be older than the stream")
             versions |= recent_versions(state, services, monotonic())
+            versions |= {version for version in listed if version[0] in services}
             if not (answers or state.software.unseen_s() <= MAX_UNSEEN_S):
                 return Err("versions that left before this box started are not known")
         if _differ(versions) or job.service.id not in dict(versions):
@@ -155,13 +170,35 @@
         software = dict(versions)[job.service.id]
         return Ok(StreamOrigin(job.service.id, "", software) if software else None)
 
-    async def _list_read_since(self, at: float) -> bool:
-        """Wait for a list of endpoints that was requested after a time; return whether it came soon."""
-        while self.state.list_asked_at < at:
-            if monotonic() - at > LIST_TIMEOUT_S:
-                return False
+    async def _versions_listed_since(self, at: float) -> frozenset[tuple[str, str]] | None:
+        """Return the versions in a list of endpoints that was requested after a time, by service.
+
+        None if none came soon. A long poll may be held for longer than a caller waits, so that the list is
+        read, by one call for all streams that wait for it.
+        """
+        reading = self._list_read_since(at)
+        while monotonic() - at <= LIST_TIMEOUT_S:
+            if self.state.list_asked_at >= at:
+                return self.state.software.listed
+            if reading.done() and (listed := reading.result()) is not None:
+                return listed
             await asyncio.sleep(LIST_POLL_S)
-        return True
+        return None
+
+    def _list_read_since(self, at: float) -> asyncio.Task[frozenset[tuple[str, str]] | None]:
+        """Return a read of the list that was or will be asked after a time."""
+        if self.list_read is None or self.list_read_at < at:
+            now = monotonic()
+            self.list_read_at = max(now, self.list_read_at + LIST_PAUSE_S)
+            self.list_read = asyncio.create_task(self._read_versions(self.list_read_at - now))
+        return self.list_read
+
+    async def _read_versions(self, delay_s: float) -> frozenset[tuple[str, str]] | None:
+        await asyncio.sleep(delay_s)
+        found = await self.read_list()
+        if isinstance(found, Err):
+            return None
+        return frozenset((item.service, item.software) for item in found.ok_value.present)
 
     def _count(self, progress: JobProgress, source: str) -> None:
         progress.origin_source = source
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -273,7 +273,7 @@
     call, now = Call("call-1", "GET", "svc", "/x", "/x", ()), monotonic()
     job = Job(call, b"", CATALOG, route, CATALOG.services_by_id["plain"], None, now, now + 5.0)
     forwarder = Forwarder(state, BoxThatReachesNothing(state), Random(1))
-    origins = OriginTracker(state, None, None)
+    origins = OriginTracker(state, None, None, None)
     dispatcher = Dispatcher(state, None, NoChoice(), CrashDetector(state, None), forwarder, origins)
     ended = asyncio.run(dispatcher.run(job, None))
     assert ended.err_value.kind == ErrorKind.NO_ENDPOINT and not state.lost_services
--- a/tests/test_statements_held.py
+++ b/tests/test_statements_held.py
@@ -152,7 +152,7 @@
         ports = FeedbackDuringConnect(state, feedback)
         now = monotonic()
         job = Job(call, b"", CATALOG, route, CATALOG.services_by_id["plain"], None, now, now + 5.0)
-        forwarder, origins = Forwarder(state, None, Random(0)), OriginTracker(state, None, None)
+        forwarder, origins = Forwarder(state, None, Random(0)), OriginTracker(state, None, None, None)
         dispatcher = Dispatcher(state, ports, ports, CrashDetector(state, None), forwarder, origins)
         ended = asyncio.run(dispatcher.run(job, None))
         assert ports.guard_results == [may_send] and ended.err_value.ran == ExecutionStatus.NOT_RUN
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -6,6 +6,7 @@
 
 import pytest
 from msgspec import structs
+from result import Err, Ok, Result
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.call import Call
@@ -32,7 +33,7 @@
 from stairquay.serving.local_router import LocalRouter
 from stairquay.serving.messages import BegunStream, FinishedNotice, OriginReply, OriginRequest
 from stairquay.serving.origins import ROUTERS_TOLD, OriginTracker, at_origin, excluded_ids
-from stairquay.serving.ports import EndpointChanges
+from stairquay.serving.ports import EndpointChanges, FeedFault
 from tests.states import box_state
 
 V1, ALSO_V1, V2 = (
@@ -182,10 +183,14 @@
         self.begun.append((router.id, begun))
 
 
-def tracker(listed, replies=None, read_again=False):
+async def unread_list() -> Result[EndpointChanges, FeedFault]:
+    return Err(FeedFault.UNREACHED)
+
+
+def tracker(listed, replies=None, read_again=False, read_list=unread_list):
     """Return a tracker of a box that knows a list, its links and its notices.
 
-    read_again: the list that it has was requested after all that is asked.
+    read_again: the list that it has was requested after all that is asked. read_list: reads a new one.
     """
     state, now = box_state(), monotonic()
     state.routers, state.boxes_known_at = ROUTERS, now - 9.0
@@ -193,7 +198,7 @@
     state.software.observe(listed, now)
     state.list_asked_at = now + 9.0 if read_again else now - 0.1
     links, notices = StubLinks(replies or {}), StubNotices()
-    return OriginTracker(state, links, notices), links, notices
+    return OriginTracker(state, links, notices, read_list), links, notices
 
 
 def job_of(resumes: str | None = None, splits: tuple[str, ...] = ("llm",), **call) -> Job:
@@ -283,6 +288,29 @@
     assert asyncio.run(scenario([V1, V2])) == UNRESUMABLE
 
 
+def test_a_list_that_is_read_for_streams_that_are_taken_up_tells_their_version_with_one_call():
+    """A box whose long poll was held longer than callers wait refused all streams of a killed box."""
+
+    async def scenario(listed):
+        calls = []
+
+        async def read_list() -> Result[EndpointChanges, FeedFault]:
+            calls.append(monotonic())
+            return Ok(EndpointChanges(1, True, tuple(listed)))
+
+        made, _, _ = tracker([V1], all_routers(ONE, r0=None), read_list=read_list)
+        progresses = [JobProgress() for _ in range(20)]
+        refusals = await asyncio.gather(*(made.resolve(job_of("s"), item) for item in progresses))
+        assert len(calls) <= 2
+        return {
+            item.origin if refusal is None else refusal.kind
+            for item, refusal in zip(progresses, refusals, strict=True)
+        }
+
+    assert asyncio.run(scenario([V1])) == {ONLY_V1}
+    assert asyncio.run(scenario([V1, V2])) == {UNRESUMABLE}
+
+
 def test_a_stream_that_began_at_the_only_version_goes_on_there_when_another_appears_meanwhile():
     """It waits for an endpoint while the first one of a new version is listed."""
     assert not may_continue(ONLY_V1, V2, history_of([V1, V2]), 0.0)
