--- a/stairquay/core/crashes.py
+++ b/stairquay/core/crashes.py
@@ -34,7 +34,8 @@
 
 MIN_MISSED_ENDS = 2.0
 """Prompts with a part that should have ended well since its first crash, by its share of those that did, from
-which the part does not count as one of many prompts. If it were innocent, the chance of none is 2 %."""
+which the part does not count as one of many prompts. If it were innocent, the chance of none is 13 %, and it
+has to be at three unexplained crashes all the same."""
 
 MIN_UNEXPLAINED_CRASHES = 2
 """The same for all others. Two requests that crash endpoints are often at the same one when it crashes; a
@@ -153,13 +154,7 @@
         for digest, by_incarnation in candidates.items()
         if digest in good_ends.share_by_part
     }
-    parts_at = Counter(
-        incarnation
-        for digest, by_incarnation in counted.items()
-        if is_part(digest)
-        for incarnation in by_incarnation
-    )
-    beside_others = {incarnation for incarnation, parts in parts_at.items() if parts > 1}
+    beside_others = _at_several_parts(counted)
     order = {digest: number for number, digest in enumerate(known)}
     found: dict[str, QuarantinedRequest] = {}
     explained: set[str] = set()
@@ -186,6 +181,13 @@
     return found
 
 
+def _at_several_parts(counted: Mapping[str, CrashesByIncarnation]) -> set[str]:
+    """Return the incarnations whose crash may count against more than one part."""
+    by_part = (by_incarnation for digest, by_incarnation in counted.items() if is_part(digest))
+    parts_at = Counter(incarnation for by_incarnation in by_part for incarnation in by_incarnation)
+    return {incarnation for incarnation, parts in parts_at.items() if parts > 1}
+
+
 def _counted(digest: str, by_incarnation: CrashesByIncarnation) -> CrashesByIncarnation:
     """Return the crashes that may count against a request or a part."""
     return _since_innocent(by_incarnation) if is_part(digest) else _at_same_point(by_incarnation)
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -346,29 +346,30 @@
         self.crashes_by_digest = Counter(
             digest for digest, _ in {(item.digest, item.incarnation) for item in crashes}
         )
-        proven = self._shares_of_proven_parts(cleared)
+        self.first_crash_at_by_digest = _first_at(crashes)
+        shares = self._shares_of_proven_parts(cleared)
         judged = [crash for crash in crashes if not is_part(crash.digest) or self._counts_since_served(crash)]
-        self.first_crash_at_by_digest = {}
-        for crash in crashes:
-            first_at = self.first_crash_at_by_digest.get(crash.digest, crash.at)
-            self.first_crash_at_by_digest[crash.digest] = min(first_at, crash.at)
         before, self.quarantined_by_digest = (
             self.quarantined_by_digest,
-            find_quarantined(judged, monotonic(), GoodEnds(proven, self.ends_began_at)),
+            find_quarantined(judged, monotonic(), GoodEnds(shares, self.ends_began_at)),
         )
         self.requests_by_digest = self._without_parts(crashes)
         for digest in self.quarantined_by_digest.keys() - before.keys():
-            incarnations = [crash.incarnation for crash in self.quarantined_by_digest[digest].crashes]
-            fields = _share_field(digest, proven)
-            self.log.line(LogEvent.QUARANTINE, outcome="begun", digest=digest, crashed=incarnations, **fields)
-            self.urgent |= any(crash_digest == digest for crash_digest, _ in self.own_crashes)
-            if is_part(digest):
-                self.trials_by_part.setdefault(digest, Trial(monotonic() + _first_trial_s(digest, proven)))
+            self._on_begun(self.quarantined_by_digest[digest], shares)
         while len(self.trials_by_part) > MAX_OWN_CRASHES:
             del self.trials_by_part[next(iter(self.trials_by_part))]
         for digest in before.keys() - self.quarantined_by_digest.keys():
             self.log.line(LogEvent.QUARANTINE, outcome="ended", digest=digest)
-        self._log_spared(judged, proven)
+        self._log_spared(judged, shares)
+
+    def _on_begun(self, begun: QuarantinedRequest, shares: Mapping[str, float]) -> None:
+        """Log that a quarantine has begun, and plan when a part is tried again."""
+        digest, incarnations = begun.digest, [crash.incarnation for crash in begun.crashes]
+        fields = _share_field(digest, shares)
+        self.log.line(LogEvent.QUARANTINE, outcome="begun", digest=digest, crashed=incarnations, **fields)
+        self.urgent |= any(crash_digest == digest for crash_digest, _ in self.own_crashes)
+        if is_part(digest):
+            self.trials_by_part.setdefault(digest, Trial(monotonic() + _first_trial_s(digest, shares)))
 
     def _log_spared(self, judged: Iterable[Crash], shares: Mapping[str, float]) -> None:
         """Log once which parts are at enough crashes to be quarantined, and are not."""
@@ -436,6 +437,15 @@
     return {"share": round(shares[digest], 3)} if digest in shares else {}
 
 
+def _first_at(crashes: Iterable[Crash]) -> dict[str, float]:
+    """Return when the first crash of each request or part was noticed, by digest."""
+    first_at_by_digest: dict[str, float] = {}
+    for crash in crashes:
+        first_at = first_at_by_digest.get(crash.digest, crash.at)
+        first_at_by_digest[crash.digest] = min(first_at, crash.at)
+    return first_at_by_digest
+
+
 def _incriminating(crashes: Iterable[Crash]) -> int:
     """Return the number of incarnations whose crash may have been caused by the request or part."""
     return len({crash.incarnation for crash in crashes if not shows_innocence(crash)})
