--- a/tests/soak_answers.py
+++ b/tests/soak_answers.py
@@ -417,7 +417,12 @@
                 self._broken("no answer", f"{box} {count}")
         failed = [attempt for attempt in attempts if attempt.status == 502]
         if len(failed) > MAX_LOST_TO_SURPLUS:
-            self._broken("502 for a surplus answer", f"{len(failed)}, {failed[0].path} {failed[0].id}")
+            example = f"{len(failed)}, {failed[0].path} {failed[0].id}, {self._why_failed(failed[0])}"
+            self._broken("502 for a surplus answer", example)
+
+    def _why_failed(self, attempt: Attempt) -> list[dict[str, Any]]:
+        """Return the boxes' lines about failed attempts of a request."""
+        return [line for box in self.boxes for line in box.logged("attempt_failed", request=attempt.id)]
 
     def _broken(self, kind: str, example: str) -> None:
         self.outcome.broken.setdefault(kind, example)
