Have few boxes hold the limit that an endpoint of a plain service names

Cause: each box had its share of the rate, as turns, whether it had callers or not.

Change: the first three boxes of an endpoint's ranking hold its limit, as they hold the places of a brittle one, and pace it as a router does; all others pass requests on to them. A holder whose list of boxes has changed lately uses its part of 0.75 of the limit, else of all. Boxes that are gone are taken over from as for places. Cold endpoints, and boxes that do not know the others yet, have turns as before; engines have their routers. Nothing runs where no endpoint names a limit.

--- a/stairquay/core/pace.py
+++ b/stairquay/core/pace.py
@@ -2,7 +2,8 @@
 
 An endpoint's rate is bounded while it is cold, or by the rate limit in its answers. Its router may use most
 of the bound. Standalone boxes, which choose without a router, split a small share and start at random
-times, to avoid bursts to an idle endpoint.
+times, to avoid bursts to an idle endpoint. The limit of an endpoint of a plain service is split by a few
+boxes that hold it (`core/places`), since all boxes would keep turns while they are idle.
 """
 
 from dataclasses import dataclass
@@ -21,12 +22,23 @@
 """Shortest time for which a turn stays valid: a busy box may wake up late for a request that waits for it."""
 
 
+HELD_SHARE, UNSETTLED_HELD_SHARE = 1.0, 0.75
+"""Shares of a limit for the boxes that hold it, together: each takes its part of the first, and of the second
+while its list of boxes has changed lately. Others may still go by the list before then, and those that held
+the limit by that one may go on with all of it."""
+
+HOLDER_BURST_S = 1.5
+"""Seconds of its rate that a box which holds a limit may send at once after a pause, so that callers seldom
+wait for a turn, but no more than the endpoint has slots. In each four seconds a limit may be exceeded by two
+seconds of it."""
+
+
 class RateShares(msgspec.Struct, frozen=True):
     """Shares of a rate bound, by who decides.
 
     router: each router that believes that the endpoint is its own. standalone: all standalone boxes
-    together. unrouted: all boxes together, for endpoints that no router places on. burst:
-    requests that a router may place at once on an idle endpoint.
+    together. unrouted: all boxes together, for endpoints that no router places on. burst: requests that a
+    router may place at once on an idle endpoint.
     """
 
     router: float
@@ -63,7 +75,7 @@
     next_at: float
     per_s: float = 0.0
 
-    def wait_s(self, now: float, per_s: float, burst: int = 1) -> float:
+    def wait_s(self, now: float, per_s: float, burst: float = 1) -> float:
         """Return the seconds until the next request may be sent, or 0."""
         self.change_rate(now, per_s)
         return max(0.0, self.next_at - (burst - 1) / per_s - now)
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -175,7 +175,10 @@
             if self.heard_at - self.last_change_by_key[row.key][1] < timeout_s and row.key != own
         ]
         members = [_member(row) for row in alive] + [self.state.member]
-        self.state.boxes = tuple(sorted(member.id for member in members))
+        boxes = tuple(sorted(member.id for member in members))
+        if boxes != self.state.boxes:
+            self.state.boxes_changed_at = monotonic()
+        self.state.boxes = boxes
         own_id = self.state.settings.id
         self.state.fronts_by_box = {
             member.id: member.front for member in members if member.front and member.id != own_id
--- a/stairquay/serving/brittleness.py
+++ b/stairquay/serving/brittleness.py
@@ -4,15 +4,13 @@
 since and has not answered yet: all that waits would meet the first one that is back.
 """
 
-from collections.abc import Collection
 from math import inf
 from random import Random
 
 from stairquay.core.fleet import Endpoint
 from stairquay.core.limits import UNLIMITED, LimitReport, merge_reports
 from stairquay.core.places import places_by_holder
-from stairquay.serving.endpoint import NEVER, EndpointState
-from stairquay.serving.evacuation import takes_work
+from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.state import BoxState
 
@@ -129,25 +127,3 @@
 def is_routed(state: BoxState, service: str) -> bool:
     """Tell whether routers place the requests for a service."""
     return bool(state.routers) and state.catalog is not None and state.catalog.engine_of(service) is not None
-
-
-def place_holders(state: BoxState, service: str, tried: Collection[str], now: float) -> frozenset[str]:
-    """Return the boxes to pass a plain request on to.
-
-    There are none if this box has a place left, or an endpoint is not brittle.
-    tried: ids of endpoints that it was sent to.
-    """
-    if state.tolerance_by_service.get(service) is None or state.boxes_known_at == NEVER:
-        return frozenset()
-    holders: set[str] = set()
-    for endpoint in state.fleet.usable(service, now):
-        if endpoint.id in tried or not takes_work(state, endpoint):
-            continue
-        if not is_brittle(state, endpoint, now):
-            return frozenset()
-        if now < state.endpoint_state(endpoint).rejected_until:
-            continue
-        if places_left(state, endpoint, now) > 0:
-            return frozenset()
-        holders.update(places_by_holder(endpoint.id, endpoint.slots, state.boxes_not_gone(now)))
-    return frozenset(holders)
--- a/stairquay/serving/endpoint.py
+++ b/stairquay/serving/endpoint.py
@@ -62,9 +62,9 @@
     cold_until: float = NEVER
     # When it was last unreachable and may have restarted unnoticed, NEVER once a report tells its start.
     unreachable_at: float = NEVER
-    # Used under a rate limit if this box is the endpoint's router.
-    router_pacer: Pacer | None = None
-    # Used under a rate limit if this box chooses endpoints by itself.
+    # Used under a rate limit if this box is the endpoint's router, or one of the few that hold the limit.
+    holder_pacer: Pacer | None = None
+    # Used under a rate bound if this box is one of many that split it.
     standalone_pacer: Pacer | None = None
     limit: LimitReport | None = None
     limit_ended_at: float = NEVER
--- a/stairquay/serving/forwarding.py
+++ b/stairquay/serving/forwarding.py
@@ -15,8 +15,8 @@
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
 from stairquay.core.helpers import Helpers
 from stairquay.core.reach import MIN_UNREACHED
-from stairquay.serving.brittleness import place_holders
 from stairquay.serving.event_log import LogEvent
+from stairquay.serving.holders import boxes_to_ask, has_holders
 from stairquay.serving.jobs import Job, JobProgress
 from stairquay.serving.ports import (
     BoxRefusal,
@@ -36,8 +36,8 @@
 that refuse the connection do not count, which takes a millisecond each."""
 
 MAX_HOLDERS_ASKED = 5
-"""The same for boxes that hold places at brittle endpoints. One that goes by another list of boxes may hold
-none, and refuses at once."""
+"""The same for boxes that alone may send to the endpoints. One that goes by another list of boxes may not be
+one of them, and refuses at once."""
 
 OTHER_CONFIGURATION = frozenset(
     (
@@ -79,18 +79,18 @@
             return True
         if progress.asked_other_boxes:
             return False
-        return progress.unreached >= MIN_UNREACHED or bool(self.place_holders(job, progress))
+        return progress.unreached >= MIN_UNREACHED or bool(self.holders(job, progress))
 
     def fronts_of(self, holders: frozenset[str]) -> dict[str, str]:
         """Return by id where these boxes take requests, or all others if none of these is known."""
         fronts = self.state.fronts_by_box
         return {box: at for box, at in fronts.items() if box in holders} or fronts
 
-    def place_holders(self, job: Job, progress: JobProgress) -> frozenset[str]:
-        """Return the boxes that alone may send to brittle endpoints; for prompts, routers see to that."""
-        if not self.state.tolerance_by_service or job.service.engine is not None:
+    def holders(self, job: Job, progress: JobProgress) -> frozenset[str]:
+        """Return the boxes that alone may send to the endpoints; for prompts, routers see to that."""
+        if job.service.engine is not None or not has_holders(self.state, job.service.id):
             return frozenset()
-        return place_holders(self.state, job.service.id, progress.tried, monotonic())
+        return boxes_to_ask(self.state, job.service.id, progress.tried, monotonic(), self.random)
 
     def refuses(self, job: Job, progress: JobProgress) -> bool:
         """Return whether a request that another box passed on has to be refused, for yet another one."""
@@ -107,7 +107,7 @@
         still try, since the service is not lost, or no longer.
         """
         helpers = self.state.helpers_by_service.setdefault(job.service.id, Helpers())
-        holders = self.place_holders(job, progress)
+        holders = self.holders(job, progress)
         candidates = self.fronts_of(holders)
         try_next = CANNOT_HELP | {ErrorKind.OVERLOADED} if holders else CANNOT_HELP
         progress.asked_other_boxes = True
--- a/stairquay/serving/pacing.py
+++ b/stairquay/serving/pacing.py
@@ -1,6 +1,9 @@
 """Paces this box's requests to endpoints whose request rate is limited over all boxes.
 
-Each choice of an endpoint checks the pace here, and each request sent to one is counted here.
+Each choice of an endpoint checks the pace here, and each request sent to one is counted here. The rate of an
+engine is its router's. The limit that an endpoint of a plain service names is split by the few boxes that
+hold it. All boxes take turns where neither is so: at cold endpoints, without a router, and before a box knows
+the others.
 """
 
 from collections.abc import Collection, Mapping
@@ -9,7 +12,18 @@
 
 from stairquay.core.fleet import Endpoint
 from stairquay.core.limits import UNLIMITED
-from stairquay.core.pace import COLD_SHARES, LIMIT_SHARES, MIN_PER_S, Pacer, RateBound, standalone_pacer
+from stairquay.core.pace import (
+    COLD_SHARES,
+    HELD_SHARE,
+    HOLDER_BURST_S,
+    LIMIT_SHARES,
+    MIN_PER_S,
+    UNSETTLED_HELD_SHARE,
+    Pacer,
+    RateBound,
+    standalone_pacer,
+)
+from stairquay.core.places import rate_holders
 from stairquay.serving.brittleness import brittle_wait_s, is_brittle
 from stairquay.serving.cold import cold_for_s, cold_limit_of
 from stairquay.serving.endpoint import NEVER, EndpointState
@@ -59,11 +73,27 @@
     bounds = rate_bounds(state, endpoint, now)
     if not bounds:
         return 0.0
-    per_s = box_rate_per_s(state, endpoint, bounds)
+    per_s = box_rate_per_s(state, endpoint, bounds, now)
     if endpoint.id in state.routed_engines:
         burst = min(bound.shares.burst for bound in bounds)
-        return _router_pacer(state, endpoint, now).wait_s(now, per_s, burst)
-    return _standalone_pacer(state, endpoint, now, per_s, random).wait_s(now, per_s)
+        return _holder_pacer(state, endpoint, now).wait_s(now, per_s, burst)
+    holders = limit_holders(state, endpoint, now)
+    if not holders:
+        return _standalone_pacer(state, endpoint, now, per_s, random).wait_s(now, per_s)
+    if state.settings.id not in holders:
+        return inf
+    burst = 1 + min(endpoint.slots, HOLDER_BURST_S * per_s)
+    return _holder_pacer(state, endpoint, now).wait_s(now, per_s, burst)
+
+
+def limit_holders(state: BoxState, endpoint: Endpoint, now: float) -> tuple[str, ...]:
+    """Return the boxes that alone may send to an endpoint that names a limit, none if each box has turns."""
+    if limit_of(state.endpoint_state(endpoint)) == UNLIMITED or state.boxes_known_at == NEVER:
+        return ()
+    if state.catalog is not None and state.catalog.engine_of(endpoint.service) is not None:
+        return ()
+    slots = endpoint.slots if is_brittle(state, endpoint, now) else None
+    return rate_holders(endpoint.id, slots, state.boxes_not_gone(now))
 
 
 def count_sent(state: BoxState, endpoint: Endpoint, now: float, random: Random) -> bool:
@@ -72,25 +102,41 @@
     bounds = rate_bounds(state, endpoint, now)
     if not bounds:
         return False
-    per_s = box_rate_per_s(state, endpoint, bounds)
+    per_s = box_rate_per_s(state, endpoint, bounds, now)
     if endpoint.id in state.routed_engines:
-        _router_pacer(state, endpoint, now).take(now, per_s)
+        _holder_pacer(state, endpoint, now).take(now, per_s)
         return True
-    _standalone_pacer(state, endpoint, now, per_s, random).take(now, per_s)
+    if state.settings.id in limit_holders(state, endpoint, now):
+        _holder_pacer(state, endpoint, now).take(now, per_s)
+    else:
+        _standalone_pacer(state, endpoint, now, per_s, random).take(now, per_s)
     return False
 
 
 def refund_sent(endpoint_state: EndpointState) -> None:
     """As the endpoint's router, undo count_sent for a request that never reached it."""
-    if endpoint_state.router_pacer is not None:
-        endpoint_state.router_pacer.refund()
+    if endpoint_state.holder_pacer is not None:
+        endpoint_state.holder_pacer.refund()
 
 
-def box_rate_per_s(state: BoxState, endpoint: Endpoint, bounds: list[RateBound]) -> float:
-    """Return the requests per second that this box may send to an endpoint, by its strictest bound."""
+def box_rate_per_s(state: BoxState, endpoint: Endpoint, bounds: list[RateBound], now: float) -> float:
+    """Return the requests per second that this box may send to an endpoint, by its strictest bound.
+
+    For one whose limit other boxes hold, it is this box's part of what these pass on for all.
+    """
+    holders = limit_holders(state, endpoint, now)
+    if state.settings.id in holders:
+        return min(bound.per_s * _held_share(state, bound, now) for bound in bounds) / len(holders)
     return min(bound.per_s * _box_share(state, endpoint, bound) for bound in bounds)
 
 
+def _held_share(state: BoxState, bound: RateBound, now: float) -> float:
+    """Return the share of a bound that the boxes which hold an endpoint's limit use together."""
+    if bound.shares != LIMIT_SHARES:
+        return bound.shares.unrouted
+    return HELD_SHARE if state.boxes_settled(now) else UNSETTLED_HELD_SHARE
+
+
 def retry_after_s(
     state: BoxState,
     service: str,
@@ -119,7 +165,7 @@
     soonest_s = min((pause_s for pause_s in pauses_s if pause_s > 0), default=None)
     if soonest_s is None:
         return None
-    per_s = sum(_retry_rate_per_s(state, item, bounds_by_id.get(item.id)) for item in held_back)
+    per_s = sum(_retry_rate_per_s(state, item, bounds_by_id.get(item.id), now) for item in held_back)
     delay_s = max(soonest_s, state.retry_at_by_service.get(service, NEVER) - now)
     only_cold = all(
         limit_of(state.endpoint_state(item)) == UNLIMITED
@@ -134,11 +180,13 @@
     return delay_s
 
 
-def _retry_rate_per_s(state: BoxState, endpoint: Endpoint, bounds: list[RateBound] | None) -> float:
+def _retry_rate_per_s(
+    state: BoxState, endpoint: Endpoint, bounds: list[RateBound] | None, now: float
+) -> float:
     """Return the retries per second that an endpoint accepts from this box: by its bounds, else by its slots
     and response time."""
     if bounds:
-        return box_rate_per_s(state, endpoint, bounds)
+        return box_rate_per_s(state, endpoint, bounds, now)
     boxes = 1 if endpoint.id in state.routed_engines else max(1, len(state.boxes))
     return endpoint.slots / max(MIN_RESPONSE_TIME_S, state.endpoint_state(endpoint).response_time_s) / boxes
 
@@ -162,11 +210,11 @@
     return (bound.shares.standalone if routed else bound.shares.unrouted) / boxes
 
 
-def _router_pacer(state: BoxState, endpoint: Endpoint, now: float) -> Pacer:
+def _holder_pacer(state: BoxState, endpoint: Endpoint, now: float) -> Pacer:
     endpoint_state = state.endpoint_state(endpoint)
-    if endpoint_state.router_pacer is None:
-        endpoint_state.router_pacer = Pacer(now)
-    return endpoint_state.router_pacer
+    if endpoint_state.holder_pacer is None:
+        endpoint_state.holder_pacer = Pacer(now)
+    return endpoint_state.holder_pacer
 
 
 def _standalone_pacer(state: BoxState, endpoint: Endpoint, now: float, per_s: float, random: Random) -> Pacer:
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -103,6 +103,8 @@
     # Ids of boxes believed alive.
     boxes: tuple[str, ...] = ()
     boxes_known_at: float = NEVER
+    # When this box last read a list of boxes that differs from the one before.
+    boxes_changed_at: float = NEVER
     # Boxes that refuse connections although their rows are not old yet.
     refused_connections: RefusedConnections = field(default_factory=RefusedConnections)
     # When this box last asked for the rows that it has.
@@ -479,6 +481,10 @@
         gone = self.refused_connections.gone(now)
         return _without(self.boxes, gone) if gone else self.boxes
 
+    def boxes_settled(self, now: float) -> bool:
+        """Tell whether all others should have the list of boxes that this one has."""
+        return now - self.boxes_changed_at >= self.row_valid_s
+
     def known_boxes_for_s(self, now: float) -> float:
         """Return the seconds since this box knows the number of boxes.
 
--- a/stairquay/serving/statements.py
+++ b/stairquay/serving/statements.py
@@ -127,6 +127,8 @@
         return
     if new_per_s == UNLIMITED:
         endpoint_state.limit_ended_at = report.received_at
+    if previous_per_s == UNLIMITED:
+        state.changed.notify_all()
     outcome = "ended" if new_per_s == UNLIMITED else "named" if previous_per_s == UNLIMITED else "changed"
     state.log.line(
         LogEvent.LIMIT,
--- a/stairquay/serving/substitutes.py
+++ b/stairquay/serving/substitutes.py
@@ -1,6 +1,6 @@
-"""Has boxes take over the places at brittle endpoints that boxes which are gone still hold.
+"""Has boxes take over the places at brittle endpoints, and the limits, that boxes which are gone still hold.
 
-The places of an endpoint belong to the first boxes of its ranking. The boxes behind them try to connect to
+They belong to the first boxes of an endpoint's ranking. The boxes behind them try to connect to
 those before them, so that one is ready to take requests by the time at which others pass them on to it.
 """
 
@@ -9,23 +9,23 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.core.ownership import rank_owners
 from stairquay.core.places import holders_number
-from stairquay.serving.brittleness import has_brittle_service, is_brittle
 from stairquay.serving.event_log import LogEvent
+from stairquay.serving.holders import held_endpoints
 from stairquay.serving.ports import BoxSender
 from stairquay.serving.state import BoxState
 
 PROBE_INTERVAL_S = 1.0
-"""Seconds between two rounds of probes while an endpoint is brittle."""
+"""Seconds between two rounds of probes while an endpoint is held by few boxes."""
 
 SUBSTITUTES = 6
-"""Boxes behind the holders of an endpoint's places that probe those before them."""
+"""Boxes behind the holders of an endpoint that probe those before them."""
 
 
 async def probe_place_holders(state: BoxState, boxes: BoxSender) -> None:
-    """Probe the boxes whose places this one might take over, until cancelled."""
+    """Probe the boxes whose places and limits this one might take over, until cancelled."""
     known_gone: frozenset[str] = frozenset()
     while True:
-        await state.changed.wait_for(lambda: has_brittle_service(state, monotonic()))
+        await state.changed.wait_for(lambda: bool(held_endpoints(state, monotonic())))
         names = [name for name in boxes_to_probe(state, monotonic()) if name in state.fronts_by_box]
         refused = await asyncio.gather(*(boxes.is_refused(state.fronts_by_box[name]) for name in names))
         now = monotonic()
@@ -39,12 +39,9 @@
 
 
 def boxes_to_probe(state: BoxState, now: float) -> set[str]:
-    """Return the boxes before this one in the rankings of brittle endpoints that no router places on."""
+    """Return the boxes before this one in the rankings of the endpoints that few boxes hold."""
     own, found = state.settings.id, set[str]()
-    for endpoint in state.fleet.live():
-        is_engine = state.catalog is not None and state.catalog.engine_of(endpoint.service) is not None
-        if is_engine or not is_brittle(state, endpoint, now):
-            continue
+    for endpoint in held_endpoints(state, now):
         count = holders_number(endpoint.slots) + SUBSTITUTES
         ranked = rank_owners(endpoint.id.encode(), state.boxes, count)
         if own in ranked:
