Let streams that callers take up go first at routers and engines

All callers come back at once and the engines' queues are long; a stream that is taken up waited in them like a new one, by its route's priority, but may go on at few engines only.

Change: it has the highest priority at routers and engines, and is not shed as the least urgent.

Streams that a box goes on with within one answer keep their priority; not tried.

--- a/stairquay/core/catalog.py
+++ b/stairquay/core/catalog.py
@@ -169,8 +169,8 @@
 """Number of route priorities distinguished within one workspace priority. Engines know ten priorities in
 all."""
 
-LOWEST_PRIORITY = 9
-"""The lowest of the ten priorities that engines know."""
+HIGHEST_PRIORITY, LOWEST_PRIORITY = 0, 9
+"""Of the ten priorities that engines know."""
 
 
 def engine_priority(route: Route, workspace: WorkspacePolicy | None) -> int:
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -9,7 +9,6 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.core.attempt import Attempt, combine_execution_status
 from stairquay.core.call import Dispatch
-from stairquay.core.catalog import engine_priority
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
 from stairquay.core.ownership import rank_owners
 from stairquay.serving.attempt_outcome import attempt_outcome, counts_against_endpoint, was_unreachable
@@ -318,7 +317,7 @@
             address=choice.endpoint.address,
             time_left_s=left_s,
             workspace=job.workspace_id,
-            priority=None if placement is None else engine_priority(job.route, job.workspace),
+            priority=None if placement is None else job.engine_priority,
             context_scope=choice.scope,
             version=choice.version,
             fetch_from=() if placement is None else placement.fetch_from,
@@ -490,6 +489,6 @@
     Only first attempts of the lowest priority are shed, so that the others still meet their objectives. It
     applies where no router decided on admission.
     """
-    if progress.tried or not job.catalog.is_lowest_priority(job.route, job.service.id):
+    if progress.tried or job.is_taken_up or not job.catalog.is_lowest_priority(job.route, job.service.id):
         return None
     return job.route.objective_s * SHED_BACKLOG_SHARE
--- a/stairquay/serving/endpoint_chooser.py
+++ b/stairquay/serving/endpoint_chooser.py
@@ -11,7 +11,7 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.call import PromptShape
-from stairquay.core.catalog import EngineSpec, WorkspacePolicy, engine_priority
+from stairquay.core.catalog import EngineSpec, WorkspacePolicy
 from stairquay.core.engine_speed import is_useful
 from stairquay.core.fleet import Endpoint
 from stairquay.core.limits import UNLIMITED
@@ -370,7 +370,7 @@
             most_backlog_s=most_backlog_s,
             may_wait=may_wait,
             said=backoffs_for_router(self.state, now),
-            priority=engine_priority(job.route, job.workspace),
+            priority=job.engine_priority,
             workspace=job.workspace_id,
             objective_left_s=None if progress.tried else job.arrived_at + job.route.objective_s - now,
             deadline_left_s=job.deadline - now,
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -6,7 +6,14 @@
 
 from stairquay.core.attempt import Attempt
 from stairquay.core.call import Call, request_digest
-from stairquay.core.catalog import Catalog, Route, ServiceSpec, WorkspacePolicy
+from stairquay.core.catalog import (
+    HIGHEST_PRIORITY,
+    Catalog,
+    Route,
+    ServiceSpec,
+    WorkspacePolicy,
+    engine_priority,
+)
 from stairquay.core.crashes import part_digest
 from stairquay.core.errors import ExecutionStatus
 from stairquay.core.stream_origins import StreamOrigin
@@ -52,6 +59,20 @@
         """Return the id of the request that brought, or will bring, the first event of the stream."""
         return self.call.resumes or self.call.id
 
+    @property
+    def is_taken_up(self) -> bool:
+        """Tell whether the caller goes on with a stream of which it has got a part."""
+        return self.route.streamed and (self.call.resume_after is not None or self.call.resumes is not None)
+
+    @property
+    def engine_priority(self) -> int:
+        """Return the priority at engines and in routers' queues.
+
+        A stream that is taken up goes first: only endpoints of its version may go on with it, and its caller
+        has waited before.
+        """
+        return HIGHEST_PRIORITY if self.is_taken_up else engine_priority(self.route, self.workspace)
+
     @cached_property
     def digest(self) -> str:
         """Return the digest of the request's content, which identifies repeats of it under other ids."""
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -292,6 +292,4 @@
 
 def _goes_on(job: Job, progress: JobProgress) -> bool:
     """Tell whether a job goes on with a stream, the caller's from an earlier request or its own."""
-    if progress.stream.events:
-        return True
-    return job.route.streamed and (job.call.resume_after is not None or job.call.resumes is not None)
+    return bool(progress.stream.events) or job.is_taken_up
--- a/stairquay/serving/pacing.py
+++ b/stairquay/serving/pacing.py
@@ -75,8 +75,8 @@
         return 0.0
     per_s = box_rate_per_s(state, endpoint, bounds, now)
     if endpoint.id in state.routed_engines:
-        burst = min(bound.shares.burst for bound in bounds)
-        return _holder_pacer(state, endpoint, now).wait_s(now, per_s, burst)
+        router_burst = min(bound.shares.burst for bound in bounds)
+        return _holder_pacer(state, endpoint, now).wait_s(now, per_s, router_burst)
     holders = limit_holders(state, endpoint, now)
     if not holders:
         return _standalone_pacer(state, endpoint, now, per_s, random).wait_s(now, per_s)
