Take in no whole number that other boxes cannot be told

Cause: whole numbers in JSON were taken in at any size, while messages between boxes hold 64 bits: one row with a version of 300 digits ended all replies that held it. A header or a scope's name with a number of 5,000 digits raised an error that nothing expects.

Change: such numbers are malformed, as what cannot be read at all, and cost their row, report or header alone (core/whole_numbers).

--- a/stairquay/core/lease.py
+++ b/stairquay/core/lease.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from stairquay.core.position import Position
+from stairquay.core.whole_numbers import WholeNumber
 
 HOLDER_SHARE = 0.6
 """Share of the lease in which the holder may act; the rest covers pauses and orders in transit."""
@@ -27,9 +28,9 @@
     """
 
     holder: str
-    token: int
+    token: WholeNumber
     duration_s: float
-    renewal: int = 0
+    renewal: WholeNumber = 0
 
 
 @dataclass(frozen=True)
--- a/stairquay/core/scope.py
+++ b/stairquay/core/scope.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from stairquay.core.whole_numbers import parse_whole_number
+
 SEPARATOR = "/"
 
 
@@ -23,6 +25,7 @@
     """Return the scope with a name, or None if the name is malformed."""
     workspace, _, remainder = name.partition(SEPARATOR)
     model, _, version = remainder.rpartition(SEPARATOR)
-    if not model or not version.isdecimal():
+    number = parse_whole_number(version)
+    if not model or number is None:
         return None
-    return Scope(workspace, model, int(version))
+    return Scope(workspace, model, number)
--- a/stairquay/entry/upstream.py
+++ b/stairquay/entry/upstream.py
@@ -26,6 +26,7 @@
 from stairquay.adapters.whole_bodies import check_bodies
 from stairquay.core.attempt import Attempt, AttemptState
 from stairquay.core.errors import ErrorKind, ExecutionStatus
+from stairquay.core.whole_numbers import parse_whole_number
 
 RUN_ID_HEADER = "X-Request-Id"
 NOT_RUN_HEADER = "X-Not-Run"
@@ -171,5 +172,4 @@
 
 def parse_count_header(response: ClientResponse, name: str) -> int:
     """Return a count from a header, 0 if it is missing or not a number."""
-    text = response.headers.get(name, "")
-    return int(text) if text.isdecimal() else 0
+    return parse_whole_number(response.headers.get(name, "")) or 0
--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -12,6 +12,7 @@
 from stairquay.core.attempt import Attempt
 from stairquay.core.call import Call, Dispatch
 from stairquay.core.errors import ErrorKind, ExecutionStatus
+from stairquay.core.whole_numbers import parse_whole_number
 from stairquay.platform.connection_pool import (
     ConnectionPool,
     ConnectTimeoutError,
@@ -330,7 +331,7 @@
         whole_body=response.whole_body,
         close=response.close,
         streamed=_media_type(response.headers.get(CONTENT_TYPE, "")) == STREAM_TYPE,
-        version=int(version) if version.isdecimal() else None,
+        version=parse_whole_number(version),
         feedback=parse_feedback(response.headers, response.status),
         framing=response.framing,
     )
--- a/stairquay/platform/feeds.py
+++ b/stairquay/platform/feeds.py
@@ -23,6 +23,7 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.malformed import MALFORMED
 from stairquay.core.position import Position
+from stairquay.core.whole_numbers import WholeNumber
 from stairquay.platform.names import (
     CONFIG_KEY,
     ENDPOINT_TABLE,
@@ -69,10 +70,10 @@
     timeout_ms: float = 30_000.0
     target_latency_ms: float = 1_000.0
     gap_aim_ms: float = 0.0
-    priority: int = 5
+    priority: WholeNumber = 5
     service: str = ""
     traffic_split: list[WireSplit] = []
-    max_attempts: int = 1
+    max_attempts: WholeNumber = 1
     public: bool = False
     resumable: bool = False
     allowed_regions: list[str] | None = None
@@ -81,11 +82,11 @@
 class WireEngine(msgspec.Struct):
     """The engines of a service. max_concurrency: clients that may follow an engine's events."""
 
-    slots: int = 1
-    kv_capacity_tokens: int = 0
+    slots: WholeNumber = 1
+    kv_capacity_tokens: WholeNumber = 0
     kv_token_bytes: float = 0.0
     link_mbps: float = 1_000.0
-    max_concurrency: int = 8
+    max_concurrency: WholeNumber = 8
     models: list[WireModel] = []
 
 
@@ -97,16 +98,16 @@
     """
 
     name: str
-    max_connections: int = 100
+    max_connections: WholeNumber = 100
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
     engine: WireEngine | None = None
     kv_store_addr: str = ""
     zone: str = ""
-    kv_capacity_tokens: int = 0
+    kv_capacity_tokens: WholeNumber = 0
     link_mbps: float = 1_000.0
     first_ms: float = 0.0
-    max_concurrency: int = 8
+    max_concurrency: WholeNumber = 8
     managed: bool = False
 
 
@@ -115,7 +116,7 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: WholeNumber | None = None
     isolated: bool = False
     allowed_regions: list[str] | None = None
 
@@ -123,13 +124,13 @@
 class WireLimits(msgspec.Struct):
     """Limits on callers' requests."""
 
-    max_body_bytes: int = 4_194_304
+    max_body_bytes: WholeNumber = 4_194_304
 
 
 class WireConfig(msgspec.Struct):
     """The whole configuration. If `tenants` is None, no request needs a key."""
 
-    version: int
+    version: WholeNumber
     routes: list[WireRoute] = []
     services: list[WireService] = []
     tenants: list[WireWorkspace] | None = None
@@ -140,7 +141,7 @@
     """The target version of a model's weights."""
 
     model: str
-    version: int
+    version: WholeNumber
 
 
 class WireEndpoint(msgspec.Struct):
@@ -153,12 +154,12 @@
     address: str
     state: str
     zone: str = ""
-    slots: int = 1
+    slots: WholeNumber = 1
     cold_remaining_ms: float = 0.0
-    sequence: int = 0
-    born: int = 0
+    sequence: WholeNumber = 0
+    born: WholeNumber = 0
     models: list[WireModel] = []
-    version: str | int | float | None = None
+    version: str | WholeNumber | float | None = None
 
 
 class Feeds:
--- a/stairquay/platform/peers.py
+++ b/stairquay/platform/peers.py
@@ -10,6 +10,7 @@
 
 from stairquay.core.holdings import PartEvent, PartKey
 from stairquay.core.malformed import MALFORMED
+from stairquay.core.whole_numbers import WholeNumber
 from stairquay.platform.connections import CONNECT_TIMEOUT_S
 from stairquay.platform.names import (
     CACHE_EVENTS_PATH,
@@ -56,16 +57,16 @@
 
     models: list[WireModel] = []
     busy: bool = False
-    sequence: int | None = None
-    queued: int = 0
-    running: int = 0
+    sequence: WholeNumber | None = None
+    queued: WholeNumber = 0
+    running: WholeNumber = 0
     state: str = ""
     clock_ms: float | None = None
-    boot_epoch: int | None = None
-    next_page_token: int = 0
-    kv_used: int = 0
-    kv_total: int = 0
-    born: int = 0
+    boot_epoch: WholeNumber | None = None
+    next_page_token: WholeNumber = 0
+    kv_used: WholeNumber = 0
+    kv_total: WholeNumber = 0
+    born: WholeNumber = 0
     cold_remaining_ms: float | None = None
 
 
@@ -75,10 +76,10 @@
     next_page_token: position to continue from. lost: events are missing.
     """
 
-    boot_epoch: int
-    next_page_token: int
+    boot_epoch: WholeNumber
+    next_page_token: WholeNumber
     lost: bool = False
-    events: list[tuple[int, str, str | None, str, int, str]] = []
+    events: list[tuple[WholeNumber, str, str | None, str, WholeNumber, str]] = []
     clock_ms: float | None = None
 
 
@@ -88,10 +89,10 @@
     partial: incomplete parts as [scope, part, total tokens, received tokens].
     """
 
-    boot_epoch: int
-    next_page_token: int
-    held: list[tuple[str | None, str, int, str]] = []
-    partial: list[tuple[str | None, str, int, int]] = []
+    boot_epoch: WholeNumber
+    next_page_token: WholeNumber
+    held: list[tuple[str | None, str, WholeNumber, str]] = []
+    partial: list[tuple[str | None, str, WholeNumber, WholeNumber]] = []
 
 
 T = TypeVar("T")
--- a/stairquay/platform/rows.py
+++ b/stairquay/platform/rows.py
@@ -19,6 +19,7 @@
 from stairquay.core.malformed import MALFORMED
 from stairquay.core.position import Position
 from stairquay.core.row import Row
+from stairquay.core.whole_numbers import parse_whole_number
 from stairquay.platform.names import COMMIT_PATH, ERA, FEED_PATH, OWN_TABLE, ROWS_PATH
 from stairquay.serving.ports import FeedFault
 
@@ -261,10 +262,11 @@
     """Return the era that an answer names, or 0 if it names none or one that is not a number."""
     if header is None:
         return 0
-    if not header.isascii() or not header.isdecimal():
+    era = parse_whole_number(header)
+    if era is None:
         _logger_of_invalid_eras().warning("the table service names the era %r", header)
         return 0
-    return int(header)
+    return era
 
 
 @cache
--- a/stairquay/platform/weights.py
+++ b/stairquay/platform/weights.py
@@ -4,12 +4,14 @@
 
 import msgspec
 
+from stairquay.core.whole_numbers import WholeNumber
+
 
 class WireModel(msgspec.Struct):
     """A model and the version of its weights, which the configuration leaves out."""
 
     name: str
-    version: int = 0
+    version: WholeNumber = 0
 
 
 def versions_by_model(models: Iterable[WireModel]) -> dict[str, int]:
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -19,6 +19,7 @@
 from stairquay.core.row import Row
 from stairquay.core.software import MEMORY_S
 from stairquay.core.stream_origins import BegunStreams
+from stairquay.core.whole_numbers import WholeNumber
 from stairquay.serving.endpoint import NEVER
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.ports import OwnTable
@@ -60,7 +61,7 @@
     """A target version of a model, set at `at_s` seconds of the table service's monotonic clock."""
 
     model: str
-    version: int
+    version: WholeNumber
     at_s: float
 
 
@@ -82,7 +83,7 @@
     come back. Only followers of the table service write these two.
     """
 
-    beat: int
+    beat: WholeNumber
     address: str = ""
     capacity: float = 0.0
     data_hall: str = ""
--- a/stairquay/serving/crash_rows.py
+++ b/stairquay/serving/crash_rows.py
@@ -18,6 +18,7 @@
 from stairquay.core.malformed import MALFORMED
 from stairquay.core.position import NO_POSITION
 from stairquay.core.row import Row
+from stairquay.core.whole_numbers import WholeNumber
 from stairquay.serving.ports import CrashTable, FeedFault
 from stairquay.serving.quarantine import CrashReport
 from stairquay.serving.state import BoxState
@@ -56,7 +57,7 @@
     requests cleared of suspicion. Times are seconds of the table service's clock.
     """
 
-    crashes: tuple[tuple[str, str, float, float, int | None], ...] = ()
+    crashes: tuple[tuple[str, str, float, float, WholeNumber | None], ...] = ()
     cleared: tuple[tuple[str, float], ...] = ()
 
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -10,10 +10,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from stairquay.core.lease import LeaseRow
+from stairquay.core.scope import parse_scope
+from stairquay.core.whole_numbers import parse_whole_number
 from stairquay.platform.feeds import endpoint_changes, operator_changes
 from stairquay.platform.peers import PeerClient, WireCacheEvents, WireCacheSnapshot, WireReport
 from stairquay.platform.polling import PollResponse
 from stairquay.platform.rows import WireRow, WireRows, decode_row
+from stairquay.serving.boxes import BoxHeartbeat, TargetVersion
+from stairquay.serving.crash_rows import CrashRow
+from stairquay.serving.messages import EndpointsReply, OperatorsReply
 from stairquay.serving.ports import EngineReport
 
 VALID_ENTRY = {
@@ -96,3 +102,49 @@
         return await PeerClient(None, Polls()).report("127.0.0.1:1")  # type: ignore[arg-type]
 
     assert asyncio.run(scenario()) is None
+
+
+HUGE = 10**300
+
+
+@pytest.mark.parametrize("number", (2**63, 2**64, -(2**63), HUGE))
+def test_a_number_that_no_other_box_can_be_told_is_malformed_in_every_row(number):
+    """Guards against replies to other boxes that cannot be encoded, for the sake of one row's number."""
+    entries = {
+        "born": VALID_ENTRY | {"born": abs(number)},
+        "sequence": VALID_ENTRY | {"sequence": abs(number)},
+        "slots": VALID_ENTRY | {"slots": abs(number)},
+        "models": VALID_ENTRY | {"models": [{"name": "m", "version": number}]},
+    }
+    listed = endpoint_changes(
+        rows_of("servers", {key: json.dumps(row).encode() for key, row in entries.items()}), True
+    )
+    assert listed.unreadable.keys() == entries.keys() and not listed.present
+    versions = {"version/m": json.dumps({"model": "m", "version": number}).encode()}
+    assert not operator_changes(rows_of("op", versions), True).versions_by_model
+    config = {"config": json.dumps({"version": number}).encode()}
+    assert "config" in operator_changes(rows_of("op", config), True).unreadable
+    for kind, row in (
+        (BoxHeartbeat, {"beat": number}),
+        (TargetVersion, {"model": "m", "version": number, "at_s": 1.0}),
+        (CrashRow, {"crashes": [["d", "i", 1.0, 1.0, number]]}),
+        (LeaseRow, {"holder": "b", "token": number, "duration_s": 1.0}),
+        (WireReport, {"sequence": number}),
+    ):
+        with pytest.raises(msgspec.ValidationError):
+            msgspec.json.decode(json.dumps(row), type=kind)
+
+
+@given(st.dictionaries(st.sampled_from(["x-1", "x-2", "version/m", "config"]), CONTENTS))
+def test_what_is_read_of_any_row_can_be_told_to_other_boxes(contents):
+    listed = endpoint_changes(rows_of("servers", contents), whole=True)
+    named = operator_changes(rows_of("op", contents), whole=True)
+    for reply in (EndpointsReply(listed, 0.1), OperatorsReply(named, 0.1, 0.1)):
+        assert msgspec.msgpack.encode(reply)
+
+
+@pytest.mark.parametrize("text", ("9" * 19, "9" * 5_000, "\u0663", "-1", "1e3", ""))
+def test_a_number_of_too_many_digits_in_a_header_or_a_name_is_no_number(text):
+    """Guards against an error of the box for a number that Python converts only up to some length."""
+    assert parse_whole_number(text) is None and parse_scope(f"/m/{text}") is None
+    assert parse_whole_number("9" * 18) == 10**18 - 1
