--- a/tests/soak_rows.py
+++ b/tests/soak_rows.py
@@ -159,10 +159,16 @@
 
     async def run(self) -> Outcome:
         pressing = [asyncio.create_task(self._press(box)) for box in self.boxes]
+        faults = self._faults()
+        weights = [weight for weight, _ in faults.values()]
+        # Each kind comes once at least.
+        due = self.random.sample(list(faults), len(faults))
         end = asyncio.get_running_loop().time() + self.seconds
-        while asyncio.get_running_loop().time() < end:
+        while due or asyncio.get_running_loop().time() < end:
             await asyncio.sleep(self.random.uniform(*FAULT_PAUSE_S))
-            self._inject()
+            kind = due.pop() if due else self.random.choices(list(faults), weights)[0]
+            self.outcome.faults[kind] += 1
+            faults[kind][1]()
         await asyncio.gather(*self.tasks)
         self._name_version()
         self._configure()
@@ -203,8 +209,9 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def _inject(self) -> None:
-        faults: dict[str, tuple[int, Callable[[], None]]] = {
+    def _faults(self) -> dict[str, tuple[int, Callable[[], None]]]:
+        """Return what happens to the boxes and the table service by name, each with its weight."""
+        return {
             "row": (10, self._write_row),
             "row removed": (2, self._remove_row),
             "entry": (2, self._spoil_entry),
@@ -216,9 +223,6 @@
             "stop": (1, lambda: self._take_box(self._stop)),
             "reload": (1, self._reload),
         }
-        kind = self.random.choices(list(faults), [weight for weight, _ in faults.values()])[0]
-        self.outcome.faults[kind] += 1
-        faults[kind][1]()
 
     def _write_row(self) -> None:
         table = self.random.choice(TABLES)
