Log surplus answers as lines with the request's id, one of each endpoint in 10 s

A warning in the library's own text came once a connection: some hundred lines in 14 s beside a faulty endpoint, none of which `stairquay explain` reads. Now `surplus_answer` lines name the request, the one that was answered, its status and how many were skipped; stairquay_surplus_answers_total counts all.

--- a/stairquay/platform/connection_pool.py
+++ b/stairquay/platform/connection_pool.py
@@ -8,10 +8,10 @@
 import socket
 from collections import deque
 from dataclasses import dataclass, field
-from logging import getLogger
 
 from aiohttp import ClientPayloadError, StreamReader
 from aiohttp.http import RawResponseMessage
+from msgspec.structs import replace
 from multidict import CIMultiDictProxy
 
 from stairquay.adapters.clock import monotonic
@@ -24,8 +24,7 @@
     set_socket_options,
 )
 from stairquay.platform.names import REQUEST_ID
-
-LOGGER = getLogger(__name__)
+from stairquay.serving.ports import SurplusAnswers
 
 READ_BUFFER_BYTES = 65_536
 """Bytes of an answer that wait to be read before reading from the connection pauses."""
@@ -63,7 +62,7 @@
     """One connection to an endpoint.
 
     reused: it has carried a request before. idle_since: monotonic seconds. earlier_ids: of the requests
-    before the one under way. has_logged: a surplus answer has been logged.
+    before the one under way. surplus: what came before the answer that was read last.
     """
 
     address: str
@@ -71,7 +70,7 @@
     reused: bool = False
     idle_since: float = 0.0
     earlier_ids: deque[str] = field(default_factory=lambda: deque(maxlen=MAX_IDS_KEPT))
-    has_logged: bool = False
+    surplus: SurplusAnswers | None = None
 
     def can_be_reused(self) -> bool:
         """Tell whether an idle connection can carry the next request."""
@@ -112,19 +111,20 @@
         ClientError as `read_head` does, if no other answer can follow the surplus one, or if none comes for
         long after one that names no request.
         """
+        self.surplus = None
         message, payload = await self.read_head()
         if self._is_surplus(message):
-            message, payload = await self._read_due(message, payload, request_id, left_s)
+            message, payload = await self._read_due(message, payload, left_s)
         self.earlier_ids.append(request_id)
         return message, payload
 
     async def _read_due(
-        self, message: RawResponseMessage, payload: StreamReader, request_id: str, left_s: float
+        self, message: RawResponseMessage, payload: StreamReader, left_s: float
     ) -> tuple[RawResponseMessage, StreamReader]:
         """Return the answer that follows surplus ones, of which the first has been read."""
         wait_s = None
         for _ in range(MAX_SURPLUS_ANSWERS):
-            self._log_surplus(message, request_id)
+            self._count_surplus(message)
             if named_request(message.headers) is None:
                 wait_s = min(MAX_UNNAMED_WAIT_S, left_s * UNNAMED_WAIT_SHARE)
             try:
@@ -144,14 +144,10 @@
         answered_id = named_request(message.headers)
         return answered_id is None or answered_id in self.earlier_ids
 
-    def _log_surplus(self, message: RawResponseMessage, request_id: str) -> None:
-        """Log the first surplus answer of a connection; a faulty endpoint may send many."""
-        if self.has_logged:
-            return
-        self.has_logged = True
-        answered = named_request(message.headers) or "an unnamed request"
-        text = "%s: surplus answer to %s, status %d, before that to %s"
-        LOGGER.warning(text, self.address, answered, message.code, request_id)
+    def _count_surplus(self, message: RawResponseMessage) -> None:
+        answered = named_request(message.headers) or ""
+        first = self.surplus or SurplusAnswers(0, answered, message.code)
+        self.surplus = replace(first, number=first.number + 1)
 
     async def _skip(self, message: RawResponseMessage, payload: StreamReader) -> None:
         """Read a surplus answer to its end. Raises ClientPayloadError if no answer can follow it."""
--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -7,6 +7,7 @@
 from aiohttp.hdrs import CONTENT_LENGTH, CONTENT_TYPE
 from aiohttp.http import RawResponseMessage
 from aiohttp.http_exceptions import HttpProcessingError
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from stairquay.core.attempt import Attempt
@@ -46,6 +47,7 @@
     IncompleteResponseError,
     Reply,
     SendFailure,
+    SurplusAnswers,
     Take,
 )
 
@@ -98,7 +100,8 @@
             close_connection(connection)
             raise
         connection.protocol.set_keep_alive(message.headers.get(KEEP_ALIVE, ""))
-        return _validate_response(call, Response(message, payload, connection, self.pool), attempt)
+        result = _validate_response(call, Response(message, payload, connection, self.pool), attempt)
+        return result if connection.surplus is None else _with_surplus(result, connection.surplus)
 
     async def probe(self, address: str) -> bool:
         """Tell whether a new connection can be opened; it is kept for the next request."""
@@ -250,12 +253,19 @@
     return SendFailure(
         ErrorKind.ENDPOINT_FAILED,
         attempt.ran,
-        type(error).__name__,
+        f"{type(error).__name__}: {error}",
         fault=not (sent and closed_when_idle),
         connection_broken=sent,
+        surplus=None if connection is None else connection.surplus,
     )
 
 
+def _with_surplus(result: Result[Reply, SendFailure], surplus: SurplusAnswers) -> Result[Reply, SendFailure]:
+    if isinstance(result, Ok):
+        return Ok(replace(result.ok_value, surplus=surplus))
+    return Err(replace(result.err_value, surplus=surplus))
+
+
 def request_target(call: Call) -> str:
     """Return the target to send, without a fragment."""
     return call.target.partition("#")[0]
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -31,6 +31,7 @@
     record_prompt_tokens,
     record_retry_denied,
     record_sent,
+    record_surplus,
 )
 from stairquay.serving.refusals import (
     RETRY_AFTER_S,
@@ -253,6 +254,9 @@
             sent = await self._send(job, started_attempt, progress)
             self._record_reach(started_attempt, sent)
             self._apply_feedback(started_attempt, sent)
+            surplus = sent.err_value.surplus if isinstance(sent, Err) else sent.ok_value.surplus
+            if surplus is not None:
+                record_surplus(self.state, job, started_attempt, surplus)
             if isinstance(sent, Err):
                 self._on_failed(job, started_attempt, progress, sent.err_value)
                 return None
--- a/stairquay/serving/endpoint.py
+++ b/stairquay/serving/endpoint.py
@@ -68,6 +68,8 @@
     standalone_pacer: Pacer | None = None
     limit: LimitReport | None = None
     limit_ended_at: float = NEVER
+    # When a surplus answer was logged last.
+    surplus_logged_at: float = NEVER
     # The rejections a second that it bears before it falls over, as `per_s`.
     tolerance: LimitReport | None = None
     tolerance_ended_at: float = NEVER
--- a/stairquay/serving/metrics.py
+++ b/stairquay/serving/metrics.py
@@ -129,6 +129,12 @@
             ["service"],
             registry=registry,
         )
+        self.surplus_answers = Counter(
+            "stairquay_surplus_answers",
+            "Answers to earlier requests that an endpoint sent before the one that was due",
+            ["service"],
+            registry=registry,
+        )
         self.backoffs = Gauge(
             "stairquay_endpoint_rest_seconds_left",
             "Seconds for which an endpoint wants nothing from this box",
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -237,6 +237,17 @@
     unreadable: tuple[tuple[Topic, str], ...] = ()
 
 
+class SurplusAnswers(msgspec.Struct, frozen=True):
+    """Answers to earlier requests that an endpoint sent before the one that was due, and that were skipped.
+
+    answered: id of the request that the first of them names, empty if it names none. status: its status.
+    """
+
+    number: int
+    answered: str
+    status: int
+
+
 class SendFailure(msgspec.Struct, frozen=True):
     """Why an attempt at an endpoint failed.
 
@@ -253,6 +264,7 @@
     fault: bool = True
     connection_broken: bool = False
     feedback: Feedback | None = None
+    surplus: SurplusAnswers | None = None
 
 
 Take = Callable[[bytes], Awaitable[None] | None]
@@ -291,6 +303,7 @@
     feedback: Feedback = Feedback()
     whole_body: Callable[[], bytes | None] = lambda: None
     framing: Framing = Framing.LENGTH
+    surplus: SurplusAnswers | None = None
 
 
 class IncompleteResponseError(Exception):
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -7,11 +7,14 @@
 from stairquay.serving.endpoint_choice import Choice
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.jobs import Job, JobProgress, StartedAttempt
-from stairquay.serving.ports import Feedback, Reply, SendFailure
+from stairquay.serving.ports import Feedback, Reply, SendFailure, SurplusAnswers
 from stairquay.serving.relay import MIN_ERROR_STATUS
 from stairquay.serving.state import BoxState
 from stairquay.serving.statements import limit_of
 
+SURPLUS_LOG_INTERVAL_S = 10.0
+"""Seconds between two lines about surplus answers of one endpoint; the metric counts all."""
+
 
 def feedback_fields(feedback: Feedback | None) -> dict[str, object]:
     """Return the log fields for an endpoint's feedback."""
@@ -95,6 +98,26 @@
         metrics.child(metrics.prompt_tokens, metrics.labels.of(job.route.id), way).observe(tokens)
 
 
+def record_surplus(
+    state: BoxState, job: Job, started_attempt: StartedAttempt, surplus: SurplusAnswers
+) -> None:
+    """Count surplus answers, and log one of each endpoint at a time: a faulty one may send many."""
+    endpoint, endpoint_state = started_attempt.choice.endpoint, started_attempt.endpoint_state
+    state.metrics.surplus_answers.labels(endpoint.service).inc(surplus.number)
+    now = monotonic()
+    if now - endpoint_state.surplus_logged_at < SURPLUS_LOG_INTERVAL_S:
+        return
+    endpoint_state.surplus_logged_at = now
+    state.log.line(
+        LogEvent.SURPLUS_ANSWER,
+        job.call.id,
+        endpoint=endpoint.id,
+        answered=surplus.answered,
+        status=surplus.status,
+        number=surplus.number,
+    )
+
+
 def record_attempt_failed(
     state: BoxState, job: Job, started_attempt: StartedAttempt, failure: SendFailure, now: float
 ) -> None:
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.site import Answer, Site, site
+from tests.site import Answer, Site, eventually, site
 
 REQUESTS = 6
 PARTS = (
@@ -183,6 +183,24 @@
     assert [answers[f"r-{number}"].status for number in range(1, REQUESTS)] == [200] * (REQUESTS - 1)
 
 
+def test_one_line_tells_of_many_surplus_answers_of_an_endpoint_and_the_metric_of_all():
+    """Guards against a line for each answer of a faulty endpoint, and lines that name no request."""
+
+    def respond(call_id: str, before: str) -> str:
+        return (rejection(before) if before else "") + signed(call_id)
+
+    async def scenario():
+        async with box_before(respond) as (here, _):
+            await send_all(here, "/once/x")
+            await eventually(lambda: here.logged("surplus_answer"))
+            return here.logged("surplus_answer"), await here.metrics()
+
+    lines, metrics = asyncio.run(scenario())
+    assert len(lines) == 1 and lines[0]["request"] == "r-1"
+    assert (lines[0]["answered"], lines[0]["status"], lines[0]["number"]) == ("r-0", 503, 1)
+    assert f'stairquay_surplus_answers_total{{service="plain"}} {REQUESTS - 1:.1f}' in metrics
+
+
 SPLITS = {"after one byte": 1, "in its head": 40, "before its last byte": -1}
 """Where a surplus answer is cut: by what it is."""
 
