Keep a box from passing requests on to boxes that hold nothing

A box that alone holds an endpoint's places, and has none left, counted itself among the holders to ask; as no box passes on to itself, it asked any others, which refused. It waits for its own place now.

--- a/stairquay/serving/holders.py
+++ b/stairquay/serving/holders.py
@@ -20,9 +20,9 @@
 def boxes_to_ask(
     state: BoxState, service: str, tried: Collection[str], now: float, random: Random
 ) -> frozenset[str]:
-    """Return the boxes to pass a plain request on to.
+    """Return the other boxes to pass a plain request on to.
 
-    There are none if this box may send it itself, or if any box may send to some endpoint.
+    There are none if this box may send it itself, now or alone, or if any box may send to some endpoint.
     tried: ids of endpoints that it was sent to.
     """
     if not has_holders(state, service) or state.boxes_known_at == NEVER:
@@ -40,7 +40,7 @@
         if wait_s(state, endpoint, now, random) == 0:
             return frozenset()
         found |= holders
-    return frozenset(found)
+    return frozenset(found - {state.settings.id})
 
 
 def has_holders(state: BoxState, service: str) -> bool:
--- a/tests/loads/test_limits_of_endpoints.py
+++ b/tests/loads/test_limits_of_endpoints.py
@@ -73,7 +73,7 @@
 
 def others_to_ask(state: BoxState, now: float, random: Random) -> list[str]:
     """Return the boxes that a box passes a plain request on to, one after another, as the product does."""
-    holders = sorted(boxes_to_ask(state, PLAIN.service, (), now, random) - {state.settings.id})
+    holders = sorted(boxes_to_ask(state, PLAIN.service, (), now, random))
     return random.sample(holders, min(MAX_HOLDERS_ASKED, len(holders)))
 
 
