Count requests in the soak of statements for the box that sent them

The listed soak failed in both whole runs and in one of three runs side by side: three requests in 3 s of rest from one box. It counted them for the box that callers asked; since boxes that hold no limit pass plain requests on, so that up to three others send these, each of which was asked for rest or not. The sender's own line names it now, and the checks are the same.

--- a/tests/soak_statements.py
+++ b/tests/soak_statements.py
@@ -107,6 +107,7 @@
         for endpoint in self.endpoints:
             self._set_limit(endpoint, None)
         await asyncio.gather(*self.calls)
+        self._learn_senders()
         await self._check_recovery()
         for endpoint in self.endpoints:
             for period in self.limit_periods[endpoint.id]:
@@ -122,6 +123,13 @@
         told = sum(call_id in self.box_by_call for item in self.endpoints for _, call_id in item.leaving_sent)
         return told < self.min_leavings and loop_time() < self.end + self.seconds
 
+    def _learn_senders(self) -> None:
+        """Attribute requests to the boxes that sent them to an endpoint, as plain ones are passed on."""
+        for box in self.boxes:
+            for line in box.logged("sent"):
+                if line.get("request") in self.box_by_call:
+                    self.box_by_call[line["request"]] = box.name
+
     def _start_task(self, call: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(call)
         self.calls.add(task)
