Wait longer for the check of an engine where one more crash decides

Callers saw: a request crashed a fourth engine where three may, beside load: it was sent on before it was known that it had crashed the third.

Change: where one more crash quarantines the request, it waits for 0.5 s.

--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -29,6 +29,9 @@
 SETTLE_S = 0.1
 """Most seconds for which a request waits for the check of the endpoint that it may have crashed."""
 
+DECIDING_SETTLE_S = 0.5
+"""The same where one more crash quarantines the request, which may crash another endpoint before that."""
+
 OUTLIVED_S = 0.3
 """Seconds after which an engine that a caller has left, and that has not crashed, shows the parts of the
 prompt innocent. A part that crashes engines does so as soon as they begin to answer."""
@@ -98,8 +101,9 @@
         Sent again before, on a connection that is open already, it would reach one endpoint too many.
         """
         pending = [item for item in self.probes_by_incarnation.values() if digest in item.crashes_by_digest]
+        is_suspected = self.state.quarantine.is_suspected(digest)
         try:
-            async with asyncio.timeout(SETTLE_S):
+            async with asyncio.timeout(DECIDING_SETTLE_S if is_suspected else SETTLE_S):
                 for probe in pending:
                     await probe.ended.wait()
         except TimeoutError:
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -187,7 +187,7 @@
         while len(self.served_at) > MAX_SERVED:
             forgotten, _ = self.served_at.popitem(last=False)
             self.ends_by_part.pop(forgotten, None)
-        suspected = [digest for digest in digests if self._is_suspected(digest)]
+        suspected = [digest for digest in digests if self.is_suspected(digest)]
         if self.own_crashes:
             # What few crashes suggest needs no published clearance.
             self.own_crashes = {
@@ -214,7 +214,7 @@
         """Tell whether a crash of a part came after all prompts with it that ended well at this box."""
         return is_part(crash.digest) and crash.at > self.served_at.get(crash.digest, NEVER)
 
-    def _is_suspected(self, digest: str) -> bool:
+    def is_suspected(self, digest: str) -> bool:
         """Tell whether one more crash may quarantine a request or a part at some box."""
         return self.crashes_by_digest.get(digest, 0) >= min_crashes(digest) - 1
 
@@ -312,7 +312,7 @@
         served = [
             digest
             for digest in self.crashes_by_digest
-            if self._is_suspected(digest) and now - self.served_at.get(digest, NEVER) < SERVED_TRUST_S
+            if self.is_suspected(digest) and now - self.served_at.get(digest, NEVER) < SERVED_TRUST_S
         ]
         if served:
             self._clear_suspicion(served)
