Parse whole numbers in callers' headers by the one function for them

core/whole_numbers was added beside four copies of the same checks (ASCII, decimal, a number of digits) in platform/callers; they call it now, each with the number of digits that it had.

--- a/stairquay/core/whole_numbers.py
+++ b/stairquay/core/whole_numbers.py
@@ -15,8 +15,8 @@
 """Type of a field in JSON; a larger number is malformed."""
 
 
-def parse_whole_number(text: str) -> int | None:
+def parse_whole_number(text: str, max_digits: int = MAX_DIGITS) -> int | None:
     """Return the number that a header consists of, None if it is no whole number or too long."""
-    if not text.isascii() or not text.isdecimal() or len(text) > MAX_DIGITS:
+    if not text.isascii() or not text.isdecimal() or len(text) > max_digits:
         return None
     return int(text)
--- a/stairquay/platform/callers.py
+++ b/stairquay/platform/callers.py
@@ -12,6 +12,7 @@
 from stairquay.core.call import Call, Part, PromptShape
 from stairquay.core.catalog import CatalogVersion
 from stairquay.core.errors import ErrorKind, Refusal
+from stairquay.core.whole_numbers import parse_whole_number
 from stairquay.platform.names import (
     AUTHORIZATION,
     BEARER,
@@ -164,26 +165,25 @@
 def _parse_time_left(value: str | None) -> Result[float | None, Refusal]:
     if value is None:
         return Ok(None)
-    if not value.isascii() or not value.isdecimal() or len(value) > 12:
+    time_left_ms = parse_whole_number(value, 12)
+    if time_left_ms is None:
         return _malformed(f"{TIME_LEFT} is not a whole number of milliseconds")
-    return Ok(int(value) / 1000)
+    return Ok(time_left_ms / 1000)
 
 
 def _parse_attempts(value: str | None) -> int | None:
     """Return how many endpoints a box allows, or one where that can't be read: another box did pass it on."""
     if value is None:
         return None
-    return max(1, int(value)) if value.isascii() and value.isdecimal() and len(value) <= 3 else 1
+    return max(1, parse_whole_number(value, 3) or 1)
 
 
 def _parse_configuration(value: str) -> CatalogVersion | None:
     """Return the configuration that a box names; one that can't be read counts as not named."""
-    numbers = value.split(".")
-    if len(numbers) != 2 or not all(
-        item.isascii() and item.isdecimal() and len(item) <= MAX_VERSION_DIGITS for item in numbers
-    ):
+    numbers = [parse_whole_number(item, MAX_VERSION_DIGITS) for item in value.split(".")]
+    if len(numbers) != 2 or numbers[0] is None or numbers[1] is None:
         return None
-    return CatalogVersion(int(numbers[0]), int(numbers[1]))
+    return CatalogVersion(numbers[0], numbers[1])
 
 
 def _parse_prompt(
@@ -213,10 +213,8 @@
 
 
 def _parse_token_count(text: str) -> int | None:
-    value = text.strip()
-    if not value.isascii() or not value.isdecimal() or len(value) > 9:
-        return None
-    return int(value) if int(value) <= MAX_TOKENS else None
+    count = parse_whole_number(text.strip(), 9)
+    return None if count is None or count > MAX_TOKENS else count
 
 
 def _forwarded_headers(request: web.BaseRequest) -> tuple[tuple[str, str], ...]:
