Pause, stop and reload boxes in soaks by methods of the site

tests/soak_rows.py repeated what tests/soak_answers.py and soak_versions.py do to a box; the site does it for the three. Same behaviour: the short runs of the three soaks pass.

--- a/tests/site.py
+++ b/tests/site.py
@@ -248,6 +248,23 @@
         assert self.box is not None
         self.box.send_signal(signal.SIGTERM)
 
+    async def pause_box(self, seconds: float) -> None:
+        """Stop the box's process for a while."""
+        assert self.box is not None
+        self.box.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.box.send_signal(signal.SIGCONT)
+
+    async def stop_box_and_wait(self, grace_s: float) -> None:
+        """Ask the box to stop, and wait until it has."""
+        self.stop_box()
+        assert self.box is not None
+        await asyncio.wait_for(self.box.wait(), grace_s)
+
+    def reload_box(self) -> None:
+        assert self.box is not None
+        self.box.send_signal(signal.SIGHUP)
+
     async def close(self) -> None:
         if self.box is not None and self.box.returncode is None:
             await self.kill_box()
--- a/tests/soak_answers.py
+++ b/tests/soak_answers.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import signal
 from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
@@ -314,10 +313,7 @@
         return {name for lines in picked if lines for name in lines[-1]["routers"]}
 
     async def _pause(self, box: Site) -> None:
-        assert box.box is not None
-        box.box.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.random.uniform(*PAUSE_S))
-        box.box.send_signal(signal.SIGCONT)
+        await box.pause_box(self.random.uniform(*PAUSE_S))
         self.away.discard(box.name)
 
     async def _kill(self, box: Site) -> None:
@@ -325,9 +321,7 @@
         await self._start_box(box)
 
     async def _stop(self, box: Site) -> None:
-        box.stop_box()
-        assert box.box is not None
-        await asyncio.wait_for(box.box.wait(), GRACE_S)
+        await box.stop_box_and_wait(GRACE_S)
         await self._start_box(box)
 
     async def _start_box(self, box: Site) -> None:
@@ -340,9 +334,7 @@
     def _reload(self) -> None:
         here = [box for box in self.boxes if box.name not in self.away]
         if here:
-            box = self.random.choice(here)
-            assert box.box is not None
-            box.box.send_signal(signal.SIGHUP)
+            self.random.choice(here).reload_box()
 
     def _configure(self, timeout_ms: int) -> None:
         """Write a configuration with this time limit of all routes."""
--- a/tests/soak_rows.py
+++ b/tests/soak_rows.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import json
-import signal
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -278,10 +277,7 @@
             self._start(fault(box))
 
     async def _pause(self, box: Site) -> None:
-        assert box.box is not None
-        box.box.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.random.uniform(*PAUSE_S))
-        box.box.send_signal(signal.SIGCONT)
+        await box.pause_box(self.random.uniform(*PAUSE_S))
         self.away.discard(box.name)
 
     async def _kill(self, box: Site) -> None:
@@ -289,9 +285,7 @@
         await self._start_box(box)
 
     async def _stop(self, box: Site) -> None:
-        box.stop_box()
-        assert box.box is not None
-        await asyncio.wait_for(box.box.wait(), GRACE_S)
+        await box.stop_box_and_wait(GRACE_S)
         await self._start_box(box)
 
     async def _start_box(self, box: Site) -> None:
@@ -304,8 +298,7 @@
     def _reload(self) -> None:
         box = self.random.choice(self.boxes)
         if box.name not in self.away:
-            assert box.box is not None
-            box.box.send_signal(signal.SIGHUP)
+            box.reload_box()
 
     async def _check(self) -> None:
         await self._stop(self.boxes[-1])
--- a/tests/soak_versions.py
+++ b/tests/soak_versions.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import json
-import signal
 from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
@@ -210,17 +209,12 @@
         await self._start_box(box)
 
     async def _stop(self, box: Site) -> None:
-        box.stop_box()
-        assert box.box is not None
-        await asyncio.wait_for(box.box.wait(), GRACE_S)
+        await box.stop_box_and_wait(GRACE_S)
         await asyncio.sleep(RESTART_S)
         await self._start_box(box)
 
     async def _freeze(self, box: Site) -> None:
-        assert box.box is not None
-        box.box.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.random.uniform(*FREEZE_S))
-        box.box.send_signal(signal.SIGCONT)
+        await box.pause_box(self.random.uniform(*FREEZE_S))
         self.away.discard(box.name)
 
     async def _start_box(self, box: Site) -> None:
