Ask in one place whether a service has engines

limit_holders and held_endpoints repeated the check of the catalog that is_routed and the split of a bound had; all four call has_engines. Same behaviour: 156 tests of limits, holders, brittle endpoints and handovers pass; format, lint and types are clean.

--- a/stairquay/serving/brittleness.py
+++ b/stairquay/serving/brittleness.py
@@ -126,4 +126,9 @@
 
 def is_routed(state: BoxState, service: str) -> bool:
     """Tell whether routers place the requests for a service."""
-    return bool(state.routers) and state.catalog is not None and state.catalog.engine_of(service) is not None
+    return bool(state.routers) and has_engines(state, service)
+
+
+def has_engines(state: BoxState, service: str) -> bool:
+    """Tell whether the endpoints of a service are engines."""
+    return state.catalog is not None and state.catalog.engine_of(service) is not None
--- a/stairquay/serving/holders.py
+++ b/stairquay/serving/holders.py
@@ -9,7 +9,7 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.limits import UNLIMITED
 from stairquay.core.places import places_by_holder
-from stairquay.serving.brittleness import has_brittle_service, is_brittle
+from stairquay.serving.brittleness import has_brittle_service, has_engines, is_brittle
 from stairquay.serving.endpoint import NEVER
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.pacing import limit_holders, wait_s
@@ -60,12 +60,9 @@
     """Return the endpoints of plain services that few boxes may send to."""
     if not state.limited and not has_brittle_service(state, now):
         return []
-    return [item for item in state.fleet.live() if _is_plain(state, item) and _is_held(state, item, now)]
+    plain = (item for item in state.fleet.live() if not has_engines(state, item.service))
+    return [item for item in plain if _is_held(state, item, now)]
 
 
 def _is_held(state: BoxState, endpoint: Endpoint, now: float) -> bool:
     return is_brittle(state, endpoint, now) or limit_of(state.endpoint_state(endpoint)) < UNLIMITED
-
-
-def _is_plain(state: BoxState, endpoint: Endpoint) -> bool:
-    return state.catalog is None or state.catalog.engine_of(endpoint.service) is None
--- a/stairquay/serving/pacing.py
+++ b/stairquay/serving/pacing.py
@@ -24,7 +24,7 @@
     standalone_pacer,
 )
 from stairquay.core.places import rate_holders
-from stairquay.serving.brittleness import brittle_wait_s, is_brittle
+from stairquay.serving.brittleness import brittle_wait_s, has_engines, is_brittle
 from stairquay.serving.cold import cold_for_s, cold_limit_of
 from stairquay.serving.endpoint import NEVER, EndpointState
 from stairquay.serving.evacuation import takes_work
@@ -90,7 +90,7 @@
     """Return the boxes that alone may send to an endpoint that names a limit, none if each box has turns."""
     if limit_of(state.endpoint_state(endpoint)) == UNLIMITED or state.boxes_known_at == NEVER:
         return ()
-    if state.catalog is not None and state.catalog.engine_of(endpoint.service) is not None:
+    if has_engines(state, endpoint.service):
         return ()
     slots = endpoint.slots if is_brittle(state, endpoint, now) else None
     return rate_holders(endpoint.id, slots, state.boxes_not_gone(now))
@@ -206,8 +206,8 @@
     if endpoint.id in state.routed_engines:
         return bound.shares.router
     boxes = ASSUMED_BOXES if state.boxes_known_at == NEVER else max(1, len(state.boxes))
-    routed = state.catalog is not None and state.catalog.engine_of(endpoint.service) is not None
-    return (bound.shares.standalone if routed else bound.shares.unrouted) / boxes
+    shares = bound.shares
+    return (shares.standalone if has_engines(state, endpoint.service) else shares.unrouted) / boxes
 
 
 def _holder_pacer(state: BoxState, endpoint: Endpoint, now: float) -> Pacer:
