Send no repeats to silent endpoints, and count unread ones until they are read

What callers saw: a 504 after their whole time, or the endpoint's 500.

Cause: the retry budget counts a repeat when it is permitted, while the rule counts arrivals; the system of a stopped process takes requests that it reads later, long after the box gave them up. Class: a bound on what arrives that is kept by what is sent.

Change: a box knows since when an endpoint has answered nothing although requests wait there. After half a second, or the objective if longer, no repeat goes there, and new plain requests go elsewhere while one waits to try it. Repeats sent before count until they have been read, then again as of that moment. A line `silence` tells of each silence that ended.

--- a/stairquay/core/budget.py
+++ b/stairquay/core/budget.py
@@ -1,6 +1,7 @@
 """A retry budget that all boxes share without coordination."""
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -102,16 +103,26 @@
         """Count an incoming request."""
         self.counter.add(self._slot(now))
 
-    def take(self, now: float, boxes: int, known_s: float) -> bool:
+    def on_read_late(self, sent_at: Iterable[float], now: float) -> None:
+        """Count retries that were sent at these times as of now, when their endpoint reads them."""
+        for at in sent_at:
+            permitted_at = next((item for item in reversed(self.retries) if item <= at), None)
+            if permitted_at is not None:
+                self.retries.remove(permitted_at)
+            self.retries.append(now)
+
+    def take(self, now: float, boxes: int, known_s: float, unread: Iterable[float] = ()) -> bool:
         """Spend one retry if this box's share of the allowance permits it.
 
-        known_s: seconds since this process learned the number of boxes, or 0 if it has not.
+        known_s: seconds since this process learned the number of boxes, or 0 if it has not. unread: when
+        retries were sent that endpoints have not read yet; they may arrive in any window.
         """
         while self.retries and self.retries[0] < now - self.allowance.window_s:
             self.retries.popleft()
         self.counter.advance(self._slot(now))
+        old_unread = sum(at < now - self.allowance.window_s for at in unread)
         box_slack = self.allowance.slack * SLACK_SHARE / max(1, boxes) * self._usable_slack_share(known_s)
-        if len(self.retries) + 1 > self._earned() + box_slack:
+        if len(self.retries) + old_unread + 1 > self._earned() + box_slack:
             return False
         self.retries.append(now)
         return True
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -47,6 +47,7 @@
     is_event_stream,
     relay_or_read,
 )
+from stairquay.serving.silent_endpoints import record_result
 from stairquay.serving.state import BoxState
 from stairquay.serving.statements import apply_feedback, is_backing_off, record_probe
 
@@ -250,8 +251,9 @@
             endpoint_state.on_sent(choice.placement.read + choice.placement.fetched, started_attempt.sent_at)
         record_probe(endpoint_state, started_attempt.sent_at)
         record_sent(self.state, job, choice, progress)
+        endpoint_state.silence.on_sent(started_attempt.sent_at, progress.last is not None)
         try:
-            sent = await self._send(job, started_attempt, progress)
+            sent = await self._sent(job, started_attempt, progress)
             self._record_reach(started_attempt, sent)
             self._apply_feedback(started_attempt, sent)
             surplus = sent.err_value.surplus if isinstance(sent, Err) else sent.ok_value.surplus
@@ -269,6 +271,18 @@
             endpoint_state.in_flight -= not counted_by_local_router
             endpoint_state.waiting_tokens_by_job.pop(job.number, None)
 
+    async def _sent(
+        self, job: Job, started_attempt: StartedAttempt, progress: JobProgress
+    ) -> Result[Reply, SendFailure]:
+        """Send a request, and record whether its endpoint answers."""
+        try:
+            sent = await self._send(job, started_attempt, progress)
+        except BaseException:
+            started_attempt.endpoint_state.silence.on_given_up()
+            raise
+        record_result(self.state, started_attempt, sent)
+        return sent
+
     def _record_reach(self, started_attempt: StartedAttempt, sent: Result[Reply, SendFailure]) -> None:
         """Record what an attempt shows of this box's way to the endpoint."""
         endpoint = started_attempt.choice.endpoint
--- a/stairquay/serving/endpoint.py
+++ b/stairquay/serving/endpoint.py
@@ -10,6 +10,7 @@
 from stairquay.core.memory import PlacedMemory
 from stairquay.core.pace import Pacer
 from stairquay.core.rest import Backoff
+from stairquay.core.silence import Silence
 from stairquay.serving.ports import EngineReport, Topic
 
 NEVER = float("-inf")
@@ -81,6 +82,8 @@
     # The last unreadable feedback, to log each text once.
     unreadable_by_topic: dict[Topic, str] = field(default_factory=dict)
 
+    # Of requests that this box sent.
+    silence: Silence = field(default_factory=Silence)
     in_flight: int = 0
     waiting_tokens_by_job: dict[int, int] = field(default_factory=dict)
     sent_prompts: deque[tuple[float, int]] = field(default_factory=deque)
--- a/stairquay/serving/endpoint_choice.py
+++ b/stairquay/serving/endpoint_choice.py
@@ -159,7 +159,11 @@
         if endpoint_state.refused_until > now or _is_busy(endpoint_state):
             continue
         not_busy.append(item)
-        if not endpoint_state.silent(now):
+        # Engines tell by their reports that they go on.
+        is_silent = (
+            endpoint_state.silence.is_probed(now) if request.prompt is None else endpoint_state.silent(now)
+        )
+        if not is_silent:
             reporting.append(item)
     return reporting or not_busy or untried
 
--- a/stairquay/serving/event_log.py
+++ b/stairquay/serving/event_log.py
@@ -44,6 +44,7 @@
     ENDPOINTS = "endpoints"
     EVACUATION = "evacuation"
     BORN_ANEW = "born_anew"
+    SILENCE = "silence"
     SURPLUS_ANSWER = "surplus_answer"
     DEPENDENCY = "dependency"
     ROUTER = "router"
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -29,6 +29,7 @@
 from stairquay.serving.origin_replies import recent_versions
 from stairquay.serving.ports import EndpointChanges, FeedFault
 from stairquay.serving.refusals import RETRY_AFTER_S
+from stairquay.serving.silent_endpoints import silent_ids
 from stairquay.serving.state import BoxState
 
 ROUTERS_TOLD = 3
@@ -254,15 +255,19 @@
 
 
 def excluded_ids(state: BoxState, job: Job, progress: JobProgress) -> frozenset[str]:
-    """Return the endpoints that a job must not be sent to: those tried, and those of other versions."""
+    """Return the endpoints that a job must not be sent to: those tried, and those of other versions.
+
+    A repeat must not be sent to silent ones either.
+    """
+    excluded = progress.tried if progress.last is None else progress.tried | silent_ids(state, job)
     if progress.origin is None:
-        return frozenset(progress.tried)
+        return frozenset(excluded)
     others = (
         item.id
         for item in state.fleet.by_id.values()
         if item.service == job.service.id and not may_use(state, progress, item)
     )
-    return frozenset((*progress.tried, *others))
+    return frozenset((*excluded, *others))
 
 
 def unresumable(ran: ExecutionStatus, detail: str) -> Refusal:
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -474,7 +474,13 @@
     def take_retry(self, service: str) -> bool:
         """Spend one retry of a service's budget, if it permits."""
         now = monotonic()
-        return self.retry_budget(service).take(now, len(self.boxes), self.known_boxes_for_s(now))
+        unread = (
+            at
+            for endpoint in self.fleet.by_id.values()
+            if endpoint.service == service
+            for at in self.endpoint_state(endpoint).silence.repeats
+        )
+        return self.retry_budget(service).take(now, len(self.boxes), self.known_boxes_for_s(now), unread)
 
     def boxes_not_gone(self, now: float) -> tuple[str, ...]:
         """Return the boxes believed alive, without those that refuse connections."""
--- a/tests/test_box_state.py
+++ b/tests/test_box_state.py
@@ -240,7 +240,7 @@
 
 EVENTS_TESTED_ELSEWHERE = {"dependency", "freed", "reload", "part_failed", "left_out", "router", "waits"}
 EVENTS_TESTED_ELSEWHERE |= {"evacuation", "born_anew", "crashed", "quarantine", "load", "engine_speed"}
-EVENTS_TESTED_ELSEWHERE |= {"reach", "forwarded", "brittle", "surplus_answer"}
+EVENTS_TESTED_ELSEWHERE |= {"reach", "forwarded", "brittle", "surplus_answer", "silence"}
 """Log events that other tests cover."""
 
 LOG_KEYS_BY_EVENT = {
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,119 @@
+"""Endpoints that answer nothing while requests wait there: choice, repeats, and the retry budget."""
+
+import asyncio
+from collections import Counter
+from random import Random
+
+from stairquay.adapters.clock import monotonic
+from stairquay.core.budget import RetryAllowance, WindowedRetryBudget
+from stairquay.core.catalog import ServiceSpec
+from stairquay.core.fleet import Endpoint
+from stairquay.core.silence import SILENT_AFTER_S, Silence
+from stairquay.serving.endpoint_choice import ChoiceRequest, choose_endpoint
+from stairquay.serving.state import BoxState
+from tests.site import eventually, site
+from tests.states import box_state
+
+ALLOWANCE = RetryAllowance(0.2, 20, 10)
+WINDOW_S = ALLOWANCE.window_s
+LONG_KNOWN_S = 100.0
+LATE_S = SILENT_AFTER_S + 0.1
+
+
+def plain_state(endpoints: int = 3) -> BoxState:
+    state = box_state()
+    state.fleet.apply(
+        [Endpoint(f"p-{number}", "plain", f"10.0.0.{number}:1") for number in range(endpoints)], (), 0.0
+    )
+    return state
+
+
+def choices(state: BoxState, number: int = 30) -> Counter[str]:
+    random, wanted = Random(1), ChoiceRequest(ServiceSpec("plain"))
+    found = [choose_endpoint(state, None, wanted, random) for _ in range(number)]  # type: ignore[arg-type]
+    return Counter(choice.endpoint.id for choice in found if choice is not None)
+
+
+def retries_taken(budget: WindowedRetryBudget, now: float, unread: tuple[float, ...] = ()) -> int:
+    taken = 0
+    while budget.take(now, 1, LONG_KNOWN_S, unread):
+        taken += 1
+    return taken
+
+
+def test_new_requests_avoid_a_silent_plain_endpoint_while_one_waits_there():
+    """Each would wait out its deadline at an endpoint that hangs, though others are free."""
+    state = plain_state()
+    state.endpoint_state(state.fleet.by_id["p-0"]).silence.on_sent(monotonic() - LATE_S, False)
+    assert not choices(state)["p-0"]
+
+
+def test_a_silent_endpoint_is_tried_again_once_no_request_waits_there():
+    """An endpoint that goes on while it gets nothing would never be used again."""
+    state = plain_state()
+    silence = state.endpoint_state(state.fleet.by_id["p-0"]).silence
+    silence.on_sent(monotonic() - LATE_S, False)
+    silence.on_given_up()
+    assert choices(state)["p-0"]
+
+
+def test_silent_endpoints_are_used_where_all_are_silent():
+    """Requests would be refused during a silence of a second that all endpoints have at once."""
+    state = plain_state()
+    for endpoint in state.fleet.by_id.values():
+        state.endpoint_state(endpoint).silence.on_sent(monotonic() - LATE_S, False)
+    assert sum(choices(state).values()) == 30
+
+
+def test_an_answer_ends_a_silence_and_tells_which_repeats_are_read_late():
+    """Repeats would stay in the account for ever, or count as of when they were sent."""
+    silence = Silence()
+    silence.on_sent(1.0, True)
+    silence.on_sent(1.2, False)
+    silence.on_given_up()
+    ended = silence.on_answered(20.0)
+    assert ended is not None and ended.repeats == [1.0] and ended.lasts_s(20.0) == 19.0
+    assert silence == Silence()
+
+
+def test_a_request_that_did_not_leave_starts_no_silence():
+    """An endpoint would count as silent though nothing was sent to it."""
+    silence = Silence()
+    silence.on_sent(1.0, True)
+    silence.on_not_sent(1.0)
+    assert silence == Silence()
+
+
+def test_repeats_that_no_endpoint_has_read_count_in_each_window():
+    """An endpoint that goes on reads the repeats of earlier windows together with the new ones."""
+    budget = WindowedRetryBudget(ALLOWANCE)
+    first = retries_taken(budget, WINDOW_S)
+    unread = (WINDOW_S,) * first
+    assert first and not retries_taken(budget, 3 * WINDOW_S, unread)
+    budget.on_read_late(unread, 3 * WINDOW_S)
+    assert not retries_taken(budget, 3.9 * WINDOW_S)
+    assert retries_taken(budget, 4.1 * WINDOW_S) == first
+
+
+def test_repeats_that_are_read_within_their_window_count_once():
+    """A repeat would count when it was permitted and again when it was read."""
+    budget = WindowedRetryBudget(ALLOWANCE)
+    first = retries_taken(budget, WINDOW_S)
+    budget.on_read_late((WINDOW_S + 0.1,) * first, 1.5 * WINDOW_S)
+    assert len(budget.retries) == first and set(budget.retries) == {1.5 * WINDOW_S}
+
+
+def test_the_end_of_a_silence_is_logged():
+    """Nobody could tell why requests to a plain endpoint took their whole time, or went elsewhere."""
+
+    async def scenario() -> None:
+        async with site(plain=1) as here:
+            here.endpoints[0].silent_until = asyncio.get_running_loop().time() + 2 * SILENT_AFTER_S
+            answer = await here.call("/plain/x")
+            assert answer.status == 200, answer
+            await eventually(lambda: here.logged("silence"))
+            (line,) = here.logged("silence")
+            assert line["endpoint"] == "p-0" and line["waiting"] == 0 and line["repeats"] == 0, line
+            assert SILENT_AFTER_S < line["silent_s"] < 3.0, line
+
+    asyncio.run(scenario())
