Count all runs of a request at the box that it was passed on to

A refusal now tells the runs; an answer that breaks off, or a box that tells nothing, counts as all that were allowed.

--- a/stairquay/core/errors.py
+++ b/stairquay/core/errors.py
@@ -139,12 +139,14 @@
 
     retry_after_s: seconds until a retry can succeed; None for the default, unused for permanent errors
     detail: human-readable, never contains prompt text
+    runs: attempts that may have run
     """
 
     kind: ErrorKind
     ran: ExecutionStatus = ExecutionStatus.NOT_RUN
     detail: str = ""
     retry_after_s: float | None = None
+    runs: int = 0
 
     @property
     def response(self) -> ErrorResponse:
--- a/stairquay/platform/box_client.py
+++ b/stairquay/platform/box_client.py
@@ -11,6 +11,7 @@
 from stairquay.core.call import Call
 from stairquay.core.errors import ErrorKind, ExecutionStatus
 from stairquay.core.malformed import MALFORMED
+from stairquay.core.whole_numbers import WholeNumber
 from stairquay.platform.connection_pool import ConnectionPool, PooledConnection, named_request
 from stairquay.platform.endpoints import Response, close_connection, reply_of, request_target
 from stairquay.platform.names import (
@@ -30,11 +31,12 @@
 
 
 class WireError(msgspec.Struct):
-    """What a box says of a request that it refuses."""
+    """What a box says of a request that it refuses. runs: endpoints at which it may have run."""
 
     kind: ErrorKind
     ran: ExecutionStatus
     message: str = ""
+    runs: WholeNumber | None = None
 
 
 class WireRefusal(msgspec.Struct):
@@ -128,7 +130,7 @@
     else:
         attempt.lose()
     retry_after_s = _seconds(response.headers.get(RETRY_AFTER))
-    return BoxRefusal(said.kind, attempt.ran, said.message, retry_after_s)
+    return BoxRefusal(said.kind, attempt.ran, said.message, retry_after_s, runs=said.runs)
 
 
 def _seconds(text: str | None) -> float | None:
--- a/stairquay/platform/callers.py
+++ b/stairquay/platform/callers.py
@@ -135,12 +135,13 @@
 
 
 def _refusal_text(refusal: Refusal) -> str:
-    return _error_text(refusal.kind.value, refusal.ran.value, refusal.message)
+    return _error_text(refusal.kind.value, refusal.ran.value, refusal.message, refusal.runs)
 
 
 @lru_cache(maxsize=MAX_CACHED_TEXTS)
-def _error_text(kind: str, ran: str, message: str) -> str:
-    return json.dumps({"error": {"kind": kind, "ran": ran, "message": message}})
+def _error_text(kind: str, ran: str, message: str, runs: int) -> str:
+    error = {"kind": kind, "ran": ran, "message": message}
+    return json.dumps({"error": error | {"runs": runs} if runs else error})
 
 
 @lru_cache
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -484,7 +484,7 @@
             reply, body = progress.error_reply
             record_job_failed(self.state, job, "endpoint_error", progress.ran, refusal)
             return Ok(buffered_response(reply, body))
-        return Err(reconcile_status(refusal, progress.ran))
+        return Err(replace(reconcile_status(refusal, progress.ran), runs=progress.runs))
 
 
 def _can_wait(job: Job, retry_after_s: float) -> bool:
--- a/stairquay/serving/forwarding.py
+++ b/stairquay/serving/forwarding.py
@@ -152,7 +152,7 @@
         if isinstance(sent, Err):
             self._log(job, box, sent.err_value.kind.value, attempt, sent.err_value.detail, sent_at)
             self.state.refused_connections.record(box, sent.err_value.not_listening, monotonic())
-            return self._on_refused(box, sent.err_value, progress, helpers)
+            return self._on_refused(box, sent.err_value, forward, progress, helpers)
         helpers.record(box, True, monotonic())
         self.state.refused_connections.record(box, False, monotonic())
         try:
@@ -162,7 +162,8 @@
             kind = ErrorKind.DEADLINE if isinstance(error, TimeoutError) else ErrorKind.ENDPOINT_FAILED
             detail = f"the answer broke off: {error}"
             self._log(job, box, kind.value, attempt, detail, sent_at)
-            _record_failure(progress, SendFailure(kind, attempt.ran, detail, fault=False))
+            failure = SendFailure(kind, attempt.ran, detail, fault=False)
+            _record_failure(progress, failure, forward.attempts)
             return None
         finally:
             sent.ok_value.close()
@@ -171,9 +172,8 @@
             attempt.lose()
             detail = f"status {sent.ok_value.status}"
             self._log(job, box, ErrorKind.ENDPOINT_FAILED.value, attempt, detail, sent_at)
-            _record_failure(
-                progress, SendFailure(ErrorKind.ENDPOINT_FAILED, attempt.ran, detail, fault=False)
-            )
+            failure = SendFailure(ErrorKind.ENDPOINT_FAILED, attempt.ran, detail, fault=False)
+            _record_failure(progress, failure, forward.attempts)
             return None
         attempt.finish()
         self._log(job, box, "answered", attempt, "", sent_at)
@@ -181,11 +181,12 @@
         return Ok(response)
 
     def _on_refused(
-        self, box: str, refusal: BoxRefusal, progress: JobProgress, helpers: Helpers
+        self, box: str, refusal: BoxRefusal, forward: Forward, progress: JobProgress, helpers: Helpers
     ) -> Err[Refusal] | None:
         """Return the refusal to pass on, or None if the request may have run."""
         if refusal.ran != ExecutionStatus.NOT_RUN:
-            _record_failure(progress, SendFailure(refusal.kind, refusal.ran, refusal.detail, fault=False))
+            failure = SendFailure(refusal.kind, refusal.ran, refusal.detail, fault=False)
+            _record_failure(progress, failure, forward.attempts if refusal.runs is None else refusal.runs)
             return None
         if refusal.kind in OTHER_CONFIGURATION:
             helpers.record_behind(box, monotonic())
@@ -226,7 +227,8 @@
         )
 
 
-def _record_failure(progress: JobProgress, failure: SendFailure) -> None:
+def _record_failure(progress: JobProgress, failure: SendFailure, runs: int) -> None:
+    """Record that another box may have run a request. runs: all that it was allowed, unless it told."""
     progress.last = failure
     progress.ran = combine_execution_status(progress.ran, failure.ran)
-    progress.runs += 1
+    progress.runs += max(1, runs)
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -328,7 +328,8 @@
 class BoxRefusal(msgspec.Struct, frozen=True):
     """Why another box gave no endpoint's answer.
 
-    retry_after_s: as it told, None if it told nothing. not_listening: it refused the connection.
+    retry_after_s: as it told, None if it told nothing. not_listening: it refused the connection. runs:
+    endpoints at which the request may have run, None if the box did not tell.
     """
 
     kind: ErrorKind
@@ -336,6 +337,7 @@
     detail: str
     retry_after_s: float | None = None
     not_listening: bool = False
+    runs: int | None = None
 
 
 class BoxSender(Protocol):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -19,7 +19,7 @@
 from stairquay.serving.crashes import CrashDetector
 from stairquay.serving.dispatch import Dispatcher
 from stairquay.serving.forwarding import Forwarder
-from stairquay.serving.jobs import Job
+from stairquay.serving.jobs import Job, JobProgress
 from stairquay.serving.origins import OriginTracker
 from stairquay.serving.ports import BoxRefusal
 from stairquay.serving.reach import record_reached, record_unreached
@@ -277,3 +277,29 @@
     dispatcher = Dispatcher(state, None, NoChoice(), CrashDetector(state, None), forwarder, origins)
     ended = asyncio.run(dispatcher.run(job, None))
     assert ended.err_value.kind == ErrorKind.NO_ENDPOINT and not state.lost_services
+
+
+class BoxThatFailed:
+    """Another box that may have run what it was asked for. runs: as it tells, None if it does not."""
+
+    def __init__(self, runs: int | None) -> None:
+        self.runs = runs
+
+    async def send(self, call, body, forward, attempt):
+        attempt.send()
+        attempt.lose()
+        return Err(BoxRefusal(ErrorKind.ENDPOINT_FAILED, attempt.ran, "", runs=self.runs))
+
+
+@pytest.mark.parametrize("told,counted", ((1, 1), (2, 2), (None, 3)))
+def test_runs_at_another_box_count_all_that_it_was_allowed_unless_it_tells(told: int | None, counted: int):
+    """A box that dies after two attempts would be followed by one that is allowed two more."""
+    state = box_state()
+    state.fronts_by_box = {"b-2": "10.0.0.2:1"}
+    route = Route("plain", "svc", "/", (), timeout_s=5.0, max_attempts=3)
+    call, now = Call("call-1", "GET", "svc", "/x", "/x", ()), monotonic()
+    job = Job(call, b"", CATALOG, route, CATALOG.services_by_id["plain"], None, now, now + 5.0)
+    progress = JobProgress()
+    forwarder = Forwarder(state, BoxThatFailed(told), Random(1))
+    assert asyncio.run(forwarder.forward(job, progress, None)) is None
+    assert progress.runs == counted
