Read the list of boxes entry by entry in the three programs

What operators saw: entry, router and control followed neither the list nor the configuration any more, for as long as one odd entry stood in the list: nested too deep, a number in a text's place, an unknown kind. Addresses with a port out of range were kept and used.

Cause: the list was decoded as a whole, and both answers of the platform were dropped where one could not be read. Entries are now taken out of the document without reading them and decoded one by one; an address that is no host and port is left out. One line in 10 s tells of ignored entries.

--- a/stairquay/adapters/platform.py
+++ b/stairquay/adapters/platform.py
@@ -5,13 +5,16 @@
 from urllib.parse import quote
 
 import msgspec
+from absl import logging
 from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout
 from result import Err, Ok, Result
 
 from stairquay.adapters.ports import Changes, Commit, Committed, Conflict, PlatformFault
+from stairquay.core.json_list import split_list
 from stairquay.core.malformed import MALFORMED
-from stairquay.core.models import BoxList
+from stairquay.core.models import Box, BoxList
 from stairquay.core.row import Row
+from stairquay.core.whole_numbers import WholeNumber
 
 T = TypeVar("T")
 
@@ -20,6 +23,18 @@
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 
+LOG_INTERVAL_S = 10
+"""Seconds between two lines about malformed entries: the list may change several times a second."""
+
+MAX_SHOWN_BYTES = 200
+"""Bytes of a malformed entry that are logged."""
+
+
+class WireBoxList(msgspec.Struct):
+    """The list of boxes without its entries. as_of: its version number."""
+
+    as_of: WholeNumber = 0
+
 
 class HttpPlatform:
     """Client of the platform at one base URL; each call ends within `timeout_s` seconds."""
@@ -54,7 +69,7 @@
         reply = await self._call("GET", "/boxes", headers=headers)
         if isinstance(reply, Ok) and reply.ok_value[0] == HTTP_NOT_MODIFIED:
             return Ok(self.cached_boxes)
-        boxes = reply.and_then(lambda response: _decode(response, BoxList))
+        boxes = reply.and_then(_decode_boxes)
         if isinstance(boxes, Ok):
             self.cached_boxes = boxes.ok_value
         return boxes
@@ -88,6 +103,33 @@
         return Err(PlatformFault.UNKNOWN)
 
 
+def _decode_boxes(response: tuple[int, bytes]) -> Result[BoxList, PlatformFault]:
+    """Decode the list of boxes without the entries that are malformed."""
+    status, body = response
+    if status != HTTP_OK:
+        return Err(PlatformFault.UNKNOWN)
+    try:
+        rest, entries = split_list(body, "boxes")
+        as_of = msgspec.json.decode(rest, type=WireBoxList).as_of
+    except (ValueError, *MALFORMED) as error:
+        logging.error("the list of boxes is malformed: %s", error)
+        return Err(PlatformFault.UNKNOWN)
+    boxes = []
+    for entry in entries:
+        try:
+            boxes.append(msgspec.json.decode(entry, type=Box))
+        except MALFORMED as error:
+            shown = entry[:MAX_SHOWN_BYTES]
+            logging.log_every_n_seconds(
+                logging.ERROR,
+                "ignored an entry of the list of boxes: %s, in %r",
+                LOG_INTERVAL_S,
+                error,
+                shown,
+            )
+    return Ok(BoxList(as_of, tuple(boxes)))
+
+
 def _decode_optional(response: tuple[int, bytes], response_type: type[T]) -> Result[T | None, PlatformFault]:
     if response[0] == HTTP_NOT_FOUND:
         return Ok(None)
--- a/stairquay/core/membership.py
+++ b/stairquay/core/membership.py
@@ -5,9 +5,16 @@
 
 from dataclasses import dataclass, field, replace
 
+from stairquay.core.addresses import is_address
 from stairquay.core.models import Box, BoxKind, BoxList, BoxState
 
 
+def _without_invalid_addresses(box: Box) -> Box:
+    """Return a row without the addresses that nobody could connect to."""
+    valid = {role: address for role, address in box.addresses.items() if is_address(address)}
+    return box if len(valid) == len(box.addresses) else replace(box, addresses=valid)
+
+
 def _is_valid(box: Box) -> bool:
     """Tell whether a row can be used; others are dropped, so that one bad row does not stop its readers."""
     return box.kind == BoxKind.STAIRQUAY or "http" in box.addresses
@@ -31,7 +38,8 @@
         """Replace the list if this one is newer; return whether it was."""
         if boxes.as_of <= self.boxes.as_of:
             return False
-        self.boxes = replace(boxes, boxes=tuple(filter(_is_valid, boxes.boxes)))
+        usable = map(_without_invalid_addresses, boxes.boxes)
+        self.boxes = replace(boxes, boxes=tuple(filter(_is_valid, usable)))
         by_id = self.boxes.by_id
         for box_id in list(self.departures_by_id):
             self._drop_stale_departure(box_id, by_id.get(box_id))
--- a/stairquay/platform/feeds.py
+++ b/stairquay/platform/feeds.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from stairquay.core.addresses import is_port
 from stairquay.core.catalog import (
     CallerLimits,
     Catalog,
@@ -44,8 +45,6 @@
 MAX_COLD_S = 60.0
 """Maximum seconds for which an entry may declare its endpoint cold. Starts take seconds."""
 
-MAX_PORT = 65_535
-
 CHECKED_ADDRESSES = 1_024
 """Valid addresses that are remembered, since endpoints write their entries again and again."""
 
@@ -282,7 +281,7 @@
         IPv4Address(host)
     except AddressValueError as error:
         raise ValueError(f"expected an address as IP:port, not {address!r}") from error
-    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+    if not is_port(port):
         raise ValueError(f"expected an address as IP:port, not {address!r}")
 
 
