--- a/stairquay/core/json_list.py
+++ b/stairquay/core/json_list.py
@@ -1,7 +1,7 @@
 """Takes a list out of a JSON document without reading its elements, any of which may be malformed.
 
-A decoder fails as a whole on one element that is nested too deep or no JSON. Where the brackets of an element do
-not match, the rest of the document cannot be told from it.
+A decoder fails as a whole on one element that is nested too deep or no JSON. Where the brackets of an element
+do not match, the rest of the document cannot be told from it.
 """
 
 import re
--- a/stairquay/platform/feeds.py
+++ b/stairquay/platform/feeds.py
@@ -45,6 +45,13 @@
 MAX_COLD_S = 60.0
 """Maximum seconds for which an entry may declare its endpoint cold. Starts take seconds."""
 
+MAX_NAME_CHARS = 200
+"""Maximum length of names in an entry; those of models and data halls are parts of keys, which are no longer.
+All boxes keep the entries and tell each other of them."""
+
+MAX_ERROR_CHARS = 200
+"""Maximum length of what is told of a malformed entry, which may hold the entry's own text."""
+
 CHECKED_ADDRESSES = 1_024
 """Valid addresses that are remembered, since endpoints write their entries again and again."""
 
@@ -241,7 +248,7 @@
             else:
                 present.append(_decode_endpoint(row, text))
         except DECODE_ERRORS as error:
-            unreadable[row.key] = str(error)
+            unreadable[row.key] = str(error)[:MAX_ERROR_CHARS]
             gone.append(row.key)
     return EndpointChanges(rows.ver, whole, tuple(present), tuple(gone), unreadable=unreadable, era=rows.era)
 
@@ -256,6 +263,8 @@
             f"expected born, sequence >= 0 and slots >= 1, not {entry.born}, {entry.sequence}, {entry.slots}"
         )
     _check_address(entry.address)
+    software = "" if entry.version is None else str(entry.version)
+    _check_names(entry.service, entry.zone, software, *(model.name for model in entry.models))
     cold_s = min(MAX_COLD_S, max(0.0, entry.cold_remaining_ms / 1000))
     return Endpoint(
         id=row.key,
@@ -269,10 +278,17 @@
         sequence=entry.sequence,
         cold=cold_s > 0,
         cold_s=cold_s,
-        software="" if entry.version is None else str(entry.version),
+        software=software,
     )
 
 
+def _check_names(*names: str) -> None:
+    """Raise ValueError if a name is too long."""
+    longest = max(names, key=len)
+    if len(longest) > MAX_NAME_CHARS:
+        raise ValueError(f"expected names of up to {MAX_NAME_CHARS} characters, not {len(longest)}")
+
+
 @lru_cache(maxsize=CHECKED_ADDRESSES)
 def _check_address(address: str) -> None:
     """Raise ValueError if an address is not IP:port."""
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -22,6 +22,9 @@
 from stairquay.serving.messages import EndpointsReply, OperatorsReply
 from stairquay.serving.ports import EngineReport
 
+MAX_MESSAGE_BYTES = 4 * 2**20
+"""Largest message that gRPC takes by default."""
+
 VALID_ENTRY = {
     "service": "plain",
     "address": "127.0.0.1:9",
@@ -148,3 +151,14 @@
     """Guards against an error of the box for a number that Python converts only up to some length."""
     assert parse_whole_number(text) is None and parse_scope(f"/m/{text}") is None
     assert parse_whole_number("9" * 18) == 10**18 - 1
+
+
+@pytest.mark.parametrize("field", ("service", "zone", "version", "address", "state", "models"))
+def test_entries_with_long_texts_do_not_fill_the_messages_to_other_boxes(field: str):
+    """Guards against replies above what a message between boxes may be, for the sake of large entries."""
+    text: Any = "x" * 48_000
+    value = [{"name": text, "version": 1}] if field == "models" else text
+    large = {f"x-{number}": json.dumps(VALID_ENTRY | {field: value}).encode() for number in range(500)}
+    changes = endpoint_changes(rows_of("servers", large | {"good": json.dumps(VALID_ENTRY).encode()}), True)
+    assert [item.id for item in changes.present] == ["good"] and changes.unreadable.keys() == large.keys()
+    assert len(msgspec.msgpack.encode(EndpointsReply(changes, 0.1))) < MAX_MESSAGE_BYTES
