Count prompts that were answered well until their engine crashed against a turned part

Cause: a part of many prompts that ended well lately needs twelve crashes, until two prompts with it should have ended well since the first; while engines crash in a row hardly any prompt ends.

Change: a prompt that was sent after the part's first crash and got four events before its own engine crashed counts as half of a good end, since with the part it would have crashed the engine at its first event.

Not played with real boxes.

--- a/stairquay/core/crashes.py
+++ b/stairquay/core/crashes.py
@@ -37,6 +37,10 @@
 which the part does not count as one of many prompts. If it were innocent, the chance of none is 13 %, and it
 has to be at three unexplained crashes all the same."""
 
+PROGRESSED_WEIGHT = 0.5
+"""Weight of a prompt that was answered well until its engine crashed, beside one that ended well: several of
+them are often at the same crash."""
+
 MIN_UNEXPLAINED_CRASHES = 2
 """The same for all others. Two requests that crash endpoints are often at the same one when it crashes; a
 request that only ran beside them was at few crashes without either."""
@@ -104,10 +108,16 @@
     share_by_part: Mapping[str, float] = field(default_factory=dict)
     began_at: Collection[float] = ()
 
-    def min_unexplained(self, part: str, first_crash_at: float) -> int:
-        """Return the unexplained crashes required to quarantine a part. None with it ended well since."""
+    def min_unexplained(self, part: str, first_crash_at: float, progressed_at: Iterable[float] = ()) -> int:
+        """Return the unexplained crashes required to quarantine a part. None with it ended well since.
+
+        progressed_at: when prompts were sent that got so much of their answer, before a crash, that none of
+        their parts crashes engines.
+        """
         share = self.share_by_part[part]
-        missed = share * sum(at > first_crash_at for at in self.began_at)
+        ends = sum(at > first_crash_at for at in self.began_at)
+        progressed = sum(at > first_crash_at for at in progressed_at)
+        missed = share * (ends + PROGRESSED_WEIGHT * progressed)
         is_popular = share >= POPULAR_SHARE and missed < MIN_MISSED_ENDS
         return MIN_UNEXPLAINED_POPULAR if is_popular else MIN_UNEXPLAINED_PROVEN
 
@@ -149,8 +159,16 @@
         for digest, by_incarnation in counted.items()
         if weight(by_incarnation) >= min_crashes(digest)
     }
+    progressed_at = [
+        crash.at - crash.ran_s
+        for digest, by_incarnation in known.items()
+        for crash in by_incarnation.values()
+        if not is_part(digest) and event_count(crash) >= INNOCENT_EVENTS
+    ]
     required = {
-        digest: good_ends.min_unexplained(digest, min(crash.at for crash in by_incarnation.values()))
+        digest: good_ends.min_unexplained(
+            digest, min(crash.at for crash in by_incarnation.values()), progressed_at
+        )
         for digest, by_incarnation in candidates.items()
         if digest in good_ends.share_by_part
     }
--- a/tests/loads/test_parts_that_crash_engines.py
+++ b/tests/loads/test_parts_that_crash_engines.py
@@ -20,7 +20,7 @@
 from stairquay.serving.quarantine import CrashReport, Quarantine
 from tests.states import box_state
 
-FLEETS = {6: 5, 71: 30, 195: 50, 330: 60}
+FLEETS = {3: 5, 6: 5, 71: 30, 195: 50, 330: 60}
 """Engines by the number of boxes."""
 
 PROMPTS_PER_S, BAD_PER_S = 14.0, 3.0
@@ -33,6 +33,9 @@
 BEGINS_AT, ENDS_AT = 10.0, 40.0
 KNOWN_AFTER_S, CRASHES_BORNE, MAX_LATE = 3.0, 5, 3
 FIRST_PARTS, SUBJECTS = 4, 60
+HALF_SHARE = 0.5
+FEW_PROMPTS_PER_S = 3.2
+"""Sound prompts per engine where engines are mostly idle."""
 
 MAX_REFUSED_SHARE = 0.02
 """Largest share of sound prompts with the first part of bad ones that may be refused."""
@@ -69,6 +72,7 @@
     ) -> None:
         """Prepare a fleet. turn: the parts are sound at first. leave: callers leave after the first event."""
         self.turn, self.leave = turn, leave
+        self.prompts_per_s, self.half = PROMPTS_PER_S, ""
         self.random, self.sequence, self.now = Random(seed), count(), 0.0
         self.boxes = [box_state(f"b-{number}").quarantine for number in range(boxes)]
         self.engines = [Engine() for _ in range(FLEETS[boxes])]
@@ -93,10 +97,13 @@
         heappush(self.queue, (self.now + delay_s, next(self.sequence), callback))
 
     def _send_sound(self) -> None:
-        self._after(self.random.expovariate(PROMPTS_PER_S * len(self.engines)), self._send_sound)
+        self._after(self.random.expovariate(self.prompts_per_s * len(self.engines)), self._send_sound)
         first = self.random.randrange(FIRST_PARTS)
         subject = min(self.random.randrange(SUBJECTS) for _ in range(2))
-        refused = self._send(f"s-{next(self.sequence)}", (f"f-{first}", f"q-{first}-{subject}"))
+        parts = [f"f-{first}", f"q-{first}-{subject}"]
+        if self.half and self.now < BEGINS_AT and self.random.random() < HALF_SHARE:
+            parts.append(self.half)
+        refused = self._send(f"s-{next(self.sequence)}", tuple(parts))
         if self.now > BEGINS_AT + 2 * KNOWN_AFTER_S and first < len(self.bad_parts):
             self.sound += 1
             self.refused += refused
@@ -253,3 +260,19 @@
     monkeypatch.setattr(quarantine_module, "monotonic", lambda: played.now)
     played.run()
     assert not all_quarantined(played.boxes)
+
+
+@pytest.mark.parametrize("prompts_per_s", (PROMPTS_PER_S, FEW_PROMPTS_PER_S))
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("boxes", (3, 6, 71))
+def test_a_part_of_half_of_the_prompts_that_crashes_engines_from_now_on_is_known(
+    boxes, seed, prompts_per_s, monkeypatch
+):
+    """Guards against a part that counts as innocent because many prompts with it ended well before."""
+    played = Simulation(boxes, ("bad",), seed, turn=True)
+    played.prompts_per_s, played.half = prompts_per_s, "bad"
+    monkeypatch.setattr(quarantine_module, "monotonic", lambda: played.now)
+    played.run()
+    assert played.late("bad") <= MAX_LATE
+    assert played.refused <= MAX_REFUSED_SHARE * played.sound
+    assert part_digest("bad") in all_quarantined(played.boxes)
