--- a/features/operators.feature
+++ b/features/operators.feature
@@ -14,6 +14,16 @@
     When an operator runs: stairquay status
     Then the command succeeds and shows "box-1            entry    revision"
 
+  Scenario: An odd entry in the list of boxes
+    Given a system of 1 boxes, 2 engines, 0 stores and 0 plain endpoints
+    When the platform has the fault odd_entry = "{\"id\": 1e400, \"kind\": [[]], \"addresses\": {\"http\": \"10.0.0.1:70000\"}}"
+    And 1.5 seconds pass
+    And an operator runs: stairquay intent swap.json
+    And the operator confirms that plan
+    Then all engines run version v2 within 10 s
+    When an operator runs: stairquay status
+    Then the command succeeds and shows "box-1            entry    revision"
+
   Scenario: Every mistake in an intent is listed
     Given a system of 1 boxes, 1 engines, 0 stores and 0 plain endpoints
     When an operator runs: stairquay intent wrong.json
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -31,6 +31,8 @@
     lose_answers: int = 0
     refuse_before_effect: int = 0
     list_lag_s: float = 0.0
+    odd_entry: str = ""
+    """Stands in the list of boxes as another writer left it."""
 
 
 @dataclass
@@ -138,10 +140,15 @@
         self.calls["reads"] += 1
         visible_at = time.monotonic() - self.faults.list_lag_s
         listed = [item for at, item in self.lists if at <= visible_at][-1]
-        tag = f'"{listed.as_of}"'
+        odd = self.faults.odd_entry
+        tag = f'"{listed.as_of}{" odd" if odd else ""}"'
         if request.headers.get("If-None-Match") == tag:
             return web.Response(status=304)
-        return reply(listed, ETag=tag)
+        if not odd:
+            return reply(listed, ETag=tag)
+        entries = [msgspec.json.encode(box).decode() for box in listed.boxes]
+        text = f'{{"as_of": {listed.as_of}, "boxes": [{", ".join([*entries, odd])}]}}'
+        return web.Response(text=text, content_type="application/json", headers={"ETag": tag})
 
     async def put_box(self, request: web.Request) -> web.Response:
         box = msgspec.json.decode(await request.read(), type=Box)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Odd entries in the list of endpoints, at boxes that read it or ask others, and operators' commands."""
 
 import asyncio
+import io
 import json
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
@@ -8,7 +9,9 @@
 from itertools import count
 from typing import Any
 
+from stairquay.cli import main
 from stairquay.core.routers import FOLLOWER_COUNT, Member, pick_followers, pick_routers
+from stairquay.environment import Environment
 from stairquay.serving.boxes import KEY_PREFIX
 from stairquay.status import ExitStatus
 from tests.many_boxes import several_boxes
@@ -137,6 +140,14 @@
     return all(answer.status == 200 for answer in answers)
 
 
+def explained(call_id: str, boxes: list[Site]) -> tuple[ExitStatus, str, str]:
+    """Return what `stairquay explain` prints from the boxes' logs."""
+    text = "\n".join(json.dumps(line) for box in boxes for line in box.log_lines)
+    out, err = io.StringIO(), io.StringIO()
+    status = main(["explain", call_id], Environment(io.StringIO(text), out, err, {}))
+    return status, out.getvalue(), err.getvalue()
+
+
 async def scenario(entries: list[bytes]) -> None:
     async with several_boxes(BOXES, engines=2) as boxes:
         late = LateServices(boxes[0])
@@ -158,6 +169,8 @@
                 assert status in (ExitStatus.SUCCESS, ExitStatus.BEHIND) and "boxes:" in out, (status, error)
                 for box in boxes:
                     assert not box.logged("part_failed"), box.logged("part_failed")
+                status, out, error = explained("call-1", boxes)
+                assert status == ExitStatus.SUCCESS and "call-1" in out, (status, out, error)
         finally:
             await late.close()
 
