Let unread repeats count for a minute at most

Found on reading the change: repeats at an endpoint that a box reaches no more, or whose process ended unseen, were never read and took of its retry budget for as long as the endpoint was listed; with few requests that is all of its slack. They count for 60 s now. A malformed list of boxes is logged once in 10 s, like its entries; _sent has a telling name.

--- a/stairquay/adapters/platform.py
+++ b/stairquay/adapters/platform.py
@@ -24,7 +24,7 @@
 HTTP_CONFLICT = 409
 
 LOG_INTERVAL_S = 10
-"""Seconds between two lines about malformed entries: the list may change several times a second."""
+"""Seconds between two lines about a malformed list or entry: it is read several times a second."""
 
 MAX_SHOWN_BYTES = 200
 """Bytes of a malformed entry that are logged."""
@@ -112,7 +112,9 @@
         rest, entries = split_list(body, "boxes")
         as_of = msgspec.json.decode(rest, type=WireBoxList).as_of
     except (ValueError, *MALFORMED) as error:
-        logging.error("the list of boxes is malformed: %s", error)
+        logging.log_every_n_seconds(
+            logging.ERROR, "the list of boxes is malformed: %s", LOG_INTERVAL_S, error
+        )
         return Err(PlatformFault.UNKNOWN)
     boxes = []
     for entry in entries:
--- a/stairquay/core/json_list.py
+++ b/stairquay/core/json_list.py
@@ -19,6 +19,7 @@
     name = f'"{field}"'.encode()
     depth, last_text, begins_at = 0, b"", 0
     element_at, elements = 0, list[bytes]()
+    # Of the document only texts, brackets and commas are looked at, and where they are.
     for token in TOKEN_PATTERN.finditer(document):
         text = token[0]
         if text in b"[{":
--- a/stairquay/core/silence.py
+++ b/stairquay/core/silence.py
@@ -10,6 +10,10 @@
 """Seconds without any answer after which an endpoint counts as silent. All its requests together are answered
 many times in half a second, unless each of them takes longer."""
 
+UNREAD_TTL_S = 60.0
+"""Seconds for which an unanswered repeat counts as one that may still be read. Where its process or link has
+ended, which is not always seen, it is lost, and would take of the retry budget for ever."""
+
 
 @dataclass
 class Silence:
@@ -29,7 +33,7 @@
         if self.since is None:
             self.since = now
         if is_repeat:
-            self.repeats.append(now)
+            self.repeats = [*self.unread_repeats(now), now]
 
     def on_answered(self, now: float) -> "Silence | None":
         """Record the first byte of an answer, or the end of its connection. Return the silence that it ended.
@@ -37,9 +41,11 @@
         What has arrived until then is being read as well.
         """
         self.waiting -= 1
-        ended = replace(self) if self.lasts_s(now) > SILENT_AFTER_S else None
+        ended = None
+        if self.lasts_s(now) > SILENT_AFTER_S:
+            ended = replace(self, repeats=self.unread_repeats(now))
         self.since = now if self.waiting else None
-        self.repeats = []
+        self.repeats.clear()
         return ended
 
     def on_given_up(self) -> None:
@@ -54,6 +60,10 @@
         if sent_at in self.repeats:
             self.repeats.remove(sent_at)
 
+    def unread_repeats(self, now: float) -> list[float]:
+        """Return when repeats were sent that may still be read."""
+        return [at for at in self.repeats if now - at < UNREAD_TTL_S]
+
     def is_probed(self, now: float) -> bool:
         """Tell whether a request waits at a silent endpoint, so that no further one is needed to try it."""
         return self.waiting > 0 and self.lasts_s(now) > SILENT_AFTER_S
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -253,7 +253,7 @@
         record_sent(self.state, job, choice, progress)
         endpoint_state.silence.on_sent(started_attempt.sent_at, progress.last is not None)
         try:
-            sent = await self._sent(job, started_attempt, progress)
+            sent = await self._send_and_record(job, started_attempt, progress)
             self._record_reach(started_attempt, sent)
             self._apply_feedback(started_attempt, sent)
             surplus = sent.err_value.surplus if isinstance(sent, Err) else sent.ok_value.surplus
@@ -271,7 +271,7 @@
             endpoint_state.in_flight -= not counted_by_local_router
             endpoint_state.waiting_tokens_by_job.pop(job.number, None)
 
-    async def _sent(
+    async def _send_and_record(
         self, job: Job, started_attempt: StartedAttempt, progress: JobProgress
     ) -> Result[Reply, SendFailure]:
         """Send a request, and record whether its endpoint answers."""
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -478,7 +478,7 @@
             at
             for endpoint in self.fleet.by_id.values()
             if endpoint.service == service
-            for at in self.endpoint_state(endpoint).silence.repeats
+            for at in self.endpoint_state(endpoint).silence.unread_repeats(now)
         )
         return self.retry_budget(service).take(now, len(self.boxes), self.known_boxes_for_s(now), unread)
 
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -8,7 +8,7 @@
 from stairquay.core.budget import RetryAllowance, WindowedRetryBudget
 from stairquay.core.catalog import ServiceSpec
 from stairquay.core.fleet import Endpoint
-from stairquay.core.silence import SILENT_AFTER_S, Silence
+from stairquay.core.silence import SILENT_AFTER_S, UNREAD_TTL_S, Silence
 from stairquay.serving.endpoint_choice import ChoiceRequest, choose_endpoint
 from stairquay.serving.state import BoxState
 from tests.site import eventually, site
@@ -84,6 +84,14 @@
     assert silence == Silence()
 
 
+def test_repeats_that_are_never_read_count_for_a_limited_time():
+    """Repeats at an endpoint that nobody reaches any more would take of the retry budget for ever."""
+    silence = Silence()
+    silence.on_sent(1.0, True)
+    assert silence.unread_repeats(UNREAD_TTL_S) == [1.0]
+    assert silence.unread_repeats(2.0 + UNREAD_TTL_S) == []
+
+
 def test_repeats_that_no_endpoint_has_read_count_in_each_window():
     """An endpoint that goes on reads the repeats of earlier windows together with the new ones."""
     budget = WindowedRetryBudget(ALLOWANCE)
