Count repeats and set the budget's bounds in one place for all tests of retries

The soak of retries wrote again what two tests had: the loop that finds arrivals beyond the first, and the settings of an allowance (also in two tests). tests/retries.py has both now; times and bounds are unchanged, the arrivals are sorted by the one function. A copy of an endpoint with other fields is made directly.

--- a/tests/soak_retries.py
+++ b/tests/soak_retries.py
@@ -22,6 +22,7 @@
 from stairquay.serving.boxes import HEARTBEAT_INTERVAL_S
 from tests.cut_box import CutKind, write_cut
 from tests.many_boxes import several_boxes
+from tests.retries import beyond_the_first, budget_bounds
 from tests.site import HOST, KEY, MODEL, Site, box_rows, eventually, route
 from tests.soak_command import run_soak
 from tests.standins.endpoint_process import Arrival, EndpointProcess, Trouble
@@ -279,13 +280,9 @@
     def window_of(self, service: str) -> Window:
         """Return the window in which a service's repeats come closest to what is allowed."""
         of_service = [item for item in self.endpoints if item.endpoint.service == service]
-        arrivals = sorted((arrival.at, arrival.id) for item in of_service for arrival in item.arrivals)
-        seen: set[str] = set()
-        repeats = []
-        for at, call_id in arrivals:
-            if call_id in seen:
-                repeats.append(at)
-            seen.add(call_id)
+        repeats = beyond_the_first(
+            (arrival.at, arrival.id) for item in of_service for arrival in item.arrivals
+        )
         sent_at = [at for path, at in self.callers.sent if SERVICE_BY_PATH[path] == service]
         self.outcome.requests[service], self.outcome.repeats[service] = len(sent_at), len(repeats)
         return fullest_window(ServiceLoad(sent_at, repeats), self.allowance)
@@ -369,11 +366,7 @@
 
 
 async def soak(seed: int, seconds: float, allowance: RetryAllowance = USUAL_ALLOWANCE) -> Outcome:
-    bounds = {
-        "retry_budget_ratio": allowance.ratio,
-        "budget_window_s": allowance.window_s,
-        "budget_slack": allowance.slack,
-    }
+    bounds = budget_bounds(allowance)
     async with several_boxes(BOXES, module="tests.cut_box", engines=0, bounds=bounds) as boxes:
         endpoints = await start_endpoints(boxes)
         try:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,7 +5,6 @@
 import json
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
-from dataclasses import replace
 from itertools import count
 from typing import Any
 
@@ -102,7 +101,7 @@
         """Return the path of a new service."""
         version = next(self.numbers)
         name = f"late-{version}"
-        endpoint = replace(Endpoint(), id=name, service=name)
+        endpoint = Endpoint(id=name, service=name)
         await endpoint.start()
         self.endpoints.append(endpoint)
         self.here.table.put("servers", name, endpoint.entry())
--- a/tests/test_retries_at_stopped_endpoints.py
+++ b/tests/test_retries_at_stopped_endpoints.py
@@ -9,6 +9,7 @@
 from stairquay.core.budget import RetryAllowance
 from stairquay.serving.boxes import HEARTBEAT_INTERVAL_S
 from tests.many_boxes import several_boxes
+from tests.retries import budget_bounds
 from tests.site import box_rows, eventually
 from tests.soak_retries import BOXES, PATHS_BY_SERVICE, Outcome, Soak, start_endpoints
 from tests.standins.endpoint_process import Trouble
@@ -16,11 +17,7 @@
 ALLOWANCE = RetryAllowance(0.1, 26, 5)
 """Half of the smallest deployments' bounds, each, so that a case stays short."""
 
-BOUNDS = {
-    "retry_budget_ratio": ALLOWANCE.ratio,
-    "budget_window_s": ALLOWANCE.window_s,
-    "budget_slack": ALLOWANCE.slack,
-}
+BOUNDS = budget_bounds(ALLOWANCE)
 STOPPED_S = 15.0
 PRESSED_S = 5.0
 PER_S = 100.0
--- a/tests/test_retries_of_several_boxes.py
+++ b/tests/test_retries_of_several_boxes.py
@@ -1,7 +1,6 @@
 """Retries of real boxes, counted at the endpoints, where requests are passed on and connections break."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -11,16 +10,13 @@
 from stairquay.serving.boxes import HEARTBEAT_INTERVAL_S
 from tests.cut_box import CutKind
 from tests.many_boxes import several_boxes
+from tests.retries import beyond_the_first, budget_bounds
 from tests.site import Site, box_rows, eventually
 from tests.test_cut_from_endpoints import cut
 
 BOXES = 4
 ALLOWANCE = RetryAllowance(0.2, 24, 4)
-BOUNDS = {
-    "retry_budget_ratio": ALLOWANCE.ratio,
-    "budget_window_s": ALLOWANCE.window_s,
-    "budget_slack": ALLOWANCE.slack,
-}
+BOUNDS = budget_bounds(ALLOWANCE)
 PRESSED_S = 8.0
 PAUSE_S = 0.02
 MIN_USED_SHARE = 0.2
@@ -67,14 +63,7 @@
 
 def repeat_times(boxes: list[Site]) -> list[float]:
     """Return when requests arrived at endpoints that had arrived before."""
-    arrivals = sorted(arrival for endpoint in boxes[0].endpoints for arrival in endpoint.arrivals)
-    seen: Counter[str] = Counter()
-    times = []
-    for at, call_id in arrivals:
-        if seen[call_id]:
-            times.append(at)
-        seen[call_id] += 1
-    return times
+    return beyond_the_first(arrival for endpoint in boxes[0].endpoints for arrival in endpoint.arrivals)
 
 
 @pytest.mark.parametrize("disturb", (two_boxes_are_cut_off, links_hang))
--- a/tests/test_retries_of_surplus_answers.py
+++ b/tests/test_retries_of_surplus_answers.py
@@ -16,17 +16,14 @@
 from stairquay.serving.boxes import HEARTBEAT_INTERVAL_S, KEY_PREFIX
 from tests.cut_box import CutKind, write_cut
 from tests.many_boxes import several_boxes
+from tests.retries import beyond_the_first, budget_bounds
 from tests.site import HOST, KEY, MODEL, Site, box_rows, eventually
 
 BOXES = 6
 ALLOWANCE = RetryAllowance(0.1, 26, 5)
 """Half of the smallest deployments' bounds, each, so that a case stays short."""
 
-BOUNDS = {
-    "retry_budget_ratio": ALLOWANCE.ratio,
-    "budget_window_s": ALLOWANCE.window_s,
-    "budget_slack": ALLOWANCE.slack,
-}
+BOUNDS = budget_bounds(ALLOWANCE)
 QUIET_S = 5.0
 PRESSED_S = 9.0
 BOX_START_S = 2.0
@@ -262,20 +259,10 @@
         await disturb(boxes)
         pressing.cancel()
         await asyncio.gather(pressing, return_exceptions=True)
-        arrivals = sorted(arrival for endpoint in endpoints for arrival in endpoint.arrivals)
+        arrivals = (arrival for endpoint in endpoints for arrival in endpoint.arrivals)
         return ServiceLoad(callers.sent_at, beyond_the_first(arrivals))
 
 
-def beyond_the_first(arrivals: list[tuple[float, str]]) -> list[float]:
-    """Return when requests arrived that had arrived before."""
-    seen, times = set(), []
-    for at, call_id in arrivals:
-        if call_id in seen:
-            times.append(at)
-        seen.add(call_id)
-    return times
-
-
 CASES = (
     ("repeat with id", boxes_are_killed),
     ("repeat without id", boxes_stop_in_turn),
