Log each step of a box's shutdown, and how long a request waited before it was sent

No line told when the stop signal came, what requests waited for, or which step of the end was reached. Lines stop have a step each now (stopping, refusing, closing, closed), with the requests in progress, those of them at endpoints, and the seconds since the signal came: its time is taken in the signal's handler, since a busy event loop handles it later. Lines sent tell how long the request had waited. No decision changes.

--- a/stairquay/adapters/program.py
+++ b/stairquay/adapters/program.py
@@ -5,11 +5,14 @@
 import signal
 import ssl
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
 from logging import getLogger
+from types import FrameType
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from aiohttp import web
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.early_signals import has_arrived
 
 if TYPE_CHECKING:
@@ -70,6 +73,34 @@
     return caught
 
 
+@dataclass
+class StopSignal:
+    """The first stop signal. at: when it came (monotonic seconds), None before. handled: set soon after."""
+
+    at: float | None = None
+    handled: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+def catch_stop_signal() -> StopSignal:
+    """Return the first stop signal to come, with its time: a busy event loop handles it much later.
+
+    One that came while the program started counts from now on.
+    """
+    loop = asyncio.get_running_loop()
+    stop = StopSignal()
+
+    def on_signal(_: int, __: FrameType | None) -> None:
+        if stop.at is None:
+            stop.at = monotonic()
+        loop.call_soon_threadsafe(stop.handled.set)
+
+    for number in STOP_SIGNALS:
+        signal.signal(number, on_signal)
+        if has_arrived(number):
+            on_signal(number, None)
+    return stop
+
+
 async def wait_for_stop(tasks: BackgroundTasks, stopped: asyncio.Event | None = None) -> None:
     """Wait for a stop signal, or the event that one sets; raise the error of a background task that fails."""
     stopped = stopped or catch_signals(*STOP_SIGNALS)
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -14,10 +14,10 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.early_answer import EarlyAnswerRunner
 from stairquay.adapters.program import (
-    STOP_SIGNALS,
     BackgroundTasks,
     being_cancelled,
     catch_signals,
+    catch_stop_signal,
     listen,
     start_site,
     wait_for_stop,
@@ -84,7 +84,7 @@
     load: reads the settings, called on SIGHUP and periodically.
     """
     # Before anything listens: a request that was accepted is finished.
-    stopped = catch_signals(*STOP_SIGNALS)
+    stop = catch_stop_signal()
     log = EventLog(settings.id)
     state = BoxState(settings, log)
     state.boxes = (settings.id,)
@@ -110,11 +110,13 @@
         tasks.start(run_with_restarts(state, name, task_function))
     log.line(LogEvent.START, front=settings.front, data_hall=settings.data_hall)
     runners = await _listen_all(state, front, surroundings.ready_path)
-    await wait_for_stop(tasks, stopped)
-    await _drain(state)
+    await wait_for_stop(tasks, stop.handled)
+    assert stop.at is not None
+    await _drain(state, stop.at)
+    _log_stop(state, "closing", stop.at)
     for runner in runners:
         await runner.cleanup()
-    log.line(LogEvent.STOP, in_flight=state.in_flight)
+    _log_stop(state, "closed", stop.at)
     log.flush()
     await tasks.cancel()
     await links.close_others(())
@@ -288,13 +290,22 @@
         metrics.backoffs.labels(name).set(backoff_s)
 
 
-async def _drain(state: BoxState) -> None:
+async def _drain(state: BoxState, signalled_at: float) -> None:
     """Report unready, serve until the load balancer has noticed, then finish the requests in progress."""
     state.stopping = True
     state.changed.notify_all()
-    state.log.line(LogEvent.STOP, outcome="stopping", in_flight=state.in_flight)
+    _log_stop(state, "stopping", signalled_at)
     await asyncio.sleep(LAME_DUCK_S)
     state.refusing = True
-    state.log.line(LogEvent.STOP, outcome="refusing", in_flight=state.in_flight)
+    _log_stop(state, "refusing", signalled_at)
     remaining_s = max(0.0, state.settings.stop_s - LAME_DUCK_S - 2 * CLOSE_TIMEOUT_S)
     await wait_until(lambda: state.in_flight == 0, remaining_s)
+
+
+def _log_stop(state: BoxState, step: str, signalled_at: float) -> None:
+    """Log a step of the shutdown, with the requests in progress and those of them at endpoints."""
+    at_endpoints = sum(item.in_flight for item in state.endpoints_by_id.values())
+    after_s = monotonic() - signalled_at
+    state.log.line(
+        LogEvent.STOP, outcome=step, in_flight=state.in_flight, at_endpoints=at_endpoints, after_s=after_s
+    )
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -37,12 +37,14 @@
     if state.load.is_busy and not progress.tried:
         state.log.leave_out(LogEvent.SENT)
         return
+    now = monotonic()
     fields: dict[str, object] = {
         "endpoint": choice.endpoint.id,
         "address": choice.endpoint.address,
         "service": job.service.id,
         "attempt": len(progress.tried) + 1,
-        "left_s": job.deadline - monotonic(),
+        "waited_s": now - job.arrived_at,
+        "left_s": job.deadline - now,
         "view_age_s": state.view_age(),
         "configuration": job.catalog.version,
         "in_flight": state.endpoint_state(choice.endpoint).in_flight,
