Answer all requests in progress before a stopping box ends, and let it end by itself

Cause: the steps of the end added up to the whole grace time. Waiting ended 1.2 s before it; the HTTP server then waited twice 0.6 s for any handler that went on, and nothing after that was reached.

One design: core/shutdown.py says when requests are refused, answered and when the process ends, from the time of the signal. 0.8 s before the end of the grace time each request in progress is ended where it waits, and gets 503 stopping if no endpoint can have it, else 502 stopped (new kind); a stream that has begun is broken off. Answers are written by the handler, so that the box waits for that too. A timer ends the process 0.15 s before SIGKILL whatever else hangs.

--- a/stairquay/adapters/program.py
+++ b/stairquay/adapters/program.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import faulthandler
+import os
 import signal
 import ssl
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
 from logging import getLogger
 from types import FrameType
 from typing import TYPE_CHECKING, Any, TypeVar
@@ -26,6 +26,9 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 STACKS_SIGNAL = signal.SIGUSR1
 
+MIN_TIMER_S = 0.001
+"""A timer of 0 s would be none."""
+
 
 def write_stacks_on_signal() -> None:
     """Write the stacks of all threads to standard error on STACKS_SIGNAL, also while the event loop hangs."""
@@ -73,32 +76,34 @@
     return caught
 
 
-@dataclass
-class StopSignal:
-    """The first stop signal. at: when it came (monotonic seconds), None before. handled: set soon after."""
-
-    at: float | None = None
-    handled: asyncio.Event = field(default_factory=asyncio.Event)
-
-
-def catch_stop_signal() -> StopSignal:
-    """Return the first stop signal to come, with its time: a busy event loop handles it much later.
+def catch_stop_signals(on_stop: Callable[[float], None]) -> asyncio.Event:
+    """Return an event that the event loop sets after a stop signal, also one that came during the start.
 
-    One that came while the program started counts from now on.
+    on_stop: called with the time of each signal (monotonic seconds) between any two instructions, at once,
+    where a busy event loop handles the signal much later.
     """
     loop = asyncio.get_running_loop()
-    stop = StopSignal()
+    handled = asyncio.Event()
 
     def on_signal(_: int, __: FrameType | None) -> None:
-        if stop.at is None:
-            stop.at = monotonic()
-        loop.call_soon_threadsafe(stop.handled.set)
+        on_stop(monotonic())
+        loop.call_soon_threadsafe(handled.set)
 
     for number in STOP_SIGNALS:
         signal.signal(number, on_signal)
         if has_arrived(number):
             on_signal(number, None)
-    return stop
+    return handled
+
+
+def exit_at(at: float) -> None:
+    """End the process at a time (monotonic seconds), whatever its event loop is doing then."""
+    signal.signal(signal.SIGALRM, _exit)
+    signal.setitimer(signal.ITIMER_REAL, max(MIN_TIMER_S, at - monotonic()))
+
+
+def _exit(_: int, __: FrameType | None) -> None:
+    os._exit(0)
 
 
 async def wait_for_stop(tasks: BackgroundTasks, stopped: asyncio.Event | None = None) -> None:
--- a/stairquay/core/attempt.py
+++ b/stairquay/core/attempt.py
@@ -92,6 +92,11 @@
         """Return whether the request ran, as far as is known."""
         return RAN_BY_STATE[self.state]
 
+    @property
+    def is_running(self) -> bool:
+        """Return whether the request was sent, and neither answered in full nor lost."""
+        return self.state in (AttemptState.SENT, AttemptState.ANSWERING)
+
     def _trigger(self, name: str) -> bool:
         """Go to the next state. Raises MachineError if the current one has no such transition."""
         following = _NEXT_STATE.get((name, self.state))
--- a/stairquay/core/errors.py
+++ b/stairquay/core/errors.py
@@ -29,6 +29,7 @@
     RATE_LIMITED = "rate_limited"
     OVERLOADED = "overloaded"
     STOPPING = "stopping"
+    STOPPED = "stopped"
     NOT_READY = "not_ready"
     OLDER_CONFIGURATION = "older_configuration"
     NO_ENDPOINT = "no_endpoint"
@@ -91,6 +92,9 @@
         503, "overloaded_error", "The service is at its capacity", retry=True
     ),
     ErrorKind.STOPPING: ErrorResponse(503, SERVER_ERROR, "This box is stopping", retry=True),
+    ErrorKind.STOPPED: ErrorResponse(
+        502, SERVER_ERROR, "This box stopped before the endpoint's answer was complete", retry=True
+    ),
     ErrorKind.NOT_READY: ErrorResponse(
         503, SERVER_ERROR, "This box has no current configuration", retry=True
     ),
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -17,7 +17,8 @@
     BackgroundTasks,
     being_cancelled,
     catch_signals,
-    catch_stop_signal,
+    catch_stop_signals,
+    exit_at,
     listen,
     start_site,
     wait_for_stop,
@@ -56,16 +57,15 @@
 KEEP_ALIVE_S = 120.0
 """Idle timeout of callers' connections, longer than callers usually leave one idle."""
 
-LAME_DUCK_S = 2.7
-"""Seconds for which new requests are served after the stop signal: the load balancer checks readiness once a
-second and stops sending after two failures. Callers keep using open connections, so without this end the last
-requests would be cut off."""
-
 RESTART_DELAY_S = 0.5
 """Seconds before a failed background task is restarted."""
 
-CLOSE_TIMEOUT_S = 0.6
-"""Seconds for closing connections at shutdown."""
+WRITE_TIMEOUT_S = 0.25
+"""Seconds for writing the answers to requests that the shutdown ends."""
+
+CLOSE_TIMEOUT_S = 0.1
+"""Seconds for which the HTTP server waits for its handlers at shutdown, and again once it has cancelled what
+they read."""
 
 MAX_FIELD_BYTES = 32_768
 """Maximum size of a header field and of the request line."""
@@ -83,10 +83,10 @@
 
     load: reads the settings, called on SIGHUP and periodically.
     """
-    # Before anything listens: a request that was accepted is finished.
-    stop = catch_stop_signal()
     log = EventLog(settings.id)
     state = BoxState(settings, log)
+    # Before anything listens: a request that was accepted is finished.
+    stopped = catch_stop_signals(state.begin_shutdown)
     state.boxes = (settings.id,)
     state.load.readiness.jitter = random.random()
     surroundings = open_surroundings()
@@ -110,13 +110,10 @@
         tasks.start(run_with_restarts(state, name, task_function))
     log.line(LogEvent.START, front=settings.front, data_hall=settings.data_hall)
     runners = await _listen_all(state, front, surroundings.ready_path)
-    await wait_for_stop(tasks, stop.handled)
-    assert stop.at is not None
-    await _drain(state, stop.at)
-    _log_stop(state, "closing", stop.at)
-    for runner in runners:
-        await runner.cleanup()
-    _log_stop(state, "closed", stop.at)
+    await wait_for_stop(tasks, stopped)
+    await _drain(state)
+    await asyncio.gather(*(runner.cleanup() for runner in runners))
+    _log_stop(state, "closed")
     log.flush()
     await tasks.cancel()
     await links.close_others(())
@@ -246,7 +243,7 @@
 
     app = web.Application()
     app.router.add_get(path, ready)
-    return await listen(app, state.settings.readiness)
+    return await listen(app, state.settings.readiness, shutdown_timeout=CLOSE_TIMEOUT_S)
 
 
 async def _listen_metrics(state: BoxState) -> web.AppRunner:
@@ -261,7 +258,8 @@
 
     app = web.Application()
     app.router.add_get("/metrics", scrape)
-    return await listen(app, f"{state.settings.ip}:{state.settings.metrics_port}")
+    address = f"{state.settings.ip}:{state.settings.metrics_port}"
+    return await listen(app, address, shutdown_timeout=CLOSE_TIMEOUT_S)
 
 
 def _update_endpoint_metrics(state: BoxState) -> None:
@@ -290,22 +288,31 @@
         metrics.backoffs.labels(name).set(backoff_s)
 
 
-async def _drain(state: BoxState, signalled_at: float) -> None:
+async def _drain(state: BoxState) -> None:
     """Report unready, serve until the load balancer has noticed, then finish the requests in progress."""
-    state.stopping = True
+    times = state.shutdown.times
+    assert times is not None
+    exit_at(times.exit_by)
     state.changed.notify_all()
-    _log_stop(state, "stopping", signalled_at)
-    await asyncio.sleep(LAME_DUCK_S)
-    state.refusing = True
-    _log_stop(state, "refusing", signalled_at)
-    remaining_s = max(0.0, state.settings.stop_s - LAME_DUCK_S - 2 * CLOSE_TIMEOUT_S)
-    await wait_until(lambda: state.in_flight == 0, remaining_s)
-
-
-def _log_stop(state: BoxState, step: str, signalled_at: float) -> None:
+    _log_stop(state, "stopping")
+    await asyncio.sleep(times.refuse_at - monotonic())
+    _log_stop(state, "refusing")
+    await wait_until(lambda: state.in_flight == 0, times.answer_by - monotonic())
+    if state.in_flight:
+        _log_stop(state, "answering")
+        state.shutdown.end_all()
+        await wait_until(lambda: state.in_flight == 0, WRITE_TIMEOUT_S)
+    _log_stop(state, "closing")
+
+
+def _log_stop(state: BoxState, step: str) -> None:
     """Log a step of the shutdown, with the requests in progress and those of them at endpoints."""
-    at_endpoints = sum(item.in_flight for item in state.endpoints_by_id.values())
-    after_s = monotonic() - signalled_at
+    times = state.shutdown.times
+    assert times is not None
     state.log.line(
-        LogEvent.STOP, outcome=step, in_flight=state.in_flight, at_endpoints=at_endpoints, after_s=after_s
+        LogEvent.STOP,
+        outcome=step,
+        in_flight=state.in_flight,
+        at_endpoints=sum(item.in_flight for item in state.endpoints_by_id.values()),
+        left_s=times.exit_by - monotonic(),
     )
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -40,6 +40,7 @@
     no_room,
     overloaded,
     reconcile_status,
+    stopping,
 )
 from stairquay.serving.relay import (
     abort_connection,
@@ -47,6 +48,7 @@
     is_event_stream,
     relay_or_read,
 )
+from stairquay.serving.shutdown import PendingRequest
 from stairquay.serving.silent_endpoints import record_result
 from stairquay.serving.state import BoxState
 from stairquay.serving.statements import apply_feedback, is_backing_off, record_probe
@@ -93,8 +95,22 @@
         self.origins = origins
 
     async def run(self, job: Job, request: web.BaseRequest) -> Result[web.StreamResponse, Refusal]:
-        """Run a job to its end. Return the response, already sent if it is a stream, or a refusal."""
+        """Run a job to its end, or to that of this box. Return the response, already sent if it is a stream,
+        or a refusal."""
         progress = JobProgress()
+        pending = PendingRequest(self.state.shutdown, job.deadline, progress.is_passed_on)
+        try:
+            async with pending:
+                return await self._run(job, progress, request)
+        except TimeoutError:
+            if not pending.was_ended:
+                raise
+            progress.break_off()
+            return self._give_up(job, progress, stopping(progress.ran), request)
+
+    async def _run(
+        self, job: Job, progress: JobProgress, request: web.BaseRequest
+    ) -> Result[web.StreamResponse, Refusal]:
         # First of all, since the service that the request counts for follows from it.
         unknown = await self.origins.resolve(job, progress)
         job = at_origin(job, progress)
@@ -252,6 +268,7 @@
         record_probe(endpoint_state, started_attempt.sent_at)
         record_sent(self.state, job, choice, progress)
         endpoint_state.silence.on_sent(started_attempt.sent_at, progress.last is not None)
+        progress.attempt = attempt
         try:
             sent = await self._send_and_record(job, started_attempt, progress)
             self._record_reach(started_attempt, sent)
--- a/stairquay/serving/forwarding.py
+++ b/stairquay/serving/forwarding.py
@@ -148,6 +148,7 @@
             progress.stream.last_event_id or job.call.resume_after,
             self.state.catalog_version,
         )
+        progress.attempt = attempt
         sent = await self.boxes.send(job.call, job.body, forward, attempt)
         if isinstance(sent, Err):
             self._log(job, box, sent.err_value.kind.value, attempt, sent.err_value.detail, sent_at)
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -18,6 +18,7 @@
 from stairquay.serving.jobs import Job
 from stairquay.serving.overload import overload_refusal
 from stairquay.serving.ports import CallerCodec
+from stairquay.serving.refusals import stopping
 from stairquay.serving.state import BoxState
 
 BODY_TIMEOUT_S = 10.0
@@ -27,9 +28,6 @@
 """Retry-After in seconds when this box's view is too old. The connection is closed as well, so that the retry
 reaches another box."""
 
-STOPPING_RETRY_S = 0.05
-"""Retry-After in seconds when this box is stopping: another box can serve the retry."""
-
 MAX_REQUESTS_PER_DESCRIPTOR = 0.35
 """Below 0.5, as each request has a connection on both sides and idle connections stay open."""
 
@@ -62,7 +60,9 @@
         try:
             if EXPECT in request.headers:
                 await _invite_body(request)
-            return await self._handle(request, arrived_at)
+            response = await self._handle(request, arrived_at)
+            await _write(request, response)
+            return response
         finally:
             self.state.in_flight -= 1
 
@@ -73,7 +73,7 @@
         """
         catalog = self.state.catalog
         call = self.callers.decode_head(head)
-        if catalog is None or call is None or self.state.refusing or not self.state.fleet_known:
+        if catalog is None or call is None or self.state.shutdown.is_refusing() or not self.state.fleet_known:
             return None
         resolved = self._route_and_authenticate(catalog, call)
         if isinstance(resolved, Err):
@@ -109,8 +109,8 @@
     async def _serve(
         self, request: web.BaseRequest, call: Call, arrived_at: float
     ) -> Result[web.StreamResponse, Refusal]:
-        if self.state.refusing:
-            return Err(Refusal(ErrorKind.STOPPING, ExecutionStatus.NOT_RUN, retry_after_s=STOPPING_RETRY_S))
+        if self.state.shutdown.is_refusing():
+            return Err(stopping(ExecutionStatus.NOT_RUN))
         catalog = self.state.catalog
         if catalog is None or not self.state.fleet_known:
             return Err(self._not_ready_refusal("no configuration yet"))
@@ -262,6 +262,16 @@
         return response
 
 
+async def _write(request: web.BaseRequest, response: web.StreamResponse) -> None:
+    """Write the answer here and not in the HTTP server, so that a box that stops waits for it."""
+    try:
+        await response.prepare(request)
+        await response.write_eof()
+    except ConnectionError:
+        # The caller has left; the HTTP server finds the connection closed.
+        return
+
+
 async def _invite_body(request: web.BaseRequest) -> None:
     """Answer the Expect header of a caller that waits before it sends the body."""
     if request.version < HttpVersion11:
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -4,7 +4,7 @@
 from functools import cached_property
 from itertools import count
 
-from stairquay.core.attempt import Attempt
+from stairquay.core.attempt import Attempt, combine_execution_status
 from stairquay.core.call import Call, request_digest
 from stairquay.core.catalog import (
     HIGHEST_PRIORITY,
@@ -105,7 +105,8 @@
     if they don't. unreached: attempts that found no connection to their endpoint. asked_other_boxes: it was
     passed on to other boxes, none of which served it. origin: where its stream began, None before the first
     event, or if it may go on at any endpoint. origin_source: how that was found out, empty where it was not
-    asked. is_trial: it is sent once although its parts are quarantined.
+    asked. is_trial: it is sent once although its parts are quarantined. attempt: the last one, at an endpoint
+    or at another box.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -123,6 +124,19 @@
     origin: StreamOrigin | None = None
     origin_source: str = ""
     is_trial: bool = False
+    attempt: Attempt | None = None
+
+    def is_passed_on(self) -> bool:
+        """Tell whether an endpoint or another box may be running the request now."""
+        return self.attempt is not None and self.attempt.is_running
+
+    def break_off(self) -> None:
+        """Record that this box ended the attempt in progress, if there is one."""
+        if self.attempt is None or not self.attempt.is_running:
+            return
+        self.attempt.lose()
+        self.runs += 1
+        self.ran = combine_execution_status(self.ran, self.attempt.ran)
 
 
 @dataclass
--- a/stairquay/serving/refusals.py
+++ b/stairquay/serving/refusals.py
@@ -4,6 +4,9 @@
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
 from stairquay.serving.endpoint_choice import Choice
 
+STOPPING_RETRY_S = 0.05
+"""Retry-After in seconds when this box is stopping: another box can serve the retry."""
+
 RETRY_AFTER_S = 0.25
 """Default Retry-After of refusals, in seconds. About the time that an endpoint needs for a batch."""
 
@@ -31,6 +34,12 @@
     return Refusal(ErrorKind.OVERLOADED, ExecutionStatus.NOT_RUN, detail, SHED_RETRY_AFTER_S)
 
 
+def stopping(ran: ExecutionStatus) -> Refusal:
+    """Return the refusal of a request that this box does not finish, as it stops."""
+    kind = ErrorKind.STOPPING if ran == ExecutionStatus.NOT_RUN else ErrorKind.STOPPED
+    return Refusal(kind, ran, retry_after_s=STOPPING_RETRY_S)
+
+
 def no_room(reason: str, retry_after_s: float, ran: ExecutionStatus) -> Refusal:
     """Return the refusal of a request that the routers did not admit.
 
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -18,6 +18,7 @@
 from stairquay.core.position import Position
 from stairquay.core.reach import Reach
 from stairquay.core.routers import Member, capacity, pick_followers, pick_placing_routers
+from stairquay.core.shutdown import shutdown_times
 from stairquay.core.software import SoftwareHistory
 from stairquay.core.stream_origins import StreamOrigins
 from stairquay.core.versions import VersionHistory
@@ -28,6 +29,7 @@
 from stairquay.serving.ports import EngineReport
 from stairquay.serving.quarantine import Quarantine
 from stairquay.serving.settings import BoxSettings
+from stairquay.serving.shutdown import Shutdown
 
 VERSION_DEADLINE_SHARE = 0.95
 """Share of a version's rollout time after which no request may start on an older one; the rest covers the
@@ -177,8 +179,7 @@
     body_bytes: int = 0
     # Of what this box keeps of incomplete answers.
     answer_buffers: BufferBudget = field(default_factory=lambda: BufferBudget(MAX_ANSWER_BYTES))
-    stopping: bool = False
-    refusing: bool = False
+    shutdown: Shutdown = field(default_factory=Shutdown)
     # Notified when views, routers or their suspicion change, an endpoint is marked as leaving, routers start
     # or stop reporting crashes, and on stop.
     changed: ChangeNotifier = field(default_factory=ChangeNotifier)
@@ -321,6 +322,15 @@
         known = self.catalog is not None and self.fleet_known and self.crashes_known()
         return known and not self.should_close_connections() and self.load.ready(monotonic())
 
+    def begin_shutdown(self, signalled_at: float) -> None:
+        """Begin to stop, on the first stop signal."""
+        self.shutdown.begin(shutdown_times(signalled_at, self.settings.stop_s))
+
+    @property
+    def stopping(self) -> bool:
+        """Tell whether this box has got the stop signal."""
+        return self.shutdown.times is not None
+
     def should_close_connections(self) -> bool:
         """Tell whether callers should move to another box."""
         return self.stopping or self.view_age() >= self.settings.freshness.ready_s
