Refuse what waits when a stopping box takes no more requests, and pass on only what can end

Callers whose body ended, whose room came or whose retry began after the box refused were passed on as late as 5.9 s after the stop signal, and cut when the process was killed. Cause: whether the box still takes work was looked at once, as handling began, and not after any wait. Class: a decision that is older than the wait between it and its effect.

From the refusing on, a request is passed on only if its own deadline comes before the box answers all; all others that wait (body, origin of a stream, room, router, pause, connection) are ended at once with 503 stopping, and each attempt checks again before it sends. A repeat without time is not begun and takes no budget. 100 Continue is not sent any more then. A caller that still sends its body is told at once; the rest is read for 2 s at most, as a reset could destroy the answer.

--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -296,6 +296,7 @@
     state.changed.notify_all()
     _log_stop(state, "stopping")
     await asyncio.sleep(times.refuse_at - monotonic())
+    state.shutdown.end_waiting()
     _log_stop(state, "refusing")
     await wait_until(lambda: state.in_flight == 0, times.answer_by - monotonic())
     if state.in_flight:
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -183,6 +183,8 @@
         """Return the refusal if nothing may be sent now, else None."""
         if job.deadline - monotonic() < MIN_REMAINING_S:
             return Refusal(ErrorKind.DEADLINE, progress.ran)
+        if not self.state.shutdown.allows(job.deadline):
+            return stopping(progress.ran)
         if not self._keys_fresh(job):
             return Refusal(ErrorKind.NOT_READY, progress.ran, "the configuration's view is too old")
         version_gone = self.origins.refuses(job, progress)
@@ -246,6 +248,8 @@
                 return refusal
         elif progress.refused >= MAX_REFUSED:
             return refusal
+        if not self.state.shutdown.allows(job.deadline):
+            return refusal
         if not self.state.take_retry(job.service.id):
             record_retry_denied(self.state, job)
             return refusal
@@ -331,6 +335,8 @@
         def guard() -> bool:
             if not self._keys_fresh(job) or job.deadline <= monotonic():
                 return False
+            if not self.state.shutdown.allows(job.deadline):
+                return False
             if self._quarantined_s(job) > 0 and not progress.is_trial:
                 return False
             endpoint = started_attempt.choice.endpoint
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from stairquay.adapters.clock import monotonic
-from stairquay.adapters.early_answer import RequestHead
+from stairquay.adapters.early_answer import LINGER_S, RequestHead
 from stairquay.core.call import Call
 from stairquay.core.catalog import Catalog, Route, WorkspacePolicy, engine_priority, pick_service
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
@@ -19,6 +19,7 @@
 from stairquay.serving.overload import overload_refusal
 from stairquay.serving.ports import CallerCodec
 from stairquay.serving.refusals import stopping
+from stairquay.serving.shutdown import PendingRequest
 from stairquay.serving.state import BoxState
 
 BODY_TIMEOUT_S = 10.0
@@ -58,10 +59,12 @@
         if self.state.in_flight == 1:
             self.state.load_wakeup.notify_all()
         try:
-            if EXPECT in request.headers:
+            if EXPECT in request.headers and not self.state.shutdown.is_refusing():
                 await _invite_body(request)
             response = await self._handle(request, arrived_at)
             await _write(request, response)
+            if self.state.stopping and not request.content.is_eof():
+                await _discard_body(request)
             return response
         finally:
             self.state.in_flight -= 1
@@ -147,11 +150,13 @@
         arrived_at: float,
     ) -> Result[web.StreamResponse, Refusal]:
         claim = BodyClaim(self.state)
+        timeout_s = route.timeout_s if call.time_left_s is None else min(call.time_left_s, route.timeout_s)
+        deadline = arrived_at + timeout_s - DEADLINE_MARGIN_S
         try:
-            body = await self._read_body(request, catalog, claim)
+            body = await self._read_body_unless_stopped(request, catalog, claim, deadline)
             if isinstance(body, Err):
                 return body
-            job = self._create_job(call, body.ok_value, catalog, route, workspace, arrived_at)
+            job = self._create_job(call, body.ok_value, catalog, route, workspace, arrived_at, deadline)
             if isinstance(job, Err):
                 return job
             self._count_request(job.ok_value)
@@ -159,6 +164,20 @@
         finally:
             claim.release()
 
+    async def _read_body_unless_stopped(
+        self, request: web.BaseRequest, catalog: Catalog, claim: BodyClaim, deadline: float
+    ) -> Result[bytes, Refusal]:
+        """Read the body, or return a refusal at once when the request may not be passed on any more."""
+        pending = PendingRequest(self.state.shutdown, deadline)
+        try:
+            async with pending:
+                body = await self._read_body(request, catalog, claim)
+        except TimeoutError:
+            if not pending.was_ended:
+                raise
+            return Err(stopping(ExecutionStatus.NOT_RUN))
+        return body if self.state.shutdown.allows(deadline) else Err(stopping(ExecutionStatus.NOT_RUN))
+
     def _knows_less_than_sender(self, call: Call) -> bool:
         """Tell whether another box passed a request on by a newer configuration than is in force here."""
         sent_by, known = call.forwarded_configuration, self.state.catalog_version
@@ -228,12 +247,11 @@
         route: Route,
         workspace: WorkspacePolicy | None,
         arrived_at: float,
+        deadline: float,
     ) -> Result[Job, Refusal]:
         service = catalog.services_by_id.get(pick_service(route, self.random.random()))
         if service is None:
             return Err(Refusal(ErrorKind.NO_ENDPOINT, detail="the route names no known service"))
-        timeout_s = route.timeout_s if call.time_left_s is None else min(call.time_left_s, route.timeout_s)
-        deadline = arrived_at + timeout_s - DEADLINE_MARGIN_S
         return Ok(Job(call, body, catalog, route, service, workspace, arrived_at, deadline))
 
     def _count_request(self, job: Job) -> None:
@@ -272,6 +290,18 @@
         return
 
 
+async def _discard_body(request: web.BaseRequest) -> None:
+    """Read the rest of a body whose request is answered: closing before would reset the connection, and the
+    caller might lose the answer."""
+    try:
+        async with asyncio.timeout(LINGER_S):
+            while not request.content.at_eof():
+                await request.content.readany()
+    except (TimeoutError, web.RequestPayloadError, ConnectionError):
+        # The caller has the answer by now, or has left.
+        return
+
+
 async def _invite_body(request: web.BaseRequest) -> None:
     """Answer the Expect header of a caller that waits before it sends the body."""
     if request.version < HttpVersion11:
--- a/stairquay/serving/shutdown.py
+++ b/stairquay/serving/shutdown.py
@@ -1,4 +1,4 @@
-"""What a shutdown means for the requests of a box: when those in progress end."""
+"""What a shutdown means for the requests of a box: which are still passed on, and when the others end."""
 
 import asyncio
 from collections.abc import Callable
@@ -23,6 +23,16 @@
         """Tell whether requests are refused from now on."""
         return self.times is not None and monotonic() >= self.times.refuse_at
 
+    def allows(self, deadline: float) -> bool:
+        """Tell whether a request with this deadline may be passed on now, since it ends before the box."""
+        return self.times is None or not self.is_refusing() or deadline <= self.times.answer_by
+
+    def end_waiting(self) -> None:
+        """End the requests that have not been passed on and may not be any more."""
+        for request in list(self.pending):
+            if not self.allows(request.deadline) and not request.is_passed_on():
+                request.end()
+
     def end_all(self) -> None:
         """End all requests."""
         for request in list(self.pending):
