Answer what an entry still runs when its time to finish requests is over

The same cause in the separate entry program: it looked at whether it still takes work once, before the body, a slot and retries, and cut what still ran at the end of drain_s without an answer: a caller that waits for a whole answer got none. It has the box's Shutdown now (moved to the adapters): waiting requests that can't end in time are refused as stopping, attempts check before they choose an endpoint, all others get stopped (502), and streams are reset, so that none looks complete.

Looked at besides: the router program waits for its routes and stops its server with a bound; control stops its leader last; neither takes callers' requests that run at endpoints.

--- a/features/holds_stop.feature
+++ b/features/holds_stop.feature
@@ -23,6 +23,20 @@
     And the refusal tells when to come back
     And the prompt alpha is answered whole
 
+  # Guards against a caller without an answer where its request outlasts the time that an entry has to stop.
+  Scenario: An entry answers what still runs when its time to finish requests is over
+    Given engines that take 0.1 s a token
+    And the setting entry.drain_s is 1
+    And a system of 1 boxes, 1 engines, 0 stores and 0 plain endpoints
+    When red starts the prompt alpha of 100 tokens at box-1 for a whole answer
+    And red starts the prompt beta of 100 tokens at box-1
+    And the prompt beta is answering
+    And box-1-entry is asked to stop
+    Then the prompt alpha ends in a clear error, with the run unknown
+    And the refusal is stopped, with the run unknown
+    And the prompt beta is not answered whole
+    And box-1-entry has exited with status 0
+
   Scenario Outline: <process> is stopped under load
     Given a system of 2 boxes, 2 engines, 1 stores and 1 plain endpoints
     When mixed load runs for 5 s at 30 requests a second
--- a/features/steps/calls.py
+++ b/features/steps/calls.py
@@ -69,6 +69,13 @@
     )
 
 
+@when("{workspace:Name} starts the prompt {name:Name} of {tokens:d} tokens at {box:Name} for a whole answer")
+def _(context, workspace, name, tokens, box):
+    context.pending[name] = context.loop.start(
+        send_prompt(context, workspace, box, prompt_body(name, tokens=tokens, stream=False))
+    )
+
+
 @when(
     "{workspace:Name} starts the prompt {name:Name} of {tokens:d} tokens at {box:Name} with the key {key:Name}"
 )
@@ -101,6 +108,12 @@
     assert outcome.answered, f"{outcome} {outcome.body[-400:]!r}"
 
 
+@then("the prompt {name:Name} is not answered whole")
+def _(context, name):
+    record_outcome(context, context.pending.pop(name).result(40), name)
+    assert not context.results_by_name[name].answered, context.results_by_name[name]
+
+
 @then("the prompt {name:Name} ends in a clear error, with the run {ran}")
 def _(context, name, ran):
     if name in context.pending:
--- a/stairquay/serving/shutdown.py
+++ b/stairquay/adapters/shutdown.py
@@ -1,4 +1,4 @@
-"""What a shutdown means for the requests of a box: which are still passed on, and when the others end."""
+"""What a shutdown means for the requests of a program: which are still passed on, and when the others end."""
 
 import asyncio
 from collections.abc import Callable
@@ -9,7 +9,7 @@
 
 
 class Shutdown:
-    """The shutdown of this box, and the requests that it would end. times: None until the stop signal."""
+    """The shutdown of this program, and the requests that it would end. times: None until the stop signal."""
 
     def __init__(self) -> None:
         self.times: ShutdownTimes | None = None
@@ -24,7 +24,8 @@
         return self.times is not None and monotonic() >= self.times.refuse_at
 
     def allows(self, deadline: float) -> bool:
-        """Tell whether a request with this deadline may be passed on now, since it ends before the box."""
+        """Tell whether a request with this deadline may be passed on now, since it ends before
+        all are answered."""
         return self.times is None or not self.is_refusing() or deadline <= self.times.answer_by
 
     def end_waiting(self) -> None:
--- a/stairquay/core/errors.py
+++ b/stairquay/core/errors.py
@@ -93,7 +93,7 @@
     ),
     ErrorKind.STOPPING: ErrorResponse(503, SERVER_ERROR, "This box is stopping", retry=True),
     ErrorKind.STOPPED: ErrorResponse(
-        502, SERVER_ERROR, "This box stopped before the endpoint's answer was complete", retry=True
+        502, SERVER_ERROR, "This box stopped before the answer was complete", retry=True
     ),
     ErrorKind.NOT_READY: ErrorResponse(
         503, SERVER_ERROR, "This box has no current configuration", retry=True
--- a/stairquay/entry/app.py
+++ b/stairquay/entry/app.py
@@ -6,11 +6,13 @@
 from absl import logging
 from aiohttp import ClientSession, web
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.follower import View, follow
 from stairquay.adapters.followers import router_first_round
 from stairquay.adapters.platform import HttpPlatform
 from stairquay.adapters.program import (
     BackgroundTasks,
+    catch_stop_signals,
     health_routes,
     listen,
     listen_for_monitoring,
@@ -20,6 +22,7 @@
 )
 from stairquay.adapters.rpc import RouterChannels
 from stairquay.adapters.settings import EntrySettings, Settings
+from stairquay.core.shutdown import ShutdownTimes
 from stairquay.entry.context import EntryContext
 from stairquay.entry.once import Claims
 from stairquay.entry.server import EntryServer
@@ -47,12 +50,14 @@
         run_control_session=ClientSession(auto_decompress=False),
         random=random.Random(),
     )
+    # Before anything listens: a request that was accepted is answered.
+    stopped = catch_stop_signals(lambda at: context.shutdown.begin(_shutdown_times(at, entry)))
     claims = Claims(platform, settings.box.id, entry.claim_batch, entry.claim_timeout_s)
     server = EntryServer(context, claims)
     app = web.Application(client_max_size=0)
 
     def ready() -> bool:
-        return view.ready() and not context.stopping
+        return view.ready() and context.shutdown.times is None
 
     app.add_routes(health_routes(ready))
     app.add_routes(server.route_table())
@@ -71,8 +76,8 @@
     one_round = router_first_round(settings.view, entry.router, platform, channels)
     tasks.start(follow(view, one_round, settings.view.poll_s, settings.round_timeout_s))
     logging.info("entry %s listening on %s", settings.box.id, entry.listen)
-    await wait_for_stop(tasks)
-    await _drain(context, entry)
+    await wait_for_stop(tasks, stopped)
+    await _drain(context)
     await site.cleanup()
     await operations.cleanup()
     await tasks.cancel()
@@ -82,11 +87,20 @@
     await platform.close()
 
 
-async def _drain(context: EntryContext, entry: EntrySettings) -> None:
-    """Report not ready, wait for load balancers to notice, then refuse new requests and drain the others."""
-    context.stopping = True
-    await asyncio.sleep(entry.lame_duck_s)
-    context.refusing = True
-    finished = await wait_until(lambda: context.in_flight == 0, entry.drain_s)
-    if not finished:
-        logging.warning("%d requests still in flight after drain_s", context.in_flight)
+def _shutdown_times(signalled_at: float, entry: EntrySettings) -> ShutdownTimes:
+    refuse_at = signalled_at + entry.lame_duck_s
+    answer_by = refuse_at + entry.drain_s
+    return ShutdownTimes(refuse_at, answer_by, answer_by + SHUTDOWN_TIMEOUT_S)
+
+
+async def _drain(context: EntryContext) -> None:
+    """Wait for load balancers to notice, then refuse new requests, finish the others, and answer the rest."""
+    times = context.shutdown.times
+    assert times is not None
+    await asyncio.sleep(times.refuse_at - monotonic())
+    context.shutdown.end_waiting()
+    if await wait_until(lambda: context.in_flight == 0, times.answer_by - monotonic()):
+        return
+    logging.warning("%d requests still in flight after drain_s", context.in_flight)
+    context.shutdown.end_all()
+    await wait_until(lambda: context.in_flight == 0, SHUTDOWN_TIMEOUT_S)
--- a/stairquay/entry/attempts.py
+++ b/stairquay/entry/attempts.py
@@ -16,6 +16,7 @@
     RUN_OUTCOME_LEAVING,
     RUN_OUTCOME_WRONG_VERSION,
 )
+from stairquay.adapters.shutdown import PendingRequest
 from stairquay.core.attempt import Attempt, combine_execution_status
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
 from stairquay.core.models import Service, Workspace
@@ -87,8 +88,28 @@
     cached_tokens: int = 0
 
 
+@dataclass
+class RunProgress:
+    """What is known of a request's attempts. ran: of those that ended. attempt: the last one."""
+
+    ran: ExecutionStatus = ExecutionStatus.NOT_RUN
+    attempt: Attempt | None = None
+
+    def is_passed_on(self) -> bool:
+        """Tell whether an endpoint may be running the request now."""
+        return self.attempt is not None and self.attempt.is_running
+
+    def stopped(self) -> Refusal:
+        """Return the refusal of the request as the program stops."""
+        ran = self.ran
+        if self.attempt is not None and self.attempt.is_running:
+            self.attempt.lose()
+            ran = combine_execution_status(ran, self.attempt.ran)
+        return Refusal(ErrorKind.STOPPING if ran == ExecutionStatus.NOT_RUN else ErrorKind.STOPPED, ran)
+
+
 class Runner:
-    """Runs each request until an attempt succeeds or no retry is allowed."""
+    """Runs each request until an attempt succeeds, no retry is allowed, or the program stops."""
 
     def __init__(self, context: EntryContext, routes: RouteClient) -> None:
         self.context = context
@@ -98,31 +119,50 @@
         self, incoming: IncomingRequest, steps: AttemptSteps
     ) -> Result[web.StreamResponse, Refusal]:
         """Return the response, or a refusal with the execution status of all attempts combined."""
-        ran = ExecutionStatus.NOT_RUN
+        progress = RunProgress()
+        pending = PendingRequest(self.context.shutdown, incoming.deadline, progress.is_passed_on)
+        try:
+            async with pending:
+                return await self._run(incoming, steps, progress)
+        except TimeoutError:
+            if not pending.was_ended:
+                raise
+            return Err(progress.stopped())
+
+    async def _run(
+        self, incoming: IncomingRequest, steps: AttemptSteps, progress: RunProgress
+    ) -> Result[web.StreamResponse, Refusal]:
         prior = PriorAttempts(self._ejected_endpoints(incoming))
         budget = self.context.retry_budget(incoming.service.id)
         budget.on_request()
         for number in range(1, self.context.settings.max_attempts + 1):
+            if not self.context.shutdown.allows(incoming.deadline):
+                return Err(progress.stopped())
             chosen = await steps.choose(prior, incoming.deadline)
             if isinstance(chosen, Err):
-                return Err(_with_ran(chosen.err_value, ran))
-            outcome = await self._attempt(incoming, steps, chosen.ok_value, number)
+                return Err(_with_ran(chosen.err_value, progress.ran))
+            outcome = await self._attempt(incoming, steps, chosen.ok_value, number, progress)
             if isinstance(outcome, Ok):
                 return outcome
             failure = outcome.err_value
             if failure.partial_response is not None:
                 return Ok(failure.partial_response)
-            ran = combine_execution_status(ran, failure.ran)
+            progress.ran = combine_execution_status(progress.ran, failure.ran)
             prior = _add_failure(prior, chosen.ok_value.endpoint, failure)
             if not self._may_retry(incoming, failure, number):
                 break
             await asyncio.sleep(self._retry_delay_s(incoming, failure, number))
-        return Err(Refusal(failure.kind, ran, failure.detail))
+        return Err(Refusal(failure.kind, progress.ran, failure.detail))
 
     async def _attempt(
-        self, incoming: IncomingRequest, steps: AttemptSteps, target: Target, number: int
+        self,
+        incoming: IncomingRequest,
+        steps: AttemptSteps,
+        target: Target,
+        number: int,
+        progress: RunProgress,
     ) -> Result[web.StreamResponse, Failure]:
-        attempt = Attempt(f"{incoming.request_id}-{number}", target.endpoint)
+        attempt = progress.attempt = Attempt(f"{incoming.request_id}-{number}", target.endpoint)
         self.context.runs_by_endpoint[target.endpoint] += 1
         failed = True
         usage = Usage()
@@ -151,7 +191,7 @@
             self._count_tokens(incoming, opened.ok_value, usage)
             return await steps.relay(StartedAttempt(target, attempt, opened.ok_value))
         except (asyncio.CancelledError, ConnectionError):
-            # The client disconnected; failures of the endpoint are returned, not raised.
+            # The client disconnected or the program stops; failures of the endpoint are returned, not raised.
             self.routes.report(target, RUN_OUTCOME_FAILED)
             if steps.cancel is not None:
                 self.routes.run_in_background(steps.cancel(target, attempt.run_id))
--- a/stairquay/entry/context.py
+++ b/stairquay/entry/context.py
@@ -15,6 +15,7 @@
 from stairquay.adapters.ports import Platform
 from stairquay.adapters.rpc import RouterChannels
 from stairquay.adapters.settings import EntrySettings
+from stairquay.adapters.shutdown import Shutdown
 from stairquay.core.admission import FairQueue, Ticket, WorkspaceLimits
 from stairquay.core.errors import Refusal
 from stairquay.core.models import Service, ServiceKind, Workspace
@@ -25,8 +26,7 @@
 class EntryContext:
     """State shared by all requests of an entry.
 
-    unpooled_session: for requests that must run at most once; run_control_session: resumes and cancels runs;
-    stopping: reports not ready; refusing: refuses new requests.
+    unpooled_session: for requests that must run at most once; run_control_session: resumes and cancels runs.
     """
 
     box: str
@@ -46,8 +46,7 @@
     ejectors: dict[str, Ejector] = field(default_factory=dict)
     runs_by_endpoint: Counter[str] = field(default_factory=Counter)
     in_flight: int = 0
-    stopping: bool = False
-    refusing: bool = False
+    shutdown: Shutdown = field(default_factory=Shutdown)
 
     def limiter(self, service: Service) -> "ConcurrencyLimiter":
         """Return a service's limiter, with slots for this box's share of the usable endpoints."""
--- a/stairquay/entry/relay.py
+++ b/stairquay/entry/relay.py
@@ -96,6 +96,10 @@
             return await self.relay_buffered(started)
         try:
             return await self._copy_with_resume(started)
+        except asyncio.CancelledError:
+            if self.client_response is not None:
+                _abort(self.request)
+            raise
         finally:
             started.response.close()
 
@@ -325,6 +329,9 @@
             finish_response(request)
             await client_response.write_eof()
             return Ok(client_response)
+        except asyncio.CancelledError:
+            _abort(request)
+            raise
         finally:
             upstream.close()
 
@@ -336,8 +343,7 @@
 ) -> Err[Failure]:
     """Reset the client's connection, so that it detects the truncation."""
     started.attempt.lose()
-    if request.transport is not None:
-        request.transport.abort()
+    _abort(request)
     failure = Failure(
         ErrorKind.ENDPOINT_FAILED,
         started.attempt.ran,
@@ -347,6 +353,11 @@
     return Err(failure)
 
 
+def _abort(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
+
+
 async def read_chunk(upstream: ClientResponse, deadline: float, stall_timeout_s: float) -> bytes | None:
     """Return the bytes that have arrived, empty at the end, None if the response failed or stalled."""
     timeout_s = min(stall_timeout_s, deadline - monotonic())
--- a/stairquay/entry/server.py
+++ b/stairquay/entry/server.py
@@ -2,15 +2,17 @@
 
 import hashlib
 import secrets
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import replace
 from functools import partial
+from typing import Any, TypeVar
 
 import msgspec
 from aiohttp import web
 from result import Err, Ok, Result
 
 from stairquay.adapters.clock import monotonic
+from stairquay.adapters.shutdown import PendingRequest
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
 from stairquay.core.models import Service, ServiceKind, Workspace, allowed
 from stairquay.entry.attempts import AttemptSteps, IncomingRequest, Runner
@@ -29,6 +31,8 @@
 """Status for a client that disconnected; never sent."""
 BEARER = "Bearer "
 
+Body = TypeVar("Body")
+
 Handler = Callable[[web.Request, str], Awaitable[Result[web.StreamResponse, Refusal]]]
 
 
@@ -96,9 +100,8 @@
         if isinstance(prechecked, Err):
             return prechecked
         workspace, options = prechecked.ok_value
-        raw_body = await read_body(
-            request, largest_body_limit(self.context), self.context.settings.body_timeout_s
-        )
+        limit, timeout_s = largest_body_limit(self.context), self.context.settings.body_timeout_s
+        raw_body = await self._unless_stopped(read_body(request, limit, timeout_s))
         if isinstance(raw_body, Err):
             return raw_body
         parsed = parse_prompt(request.path, raw_body.ok_value)
@@ -129,7 +132,7 @@
         if service is None:
             kind = ErrorKind.METHOD_NOT_ALLOWED if _is_builtin_path(request.path) else ErrorKind.UNKNOWN_PATH
             return Err(Refusal(kind))
-        body = await read_plain_body(self.context, request, service, options)
+        body = await self._unless_stopped(read_plain_body(self.context, request, service, options))
         if isinstance(body, Err):
             return body
         plain_body = body.ok_value
@@ -140,9 +143,23 @@
         )
         return await self._run_limited(incoming, claim_request(request, options, plain_body), steps)
 
+    async def _unless_stopped(
+        self, reading: Coroutine[Any, Any, Result[Body, Refusal]]
+    ) -> Result[Body, Refusal]:
+        """Read a body, or return a refusal when the program stops before it could come."""
+        deadline = monotonic() + self.context.settings.body_timeout_s
+        pending = PendingRequest(self.context.shutdown, deadline)
+        try:
+            async with pending:
+                return await reading
+        except TimeoutError:
+            if not pending.was_ended:
+                raise
+            return Err(Refusal(ErrorKind.STOPPING))
+
     def _precheck(self, request: web.Request) -> Result[tuple[Workspace, RequestOptions], Refusal]:
         """Check readiness, API key and headers, before the body is read."""
-        if self.context.refusing:
+        if self.context.shutdown.is_refusing():
             return Err(Refusal(ErrorKind.STOPPING))
         if not self.context.view.ready():
             return Err(Refusal(ErrorKind.NOT_READY))
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from stairquay.adapters.clock import monotonic
+from stairquay.adapters.shutdown import PendingRequest
 from stairquay.core.attempt import Attempt, combine_execution_status
 from stairquay.core.call import Dispatch
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
@@ -48,7 +49,6 @@
     is_event_stream,
     relay_or_read,
 )
-from stairquay.serving.shutdown import PendingRequest
 from stairquay.serving.silent_endpoints import record_result
 from stairquay.serving.state import BoxState
 from stairquay.serving.statements import apply_feedback, is_backing_off, record_probe
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -9,6 +9,7 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.early_answer import LINGER_S, RequestHead
+from stairquay.adapters.shutdown import PendingRequest
 from stairquay.core.call import Call
 from stairquay.core.catalog import Catalog, Route, WorkspacePolicy, engine_priority, pick_service
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
@@ -19,7 +20,6 @@
 from stairquay.serving.overload import overload_refusal
 from stairquay.serving.ports import CallerCodec
 from stairquay.serving.refusals import stopping
-from stairquay.serving.shutdown import PendingRequest
 from stairquay.serving.state import BoxState
 
 BODY_TIMEOUT_S = 10.0
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -5,6 +5,7 @@
 from math import inf
 
 from stairquay.adapters.clock import monotonic
+from stairquay.adapters.shutdown import Shutdown
 from stairquay.core.absence import RefusedConnections
 from stairquay.core.budget import WindowedRetryBudget
 from stairquay.core.buffers import BufferBudget
@@ -29,7 +30,6 @@
 from stairquay.serving.ports import EngineReport
 from stairquay.serving.quarantine import Quarantine
 from stairquay.serving.settings import BoxSettings
-from stairquay.serving.shutdown import Shutdown
 
 VERSION_DEADLINE_SHARE = 0.95
 """Share of a version's rollout time after which no request may start on an older one; the rest covers the
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -12,8 +12,8 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.program import STOP_SIGNALS, catch_stop_signals
+from stairquay.adapters.shutdown import PendingRequest, Shutdown
 from stairquay.core.shutdown import ShutdownTimes, shutdown_times
-from stairquay.serving.shutdown import PendingRequest, Shutdown
 from tests.site import site
 from tests.test_box_shutdown import GRACE_S, Stop
 
