Ask no further box once a box refuses, and let the last timer end the process whatever happens

Callers whose request was passed on to another box that refused late were passed on to yet another one after their box had begun to refuse: the loop over the boxes did not look again. It does, before each.

The timer that ends the process came before the answers for grace times under a second, waited for a stuck reader of standard error and failed where that was gone; a stop signal after the event loop had ended was an error.

--- a/stairquay/adapters/program.py
+++ b/stairquay/adapters/program.py
@@ -87,7 +87,8 @@
 
     def on_signal(_: int, __: FrameType | None) -> None:
         on_stop(monotonic())
-        loop.call_soon_threadsafe(handled.set)
+        if not loop.is_closed():
+            loop.call_soon_threadsafe(handled.set)
 
     for number in STOP_SIGNALS:
         signal.signal(number, on_signal)
@@ -103,8 +104,12 @@
 
 
 def _exit(_: int, __: FrameType | None) -> None:
-    os.write(2, b"ended at the end of the grace time, with work left\n")
-    os._exit(0)
+    try:
+        # Whoever reads it may be stuck.
+        os.set_blocking(2, False)
+        os.write(2, b"ended at the end of the grace time, with work left\n")
+    finally:
+        os._exit(0)
 
 
 async def wait_for_stop(tasks: BackgroundTasks, stopped: asyncio.Event | None = None) -> None:
--- a/stairquay/core/shutdown.py
+++ b/stairquay/core/shutdown.py
@@ -18,8 +18,8 @@
 """The same as a share of the grace time at most. Ended earlier, an answer would be lost that its endpoint
 may still give."""
 
-EXIT_MARGIN_S = 0.15
-"""Seconds before the end of the grace time at which the process ends, whatever is left to do."""
+EXIT_MARGIN_SHARE = 0.2
+"""Part of that margin that is left when the process ends, whatever it has still to do."""
 
 
 @dataclass(frozen=True)
@@ -37,8 +37,9 @@
 
 def shutdown_times(signalled_at: float, grace_s: float) -> ShutdownTimes:
     """Return the steps of a shutdown. grace_s: seconds from the stop signal until the process is killed."""
+    margin_s = min(ANSWER_MARGIN_S, grace_s * MAX_ANSWER_MARGIN_SHARE)
     return ShutdownTimes(
         refuse_at=signalled_at + min(LAME_DUCK_S, grace_s * MAX_LAME_DUCK_SHARE),
-        answer_by=signalled_at + grace_s - min(ANSWER_MARGIN_S, grace_s * MAX_ANSWER_MARGIN_SHARE),
-        exit_by=signalled_at + max(0.0, grace_s - EXIT_MARGIN_S),
+        answer_by=signalled_at + grace_s - margin_s,
+        exit_by=signalled_at + grace_s - margin_s * EXIT_MARGIN_SHARE,
     )
--- a/stairquay/serving/forwarding.py
+++ b/stairquay/serving/forwarding.py
@@ -27,7 +27,7 @@
     SendFailure,
 )
 from stairquay.serving.records import record_answered_elsewhere, record_first_byte
-from stairquay.serving.refusals import RETRY_AFTER_S, is_false_promise
+from stairquay.serving.refusals import RETRY_AFTER_S, is_false_promise, stopping
 from stairquay.serving.relay import buffered_response, relay_or_read
 from stairquay.serving.state import BoxState
 
@@ -115,6 +115,8 @@
         full: Refusal | None = None
         left = MAX_HOLDERS_ASKED if holders else MAX_BOXES_ASKED
         while left > 0 and job.deadline > monotonic():
+            if not self.state.shutdown.allows(job.deadline):
+                return Err(stopping(progress.ran))
             fronts = {box: at for box, at in candidates.items() if box not in asked}
             box = helpers.pick(fronts, monotonic(), self.random)
             if box is None:
