Answer requests read behind others, and wait for callers that have not taken their answers

A caller that sends a further request before it has an answer got none for it from a stopping box: the first answer closed the connection. An answer ends its connection now only if no further request was read on it, and a box ends once it has been idle for a moment.

A caller that reads slowly lost the end of its answer: written to the connection's buffer, it counted as sent, and the process ended. A stream to a caller of HTTP/1.0 then looked complete. The box waits until callers have taken what was written to them, until it answers all; connections with bytes left are reset.

--- a/stairquay/adapters/early_answer.py
+++ b/stairquay/adapters/early_answer.py
@@ -10,9 +10,11 @@
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http import HttpProcessingError, HttpRequestParser
-from aiohttp.web import Server, ServerRunner
+from aiohttp.web import RequestHandler, Server, ServerRunner
 from multidict import CIMultiDictProxy
 
+from stairquay.adapters.unfinished import reset_connection
+
 LINGER_S = 2.0
 """Seconds for which the rest of an answered request is read. Closing before would reset the connection, and
 the caller might lose the answer."""
@@ -94,6 +96,11 @@
         protocol.data_received(data)
 
 
+def _unsent_bytes(connection: RequestHandler) -> int:
+    transport = connection.transport
+    return 0 if transport is None else transport.get_write_buffer_size()
+
+
 def _parse_head(data: bytes) -> RequestHead | None:
     """Return the head, None if it is malformed: the server's answer to that is the right one."""
     loop = asyncio.get_running_loop()
@@ -125,6 +132,20 @@
         self.is_active = is_active
         self.answer = answer
 
+    def is_sending(self) -> bool:
+        """Tell whether callers have not yet taken all that was written to them."""
+        return any(_unsent_bytes(connection) for connection in self._connections())
+
+    def reset_unsent(self) -> None:
+        """Reset the connections of callers that have not taken all, so that no answer looks complete."""
+        for connection in self._connections():
+            if _unsent_bytes(connection) and connection.transport is not None:
+                reset_connection(connection.transport)
+
+    def _connections(self) -> list[RequestHandler]:
+        server = super().server
+        return [] if server is None else server.connections
+
     @property
     def server(self) -> Any:
         """Return the factory of protocols for new connections."""
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -60,6 +60,9 @@
 RESTART_DELAY_S = 0.5
 """Seconds before a failed background task is restarted."""
 
+SETTLED_S = 0.01
+"""Seconds for which nothing is in progress at a box before it closes its callers' connections."""
+
 WRITE_TIMEOUT_S = 0.25
 """Seconds for writing the answers to requests that the shutdown ends."""
 
@@ -109,10 +112,12 @@
     for name, task_function in tasks_by_name.items():
         tasks.start(run_with_restarts(state, name, task_function))
     log.line(LogEvent.START, front=settings.front, data_hall=settings.data_hall)
-    runners = await _listen_all(state, front, surroundings.ready_path)
+    callers = await _listen_front(state.settings, front)
+    others = await _listen_others(state, surroundings.ready_path)
     await wait_for_stop(tasks, stopped)
-    await _drain(state)
-    await asyncio.gather(*(runner.cleanup() for runner in runners))
+    await _drain(state, callers)
+    callers.reset_unsent()
+    await asyncio.gather(*(runner.cleanup() for runner in (callers, *others)))
     _log_stop(state, "closed")
     log.flush()
     await tasks.cancel()
@@ -207,11 +212,9 @@
         await asyncio.sleep(RESTART_DELAY_S)
 
 
-async def _listen_all(state: BoxState, front: Frontend, ready_path: str) -> list[web.BaseRunner]:
-    runners: list[web.BaseRunner] = [
-        await _listen_front(state.settings, front),
-        await _listen_readiness(state, ready_path),
-    ]
+async def _listen_others(state: BoxState, ready_path: str) -> list[web.AppRunner]:
+    """Listen for the load balancer, and for who reads the metrics."""
+    runners = [await _listen_readiness(state, ready_path)]
     if state.settings.metrics_port:
         runners.append(await _listen_metrics(state))
     return runners
@@ -288,8 +291,12 @@
         metrics.backoffs.labels(name).set(backoff_s)
 
 
-async def _drain(state: BoxState) -> None:
+async def _drain(state: BoxState, callers: EarlyAnswerRunner) -> None:
     """Report unready, serve until the load balancer has noticed, then finish the requests in progress."""
+
+    def is_idle() -> bool:
+        return state.in_flight == 0 and not callers.is_sending()
+
     times = state.shutdown.times
     assert times is not None
     exit_at(times.exit_by)
@@ -298,14 +305,24 @@
     await asyncio.sleep(times.refuse_at - monotonic())
     state.shutdown.end_waiting()
     _log_stop(state, "refusing")
-    await wait_until(lambda: state.in_flight == 0, times.answer_by - monotonic())
-    if state.in_flight:
+    await _wait_until_settled(is_idle, times.answer_by - monotonic())
+    if not is_idle():
         _log_stop(state, "answering")
         state.shutdown.end_all()
-        await wait_until(lambda: state.in_flight == 0, WRITE_TIMEOUT_S)
+        await _wait_until_settled(is_idle, WRITE_TIMEOUT_S)
     _log_stop(state, "closing")
 
 
+async def _wait_until_settled(condition: Callable[[], bool], limit_s: float) -> None:
+    """Wait until a condition holds and still holds a moment later: a request that was read behind another one
+    is begun only once that is answered."""
+    end = monotonic() + limit_s
+    while await wait_until(condition, end - monotonic()):
+        await asyncio.sleep(SETTLED_S)
+        if condition():
+            return
+
+
 def _log_stop(state: BoxState, step: str) -> None:
     """Log a step of the shutdown, with the requests in progress and those of them at endpoints."""
     times = state.shutdown.times
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -10,6 +10,7 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.early_answer import LINGER_S, RequestHead
 from stairquay.adapters.shutdown import PendingRequest
+from stairquay.adapters.unfinished import has_next_request
 from stairquay.core.call import Call
 from stairquay.core.catalog import Catalog, Route, WorkspacePolicy, engine_priority, pick_service
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
@@ -90,7 +91,7 @@
     async def _handle(self, request: web.BaseRequest, arrived_at: float) -> web.StreamResponse:
         decoded = self.callers.decode(request)
         if isinstance(decoded, Err):
-            return self._refuse("", decoded.err_value, arrived_at)
+            return self._refuse(request, "", decoded.err_value, arrived_at)
         call = decoded.ok_value
         try:
             outcome = await self._serve(request, call, arrived_at)
@@ -103,12 +104,20 @@
             self.state.log.line(LogEvent.ENDED, call.id, outcome="caller_left", detail=type(error).__name__)
             return web.Response(status=499)
         if isinstance(outcome, Err):
-            return self._refuse(call.id, outcome.err_value, arrived_at)
+            return self._refuse(request, call.id, outcome.err_value, arrived_at)
         response = outcome.ok_value
-        if self.state.should_close_connections() and not response.prepared:
-            response.force_close()
+        if not response.prepared:
+            self._close_after(request, response)
         return response
 
+    def _close_after(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
+        """Let an answer end its connection if callers should move to another box.
+
+        Not while the caller has sent a further request on it, which would get no answer.
+        """
+        if self.state.should_close_connections() and not has_next_request(request):
+            response.force_close()
+
     async def _serve(
         self, request: web.BaseRequest, call: Call, arrived_at: float
     ) -> Result[web.StreamResponse, Refusal]:
@@ -259,7 +268,9 @@
         labels = metrics.labels.of(job.workspace_id), metrics.labels.of(job.route.id)
         metrics.child(metrics.requests, *labels).inc()
 
-    def _refuse(self, call_id: str, refusal: Refusal, arrived_at: float) -> web.Response:
+    def _refuse(
+        self, request: web.BaseRequest, call_id: str, refusal: Refusal, arrived_at: float
+    ) -> web.Response:
         catalog = self.state.catalog
         self.state.metrics.refusals.labels(refusal.kind.value, refusal.ran.value).inc()
         self.state.log.line(
@@ -275,8 +286,7 @@
             took_s=monotonic() - arrived_at,
         )
         response = self.callers.refuse(call_id, refusal)
-        if self.state.should_close_connections():
-            response.force_close()
+        self._close_after(request, response)
         return response
 
 
--- a/stairquay/serving/relay.py
+++ b/stairquay/serving/relay.py
@@ -12,7 +12,7 @@
 from aiohttp.http import StreamWriter
 
 from stairquay.adapters.clock import monotonic
-from stairquay.adapters.unfinished import begin_response, finish_response
+from stairquay.adapters.unfinished import begin_response, finish_response, has_next_request
 from stairquay.core.buffers import Buffer, BufferBudget
 from stairquay.core.event_stream import (
     complete_events_end,
@@ -270,7 +270,7 @@
     response = web.StreamResponse(status=reply.status)
     for name, value in reply.headers:
         response.headers.add(name, value)
-    if close:
+    if close and not has_next_request(request):
         response.force_close()
     if request.version >= (1, 1):
         response.enable_chunked_encoding()
--- a/tests/test_shutdown_edges.py
+++ b/tests/test_shutdown_edges.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 import subprocess
 import sys
 from random import Random
@@ -22,8 +23,11 @@
 from stairquay.serving.jobs import Job, JobProgress
 from stairquay.serving.ports import BoxRefusal
 from tests.loads.test_limits_of_endpoints import CATALOG
-from tests.site import ROOT
+from tests.site import ROOT, site
+from tests.standins.endpoints import Framing, RawAnswer
 from tests.states import box_state
+from tests.test_box_shutdown import Stop, put_long_routes, until_configured
+from tests.test_front import HEAD, connect, status
 
 
 class BoxThatStopsToo:
@@ -110,3 +114,105 @@
     finally:
         for number, handler in handlers.items():
             signal.signal(number, handler)
+
+
+# Guards against a request that was read behind another one, and that a stopping box never answers.
+def test_a_request_that_was_read_behind_another_one_is_answered_by_a_stopping_box():
+    async def scenario():
+        async with site() as here:
+            put_long_routes(here)
+            await until_configured(here)
+            here.endpoints[0].delay_s = 1.0
+            reader, writer = await connect(here)
+            second = HEAD.replace(b"r-1", b"r-2")
+            writer.write(HEAD + b"Content-Length: 0\r\n\r\n" + second + b"Content-Length: 0\r\n\r\n")
+            await asyncio.sleep(0.3)
+            Stop(here)
+            assert await status(reader) == 200
+            rest = await asyncio.wait_for(reader.read(), 8)
+            assert rest.count(b"HTTP/1.1 ") == 1, rest
+
+    asyncio.run(scenario())
+
+
+RECEIVE_BYTES = 8_192
+
+
+def slow_socket() -> socket.socket:
+    """Return a socket whose system holds little of what it has not read."""
+    made = socket.socket()
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+    return made
+
+
+def system_bytes() -> int:
+    """Return the bytes that the systems of both sides hold of an answer that nobody reads."""
+    with socket.create_server(("127.0.0.1", 0)) as server, slow_socket() as caller:
+        caller.connect(server.getsockname())
+        accepted, _ = server.accept()
+        with accepted:
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            accepted.setblocking(False)
+            return accepted.send(b"x" * 16_000_000)
+
+
+# Guards against a box that ends while it still holds a part of an answer, since its caller reads slowly.
+def test_a_box_waits_for_a_caller_that_has_not_read_its_whole_answer():
+    async def scenario():
+        async with site() as here:
+            body = b"x" * (system_bytes() + 30_000)
+            pieces = tuple(body[at : at + 100_000] for at in range(0, len(body), 100_000))
+            here.endpoints[0].raw_answers = [RawAnswer(pieces, Framing.LENGTH, content_type="text/plain")]
+            loop = asyncio.get_running_loop()
+            with slow_socket() as caller:
+                caller.setblocking(False)
+                host, _, port = here.front.rpartition(":")
+                await loop.sock_connect(caller, (host, int(port)))
+                await loop.sock_sendall(caller, HEAD + b"Content-Length: 0\r\n\r\n")
+                await asyncio.sleep(2.0)
+                stop = Stop(here)
+                await stop.until(4.0)
+                answer = bytearray()
+                async with asyncio.timeout(4):
+                    while data := await loop.sock_recv(caller, 65_536):
+                        answer += data
+                        if answer.endswith(b"x") and answer.count(b"x") >= len(body):
+                            break
+            head, _, got = bytes(answer).partition(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200"), head
+            assert len(got) == len(body)
+
+    asyncio.run(scenario())
+
+
+# Guards against a stream that looks complete though its box ended before its caller had read the rest.
+def test_a_stream_whose_box_ends_before_it_is_read_does_not_look_complete():
+    async def scenario():
+        async with site() as here:
+            event = b"data: " + b"x" * 9_992 + b"\n\n"
+            pieces = (event * 10,) * ((system_bytes() + 30_000) // 100_000) + (event * 5,)
+            sent = sum(map(len, pieces))
+            here.endpoints[0].raw_answers = [RawAnswer(pieces, Framing.CHUNKS)]
+            loop = asyncio.get_running_loop()
+            with slow_socket() as caller:
+                caller.setblocking(False)
+                host, _, port = here.front.rpartition(":")
+                await loop.sock_connect(caller, (host, int(port)))
+                await loop.sock_sendall(
+                    caller, HEAD.replace(b"HTTP/1.1", b"HTTP/1.0") + b"Content-Length: 0\r\n\r\n"
+                )
+                await asyncio.sleep(2.0)
+                stop = Stop(here)
+                await stop.until(4.0)
+                answer, reset = bytearray(), False
+                async with asyncio.timeout(5):
+                    try:
+                        while data := await loop.sock_recv(caller, 65_536):
+                            answer += data
+                    except ConnectionResetError:
+                        reset = True
+            head, _, got = bytes(answer).partition(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.0 200"), head
+            assert reset or len(got) == sent
+
+    asyncio.run(scenario())
