Let a box stop though nobody reads its standard error, and set the last timer in the handler

A box wrote a line to standard error before it began to stop; where nobody reads that, it waited and was killed. It has its own log for that, so the line is gone, and loads nothing more for it. The timer that ends the process is set as the signal comes, and no longer by the event loop, which may hang. The separate programs wait 1 s, not 60, for who reads their metrics as they end.

--- a/stairquay/adapters/program.py
+++ b/stairquay/adapters/program.py
@@ -26,6 +26,9 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 STACKS_SIGNAL = signal.SIGUSR1
 
+MONITORING_SHUTDOWN_S = 1.0
+"""Seconds for which a program that ends waits for those who read its metrics or health."""
+
 MIN_TIMER_S = 0.001
 """A timer of 0 s would be none."""
 
@@ -113,14 +116,19 @@
 
 
 async def wait_for_stop(tasks: BackgroundTasks, stopped: asyncio.Event | None = None) -> None:
-    """Wait for a stop signal, or the event that one sets; raise the error of a background task that fails."""
-    stopped = stopped or catch_signals(*STOP_SIGNALS)
+    """Wait for a stop signal, or the event that one sets, and log it; raise the error of a background task
+    that fails."""
+    await wait_for_event(tasks, stopped or catch_signals(*STOP_SIGNALS))
+    LOGGER.info("stopping: finishing requests in progress")
+
+
+async def wait_for_event(tasks: BackgroundTasks, stopped: asyncio.Event) -> None:
+    """Wait for an event; raise the error of a background task that fails."""
     stop_wait = asyncio.ensure_future(stopped.wait())
     outcomes: set[asyncio.Future[Any]] = {stop_wait, tasks.failed}
     await asyncio.wait(outcomes, return_when=asyncio.FIRST_COMPLETED)
     if tasks.failed.done():
         tasks.failed.result()
-    LOGGER.info("stopping: finishing requests in progress")
 
 
 def being_cancelled() -> bool:
@@ -179,7 +187,7 @@
     app = web.Application()
     app.add_routes(health_routes(ready))
     app.add_routes([web.get("/metrics", scrape)])
-    return await listen(app, address)
+    return await listen(app, address, shutdown_timeout=MONITORING_SHUTDOWN_S)
 
 
 def server_tls_context(tls: "TlsSettings") -> ssl.SSLContext | None:
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -21,7 +21,7 @@
     exit_at,
     listen,
     start_site,
-    wait_for_stop,
+    wait_for_event,
     wait_until,
 )
 from stairquay.core.limits import UNLIMITED
@@ -89,7 +89,7 @@
     log = EventLog(settings.id)
     state = BoxState(settings, log)
     # Before anything listens: a request that was accepted is finished.
-    stopped = catch_stop_signals(state.begin_shutdown)
+    stopped = catch_stop_signals(partial(_begin_shutdown, state))
     state.boxes = (settings.id,)
     state.load.readiness.jitter = random.random()
     surroundings = open_surroundings()
@@ -114,7 +114,7 @@
     log.line(LogEvent.START, front=settings.front, data_hall=settings.data_hall)
     callers = await _listen_front(state.settings, front)
     others = await _listen_others(state, surroundings.ready_path)
-    await wait_for_stop(tasks, stopped)
+    await wait_for_event(tasks, stopped)
     await _drain(state, callers)
     callers.reset_unsent()
     await asyncio.gather(*(runner.cleanup() for runner in (callers, *others)))
@@ -291,6 +291,13 @@
         metrics.backoffs.labels(name).set(backoff_s)
 
 
+def _begin_shutdown(state: BoxState, signalled_at: float) -> None:
+    """Begin to stop. The process ends in time from here on, even if its event loop hangs."""
+    state.begin_shutdown(signalled_at)
+    assert state.shutdown.times is not None
+    exit_at(state.shutdown.times.exit_by)
+
+
 async def _drain(state: BoxState, callers: EarlyAnswerRunner) -> None:
     """Report unready, serve until the load balancer has noticed, then finish the requests in progress."""
 
@@ -299,7 +306,6 @@
 
     times = state.shutdown.times
     assert times is not None
-    exit_at(times.exit_by)
     state.changed.notify_all()
     _log_stop(state, "stopping")
     await asyncio.sleep(times.refuse_at - monotonic())
--- a/tests/test_shutdown_edges.py
+++ b/tests/test_shutdown_edges.py
@@ -23,10 +23,17 @@
 from stairquay.serving.jobs import Job, JobProgress
 from stairquay.serving.ports import BoxRefusal
 from tests.loads.test_limits_of_endpoints import CATALOG
-from tests.site import ROOT, site
+from tests.site import ROOT, configuration, site
 from tests.standins.endpoints import Framing, RawAnswer
 from tests.states import box_state
-from tests.test_box_shutdown import Stop, put_long_routes, until_configured
+from tests.test_box_shutdown import (
+    LONG_DEADLINE,
+    LONG_TIMEOUT_MS,
+    Stop,
+    is_not_run,
+    put_long_routes,
+    until_configured,
+)
 from tests.test_front import HEAD, connect, status
 
 
@@ -79,19 +86,24 @@
 """
 
 
+def stuck_pipe() -> tuple[int, int]:
+    """Return both ends of a pipe that is full."""
+    read_end, write_end = os.pipe()
+    os.set_blocking(write_end, False)
+    try:
+        while True:
+            os.write(write_end, b"x" * 4096)
+    except BlockingIOError:
+        os.set_blocking(write_end, True)
+    return read_end, write_end
+
+
 # Guards against a last timer that waits, or fails, for a reader of standard error that is gone or stuck.
 @pytest.mark.parametrize("reader", ["gone", "stuck"])
 def test_the_last_timer_ends_the_process_whatever_reads_its_standard_error(reader: str):
-    read_end, write_end = os.pipe()
+    read_end, write_end = stuck_pipe()
     if reader == "gone":
         os.close(read_end)
-    else:
-        os.set_blocking(write_end, False)
-        try:
-            while True:
-                os.write(write_end, b"x" * 4096)
-        except BlockingIOError:
-            os.set_blocking(write_end, True)
     process = subprocess.Popen([sys.executable, "-c", EXITS], cwd=ROOT, stderr=write_end)
     try:
         started = monotonic()
@@ -216,3 +228,60 @@
             assert reset or len(got) == sent
 
     asyncio.run(scenario())
+
+
+# Guards against a box that never begins to stop, since nobody reads what it writes to standard error first.
+def test_a_box_stops_though_nobody_reads_its_standard_error(monkeypatch: pytest.MonkeyPatch):
+    read_end, write_end = stuck_pipe()
+    start = asyncio.create_subprocess_exec
+
+    async def start_with_stuck_error(*command, **options):
+        return await start(*command, **options, stderr=write_end)
+
+    monkeypatch.setattr(asyncio, "create_subprocess_exec", start_with_stuck_error)
+
+    async def scenario():
+        async with site() as here:
+            await Stop(here).ended()
+
+    try:
+        asyncio.run(scenario())
+    finally:
+        os.close(read_end)
+        os.close(write_end)
+
+
+BEGUN_S = 2.2
+TOLD_S = 3.2
+"""Seconds after the stop signal: prompts begin to wait, for 1.4 s at most, and all of them are told."""
+
+
+# Guards against prompts that wait for room until their box ends, or until they are passed on too late.
+def test_prompts_that_wait_for_room_are_told_as_soon_as_the_box_refuses():
+    async def scenario():
+        async with site(engines=1) as here:
+            routes = configuration(1, here.stores)["routes"]
+            longer = {"timeout_ms": LONG_TIMEOUT_MS, "target_latency_ms": LONG_TIMEOUT_MS}
+            here.put_configuration(2, routes=[{**item, **longer} for item in routes])
+            await until_configured(here)
+            engine = here.engines()[0]
+            engine.event_count, engine.event_s = 200, 0.1
+            stop = Stop(here)
+            await stop.until(BEGUN_S)
+            calls = [
+                asyncio.create_task(here.prompt(call_id=f"p-{number}", headers=LONG_DEADLINE))
+                for number in range(40)
+            ]
+            await stop.until(TOLD_S)
+            assert len(here.logged("waits")) >= 10
+            told = [call.result() for call in calls if call.done()]
+            running = engine.in_progress
+            await asyncio.gather(*calls)
+            await stop.ended()
+            assert len(told) >= 10 and all(
+                is_not_run(answer) and b'"stopping"' in answer.body for answer in told
+            )
+            assert len(told) + running == len(calls)
+            assert stop.arrived_late() == []
+
+    asyncio.run(scenario())
