Tell truly that a request has run where an entry stops as the end of its answer is written

It counts the attempt as it stands. A box that does not stop itself no longer tells its caller that it stopped where another box did.

Evidence: the new test fails on the code before; tests/test_shutdown.py passes.

--- a/stairquay/entry/attempts.py
+++ b/stairquay/entry/attempts.py
@@ -102,8 +102,10 @@
     def stopped(self) -> Refusal:
         """Return the refusal of the request as the program stops."""
         ran = self.ran
-        if self.attempt is not None and self.attempt.is_running:
-            self.attempt.lose()
+        if self.attempt is not None:
+            if self.attempt.is_running:
+                self.attempt.lose()
+            # It may have ended well, while the end of the answer was being written.
             ran = combine_execution_status(ran, self.attempt.ran)
         return Refusal(ErrorKind.STOPPING if ran == ExecutionStatus.NOT_RUN else ErrorKind.STOPPED, ran)
 
--- a/stairquay/serving/forwarding.py
+++ b/stairquay/serving/forwarding.py
@@ -188,7 +188,9 @@
     ) -> Err[Refusal] | None:
         """Return the refusal to pass on, or None if the request may have run."""
         if refusal.ran != ExecutionStatus.NOT_RUN:
-            failure = SendFailure(refusal.kind, refusal.ran, refusal.detail, fault=False)
+            # This box does not stop, so that its caller is told of a failure.
+            kind = ErrorKind.ENDPOINT_FAILED if refusal.kind == ErrorKind.STOPPED else refusal.kind
+            failure = SendFailure(kind, refusal.ran, refusal.detail, fault=False)
             _record_failure(progress, failure, forward.attempts if refusal.runs is None else refusal.runs)
             return None
         if refusal.kind in OTHER_CONFIGURATION:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -13,7 +13,10 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.program import STOP_SIGNALS, catch_stop_signals
 from stairquay.adapters.shutdown import PendingRequest, Shutdown
+from stairquay.core.attempt import Attempt
+from stairquay.core.errors import ErrorKind, ExecutionStatus
 from stairquay.core.shutdown import ShutdownTimes, shutdown_times
+from stairquay.entry.attempts import RunProgress
 from tests.site import site
 from tests.test_box_shutdown import GRACE_S, Stop
 
@@ -140,3 +143,13 @@
             assert await stop.ended() > GRACE_S * LAST_SHARE
 
     asyncio.run(scenario())
+
+
+# Guards against an entry that says "not run", and frees the idempotency key, of a request whose run has ended.
+def test_an_entry_that_stops_as_the_end_of_an_answer_is_written_does_not_say_that_it_has_not_run():
+    attempt = Attempt("r-1", "e-1")
+    attempt.send()
+    attempt.answer()
+    attempt.finish()
+    refusal = RunProgress(attempt=attempt).stopped()
+    assert (refusal.kind, refusal.ran) == (ErrorKind.STOPPED, ExecutionStatus.RAN)
