Look at route and key again when a slow body is whole

Route and key are looked at once more by the configuration in force when the body is whole, if that is another one.

Evidence: the new test of tests/test_front.py gets 200 on the code before, 401 now; the file passes.

--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -165,6 +165,13 @@
             body = await self._read_body_unless_stopped(request, catalog, claim, deadline)
             if isinstance(body, Err):
                 return body
+            if self.state.catalog is not None and self.state.catalog is not catalog:
+                # The body came slowly: the key may have been taken away, the route may be another one.
+                catalog = self.state.catalog
+                resolved = self._route_and_authenticate(catalog, call)
+                if isinstance(resolved, Err):
+                    return resolved
+                route, workspace = resolved.ok_value
             job = self._create_job(call, body.ok_value, catalog, route, workspace, arrived_at, deadline)
             if isinstance(job, Err):
                 return job
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.site import HOST, KEY, Site, site
+from tests.site import HOST, KEY, Site, eventually, site
 
 HEAD = (
     f"POST /plain/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r-1\r\nDeadline-Ms: 5000\r\n"
@@ -72,3 +72,23 @@
     writer.write(2 * piece + b"0\r\n\r\n")
     assert await status(reader) == 413
     writer.close()
+
+
+# Guards against a request that runs with a key, or on a route, that was taken away while its body came.
+def test_a_request_whose_key_is_taken_away_while_its_body_comes_is_not_passed_on():
+    async def scenario():
+        async with site() as here:
+
+            async def slow_body():
+                yield b"begin"
+                await asyncio.sleep(1.0)
+                yield b"end"
+
+            call = asyncio.create_task(here.call("/plain/x", "POST", body=slow_body()))
+            await asyncio.sleep(0.3)
+            here.put_configuration(2, tenants=[{"name": "w1", "api_keys": ["another"], "priority": 1}])
+            await eventually(lambda: here.logged("configuration", version=2))
+            answer = await call
+            assert answer.status == 401 and here.endpoints[0].received == []
+
+    asyncio.run(scenario())
