--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -64,6 +64,10 @@
         return [*chunks, b"0\r\n\r\n"] if self.finished else chunks
 
 
+WORK_HEADER, ANSWER_BYTES_HEADER = "X-Work-S", "X-Answer-Bytes"
+"""Headers of a request that say for how many seconds an endpoint works before it answers, and how many bytes
+a plain answer has at least."""
+
 RAW_PIECE_S = 0.02
 """Seconds between two pieces of a raw answer, so that they arrive one by one."""
 
@@ -166,7 +170,8 @@
     next answers, written as they are. silent_until: time of the event loop until which it does and sends
     nothing; its system goes on taking connections and bytes, as that of a stopped process.
 
-    arrivals, limits_sent, leaving_sent and retry_after_sent have times of the event loop.
+    arrivals, limits_sent, leaving_sent and retry_after_sent have times of the event loop. ended_at_by_id:
+    when the work at a request ended, also where its caller left.
     """
 
     id: str = "i-1"
@@ -209,6 +214,7 @@
     report_requests: int = 0
     received: list[ReceivedRequest] = field(default_factory=list)
     arrivals: list[tuple[float, str]] = field(default_factory=list)
+    ended_at_by_id: dict[str, float] = field(default_factory=dict)
     limits_sent: list[tuple[float, str]] = field(default_factory=list)
     leaving_sent: list[tuple[float, str]] = field(default_factory=list)
     retry_after_sent: list[tuple[float, str, str]] = field(default_factory=list)
@@ -346,7 +352,7 @@
         self.in_progress += 1
         self.most_in_progress = max(self.most_in_progress, self.in_progress)
         try:
-            await asyncio.sleep(self.delay_s)
+            await asyncio.sleep(self.delay_s + float(request.headers.get(WORK_HEADER, "0")))
             await self._while_silent()
             if self.crashes_on and self.crashes_on in body:
                 self.on_poison(call_id, body, False)
@@ -361,6 +367,7 @@
             raise
         finally:
             self.in_progress -= 1
+            self.ended_at_by_id[call_id] = asyncio.get_running_loop().time()
 
     def _hold_slot_for_connection(self, request: web.Request) -> None:
         """Let a new connection take a slot for a moment, besides its request."""
@@ -436,7 +443,8 @@
                 RawAnswer((b"half of",), reset=True, content_type="text/plain"),
             )
         if not self.model:
-            return web.Response(body=f"answer of {self.id}".encode(), headers=headers)
+            size = int(request.headers.get(ANSWER_BYTES_HEADER, "0"))
+            return web.Response(body=f"answer of {self.id}".encode().ljust(size, b"."), headers=headers)
         return await self._stream(request, headers)
 
     async def _stream(self, request: web.Request, headers: dict[str, str]) -> web.StreamResponse:
