--- a/stairquay/adapters/program.py
+++ b/stairquay/adapters/program.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import faulthandler
+import os
 import signal
 import ssl
 from collections.abc import Callable, Coroutine
 from logging import getLogger
+from types import FrameType
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from aiohttp import web
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.early_signals import has_arrived
 
 if TYPE_CHECKING:
@@ -23,6 +26,9 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 STACKS_SIGNAL = signal.SIGUSR1
 
+MIN_TIMER_S = 0.001
+"""A timer of 0 s would be none."""
+
 
 def write_stacks_on_signal() -> None:
     """Write the stacks of all threads to standard error on STACKS_SIGNAL, also while the event loop hangs."""
@@ -70,6 +76,37 @@
     return caught
 
 
+def catch_stop_signals(on_stop: Callable[[float], None]) -> asyncio.Event:
+    """Return an event that the event loop sets after a stop signal, also one that came during the start.
+
+    on_stop: called with the time of each signal (monotonic seconds) between any two instructions, at once,
+    where a busy event loop handles the signal much later.
+    """
+    loop = asyncio.get_running_loop()
+    handled = asyncio.Event()
+
+    def on_signal(_: int, __: FrameType | None) -> None:
+        on_stop(monotonic())
+        loop.call_soon_threadsafe(handled.set)
+
+    for number in STOP_SIGNALS:
+        signal.signal(number, on_signal)
+        if has_arrived(number):
+            on_signal(number, None)
+    return handled
+
+
+def exit_at(at: float) -> None:
+    """End the process at a time (monotonic seconds), whatever its event loop is doing then."""
+    signal.signal(signal.SIGALRM, _exit)
+    signal.setitimer(signal.ITIMER_REAL, max(MIN_TIMER_S, at - monotonic()))
+
+
+def _exit(_: int, __: FrameType | None) -> None:
+    os.write(2, b"ended at the end of the grace time, with work left\n")
+    os._exit(0)
+
+
 async def wait_for_stop(tasks: BackgroundTasks, stopped: asyncio.Event | None = None) -> None:
     """Wait for a stop signal, or the event that one sets; raise the error of a background task that fails."""
     stopped = stopped or catch_signals(*STOP_SIGNALS)
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -40,6 +40,7 @@
     no_room,
     overloaded,
     reconcile_status,
+    stopping,
 )
 from stairquay.serving.relay import (
     abort_connection,
@@ -47,6 +48,7 @@
     is_event_stream,
     relay_or_read,
 )
+from stairquay.serving.shutdown import PendingRequest
 from stairquay.serving.silent_endpoints import record_result
 from stairquay.serving.state import BoxState
 from stairquay.serving.statements import apply_feedback, is_backing_off, record_probe
@@ -93,8 +95,22 @@
         self.origins = origins
 
     async def run(self, job: Job, request: web.BaseRequest) -> Result[web.StreamResponse, Refusal]:
-        """Run a job to its end. Return the response, already sent if it is a stream, or a refusal."""
+        """Run a job to its end, or to that of this box. Return the response, already sent if it is a stream,
+        or a refusal."""
         progress = JobProgress()
+        pending = PendingRequest(self.state.shutdown, job.deadline, progress.is_passed_on)
+        try:
+            async with pending:
+                return await self._run(job, progress, request)
+        except TimeoutError:
+            if not pending.was_ended:
+                raise
+            progress.break_off()
+            return self._give_up(job, progress, stopping(progress.ran), request)
+
+    async def _run(
+        self, job: Job, progress: JobProgress, request: web.BaseRequest
+    ) -> Result[web.StreamResponse, Refusal]:
         # First of all, since the service that the request counts for follows from it.
         unknown = await self.origins.resolve(job, progress)
         job = at_origin(job, progress)
@@ -167,6 +183,8 @@
         """Return the refusal if nothing may be sent now, else None."""
         if job.deadline - monotonic() < MIN_REMAINING_S:
             return Refusal(ErrorKind.DEADLINE, progress.ran)
+        if not self.state.shutdown.allows(job.deadline):
+            return stopping(progress.ran)
         if not self._keys_fresh(job):
             return Refusal(ErrorKind.NOT_READY, progress.ran, "the configuration's view is too old")
         version_gone = self.origins.refuses(job, progress)
@@ -230,6 +248,8 @@
                 return refusal
         elif progress.refused >= MAX_REFUSED:
             return refusal
+        if not self.state.shutdown.allows(job.deadline):
+            return refusal
         if not self.state.take_retry(job.service.id):
             record_retry_denied(self.state, job)
             return refusal
@@ -252,6 +272,7 @@
         record_probe(endpoint_state, started_attempt.sent_at)
         record_sent(self.state, job, choice, progress)
         endpoint_state.silence.on_sent(started_attempt.sent_at, progress.last is not None)
+        progress.attempt = attempt
         try:
             sent = await self._send_and_record(job, started_attempt, progress)
             self._record_reach(started_attempt, sent)
@@ -314,6 +335,8 @@
         def guard() -> bool:
             if not self._keys_fresh(job) or job.deadline <= monotonic():
                 return False
+            if not self.state.shutdown.allows(job.deadline):
+                return False
             if self._quarantined_s(job) > 0 and not progress.is_trial:
                 return False
             endpoint = started_attempt.choice.endpoint
