Let no signal end a box whose process is being torn down

It looks like a crash to whoever started it.

Handlers stay until the end now, and a box leaves without that teardown, as the last thing at its exit, with the status of its command.

--- a/stairquay/__main__.py
+++ b/stairquay/__main__.py
@@ -1,5 +1,7 @@
 """Entry point of `stairquay` and `python -m stairquay`; imports the command line only if needed."""
 
+import atexit
+import os
 import sys
 
 from stairquay.adapters.early_signals import hold_signals
@@ -11,9 +13,21 @@
 def run() -> int:
     """Run the command line on the process's own arguments."""
     args = sys.argv[1:]
-    if args[:1] == [BOX_COMMAND]:
-        hold_signals()
-    return _run(args)
+    if args[:1] != [BOX_COMMAND]:
+        return _run(args)
+    hold_signals()
+    status = 1
+
+    def end() -> None:
+        sys.stdout.flush()
+        sys.stderr.flush()
+        os._exit(status)
+
+    # The last thing to run at the exit. Destroying all objects may take long, and signals have their default
+    # effect again meanwhile.
+    atexit.register(end)
+    status = _run(args)
+    return status
 
 
 def _run(args: list[str]) -> int:
--- a/stairquay/adapters/program.py
+++ b/stairquay/adapters/program.py
@@ -5,7 +5,7 @@
 import os
 import signal
 import ssl
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from logging import getLogger
 from types import FrameType
 from typing import TYPE_CHECKING, Any, TypeVar
@@ -70,13 +70,7 @@
 
 def catch_signals(*signals: signal.Signals) -> asyncio.Event:
     """Return an event that any of these signals sets, also one that arrived while the program started."""
-    loop = asyncio.get_running_loop()
-    caught = asyncio.Event()
-    for number in signals:
-        loop.add_signal_handler(number, caught.set)
-        if has_arrived(number):
-            caught.set()
-    return caught
+    return _catch(signals, lambda: None)
 
 
 def catch_stop_signals(on_stop: Callable[[float], None]) -> asyncio.Event:
@@ -85,19 +79,24 @@
     on_stop: called with the time of each signal (monotonic seconds) between any two instructions, at once,
     where a busy event loop handles the signal much later.
     """
+    return _catch(STOP_SIGNALS, lambda: on_stop(monotonic()))
+
+
+def _catch(signals: Iterable[signal.Signals], on_arrival: Callable[[], None]) -> asyncio.Event:
+    # Handlers of the event loop would end with it, and a signal would then end the process.
     loop = asyncio.get_running_loop()
-    handled = asyncio.Event()
+    caught = asyncio.Event()
 
     def on_signal(_: int, __: FrameType | None) -> None:
-        on_stop(monotonic())
+        on_arrival()
         if not loop.is_closed():
-            loop.call_soon_threadsafe(handled.set)
+            loop.call_soon_threadsafe(caught.set)
 
-    for number in STOP_SIGNALS:
+    for number in signals:
         signal.signal(number, on_signal)
         if has_arrived(number):
             on_signal(number, None)
-    return handled
+    return caught
 
 
 def exit_at(at: float) -> None:
