Count a shutdown from the start of a pause in which the stop signal came

The signal's time can't be known then; it came after the last tick that the event loop made. Where a tick is overdue as the signal is handled, the box counts from when it was due, at most half of the grace time back.

--- a/stairquay/serving/overload.py
+++ b/stairquay/serving/overload.py
@@ -1,6 +1,7 @@
 """Measures how late a box's event loop runs, and refuses requests while it is overloaded."""
 
 import asyncio
+from math import inf
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.catalog import Catalog
@@ -33,7 +34,7 @@
     late_s = 0.0
     while True:
         interval_s = tick_interval_s(state.load.level, late_s)
-        due = monotonic() + interval_s
+        due = state.tick_due_at = monotonic() + interval_s
         await asyncio.sleep(interval_s)
         now = monotonic()
         late_s = max(0.0, now - due)
@@ -41,6 +42,7 @@
         if _needs_timer(state):
             active_at = now
         elif now - active_at > WINDOW_S:
+            state.tick_due_at = inf
             await _wait_until_needed(state)
             active_at = monotonic()
 
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -59,6 +59,10 @@
 their rows that was read in that time takes nothing back."""
 
 
+MAX_PAUSE_SHARE = 0.5
+"""Share of the grace time for which a process may have stood still at a stop signal, at most: with less time
+left, requests in progress would be ended in vain where the signal came late in the pause."""
+
 MAX_ANSWER_BYTES = 64_000_000
 """Bytes that all incomplete answers may take together."""
 
@@ -180,6 +184,8 @@
     # Of what this box keeps of incomplete answers.
     answer_buffers: BufferBudget = field(default_factory=lambda: BufferBudget(MAX_ANSWER_BYTES))
     shutdown: Shutdown = field(default_factory=Shutdown)
+    # When the next tick of the event loop is due that measures its lateness; infinite while there is none.
+    tick_due_at: float = inf
     # Notified when views, routers or their suspicion change, an endpoint is marked as leaving, routers start
     # or stop reporting crashes, and on stop.
     changed: ChangeNotifier = field(default_factory=ChangeNotifier)
@@ -322,9 +328,15 @@
         known = self.catalog is not None and self.fleet_known and self.crashes_known()
         return known and not self.should_close_connections() and self.load.ready(monotonic())
 
-    def begin_shutdown(self, signalled_at: float) -> None:
-        """Begin to stop, on the first stop signal."""
-        self.shutdown.begin(shutdown_times(signalled_at, self.settings.stop_s))
+    def begin_shutdown(self, handled_at: float) -> None:
+        """Begin to stop, on the first stop signal.
+
+        If a tick is overdue, the process may have stood still, and the signal may have come as that began.
+        """
+        grace_s = self.settings.stop_s
+        earliest = handled_at - grace_s * MAX_PAUSE_SHARE
+        signalled_at = max(earliest, min(handled_at, self.tick_due_at))
+        self.shutdown.begin(shutdown_times(signalled_at, grace_s))
 
     @property
     def stopping(self) -> bool:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -18,6 +18,7 @@
 from stairquay.core.shutdown import ShutdownTimes, shutdown_times
 from stairquay.entry.attempts import RunProgress
 from tests.site import site
+from tests.states import box_state
 from tests.test_box_shutdown import GRACE_S, Stop
 
 EXCUSED_S = 3.0
@@ -153,3 +154,16 @@
     attempt.finish()
     refusal = RunProgress(attempt=attempt).stopped()
     assert (refusal.kind, refusal.ran) == (ErrorKind.STOPPED, ExecutionStatus.RAN)
+
+
+# Guards against a box that stood still as the signal came and counts its grace time from when it went on.
+@pytest.mark.parametrize(
+    ("overdue_s", "began_s"), [(-0.1, 0.0), (1.5, 1.5), (60.0, GRACE_S / 2)], ids=["runs", "stood", "long"]
+)
+def test_the_signal_counts_from_the_last_moment_at_which_the_box_may_have_run(
+    overdue_s: float, began_s: float
+):
+    state = box_state()
+    state.tick_due_at = 100.0 - overdue_s
+    state.begin_shutdown(100.0)
+    assert state.shutdown.times == shutdown_times(100.0 - began_s, GRACE_S)
