--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -64,8 +64,8 @@
                 await _invite_body(request)
             response = await self._handle(request, arrived_at)
             await _write(request, response)
-            if self.state.stopping and not request.content.is_eof():
-                await _discard_body(request)
+            if self.state.stopping and not response.keep_alive:
+                await _linger(request)
             return response
         finally:
             self.state.in_flight -= 1
@@ -307,13 +307,19 @@
         return
 
 
-async def _discard_body(request: web.BaseRequest) -> None:
-    """Read the rest of a body whose request is answered: closing before would reset the connection, and the
-    caller might lose the answer."""
+async def _linger(request: web.BaseRequest) -> None:
+    """Read what still comes after the last answer on a connection, until the caller closes it: closing before
+    would reset the connection, and the caller might lose the answer."""
+    transport = request.transport
+    if transport is None:
+        return
     try:
+        transport.write_eof()
         async with asyncio.timeout(LINGER_S):
             while not request.content.at_eof():
                 await request.content.readany()
+            # Ended by the server as the caller closes the connection.
+            await asyncio.sleep(LINGER_S)
     except (TimeoutError, web.RequestPayloadError, ConnectionError):
         # The caller has the answer by now, or has left.
         return
