--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 from itertools import count
+from math import inf
 
 from stairquay.core.attempt import Attempt
 from stairquay.core.call import Call, request_digest
@@ -94,6 +95,20 @@
     events: int
 
 
+@dataclass(frozen=True)
+class OriginBasis:
+    """What a box went by as it looked for where a stream began.
+
+    source: how that was found out. asked: other routers. list_age_s: of this box's list. answer_ages_s: of
+    the lists of the routers that answered.
+    """
+
+    source: str
+    asked: int = 0
+    list_age_s: float = inf
+    answer_ages_s: tuple[float, ...] = ()
+
+
 @dataclass
 class JobProgress:
     """Results of a job's attempts so far.
@@ -104,7 +119,7 @@
     attempt that succeeded, where it is comparable to others. rejected: why the routers refuse the job, empty
     if they don't. unreached: attempts that found no connection to their endpoint. asked_other_boxes: it was
     passed on to other boxes, none of which served it. origin: where its stream began, None before the first
-    event, or if it may go on at any endpoint. origin_source: how that was found out, empty where it was not
+    event, or if it may go on at any endpoint. origin_basis: how that was found out, None where it was not
     asked. is_trial: it is sent once although its parts are quarantined.
     """
 
@@ -121,7 +136,7 @@
     unreached: int = 0
     asked_other_boxes: bool = False
     origin: StreamOrigin | None = None
-    origin_source: str = ""
+    origin_basis: OriginBasis | None = None
     is_trial: bool = False
 
 
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -161,10 +161,12 @@
 
 class OriginReply(msgspec.Struct, frozen=True, array_like=True):
     """Where a stream began, None if the router does not know, and the versions that endpoints of the services
-    had lately, each with its service."""
+    had lately, each with its service. list_age_s: of the newest list that these are from, infinite from an
+    earlier release."""
 
     origin: StreamOrigin | None = None
     versions: tuple[tuple[str, str], ...] = ()
+    list_age_s: float = inf
 
 
 class FinishedNotice(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/origin_replies.py
+++ b/stairquay/serving/origin_replies.py
@@ -23,4 +23,5 @@
 def origin_reply(state: BoxState, request: OriginRequest, now: float) -> OriginReply:
     """Return what this box knows of a stream."""
     versions = recent_versions(state, request.services, now)
-    return OriginReply(state.origins.find(request.id, now), tuple(sorted(versions)))
+    origin = state.origins.find(request.id, now)
+    return OriginReply(origin, tuple(sorted(versions)), now - state.list_asked_at)
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -22,7 +22,7 @@
 from stairquay.core.stream_origins import KnownStream, StreamOrigin, may_continue, merge_origins
 from stairquay.serving.endpoint import NEVER
 from stairquay.serving.evacuation import takes_work
-from stairquay.serving.jobs import Job, JobProgress
+from stairquay.serving.jobs import Job, JobProgress, OriginBasis
 from stairquay.serving.links import RouterClients
 from stairquay.serving.messages import BegunStream, OriginReply, OriginRequest
 from stairquay.serving.notices import NoticeSender
@@ -122,7 +122,7 @@
             return None
         found = await self._find(job, progress)
         if isinstance(found, Err):
-            self._count(progress, "unknown")
+            self._count(progress, OriginBasis("unknown"))
             return unresumable(progress.ran, found.err_value)
         progress.origin = found.ok_value
         return None
@@ -146,14 +146,15 @@
             return Err("versions that were there before this box started are not known yet")
         origin = state.origins.find(stream, asked_at)
         if origin is not None:
-            self._count(progress, "here")
+            self._count(progress, OriginBasis("here"))
             return Ok(origin)
         services = _services_of(job)
         others = [router for router in state.routers if router.id != state.settings.id]
         answers = await self._ask(others, OriginRequest(stream, services))
+        ages_s = tuple(item.list_age_s for item in answers)
         origin = merge_origins(item.origin for item in answers if item.origin is not None)
         if origin is not None:
-            self._count(progress, "router")
+            self._count(progress, OriginBasis("router", len(others), state.list_age(), ages_s))
             return Ok(origin)
         versions = recent_versions(state, services, monotonic()).union(*(item.versions for item in answers))
         if not _differ(versions) and len(answers) < len(others):
@@ -167,7 +168,7 @@
                 return Err("versions that left before this box started are not known")
         if _differ(versions) or job.service.id not in dict(versions):
             return Err(f"none of {len(answers)} routers knows the version that began {stream!r}")
-        self._count(progress, "one version")
+        self._count(progress, OriginBasis("one version", len(others), state.list_age(), ages_s))
         software = dict(versions)[job.service.id]
         return Ok(StreamOrigin(job.service.id, "", software) if software else None)
 
@@ -201,9 +202,9 @@
             return None
         return frozenset((item.service, item.software) for item in found.ok_value.present)
 
-    def _count(self, progress: JobProgress, source: str) -> None:
-        progress.origin_source = source
-        self.state.metrics.taken_up.labels(source).inc()
+    def _count(self, progress: JobProgress, basis: OriginBasis) -> None:
+        progress.origin_basis = basis
+        self.state.metrics.taken_up.labels(basis.source).inc()
 
     async def _ask(self, routers: Iterable[Member], request: OriginRequest) -> list[OriginReply]:
         """Return the routers' answers, up to the first one that knows the stream."""
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -1,12 +1,14 @@
 """Writes log lines and metrics about the attempts and the end of a job."""
 
+from math import isfinite
+
 from stairquay.adapters.clock import monotonic
 from stairquay.core.errors import ExecutionStatus, Refusal
 from stairquay.core.limits import UNLIMITED
 from stairquay.core.placement import Placement
 from stairquay.serving.endpoint_choice import Choice
 from stairquay.serving.event_log import LogEvent
-from stairquay.serving.jobs import Job, JobProgress, StartedAttempt
+from stairquay.serving.jobs import Job, JobProgress, OriginBasis, StartedAttempt
 from stairquay.serving.ports import Feedback, Reply, SendFailure, SurplusAnswers
 from stairquay.serving.relay import MIN_ERROR_STATUS
 from stairquay.serving.state import BoxState
@@ -54,7 +56,7 @@
         fields["software"] = choice.endpoint.software
     after = progress.stream.last_event_id or job.call.resume_after
     if after is not None:
-        fields.update(resume_after=after, resumes=job.call.resumes, origin=progress.origin_source)
+        fields.update(resume_after=after, resumes=job.call.resumes, **_origin_fields(progress.origin_basis))
     if choice.placement is not None:
         fields.update(_placement_fields(state, choice, choice.placement))
     if choice.version is not None and job.call.prompt is not None:
@@ -62,6 +64,16 @@
     state.log.line(LogEvent.SENT, job.call.id, **fields)
 
 
+def _origin_fields(basis: OriginBasis | None) -> dict[str, object]:
+    """Return how this box knows where a stream began."""
+    if basis is None:
+        return {"origin": ""}
+    # A router of an earlier release doesn't tell.
+    ages_s = [round(age_s, 4) if isfinite(age_s) else None for age_s in basis.answer_ages_s]
+    asked = {"origin_routers": basis.asked, "answer_ages_s": ages_s} if basis.asked else {}
+    return {"origin": basis.source, "list_age_s": basis.list_age_s, **asked}
+
+
 def _placement_fields(state: BoxState, choice: Choice, placement: Placement) -> dict[str, object]:
     return {
         "version": choice.version,
