--- a/tests/cut_box.py
+++ b/tests/cut_box.py
@@ -1,6 +1,7 @@
 """A box whose links to some ports a test cuts, as a network does: `python -m tests.cut_box box`.
 
 The file `cut.json` beside the box's settings names the ports and how they are cut; without it nothing is.
+Calls of other boxes' routers are cut one by one, since gRPC opens its connections outside the event loop.
 """
 
 import asyncio
@@ -8,11 +9,15 @@
 import json
 import os
 from asyncio.selector_events import BaseSelectorEventLoop
+from collections.abc import Awaitable, Callable
 from enum import Enum
 from pathlib import Path
 from typing import Any
 
+import grpc
+
 from stairquay.__main__ import run
+from stairquay.serving.links import RouterClient
 
 CHECK_S = 0.02
 """Seconds between two looks at the file."""
@@ -137,6 +142,61 @@
         if self.kind is not None and port in self.ports:
             raise ConnectionRefusedError(errno.ECONNREFUSED, "cut")
 
+    async def router_call(self, port: int, start: Callable[[], Awaitable[Any]], timeout_s: float) -> Any:
+        """Return the reply to a call of a router; raise where its link is reset, or hangs for too long."""
+        async with asyncio.timeout(timeout_s):
+            while self.kind == CutKind.HANG and port in self.ports:
+                await self.healed.wait()
+        call = asyncio.ensure_future(_awaited(start))
+        try:
+            while True:
+                if self.kind == CutKind.RESET and port in self.ports:
+                    raise ConnectionResetError(errno.ECONNRESET, "cut")
+                hangs = self.kind == CutKind.HANG and port in self.ports
+                if call.done() and not hangs:
+                    return call.result()
+                change = asyncio.ensure_future(self.healed.wait())
+                try:
+                    async with asyncio.timeout(timeout_s):
+                        await asyncio.wait(
+                            {change} if hangs else {change, call}, return_when="FIRST_COMPLETED"
+                        )
+                finally:
+                    change.cancel()
+        finally:
+            call.cancel()
+
+
+async def _awaited(start: Callable[[], Awaitable[Any]]) -> Any:
+    return await start()
+
+
+def cut_router_calls(links: Links) -> None:
+    """Have calls of routers go by the cut that is in force."""
+    make_client, make_method = RouterClient.__init__, RouterClient._method
+    ports_by_client: dict[int, int] = {}
+
+    def init(client: RouterClient, address: str) -> None:
+        ports_by_client[id(client)] = int(address.rpartition(":")[2])
+        make_client(client, address)
+
+    def method(client: RouterClient, name: str, reply: type[Any]) -> Callable[..., Awaitable[Any]]:
+        call, port = make_method(client, name, reply), ports_by_client[id(client)]
+
+        async def call_unless_cut(request: Any, timeout: float) -> Any:
+            try:
+                return await links.router_call(port, lambda: call(request, timeout=timeout), timeout)
+            except (ConnectionResetError, TimeoutError) as error:
+                metadata = grpc.aio.Metadata()
+                raise grpc.aio.AioRpcError(
+                    grpc.StatusCode.UNAVAILABLE, metadata, metadata, str(error)
+                ) from None
+
+        return call_unless_cut
+
+    RouterClient.__init__ = init  # type: ignore[method-assign]
+    RouterClient._method = method  # type: ignore[method-assign]
+
 
 def main() -> None:
     links = Links(Path(os.environ["STAIRQUAY_BOOT"]).parent / CUT_FILE)
@@ -149,6 +209,7 @@
         await connect(loop, sock, address)
 
     BaseSelectorEventLoop.sock_connect = sock_connect  # type: ignore[method-assign]
+    cut_router_calls(links)
     run()
 
 
