--- a/stairquay/core/software.py
+++ b/stairquay/core/software.py
@@ -27,12 +27,14 @@
     It is to be told of each change of the list, so that what is listed stays so until the next.
 
     since: from when on the list is known without gaps, None before the first (monotonic seconds).
+    gap_at: when the last gap ended.
     seen_at_by_version: when a version was last listed, by service and version. changed: ids of endpoints
     whose entry named one version after another. Such an endpoint may have run the newer one before its entry
     said so. learned_at: until when other boxes have told what they saw.
     """
 
     since: float | None = None
+    gap_at: float = float("-inf")
     listed: frozenset[tuple[str, str]] = frozenset()
     listed_ids: frozenset[str] = frozenset()
     seen_at_by_version: dict[tuple[str, str], float] = field(default_factory=dict)
@@ -61,7 +63,7 @@
 
     def on_gap(self, at: float) -> None:
         """Record that versions may have come and gone unseen before a time."""
-        self.since = at
+        self.since = self.gap_at = at
 
     def learn(self, service: str, software: str, at: float) -> None:
         """Record that another box saw a version until a time."""
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -38,6 +38,7 @@
 from stairquay.serving.front import Frontend
 from stairquay.serving.links import RouterClients
 from stairquay.serving.local_router import LocalRouter
+from stairquay.serving.new_lists import NewLists
 from stairquay.serving.notices import NoticeSender
 from stairquay.serving.orders import RolloutController
 from stairquay.serving.origins import OriginTracker
@@ -92,12 +93,13 @@
     surroundings = open_surroundings()
     rng = random.Random()
     links = RouterClients(state)
-    router = LocalRouter(state, rng)
+    new_lists = NewLists(state, surroundings.feeds.read_endpoints)
+    router = LocalRouter(state, rng, new_lists)
     notices = NoticeSender(state, links, router)
     chooser = Chooser(state, links, router, notices, rng)
     crash_detector = CrashDetector(state, surroundings.peers)
     forwarder = Forwarder(state, surroundings.boxes, rng)
-    origins = OriginTracker(state, links, notices, surroundings.feeds.read_endpoints)
+    origins = OriginTracker(state, links, notices, new_lists)
     dispatcher = Dispatcher(state, surroundings.endpoints, chooser, crash_detector, forwarder, origins)
     front = Frontend(state, surroundings.callers, dispatcher, rng)
     tasks = BackgroundTasks()
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -143,7 +143,7 @@
             await asyncio.sleep(min(pause_s, RETRY_S * 2**self.failed_writes))
         while (left_s := due_at - monotonic()) > 0:
             limit_s = min(left_s, TELL_INTERVAL_S) if self._tells_streams() else left_s
-            if await self.state.changed.wait_for(self._has_unpublished_versions, limit_s):
+            if await self.state.changed.wait_for(self._is_due_early, limit_s):
                 return
             if not self._tells_streams() or self.state.origins.recorded == self.published_streams:
                 continue
@@ -331,6 +331,10 @@
         """Tell whether endpoints of any service had several versions lately."""
         return bool(self.state.software.differing(monotonic()))
 
+    def _is_due_early(self) -> bool:
+        """Tell whether to read the rows and write this box's row before the next heartbeat."""
+        return self.state.rows_asked_at < self.state.rows_wanted_at or self._has_unpublished_versions()
+
     def _has_unpublished_versions(self) -> bool:
         """Tell whether to publish versions early, which only followers of the table service do.
 
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -42,7 +42,8 @@
     ViewsReply,
     ViewsRequest,
 )
-from stairquay.serving.origin_replies import origin_reply, record_told_streams
+from stairquay.serving.new_lists import NewLists
+from stairquay.serving.origin_replies import new_origin_reply, origin_reply, record_told_streams
 from stairquay.serving.pacing import count_sent, refund_sent, retry_after_s
 from stairquay.serving.router_admission import RouterAdmission, reply_without_room, shared_parts
 from stairquay.serving.saving import choose_with_save_targets
@@ -91,8 +92,9 @@
 class LocalRouter:
     """Places prompts and serves views while this box is a router."""
 
-    def __init__(self, state: BoxState, random: Random) -> None:
+    def __init__(self, state: BoxState, random: Random, new_lists: NewLists | None = None) -> None:
         self.state = state
+        self.new_lists = new_lists
         self.random = random
         self.placed_by_ticket: dict[str, PlacedPrompt] = {}
         self.prefill_ticket_by_key: dict[PartKey, str] = {}
@@ -370,7 +372,10 @@
         return NoticeReply(self.state.load.reported_late_s, self.started)
 
     async def _on_origin(self, request: OriginRequest) -> OriginReply:
-        return origin_reply(self.state, request, monotonic())
+        received_at = monotonic()
+        if self.new_lists is None or not request.wants_new_list:
+            return origin_reply(self.state, request, received_at)
+        return await new_origin_reply(self.state, self.new_lists, request, received_at)
 
     async def _on_operators(self, request: OperatorsRequest) -> OperatorsReply:
         received_at = monotonic()
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -153,20 +153,30 @@
 
 
 class OriginRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Asks where a stream began. services: those that may serve its caller."""
+    """Asks where a stream began. services: those that may serve its caller. wants_new_list: the answer is to
+    be from a list that was requested after the question."""
 
     id: str
     services: tuple[str, ...]
+    wants_new_list: bool = False
 
 
 class OriginReply(msgspec.Struct, frozen=True, array_like=True):
     """Where a stream began, None if the router does not know, and the versions that endpoints of the services
     had lately, each with its service. list_age_s: of the newest list that these are from, infinite from an
-    earlier release."""
+    earlier release. held_s: time since the question. knows_past: no version can have come and gone unseen by
+    the router; one of an earlier release doesn't tell."""
 
     origin: StreamOrigin | None = None
     versions: tuple[tuple[str, str], ...] = ()
     list_age_s: float = inf
+    held_s: float = 0.0
+    knows_past: bool = True
+
+    @property
+    def is_new(self) -> bool:
+        """Tell whether it is from a list that was requested after the question."""
+        return self.list_age_s <= self.held_s
 
 
 class FinishedNotice(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/origin_replies.py
+++ b/stairquay/serving/origin_replies.py
@@ -2,10 +2,15 @@
 
 from collections.abc import Iterable
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.stream_origins import KnownStream
 from stairquay.serving.messages import BegunStream, OriginReply, OriginRequest
+from stairquay.serving.new_lists import ListedVersions, NewLists, knows_past
 from stairquay.serving.state import BoxState
 
+NEW_LIST_TIMEOUT_S = 0.7
+"""Seconds for which a router looks for a new list: the pause between two reads of it, and one read."""
+
 
 def record_told_streams(state: BoxState, begun: Iterable[BegunStream], now: float) -> None:
     """Remember streams whose first events another box has passed on."""
@@ -20,8 +25,30 @@
     )
 
 
-def origin_reply(state: BoxState, request: OriginRequest, now: float) -> OriginReply:
-    """Return what this box knows of a stream."""
-    versions = recent_versions(state, request.services, now)
-    origin = state.origins.find(request.id, now)
-    return OriginReply(origin, tuple(sorted(versions)), now - state.list_asked_at)
+def origin_reply(
+    state: BoxState, request: OriginRequest, received_at: float, new: ListedVersions | None = None
+) -> OriginReply:
+    """Return what this box knows of a stream. new: versions in a list that was read for this answer."""
+    now = monotonic()
+    versions, list_asked_at = recent_versions(state, request.services, now), state.list_asked_at
+    if new is not None:
+        versions |= {version for version in new.versions if version[0] in request.services}
+        list_asked_at = max(list_asked_at, new.asked_at)
+    return OriginReply(
+        state.origins.find(request.id, now),
+        tuple(sorted(versions)),
+        now - list_asked_at,
+        now - received_at,
+        knows_past(state, now, received_at),
+    )
+
+
+async def new_origin_reply(
+    state: BoxState, new_lists: NewLists, request: OriginRequest, received_at: float
+) -> OriginReply:
+    """Return the same from a list that was requested after the question, if one comes soon."""
+    until = received_at + NEW_LIST_TIMEOUT_S
+    new = await new_lists.since(received_at, until)
+    if new is not None:
+        await new_lists.knows_past(received_at, until)
+    return origin_reply(state, request, received_at, new)
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -2,22 +2,23 @@
 
 Each stream's origin is kept here. Where a service has endpoints of several versions, it is also told to three
 routers, since this box may be gone when the caller comes back, to whichever box. A stream of which nobody was
-told began at the only version there was. Routers are asked for that too: a box has its list of endpoints from
-one of them, so that it knows no version that they don't. A box that does not find the origin refuses the
-stream: the wrong version would write what does not fit.
+told began at the only version there was. That there was one is proved only by a list of endpoints that was
+requested after the stream came back: any older one may be that of a box or router out of step. A box that
+does not find the origin refuses the stream: the wrong version would write what does not fit.
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import replace
 
+from msgspec import structs
 from result import Err, Ok, Result
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
 from stairquay.core.fleet import Endpoint
 from stairquay.core.ownership import rank_owners
-from stairquay.core.routers import Member
+from stairquay.core.routers import Member, routers_for
 from stairquay.core.software import MEMORY_S
 from stairquay.core.stream_origins import KnownStream, StreamOrigin, may_continue, merge_origins
 from stairquay.serving.endpoint import NEVER
@@ -25,9 +26,9 @@
 from stairquay.serving.jobs import Job, JobProgress, OriginBasis
 from stairquay.serving.links import RouterClients
 from stairquay.serving.messages import BegunStream, OriginReply, OriginRequest
+from stairquay.serving.new_lists import NewLists
 from stairquay.serving.notices import NoticeSender
-from stairquay.serving.origin_replies import recent_versions
-from stairquay.serving.ports import EndpointChanges, FeedFault
+from stairquay.serving.origin_replies import NEW_LIST_TIMEOUT_S, origin_reply, recent_versions
 from stairquay.serving.refusals import RETRY_AFTER_S
 from stairquay.serving.silent_endpoints import silent_ids
 from stairquay.serving.state import BoxState
@@ -39,17 +40,17 @@
 """Seconds to wait for routers' answers. They take about 2 ms; the rest is for bursts after a failure, when
 many callers come back at once."""
 
-LIST_TIMEOUT_S = 1.2
-"""Seconds to wait for a list of endpoints that is newer than a stream if a router does not answer."""
-
-LIST_POLL_S = 0.05
+NEW_ANSWER_TIMEOUT_S = NEW_LIST_TIMEOUT_S + 0.1
+"""Seconds to wait for a follower's answer from a new list."""
 
-LIST_PAUSE_S = 0.5
-"""Seconds between two reads of the list for streams that are taken up, since calls are billed."""
+LIST_TIMEOUT_S = 1.2
+"""Seconds after which a stream is refused if no list of endpoints came that is newer. Callers give a stream
+up after two seconds."""
 
 MAX_UNSEEN_S = 8.0
 """Seconds between the last heartbeat of a router and this box's first list within which no version comes and
-goes: a heartbeat and a restart. It counts only while no router answers, as when all boxes start at once."""
+goes: a heartbeat and a restart. It counts only while no router answers that knows the past, as when all boxes
+start at once."""
 
 RETURN_MARGIN_S = 1.0
 """Seconds for which a stream is remembered after its caller should have stopped waiting."""
@@ -57,9 +58,6 @@
 EXPIRY_INTERVAL_S = 5.0
 """Seconds between two removals of what need not be remembered any longer."""
 
-ReadList = Callable[[], Awaitable[Result[EndpointChanges, FeedFault]]]
-"""Reads the list of endpoints from the table service."""
-
 Audience = tuple[tuple[str, ...], tuple[tuple[str, str], ...], frozenset[str]]
 """The routers, what tells their starts apart, and the services whose endpoints differ in version."""
 
@@ -68,13 +66,10 @@
     """Records where this box's streams began, and resolves where those began that callers take up."""
 
     def __init__(
-        self, state: BoxState, links: RouterClients, notices: NoticeSender, read_list: ReadList
+        self, state: BoxState, links: RouterClients, notices: NoticeSender, new_lists: NewLists
     ) -> None:
         self.state = state
-        self.read_list = read_list
-        # The read under way or the last one, and when it was or will be asked.
-        self.list_read: asyncio.Task[frozenset[tuple[str, str]] | None] | None = None
-        self.list_read_at = NEVER
+        self.new_lists = new_lists
         self.links = links
         self.notices = notices
         # Whom this box's streams were told to last.
@@ -150,81 +145,80 @@
             return Ok(origin)
         services = _services_of(job)
         others = [router for router in state.routers if router.id != state.settings.id]
-        answers = await self._ask(others, OriginRequest(stream, services))
+        question = OriginRequest(stream, services)
+        answers_by_id = await self._ask(others, question)
+        answers = answers_by_id.values()
         ages_s = tuple(item.list_age_s for item in answers)
+        versions = recent_versions(state, services, monotonic()).union(*(item.versions for item in answers))
         origin = merge_origins(item.origin for item in answers if item.origin is not None)
+        if origin is None and not _differ(versions):
+            # Any of these lists may be older than the stream, as may the list of a box that has only just
+            # gone on or is cut from the table service: another box may have read a newer one.
+            newer = await self._newer_answer(question, asked_at, answers_by_id)
+            if newer is None:
+                return Err("no list of endpoints came that is newer than the stream")
+            if not newer.knows_past:
+                return Err(
+                    "versions that left while this box had no list, or before it started, are not known"
+                )
+            origin = newer.origin
+            versions = recent_versions(state, services, monotonic()).union(versions, newer.versions)
         if origin is not None:
             self._count(progress, OriginBasis("router", len(others), state.list_age(), ages_s))
             return Ok(origin)
-        versions = recent_versions(state, services, monotonic()).union(*(item.versions for item in answers))
-        if not _differ(versions) and len(answers) < len(others):
-            # The box that began the stream may have its list from a router that did not answer.
-            listed = await self._versions_listed_since(asked_at)
-            if listed is None:
-                return Err("the list of endpoints may be older than the stream")
-            versions |= recent_versions(state, services, monotonic())
-            versions |= {version for version in listed if version[0] in services}
-            if not (answers or state.software.unseen_s() <= MAX_UNSEEN_S):
-                return Err("versions that left before this box started are not known")
         if _differ(versions) or job.service.id not in dict(versions):
             return Err(f"none of {len(answers)} routers knows the version that began {stream!r}")
         self._count(progress, OriginBasis("one version", len(others), state.list_age(), ages_s))
         software = dict(versions)[job.service.id]
         return Ok(StreamOrigin(job.service.id, "", software) if software else None)
 
-    async def _versions_listed_since(self, at: float) -> frozenset[tuple[str, str]] | None:
-        """Return the versions in a list of endpoints that was requested after a time, by service.
+    async def _newer_answer(
+        self, question: OriginRequest, asked_at: float, answers_by_id: Mapping[str, OriginReply]
+    ) -> OriginReply | None:
+        """Return an answer from a list of endpoints that was requested after a time, None if none came soon.
 
-        None if none came soon. A long poll may be held for longer than a caller waits, so that the list is
-        read, by one call for all streams that wait for it.
+        A follower's, which reads the list for all boxes, or this box's own.
         """
-        reading = self._list_read_since(at)
-        while monotonic() - at <= LIST_TIMEOUT_S:
-            if self.state.list_asked_at >= at:
-                return self.state.software.listed
-            if reading.done() and (listed := reading.result()) is not None:
-                return listed
-            await asyncio.sleep(LIST_POLL_S)
-        return None
-
-    def _list_read_since(self, at: float) -> asyncio.Task[frozenset[tuple[str, str]] | None]:
-        """Return a read of the list that was or will be asked after a time."""
-        if self.list_read is None or self.list_read_at < at:
-            now = monotonic()
-            self.list_read_at = max(now, self.list_read_at + LIST_PAUSE_S)
-            self.list_read = asyncio.create_task(self._read_versions(self.list_read_at - now))
-        return self.list_read
-
-    async def _read_versions(self, delay_s: float) -> frozenset[tuple[str, str]] | None:
-        await asyncio.sleep(delay_s)
-        found = await self.read_list()
-        if isinstance(found, Err):
+        state, until = self.state, asked_at + LIST_TIMEOUT_S
+        knows = any(answer.knows_past for answer in answers_by_id.values())
+        if not state.is_follower:
+            answered = [router for router in state.following_routers() if router.id in answers_by_id]
+            for router in routers_for(state.member, answered)[:1]:
+                request = structs.replace(question, wants_new_list=True)
+                answer = await self.links.client_for(router).origin(request, NEW_ANSWER_TIMEOUT_S)
+                if answer is not None and (answer.is_new or answer.origin is not None):
+                    return structs.replace(answer, knows_past=answer.knows_past or knows)
+        new = await self.new_lists.since(asked_at, until)
+        if new is None:
             return None
-        return frozenset((item.service, item.software) for item in found.ok_value.present)
+        own_past = state.software.unseen_s() <= MAX_UNSEEN_S
+        knows = knows or (await self.new_lists.knows_past(asked_at, until) and own_past)
+        return structs.replace(origin_reply(state, question, asked_at, new), knows_past=knows)
 
     def _count(self, progress: JobProgress, basis: OriginBasis) -> None:
         progress.origin_basis = basis
         self.state.metrics.taken_up.labels(basis.source).inc()
 
-    async def _ask(self, routers: Iterable[Member], request: OriginRequest) -> list[OriginReply]:
-        """Return the routers' answers, up to the first one that knows the stream."""
-        asked = [
-            asyncio.create_task(self.links.client_for(router).origin(request, ORIGIN_TIMEOUT_S))
-            for router in routers
-        ]
-        answers = []
+    async def _ask(self, routers: Iterable[Member], request: OriginRequest) -> dict[str, OriginReply]:
+        """Return the answers of routers by their ids, up to the first one that knows the stream."""
+
+        async def ask(router: Member) -> tuple[str, OriginReply | None]:
+            return router.id, await self.links.client_for(router).origin(request, ORIGIN_TIMEOUT_S)
+
+        asked = [asyncio.create_task(ask(router)) for router in routers]
+        answers_by_id = {}
         try:
             for reply in asyncio.as_completed(asked):
-                answer = await reply
+                router_id, answer = await reply
                 if answer is None:
                     continue
-                answers.append(answer)
+                answers_by_id[router_id] = answer
                 if answer.origin is not None:
                     break
         finally:
             for task in asked:
                 task.cancel()
-        return answers
+        return answers_by_id
 
     def _tell(self, stream: str, known: KnownStream, now: float) -> None:
         """Tell routers of a stream, if endpoints of a service that may go on with it differ in version."""
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -109,6 +109,8 @@
     refused_connections: RefusedConnections = field(default_factory=RefusedConnections)
     # When this box last asked for the rows that it has.
     rows_asked_at: float = inf
+    # Rows are wanted that were asked for after this time.
+    rows_wanted_at: float = NEVER
     # When this box last wrote its row, and the seconds after which others may count it as gone.
     row_written_at: float = NEVER
     row_valid_s: float = inf
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -32,6 +32,7 @@
 from stairquay.serving.jobs import Job, JobProgress
 from stairquay.serving.local_router import LocalRouter
 from stairquay.serving.messages import BegunStream, FinishedNotice, OriginReply, OriginRequest
+from stairquay.serving.new_lists import NewLists
 from stairquay.serving.origins import ROUTERS_TOLD, OriginTracker, at_origin, excluded_ids
 from stairquay.serving.ports import EndpointChanges, FeedFault
 from tests.states import box_state
@@ -198,7 +199,7 @@
     state.software.observe(listed, now)
     state.list_asked_at = now + 9.0 if read_again else now - 0.1
     links, notices = StubLinks(replies or {}), StubNotices()
-    return OriginTracker(state, links, notices, read_list), links, notices
+    return OriginTracker(state, links, notices, NewLists(state, read_list)), links, notices
 
 
 def job_of(resumes: str | None = None, splits: tuple[str, ...] = ("llm",), **call) -> Job:
@@ -241,14 +242,26 @@
     return {router.id: reply for router in ROUTERS} | {f"r-{key[1:]}": item for key, item in others.items()}
 
 
+def from_new_list(reply: OriginReply) -> OriginReply:
+    """Return a router's answer from a list that it has read for the question."""
+    return structs.replace(reply, list_age_s=0.0)
+
+
 UNNAMED_ONLY = OriginReply(versions=(("llm", ""),))
 
 
 @pytest.mark.parametrize(
     ("listed", "replies", "read_again", "expected"),
     [
-        ([V1, ALSO_V1], all_routers(ONE), False, ONLY_V1),
-        ([UNNAMED], all_routers(UNNAMED_ONLY), False, None),
+        ([V1, ALSO_V1], all_routers(from_new_list(ONE)), False, ONLY_V1),
+        ([UNNAMED], all_routers(from_new_list(UNNAMED_ONLY)), False, None),
+        # Their lists may be older than the stream, as that of a box that asks nobody.
+        ([V1, ALSO_V1], all_routers(ONE), False, UNRESUMABLE),
+        ([UNNAMED], all_routers(UNNAMED_ONLY), False, UNRESUMABLE),
+        ([V1, ALSO_V1], all_routers(ONE), True, ONLY_V1),
+        ([V1], all_routers(structs.replace(ONE, list_age_s=0.3, held_s=0.2)), False, UNRESUMABLE),
+        ([V1], all_routers(structs.replace(ONE, list_age_s=0.2, held_s=0.3)), False, ONLY_V1),
+        ([V1], all_routers(from_new_list(BOTH)), False, UNRESUMABLE),
         ([], all_routers(OriginReply()), False, UNRESUMABLE),
         ([V1, V2], {"r-0": BOTH, "r-1": KNOWS}, False, BEGUN_AT_V1),
         ([V1, V2], all_routers(BOTH), False, UNRESUMABLE),
@@ -419,7 +432,7 @@
     """A route with two services seemed to have two versions, and its streams were refused."""
     other = Endpoint("o", "other", "h:9", software="v7")
     both = OriginReply(versions=(("llm", "v1"), ("other", "v7")))
-    made, _, notices = tracker([V1, other], all_routers(both))
+    made, _, notices = tracker([V1, other], all_routers(from_new_list(both)))
     assert resolved(made, job_of("s", ("llm", "other"))) == ONLY_V1
     made.begun(job_of(None, ("llm", "other")), JobProgress(), V1)
     assert not notices.begun
@@ -445,8 +458,9 @@
         notice = FinishedNotice((), begun=(BegunStream("s", BEGUN_AT_V1, 5.0),))
         assert (await router._on_finished(notice)).started == router.started != ""
         reply = await router._on_origin(OriginRequest("s", ("llm",)))
-        assert reply == KNOWS
-        assert (await router._on_origin(OriginRequest("t", ("plain",)))) == OriginReply()
+        assert (reply.origin, reply.versions) == (KNOWS.origin, KNOWS.versions)
+        reply = await router._on_origin(OriginRequest("t", ("plain",)))
+        assert (reply.origin, reply.versions) == (None, ()) and not reply.is_new
 
     asyncio.run(scenario())
 
