--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -177,10 +177,12 @@
         ]
         members = [_member(row) for row in alive] + [self.state.member]
         boxes = tuple(sorted(member.id for member in members))
+        own_id = self.state.settings.id
+        self.state.other_boxes = tuple(member for member in members if member.id != own_id)
         if boxes != self.state.boxes:
             self.state.boxes_changed_at = monotonic()
-        self.state.boxes = boxes
-        own_id = self.state.settings.id
+            self.state.boxes = boxes
+            self.state.changed.notify_all()
         self.state.fronts_by_box = {
             member.id: member.front for member in members if member.front and member.id != own_id
         }
--- a/stairquay/serving/links.py
+++ b/stairquay/serving/links.py
@@ -75,9 +75,11 @@
     origin: Callable[[OriginRequest], Awaitable[OriginReply]]
 
 
+OriginHandler = Callable[[OriginRequest], Awaitable[OriginReply]]
+
+
 async def serve(address: str, handlers: RouterHandlers) -> grpc.aio.Server:
-    """Serve other boxes at an address; raises OSError where it cannot be bound."""
-    server = grpc.aio.server(options=GRPC_OPTIONS)
+    """Serve other boxes at an address as a router; raises OSError where it cannot be bound."""
     methods = {
         "Place": _handler(handlers.place, PlaceRequest),
         "Finished": _handler(handlers.finished, FinishedNotice),
@@ -86,6 +88,16 @@
         "Views": _handler(handlers.views, ViewsRequest),
         "Origin": _handler(handlers.origin, OriginRequest),
     }
+    return await _serve_methods(address, methods)
+
+
+async def serve_origins(address: str, handler: OriginHandler) -> grpc.aio.Server:
+    """Tell other boxes where streams began; raises OSError where the address cannot be bound."""
+    return await _serve_methods(address, {"Origin": _handler(handler, OriginRequest)})
+
+
+async def _serve_methods(address: str, methods: dict[str, Any]) -> grpc.aio.Server:
+    server = grpc.aio.server(options=GRPC_OPTIONS)
     server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(SERVICE, methods),))
     try:
         bound = server.add_insecure_port(address)
@@ -134,7 +146,7 @@
         return await self._reply_or_none(self._views(request, timeout=wait_s + limit_s))
 
     async def origin(self, request: OriginRequest, limit_s: float) -> OriginReply | None:
-        """Ask where a stream began."""
+        """Ask where a stream began. A box that is no router may answer this as well."""
         return await self._reply_or_none(self._origin(request, timeout=limit_s))
 
     async def close(self) -> None:
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from os import urandom
 from random import Random
 
@@ -25,7 +26,7 @@
 from stairquay.serving.engine_accounts import EngineAccounts
 from stairquay.serving.engine_speeds import EngineSpeeds
 from stairquay.serving.event_log import LogEvent
-from stairquay.serving.links import RouterHandlers, serve
+from stairquay.serving.links import RouterHandlers, serve, serve_origins
 from stairquay.serving.messages import (
     EndedAttempt,
     EndpointsReply,
@@ -43,7 +44,12 @@
     ViewsRequest,
 )
 from stairquay.serving.new_lists import NewLists
-from stairquay.serving.origin_replies import new_origin_reply, origin_reply, record_told_streams
+from stairquay.serving.origin_replies import (
+    asks_all_boxes,
+    new_origin_reply,
+    origin_reply,
+    record_told_streams,
+)
 from stairquay.serving.pacing import count_sent, refund_sent, retry_after_s
 from stairquay.serving.router_admission import RouterAdmission, reply_without_room, shared_parts
 from stairquay.serving.saving import choose_with_save_targets
@@ -69,6 +75,15 @@
 """Fewest tokens in prefill for other prompts that are worth waiting for."""
 
 
+class Role(Enum):
+    """What a box serves other boxes as."""
+
+    NONE = "none"
+    ROUTER = "router"
+    ORIGINS = "origins"
+    """It tells where streams began."""
+
+
 @dataclass(frozen=True)
 class PlacedPrompt:
     """A prompt placed on an endpoint.
@@ -101,6 +116,7 @@
         self.accounts = EngineAccounts(state)
         self.admission = RouterAdmission(state, self.accounts)
         self.server: grpc.aio.Server | None = None
+        self.role = Role.NONE
         self.speeds = EngineSpeeds(state)
         self.started = urandom(4).hex()
 
@@ -109,10 +125,11 @@
         try:
             while True:
                 await self._update_role()
-                if self.state.is_router or self.server is not None or self.placed_by_ticket:
+                changes_role = self._wanted_role() != self.role
+                if self.state.is_router or changes_role or self.placed_by_ticket:
                     await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
                 else:
-                    await self.state.changed.wait_for(lambda: self.state.is_router)
+                    await self.state.changed.wait_for(lambda: self._wanted_role() != self.role)
         finally:
             await self._close()
 
@@ -291,10 +308,10 @@
     async def _update_role(self) -> None:
         state = self.state
         is_router = state.is_router
-        if is_router and self.server is None and not state.stopping:
-            await self._open()
-        if self.server is not None and (not is_router or state.stopping):
+        role = self._wanted_role()
+        if role != self.role:
             await self._close()
+            await self._open(role)
         state.routed_engines = self._engines() if is_router else frozenset()
         self._expire(monotonic())
         self.accounts.update_handovers(monotonic())
@@ -332,8 +349,20 @@
                 break
             self.finished(EndedAttempt(ticket))
 
-    async def _open(self) -> None:
+    def _wanted_role(self) -> Role:
+        """Return what this box is to serve other boxes as."""
+        if self.state.stopping:
+            return Role.NONE
+        if self.state.is_router:
+            return Role.ROUTER
+        answers = self.state.settings.peer_address and asks_all_boxes(self.state)
+        return Role.ORIGINS if answers else Role.NONE
+
+    async def _open(self, role: Role) -> None:
+        """Serve other boxes in a role, which is tried again where the address is taken."""
         address = self.state.settings.peer_address
+        if role == Role.NONE:
+            return
         answers = RouterHandlers(
             self._on_place,
             self._on_finished,
@@ -343,18 +372,27 @@
             self._on_origin,
         )
         try:
-            self.server = await serve(address, answers)
+            if role == Role.ROUTER:
+                self.server = await serve(address, answers)
+            else:
+                self.server = await serve_origins(address, self._on_origin)
         except OSError as error:
-            self.state.log.line(LogEvent.ROUTER, outcome="cannot_serve", address=address, detail=str(error))
+            detail = str(error)
+            self.state.log.line(LogEvent.ROUTER, outcome="cannot_serve", address=address, detail=detail)
             return
-        self.state.log.line(LogEvent.ROUTER, outcome="serving", address=address, boxes=len(self.state.boxes))
+        self.role = role
+        if role == Role.ROUTER:
+            boxes = len(self.state.boxes)
+            self.state.log.line(LogEvent.ROUTER, outcome="serving", address=address, boxes=boxes)
 
     async def _close(self) -> None:
         if self.server is None:
             return
         server, self.server = self.server, None
+        role, self.role = self.role, Role.NONE
         await server.stop(grace=None)
-        self.state.log.line(LogEvent.ROUTER, outcome="closed")
+        if role == Role.ROUTER:
+            self.state.log.line(LogEvent.ROUTER, outcome="closed")
 
     async def _on_place(self, request: PlaceRequest) -> PlaceReply:
         reply, late_s = self.place(request), self.state.load.reported_late_s
--- a/stairquay/serving/origin_replies.py
+++ b/stairquay/serving/origin_replies.py
@@ -11,6 +11,14 @@
 NEW_LIST_TIMEOUT_S = 0.7
 """Seconds for which a router looks for a new list: the pause between two reads of it, and one read."""
 
+MAX_ASKED_BOXES = 24
+"""Boxes of a site up to which each one may be asked where a stream began; in larger ones routers are."""
+
+
+def asks_all_boxes(state: BoxState) -> bool:
+    """Tell whether boxes that are no routers are asked where streams began."""
+    return len(state.boxes) <= MAX_ASKED_BOXES
+
 
 def record_told_streams(state: BoxState, begun: Iterable[BegunStream], now: float) -> None:
     """Remember streams whose first events another box has passed on."""
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import replace
+from math import isfinite
 
 from msgspec import structs
 from result import Err, Ok, Result
@@ -28,7 +29,12 @@
 from stairquay.serving.messages import BegunStream, OriginReply, OriginRequest
 from stairquay.serving.new_lists import NewLists
 from stairquay.serving.notices import NoticeSender
-from stairquay.serving.origin_replies import NEW_LIST_TIMEOUT_S, origin_reply, recent_versions
+from stairquay.serving.origin_replies import (
+    NEW_LIST_TIMEOUT_S,
+    asks_all_boxes,
+    origin_reply,
+    recent_versions,
+)
 from stairquay.serving.refusals import RETRY_AFTER_S
 from stairquay.serving.silent_endpoints import silent_ids
 from stairquay.serving.state import BoxState
@@ -83,6 +89,7 @@
             )
             now = monotonic()
             self.state.origins.expire(now)
+            await self.links.close_others(self.state.routers)
             if has_changed:
                 self.audience = self._audience()
                 for stream, known in self.state.origins.own_streams(now).items():
@@ -144,7 +151,7 @@
             self._count(progress, OriginBasis("here"))
             return Ok(origin)
         services = _services_of(job)
-        others = [router for router in state.routers if router.id != state.settings.id]
+        others = self._others()
         question = OriginRequest(stream, services)
         answers_by_id = await self._ask(others, question)
         answers = answers_by_id.values()
@@ -154,7 +161,9 @@
         if origin is None and not _differ(versions):
             # Any of these lists may be older than the stream, as may the list of a box that has only just
             # gone on or is cut from the table service: another box may have read a newer one.
-            newer = await self._newer_answer(question, asked_at, answers_by_id)
+            newer = await self._answer_of_all(question, answers_by_id)
+            if newer is None:
+                newer = await self._newer_answer(question, asked_at, answers_by_id)
             if newer is None:
                 return Err("no list of endpoints came that is newer than the stream")
             if not newer.knows_past:
@@ -172,6 +181,31 @@
         software = dict(versions)[job.service.id]
         return Ok(StreamOrigin(job.service.id, "", software) if software else None)
 
+    async def _answer_of_all(
+        self, question: OriginRequest, answers_by_id: Mapping[str, OriginReply]
+    ) -> OriginReply | None:
+        """Return what all other boxes know together, None unless each answered.
+
+        The one that began the stream is among them and knows its version, also one that has left since,
+        however old the others' lists are.
+        """
+        state = self.state
+        if not asks_all_boxes(state) or any(router.id not in answers_by_id for router in self._others()):
+            return None
+        left = [box for box in state.other_boxes if box.id not in answers_by_id]
+        if not state.other_boxes or not all(box.address for box in left):
+            return None
+        answers = {**answers_by_id, **await self._ask(left, question)}.values()
+        origin = merge_origins(item.origin for item in answers if item.origin is not None)
+        # A box without a list has just started, and may have begun the stream before.
+        has_all = len(answers) >= len(state.other_boxes) and all(
+            isfinite(item.list_age_s) for item in answers
+        )
+        if origin is None and not has_all:
+            return None
+        versions = frozenset[tuple[str, str]]().union(*(item.versions for item in answers))
+        return OriginReply(origin, tuple(sorted(versions)))
+
     async def _newer_answer(
         self, question: OriginRequest, asked_at: float, answers_by_id: Mapping[str, OriginReply]
     ) -> OriginReply | None:
@@ -195,6 +229,10 @@
         knows = knows or (await self.new_lists.knows_past(asked_at, until) and own_past)
         return structs.replace(origin_reply(state, question, asked_at, new), knows_past=knows)
 
+    def _others(self) -> list[Member]:
+        """Return the other routers."""
+        return [router for router in self.state.routers if router.id != self.state.settings.id]
+
     def _count(self, progress: JobProgress, basis: OriginBasis) -> None:
         progress.origin_basis = basis
         self.state.metrics.taken_up.labels(basis.source).inc()
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -103,6 +103,8 @@
     # Ids of boxes believed alive.
     boxes: tuple[str, ...] = ()
     boxes_known_at: float = NEVER
+    # The other boxes believed alive, as their rows tell of them.
+    other_boxes: tuple[Member, ...] = ()
     # When this box last read a list of boxes that differs from the one before.
     boxes_changed_at: float = NEVER
     # Boxes that refuse connections although their rows are not old yet.
--- a/tests/test_box_out_of_step.py
+++ b/tests/test_box_out_of_step.py
@@ -4,14 +4,44 @@
 import signal
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from random import Random
 
+import msgspec
+import pytest
+from msgspec import structs
+from result import Err, Ok, Result
+
+from stairquay.adapters.clock import monotonic
+from stairquay.core.routers import Member
+from stairquay.core.stream_origins import StreamOrigin
 from stairquay.serving.boxes import HEARTBEAT_INTERVAL_S
 from stairquay.serving.following import LONG_POLL_S
+from stairquay.serving.local_router import LocalRouter
+from stairquay.serving.messages import OriginReply, OriginRequest
+from stairquay.serving.new_lists import NewLists
+from stairquay.serving.origin_replies import MAX_ASKED_BOXES
+from stairquay.serving.ports import EndpointChanges, FeedFault
 from tests.cut_box import CutKind, write_cut
 from tests.many_boxes import several_boxes
 from tests.site import Site, box_rows, eventually
 from tests.standins.endpoints import Endpoint
+from tests.states import box_state
 from tests.streams import Stream, mixed, slow_streams
+from tests.test_stream_origins import (
+    BEGUN_AT_V1,
+    BOTH,
+    KNOWS,
+    ONE,
+    ONLY_V1,
+    ROUTERS,
+    UNRESUMABLE,
+    V1,
+    V2,
+    all_routers,
+    job_of,
+    resolved,
+    tracker,
+)
 
 STREAMS = 24
 ENGINES = 3
@@ -309,3 +339,97 @@
         return found
 
     assert_not_joined(*asyncio.run(all_ways()))
+
+
+OLD_LIST_S = 5.0
+ROUTERS_KNOW_ONE = structs.replace(ONE, list_age_s=OLD_LIST_S)
+READER = Member("x", "10.0.1.1:1")
+"""A box that reads the list itself, and is no router."""
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (structs.replace(KNOWS, list_age_s=0.1), BEGUN_AT_V1),
+        (structs.replace(BOTH, list_age_s=0.1), UNRESUMABLE),
+        # All boxes know one version: none can have begun the stream at another, however old the lists are.
+        (structs.replace(ONE, list_age_s=OLD_LIST_S), ONLY_V1),
+        # It has just started, and has no list yet; or it doesn't answer.
+        (ONE, UNRESUMABLE),
+        (None, UNRESUMABLE),
+    ],
+)
+def test_what_all_boxes_know_together_counts_only_if_each_has_answered(answer, expected):
+    """Routers with old lists counted for all boxes, of which one had a newer list."""
+    made, links, _ = tracker([V1], all_routers(ROUTERS_KNOW_ONE) | {READER.id: answer})
+    made.state.other_boxes = (*ROUTERS, READER)
+    assert resolved(made, job_of("s")) == expected
+    assert READER.id in links.asked
+
+
+def test_boxes_of_a_large_site_are_not_all_asked():
+    """Guards against a question to hundreds of boxes for each stream; a list that is read takes its place."""
+    for count, expected in ((MAX_ASKED_BOXES, ONLY_V1), (MAX_ASKED_BOXES + 1, UNRESUMABLE)):
+        made, links, _ = tracker([V1], all_routers(ROUTERS_KNOW_ONE) | {READER.id: ROUTERS_KNOW_ONE})
+        made.state.other_boxes = (*ROUTERS, READER)
+        made.state.boxes = tuple(f"b-{number}" for number in range(count))
+        assert resolved(made, job_of("s")) == expected
+        assert (READER.id in links.asked) == (expected == ONLY_V1)
+
+
+def test_a_box_whose_list_had_a_gap_proves_one_version_only_with_rows_that_were_read_after_it():
+    """Rows of before a pause counted as recent although followers had told of a version since."""
+    for rows_read_s, expected in ((-1.0, UNRESUMABLE), (1.0, ONLY_V1)):
+        made, _, _ = tracker([V1], {}, read_again=True)
+        now = monotonic()
+        made.state.software.learn("llm", "v1", now)
+        made.state.software.on_gap(now)
+        made.state.rows_asked_at = now + rows_read_s
+        made.state.list_asked_at = now + 0.1
+        assert resolved(made, job_of("s")) == expected
+        assert (made.state.rows_wanted_at > now) == (expected == UNRESUMABLE)
+
+
+def test_messages_about_streams_are_understood_by_boxes_of_the_last_release_and_from_them():
+    """Guards against a release during which no stream goes on."""
+
+    class Question(msgspec.Struct, frozen=True, array_like=True):
+        id: str
+        services: tuple[str, ...]
+
+    class Answer(msgspec.Struct, frozen=True, array_like=True):
+        origin: StreamOrigin | None = None
+        versions: tuple[tuple[str, str], ...] = ()
+
+    question = msgspec.msgpack.encode(OriginRequest("s", ("llm",), wants_new_list=True))
+    assert msgspec.msgpack.decode(question, type=Question) == Question("s", ("llm",))
+    answer = msgspec.msgpack.encode(structs.replace(KNOWS, list_age_s=0.1, knows_past=False))
+    assert msgspec.msgpack.decode(answer, type=Answer).origin == BEGUN_AT_V1
+    old = msgspec.msgpack.encode(Answer(None, (("llm", "v1"),)))
+    assert not msgspec.msgpack.decode(old, type=OriginReply).is_new
+    asked = msgspec.msgpack.encode(Question("s", ("llm",)))
+    assert not msgspec.msgpack.decode(asked, type=OriginRequest).wants_new_list
+
+
+@pytest.mark.parametrize("reads", (True, False))
+def test_a_router_that_is_asked_for_a_new_list_reads_one_for_all_that_ask(reads):
+    """Guards against a call to the table service for each stream, and against an old list told as new."""
+
+    async def scenario():
+        state, calls = box_state("r-0"), []
+        state.software.observe([V1], monotonic())
+        state.list_asked_at = monotonic() - 0.1
+
+        async def read_list() -> Result[EndpointChanges, FeedFault]:
+            calls.append(monotonic())
+            await asyncio.sleep(0.01)
+            return Ok(EndpointChanges(1, True, (V1, V2))) if reads else Err(FeedFault.UNREACHED)
+
+        router = LocalRouter(state, Random(1), NewLists(state, read_list))
+        question = OriginRequest("s", ("llm",), wants_new_list=True)
+        answers = await asyncio.gather(*(router._on_origin(question) for _ in range(50)))
+        assert len(calls) <= 2
+        assert {answer.is_new for answer in answers} == {reads}
+        assert {answer.versions for answer in answers} == {BOTH.versions if reads else ONE.versions}
+
+    asyncio.run(scenario())
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -158,12 +158,15 @@
 
 
 class StubLinks:
-    """Routers that answer as told; None is no answer."""
+    """Boxes that answer as told; None is no answer."""
 
     def __init__(self, replies: dict[str, OriginReply | None]) -> None:
         self.replies = replies
         self.asked: list[str] = []
 
+    async def close_others(self, routers) -> None:
+        pass
+
     def client_for(self, router: Member):
         links = self
 
