Bind a stream of entries without a version to these, as one is bound to the only version

A stream that is taken up where no entry of its service names a version could go on at any endpoint: while it waited for one, the first endpoint that names a version was listed, and it was allowed there too (ORDER).

Change: its origin is the unnamed version of its service. It goes on while all entries name none, as before, and is refused once one does, since either may have begun it.

--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -119,8 +119,8 @@
     attempt that succeeded, where it is comparable to others. rejected: why the routers refuse the job, empty
     if they don't. unreached: attempts that found no connection to their endpoint. asked_other_boxes: it was
     passed on to other boxes, none of which served it. origin: where its stream began, None before the first
-    event, or if it may go on at any endpoint. origin_basis: how that was found out, None where it was not
-    asked. is_trial: it is sent once although its parts are quarantined.
+    event. origin_basis: how that was found out, None where it was not asked. is_trial: it is sent once
+    although its parts are quarantined.
     """
 
     tried: set[str] = field(default_factory=set)
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -116,10 +116,7 @@
         self._tell(job.stream_id, known, now)
 
     async def resolve(self, job: Job, progress: JobProgress) -> Refusal | None:
-        """Set where the stream began that a job goes on with. Return the refusal if that is unknown.
-
-        Without an origin, it may go on anywhere.
-        """
+        """Set where the stream began that a job goes on with. Return the refusal if that is unknown."""
         if progress.origin is not None or not _goes_on(job, progress):
             return None
         found = await self._find(job, progress)
@@ -140,8 +137,8 @@
         detail = f"no endpoint has the version {progress.origin.software!r} that began it"
         return unresumable(progress.ran, detail)
 
-    async def _find(self, job: Job, progress: JobProgress) -> Result[StreamOrigin | None, str]:
-        """Return where a job's stream began, None if no version is named, or why that is not known."""
+    async def _find(self, job: Job, progress: JobProgress) -> Result[StreamOrigin, str]:
+        """Return where a job's stream began, or why that is not known."""
         state, asked_at, stream = self.state, monotonic(), job.stream_id
         # Other boxes' rows tell which versions left before this box started.
         if state.boxes_known_at == NEVER:
@@ -178,8 +175,7 @@
         if _differ(versions) or job.service.id not in dict(versions):
             return Err(f"none of {len(answers)} routers knows the version that began {stream!r}")
         self._count(progress, OriginBasis("one version", len(others), state.list_age(), ages_s))
-        software = dict(versions)[job.service.id]
-        return Ok(StreamOrigin(job.service.id, "", software) if software else None)
+        return Ok(StreamOrigin(job.service.id, "", dict(versions)[job.service.id]))
 
     async def _answer_of_all(
         self, question: OriginRequest, answers_by_id: Mapping[str, OriginReply]
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -33,7 +33,7 @@
 from stairquay.serving.local_router import LocalRouter
 from stairquay.serving.messages import BegunStream, FinishedNotice, OriginReply, OriginRequest
 from stairquay.serving.new_lists import NewLists
-from stairquay.serving.origins import ROUTERS_TOLD, OriginTracker, at_origin, excluded_ids
+from stairquay.serving.origins import ROUTERS_TOLD, OriginTracker, at_origin, excluded_ids, may_use
 from stairquay.serving.ports import EndpointChanges, FeedFault
 from tests.states import box_state
 
@@ -233,6 +233,7 @@
 ONE = OriginReply(versions=(("llm", "v1"),))
 KNOWS = OriginReply(BEGUN_AT_V1, BOTH.versions)
 ONLY_V1 = StreamOrigin("llm", "", "v1")
+ONLY_UNNAMED = StreamOrigin("llm", "", "")
 UNRESUMABLE = ErrorKind.STREAM_UNRESUMABLE
 
 
@@ -257,7 +258,7 @@
     ("listed", "replies", "read_again", "expected"),
     [
         ([V1, ALSO_V1], all_routers(from_new_list(ONE)), False, ONLY_V1),
-        ([UNNAMED], all_routers(from_new_list(UNNAMED_ONLY)), False, None),
+        ([UNNAMED], all_routers(from_new_list(UNNAMED_ONLY)), False, ONLY_UNNAMED),
         # Their lists may be older than the stream, as that of a box that asks nobody.
         ([V1, ALSO_V1], all_routers(ONE), False, UNRESUMABLE),
         ([UNNAMED], all_routers(UNNAMED_ONLY), False, UNRESUMABLE),
@@ -327,6 +328,17 @@
     assert asyncio.run(scenario([V1, V2])) == {UNRESUMABLE}
 
 
+def test_a_stream_of_entries_without_a_version_does_not_go_on_at_one_that_is_named_meanwhile():
+    """While it waited for an endpoint, the first one that names a version was listed, and it went there."""
+    made, _, _ = tracker([UNNAMED], all_routers(from_new_list(UNNAMED_ONLY)))
+    progress = JobProgress()
+    assert asyncio.run(made.resolve(job_of("s"), progress)) is None
+    assert may_use(made.state, progress, UNNAMED)
+    made.state.software.observe([UNNAMED, V1], monotonic())
+    assert not may_use(made.state, progress, V1)
+    assert not may_use(made.state, progress, UNNAMED), "either may have begun it"
+
+
 def test_a_stream_that_began_at_the_only_version_goes_on_there_when_another_appears_meanwhile():
     """It waits for an endpoint while the first one of a new version is listed."""
     assert not may_continue(ONLY_V1, V2, history_of([V1, V2]), 0.0)
