--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -109,12 +109,16 @@
     # Ids of boxes believed alive.
     boxes: tuple[str, ...] = ()
     boxes_known_at: float = NEVER
+    # The other boxes believed alive, as their rows tell of them.
+    other_boxes: tuple[Member, ...] = ()
     # When this box last read a list of boxes that differs from the one before.
     boxes_changed_at: float = NEVER
     # Boxes that refuse connections although their rows are not old yet.
     refused_connections: RefusedConnections = field(default_factory=RefusedConnections)
     # When this box last asked for the rows that it has.
     rows_asked_at: float = inf
+    # Rows are wanted that were asked for after this time.
+    rows_wanted_at: float = NEVER
     # When this box last wrote its row, and the seconds after which others may count it as gone.
     row_written_at: float = NEVER
     row_valid_s: float = inf
