Follow the configuration while the list of boxes cannot be read

Cause: both answers of the platform were needed for a round to count, though each is a document of its own.

Now the rows are applied and the round does not count as fresh, as when the platform does not answer: the last list that could be read stays in force, and routers are asked. Why the entries after such a one are not read is in docs/incidents/odd-entries.md: whether the next bytes are an entry or lie within the odd one cannot be known, and taking them for one would let its writer choose where requests go. Boxes are not concerned, as each row of the table service is base64 of its own.

--- a/stairquay/adapters/follower.py
+++ b/stairquay/adapters/follower.py
@@ -114,17 +114,15 @@
 
 
 async def fetch_from_platform(platform: Platform, view: View) -> Result[Update, str]:
-    """Fetch from the platform what is newer than the view."""
+    """Fetch from the platform what is newer than the view; not fresh if its list of boxes is missing."""
     changes, boxes = await asyncio.gather(
         platform.changes(view.configuration.revision, PREFIX), platform.boxes()
     )
     if isinstance(changes, Err):
         return Err(changes.err_value.value)
-    if isinstance(boxes, Err):
-        return Err(boxes.err_value.value)
     rows = changes.ok_value.rows
     revision = max([view.configuration.revision, *(row.revision for row in rows)])
-    return Ok(Update(True, True, revision, rows, boxes.ok_value))
+    return Ok(Update(True, boxes.is_ok(), revision, rows, boxes.ok()))
 
 
 async def fetch_from_router(
@@ -164,13 +162,15 @@
 
 
 def platform_refresher(platform: Platform) -> Callable[[View], Awaitable[bool]]:
-    """Return a function that refreshes a view from the platform and returns whether it answered."""
+    """Return a function that refreshes a view from the platform and returns whether it answered in full."""
 
     async def refresh(view: View) -> bool:
         outcome = await fetch_from_platform(platform, view)
         if isinstance(outcome, Err):
             return False
         view.apply(outcome.ok_value)
+        if not outcome.ok_value.fresh:
+            return False
         view.freshness.on_platform(monotonic())
         return True
 
--- a/tests/test_box_list.py
+++ b/tests/test_box_list.py
@@ -7,7 +7,7 @@
 import pytest
 from aiohttp import web
 
-from stairquay.adapters.follower import View, fetch_from_platform
+from stairquay.adapters.follower import View, platform_refresher
 from stairquay.adapters.platform import HttpPlatform
 from stairquay.core.models import Box, BoxKind
 from tests.standins.table import serve_app
@@ -50,6 +50,15 @@
     "null": b"null",
     "a text": b'"odd"',
 }
+UNBALANCED = {
+    "a list without end": text()[:-1] + b', "unknown": [}',
+    "an object without end": text()[:-1],
+    "an end too many": text() + b"]",
+    "a text without end": text()[:-1] + b', "unknown": "}',
+    "brackets that open the sound ones": text()[:-1] + b', "unknown": [7',
+}
+"""Entries after which the others cannot be told apart."""
+
 ODD_ADDRESSES = (
     "127.0.0.1:70000",
     "127.0.0.1:0",
@@ -84,9 +93,7 @@
         platform = HttpPlatform(f"http://{address}", 2.0)
         view = View("box-1", "entry", 5.0)
         try:
-            outcome = await fetch_from_platform(platform, view)
-            if outcome.is_ok():
-                view.apply(outcome.ok_value)
+            await platform_refresher(platform)(view)
         finally:
             await platform.close()
             await runner.cleanup()
@@ -103,6 +110,14 @@
     assert view.membership.boxes.as_of == 3 and set(view.membership.boxes.by_id) == GOOD
 
 
+@pytest.mark.parametrize("odd", UNBALANCED.values(), ids=UNBALANCED.keys())
+def test_an_entry_with_unbalanced_brackets_does_not_keep_the_configuration_from_being_followed(odd: bytes):
+    """Guards against revoked keys that stay valid while the list of boxes cannot be read."""
+    view = followed(odd)
+    assert view.configuration.revision == 5
+    assert not view.membership.boxes.by_id and not view.ready()
+
+
 @pytest.mark.parametrize("address", ODD_ADDRESSES, ids=lambda address: ascii(address[:30]))
 def test_an_address_that_nobody_can_connect_to_is_left_out(address: str):
     """Guards against errors of the programs that send requests to a port out of range."""
