Ask routers in a test only while the box skips none of them

tests.test_admission_box...runs_at_the_engines_of_another failed beside load: the prompt waited once, or got 503. Cause: a box skips a router for a second that did not answer in time, whatever it was asked. The test waited until routers were picked, not until none of them was skipped.

The test now sends its prompt a second after it read how many questions were unanswered (`stairquay_silent_routers`), and takes another one if there is one more by the end; each run that counts makes the same assertions as before, by its own id. The test beside it, which wants both routers asked, has the same precondition now, and counts requests by ticket.

--- a/tests/many_boxes.py
+++ b/tests/many_boxes.py
@@ -9,7 +9,7 @@
 
 from aiohttp import ClientSession, ClientTimeout
 
-from stairquay.serving.links import RouterClient, RouterHandlers, serve
+from stairquay.serving.links import SUSPECT_S, RouterClient, RouterHandlers, serve
 from stairquay.serving.messages import (
     EndedAttempt,
     EndpointsReply,
@@ -38,6 +38,8 @@
 ROUTERS = ["router-1", "router-2"]
 """Both have the address of the stub router."""
 
+UNANSWERED_METRIC = "stairquay_silent_routers_total"
+
 
 @dataclass
 class StubRouter:
@@ -162,6 +164,31 @@
     return sum(line["lines"].get("sent", 0) for line in here.logged("left_out"))
 
 
+async def prompt_with_live_routers(
+    here: Site, router: StubRouter, call_id: str, first_replies: list[PlaceReply]
+) -> tuple[Answer, str]:
+    """Send a prompt while the box has no reason to skip a router. Return its answer and its id.
+
+    A box skips a router for a second that did not answer in time, whatever it was asked; then another prompt
+    is sent.
+    """
+    for number in range(MAX_PROMPTS):
+        name = f"{call_id}-{number}"
+        unanswered = await unanswered_questions(here)
+        await asyncio.sleep(SUSPECT_S)
+        router.first_replies = list(first_replies)
+        answer = await here.prompt(call_id=name)
+        if await unanswered_questions(here) == unanswered:
+            return answer, name
+    raise AssertionError("a router did not answer in time, again and again")
+
+
+async def unanswered_questions(here: Site) -> float:
+    """Return how many questions to routers the box got no answer to."""
+    lines = (await here.metrics()).splitlines()
+    return next(float(line.split()[1]) for line in lines if line.startswith(UNANSWERED_METRIC))
+
+
 def picked_routers(here: Site) -> bool:
     return any(line["routers"] == ROUTERS for line in here.logged("router", outcome="picked"))
 
--- a/tests/test_admission_box.py
+++ b/tests/test_admission_box.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from stairquay.serving.messages import Outcome, PlaceReply, PlaceRequest
-from tests.many_boxes import ROUTERS, routed_box
+from tests.many_boxes import ROUTERS, prompt_with_live_routers, routed_box
 from tests.site import SCOPE, eventually
 
 ADMITTED = PlaceReply(endpoint="e-0", version=1, scope=SCOPE, decided=True)
@@ -40,11 +40,12 @@
     async def scenario():
         async with routed_box(engines=ENGINES) as (here, router):
             router.reply = REJECTED
-            answer = await here.prompt(call_id="call-1")
+            answer, call_id = await prompt_with_live_routers(here, router, "call", [])
             assert answer.status == 503 and answer.headers["Retry-After"] == "0.42"
-            assert len(router.place_requests) == len(ROUTERS)
-            await eventually(lambda: here.logged("refused", request="call-1"))
-            line = here.logged("refused")[0]
+            asked = [item for item in router.place_requests if item.ticket.startswith(f"{call_id} ")]
+            assert len(asked) == len(ROUTERS)
+            await eventually(lambda: here.logged("refused", request=call_id))
+            line = here.logged("refused", request=call_id)[0]
             assert (line["cause"], line["ran"], line["come_back_s"]) == ("overloaded", "not run", 0.42)
             assert "objective" in line["detail"] and not here.logged("sent")
 
@@ -56,11 +57,12 @@
 
     async def scenario():
         async with routed_box(engines=ENGINES) as (here, router):
-            router.first_replies, router.reply = [REJECTED], ADMITTED
-            assert (await here.prompt(call_id="call-1")).status == 200
-            router.first_replies = [DEFERRED]
-            assert (await here.prompt(call_id="call-2")).status == 200
-            assert not here.logged("waits")
+            router.reply = ADMITTED
+            answer, _ = await prompt_with_live_routers(here, router, "refused", [REJECTED])
+            assert answer.status == 200
+            answer, call_id = await prompt_with_live_routers(here, router, "deferred", [DEFERRED])
+            assert answer.status == 200
+            assert not here.logged("waits", request=call_id)
 
     asyncio.run(scenario())
 
