--- a/tests/soak_stops.py
+++ b/tests/soak_stops.py
@@ -107,8 +107,8 @@
     """What was broken, by kind, with an example each; and counts.
 
     excused: what the rules don't count, by kind. behind: pipelined requests behind an answer that was broken
-    off, so that none can follow. cut_streams: those that were broken off at the end. lateness_s: the longest
-    of this process.
+    off, so that none can follow. cut_streams: those that were broken off at the end. forwarded: requests
+    that boxes passed on to others. lateness_s: the longest of this process.
     """
 
     broken: dict[str, str] = field(default_factory=dict)
@@ -123,6 +123,7 @@
     faults: Counter[str] = field(default_factory=Counter)
     behind: int = 0
     cut_streams: int = 0
+    forwarded: int = 0
     stops_s: list[float] = field(default_factory=list)
     lateness_s: float = 0.0
 
@@ -387,6 +388,7 @@
                 kind = "did not end by itself, frozen" if item.frozen else "did not end by itself"
                 self._note(kind, f"{item.box}: {item.stop.faults[0]}", item.frozen)
         for box in self.boxes:
+            self.outcome.forwarded += len(box.logged("forwarded"))
             for line in box.logged("part_failed"):
                 self._note("part failed", str(line), False)
 
