--- a/tests/test_box_stops.py
+++ b/tests/test_box_stops.py
@@ -391,10 +391,10 @@
     asyncio.run(scenario())
 
 
-def send_steadily(callers: Callers, until_s: float = GRACE_S) -> None:
+def send_steadily(callers: Callers, first_s: float = -0.5) -> None:
     """Send requests of all kinds every tenth of a second, some with slow bodies or long work."""
-    for number in range(int(until_s * 10)):
-        at_s = -0.5 + number / 10
+    for number in range(int((GRACE_S - 0.5 - first_s) * 10)):
+        at_s = first_s + number / 10
         kind = KINDS[number % len(KINDS)]
         callers.send(at_s, Form(kind.path, 1.0))
         if number % 5 == 0:
@@ -403,11 +403,11 @@
             callers.send(at_s, Form(kind.path, ROUTE_S))
 
 
-async def play_frozen(from_s: float, until_s: float) -> list[str]:
-    """Freeze a box around its stop signal, and return what was wrong."""
+async def play_frozen(from_s: float, until_s: float, first_s: float = -0.5) -> list[str]:
+    """Freeze a box around its stop signal, and return what was wrong. first_s: of the first request."""
     async with long_site() as here:
         callers = Callers(here, loop_time() + LEAD_S)
-        send_steadily(callers)
+        send_steadily(callers, first_s)
 
         async def freeze() -> None:
             await asyncio.sleep(LEAD_S + from_s)
@@ -418,7 +418,7 @@
         stop = await stop_and_watch(here)
         await freezing
         await callers.end()
-        case = f"frozen from {from_s} to {until_s} s: "
+        case = f"frozen from {from_s} to {until_s} s, requests from {first_s} s on: "
         return [case + fault for fault in stop_faults(callers.requests, stop, here.endpoints)]
 
 
@@ -428,6 +428,12 @@
     assert_none(asyncio.run(all_faults(*(play_frozen(*span) for span in spans))))
 
 
+# Guards against an idle box that knows nothing of the pause in which the signal came.
+def test_an_idle_box_that_is_frozen_when_the_signal_comes_keeps_to_its_time():
+    spans = ((-0.1, 1.0), (-0.1, 2.0), (-0.1, 2.9))
+    assert_none(asyncio.run(all_faults(*(play_frozen(*span, first_s=0.2) for span in spans))))
+
+
 # Guards against decisions that are older than a pause of the process, and a box that ends late after one.
 def test_a_box_that_is_frozen_while_it_stops_keeps_to_its_time():
     spans = ((0.5, 3.4), (2.5, 5.4), (5.0, 6.9))
