Wake the event loop by a stop signal that another thread takes

One handler of its own, of a signal that is ignored, makes any signal wake it.

The same thread takes the signal a moment after a pause, so that the loop's overdue tick may run before the handler: a pause that ended 0.3 s ago or less counts as well.

--- a/stairquay/adapters/program.py
+++ b/stairquay/adapters/program.py
@@ -26,6 +26,10 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 STACKS_SIGNAL = signal.SIGUSR1
 
+WAKING_SIGNAL = signal.SIGURG
+"""One handler of the event loop's own lets any signal wake it, also one that another thread takes. A process
+that does not handle this signal ignores it."""
+
 MONITORING_SHUTDOWN_S = 1.0
 """Seconds for which a program that ends waits for those who read its metrics or health."""
 
@@ -85,6 +89,7 @@
 def _catch(signals: Iterable[signal.Signals], on_arrival: Callable[[], None]) -> asyncio.Event:
     # Handlers of the event loop would end with it, and a signal would then end the process.
     loop = asyncio.get_running_loop()
+    loop.add_signal_handler(WAKING_SIGNAL, lambda: None)
     caught = asyncio.Event()
 
     def on_signal(_: int, __: FrameType | None) -> None:
--- a/stairquay/serving/overload.py
+++ b/stairquay/serving/overload.py
@@ -20,6 +20,9 @@
 CALM_LATE_S = 0.01
 """Lateness below which a tick is not late, half of the lowest threshold."""
 
+MIN_PAUSE_S = 0.2
+"""Lateness of a tick from which the process may have stood still."""
+
 PREFER_OTHER_ROUTER_S = 1.0
 """Seconds for which other routers are asked before one that said that it is late."""
 
@@ -38,6 +41,8 @@
         await asyncio.sleep(interval_s)
         now = monotonic()
         late_s = max(0.0, now - due)
+        if late_s > MIN_PAUSE_S:
+            state.paused_from, state.paused_until = due, now
         _apply_tick(state, now, late_s, objective.shortest_s(state.catalog))
         if _needs_timer(state):
             active_at = now
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -59,6 +59,10 @@
 their rows that was read in that time takes nothing back."""
 
 
+AFTER_PAUSE_S = 0.3
+"""Seconds after a pause within which a stop signal may have come in it: another thread may take the signal,
+which tells the one with the event loop a moment later."""
+
 MAX_PAUSE_SHARE = 0.5
 """Share of the grace time for which a process may have stood still at a stop signal, at most: with less time
 left, requests in progress would be ended in vain where the signal came late in the pause."""
@@ -190,6 +194,9 @@
     shutdown: Shutdown = field(default_factory=Shutdown)
     # When the next tick of the event loop is due that measures its lateness; infinite while there is none.
     tick_due_at: float = inf
+    # The last time in which this process may have stood still.
+    paused_from: float = inf
+    paused_until: float = NEVER
     # Notified when views, routers or their suspicion change, an endpoint is marked as leaving, routers start
     # or stop reporting crashes, and on stop.
     changed: ChangeNotifier = field(default_factory=ChangeNotifier)
@@ -335,11 +342,15 @@
     def begin_shutdown(self, handled_at: float) -> None:
         """Begin to stop, on the first stop signal.
 
-        If a tick is overdue, the process may have stood still, and the signal may have come as that began.
+        If a tick is overdue, or was until just now, the process may have stood still, and the signal may have
+        come as that began.
         """
         grace_s = self.settings.stop_s
         earliest = handled_at - grace_s * MAX_PAUSE_SHARE
-        signalled_at = max(earliest, min(handled_at, self.tick_due_at))
+        paused = handled_at - self.paused_until < AFTER_PAUSE_S
+        signalled_at = max(
+            earliest, min(handled_at, self.tick_due_at, self.paused_from if paused else handled_at)
+        )
         self.shutdown.begin(shutdown_times(signalled_at, grace_s))
 
     @property
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import threading
 import time
 from math import inf
 
@@ -167,3 +168,35 @@
     state.tick_due_at = 100.0 - overdue_s
     state.begin_shutdown(100.0)
     assert state.shutdown.times == shutdown_times(100.0 - began_s, GRACE_S)
+
+
+# Guards against the same where the box has made a tick between its pause and the handling of the signal.
+@pytest.mark.parametrize(("ended_s", "began_s"), [(0.1, 2.0), (1.0, 0.0)], ids=["just now", "before"])
+def test_the_signal_counts_from_the_start_of_a_pause_that_has_just_ended(ended_s: float, began_s: float):
+    state = box_state()
+    state.tick_due_at, state.paused_from, state.paused_until = 100.1, 98.0, 100.0 - ended_s
+    state.begin_shutdown(100.0)
+    assert state.shutdown.times == shutdown_times(100.0 - began_s, GRACE_S)
+
+
+# Guards against a stop signal that waits for the event loop's next timer, as another thread took it.
+def test_a_stop_signal_that_another_thread_takes_wakes_the_event_loop():
+    async def scenario() -> float:
+        handled = catch_stop_signals(lambda at: None)
+
+        def take() -> None:
+            time.sleep(0.2)
+            signal.pthread_kill(threading.get_ident(), signal.SIGTERM)
+
+        thread = threading.Thread(target=take, daemon=True)
+        thread.start()
+        began_at = monotonic()
+        await asyncio.wait_for(handled.wait(), 5.0)
+        return monotonic() - began_at
+
+    handlers = {number: signal.getsignal(number) for number in STOP_SIGNALS}
+    try:
+        assert asyncio.run(scenario()) < 1.0
+    finally:
+        for number, handler in handlers.items():
+            signal.signal(number, handler)
