Tell the last timer from a program that ends by itself by its status, not by the time

The program now ends with 1 where the timer does not end it, and the test wants 0: as strict, without a clock.

--- a/tests/test_shutdown_edges.py
+++ b/tests/test_shutdown_edges.py
@@ -74,16 +74,18 @@
 
 
 EXITS = """
+import sys
 import time
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.program import exit_at
 exit_at(monotonic() + 0.2)
-end = monotonic() + 5
+end = monotonic() + 10
 while monotonic() < end:
     try:
         time.sleep(0.1)
     except OSError:
         pass
+sys.exit(1)
 """
 
 
@@ -107,9 +109,7 @@
         os.close(read_end)
     process = subprocess.Popen([sys.executable, "-c", EXITS], cwd=ROOT, stderr=write_end)
     try:
-        started = monotonic()
-        assert process.wait(8) == 0
-        assert monotonic() - started < 4
+        assert process.wait(30) == 0
     finally:
         process.kill()
         process.wait()
