Ask for rows that are wanted early at most once each half a second

Nobody has seen it outside of the test.

Cause: the wish for rows ends the pause between two heartbeats, and stays while no rows come. The pause after the last try counts now.

Another test there holds that rows which are wanted are read at once, by one read and one write.

--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -107,6 +107,8 @@
         self.write_failed = False
         # When rows were requested last, and the same less the time in which no box could renew its row.
         self.read_at = NEVER
+        # When they were requested last, whether they came or not.
+        self.tried_at = NEVER
         self.heard_at = NEVER
         self.era = 0
         self.rows_by_key: dict[str, Row] = {}
@@ -123,7 +125,7 @@
     async def run(self) -> None:
         """Read rows and write heartbeats, until cancelled."""
         while True:
-            asked_at = monotonic()
+            self.tried_at = asked_at = monotonic()
             found = await self.own.list_prefix(KEY_PREFIX)
             if not isinstance(found, Err):
                 self._apply_rows(found.ok_value, asked_at)
@@ -335,7 +337,9 @@
 
     def _is_due_early(self) -> bool:
         """Tell whether to read the rows and write this box's row before the next heartbeat."""
-        return self.state.rows_asked_at < self.state.rows_wanted_at or self._has_unpublished_versions()
+        wants_rows = self.state.rows_asked_at < self.state.rows_wanted_at
+        may_try = monotonic() - self.tried_at >= RETRY_S
+        return (wants_rows and may_try) or self._has_unpublished_versions()
 
     def _has_unpublished_versions(self) -> bool:
         """Tell whether to publish versions early, which only followers of the table service do.
--- a/tests/test_published_software.py
+++ b/tests/test_published_software.py
@@ -14,7 +14,7 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.row import Row
 from stairquay.core.software import MEMORY_S
-from stairquay.serving.boxes import BoxRegistry
+from stairquay.serving.boxes import RETRY_S, BoxRegistry
 from stairquay.serving.state import BoxState
 from tests.states import box_state
 
@@ -29,13 +29,14 @@
         self.rows: list[dict] = []
         self.calls = 0
         self.takes_writes = True
+        self.takes_reads = True
 
     def clock_offset(self) -> ClockOffset:
         return ClockOffset(0.0, 0.0)
 
     async def list_prefix(self, _: str) -> Result[tuple[Row, ...], PlatformFault]:
         self.calls += 1
-        return Ok(())
+        return Ok(()) if self.takes_reads else Err(next(iter(PlatformFault)))
 
     async def commit(self, commit: Commit) -> Result[Committed, PlatformFault]:
         self.calls += 1
@@ -112,3 +113,44 @@
         return table.calls
 
     assert asyncio.run(scenario()) <= 10
+
+
+def test_rows_that_are_wanted_after_a_gap_of_the_list_are_read_before_the_next_heartbeat():
+    """Guards against streams that are refused for four seconds after a pause, until rows are read again."""
+
+    async def scenario() -> tuple[int, int]:
+        state, table = box_state(), Table()
+        running = asyncio.create_task(registry_of(state, table).run())
+        await asyncio.sleep(1.5)
+        before = table.calls
+        await asyncio.sleep(0.3)
+        calm = table.calls - before
+        wanted_at = state.rows_wanted_at = monotonic()
+        state.changed.notify_all()
+        await asyncio.sleep(0.3)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        assert state.rows_asked_at >= wanted_at
+        return calm, table.calls - before - calm
+
+    calm, wanted = asyncio.run(scenario())
+    assert calm == 0 and wanted == 2, "one read and one write"
+
+
+def test_rows_that_cannot_be_read_are_not_asked_for_again_and_again():
+    """Guards against calls without pause while streams wait for rows and the table service refuses reads."""
+
+    async def scenario() -> int:
+        state, table = box_state(), Table()
+        running = asyncio.create_task(registry_of(state, table).run())
+        await asyncio.sleep(1.5)
+        before, table.takes_reads = table.calls, False
+        for _ in range(40):
+            state.rows_wanted_at = monotonic()
+            state.changed.notify_all()
+            await asyncio.sleep(0.05)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        return table.calls - before
+
+    assert asyncio.run(scenario()) <= 2 * 2.0 / RETRY_S + 2, "a read and a write each half a second"
