--- a/stairquay/serving/new_lists.py
+++ b/stairquay/serving/new_lists.py
@@ -75,7 +75,11 @@
         Where its list has a gap, the rows have to be read after it, or after `at`: followers write a new
         version into theirs at once.
         """
-        while not knows_past(self.state, monotonic(), at):
+        return knows_past(self.state, monotonic(), at) or await self.rows_since(at, until)
+
+    async def rows_since(self, at: float, until: float) -> bool:
+        """Have the rows of boxes read, and tell whether some were requested after a time."""
+        while self.state.rows_asked_at < at:
             left_s = until - monotonic()
             if left_s <= 0:
                 return False
--- a/stairquay/serving/origins.py
+++ b/stairquay/serving/origins.py
@@ -221,8 +221,10 @@
         new = await self.new_lists.since(asked_at, until)
         if new is None:
             return None
-        own_past = state.software.unseen_s() <= MAX_UNSEEN_S
-        knows = knows or (await self.new_lists.knows_past(asked_at, until) and own_past)
+        if not knows:
+            # Only the followers' rows tell what came and went meanwhile, in however short a time.
+            rows_came = await self.new_lists.rows_since(asked_at, until)
+            knows = rows_came and state.software.unseen_s() <= MAX_UNSEEN_S
         return structs.replace(origin_reply(state, question, asked_at, new), knows_past=knows)
 
     def _others(self) -> list[Member]:
--- a/tests/test_box_out_of_step.py
+++ b/tests/test_box_out_of_step.py
@@ -131,6 +131,15 @@
             self.boxes[0].table.put("servers", engine.id, engine.entry())
         return joined
 
+    def let_old_leave(self) -> None:
+        """Say of the endpoints of the old version that they leave, so that boxes in step send nothing there.
+
+        A router that is cut from the table service places prompts at endpoints that it knows.
+        """
+        for engine in self.boxes[0].engines():
+            if engine.software == OLD:
+                self.boxes[0].table.put("servers", engine.id, engine.entry("draining"))
+
     async def begin(self, *boxes: Site) -> None:
         """Begin streams at these boxes once they know the new version, and keep those that began there."""
 
@@ -147,7 +156,7 @@
                 )
             )
             self.streams = [stream for stream in streams if stream.versions == {NEW.encode()}]
-            # A router that is out of step may place them all at endpoints that it knows.
+            # A router that has just suspected another one may place them all at endpoints that it knew.
             if len(self.streams) >= MIN_STREAMS:
                 return
         raise AssertionError("too few streams began at the new version")
@@ -301,6 +310,30 @@
     assert_not_joined(asyncio.run(play(2, scenario)))
 
 
+def test_a_version_that_came_and_left_while_a_box_was_cut_for_a_moment_is_not_joined_with_another():
+    """A list that was read right after the cut named one version only, and a short gap counted as none."""
+
+    async def scenario(scene: Scene) -> None:
+        box = scene.routers()[0]
+        await until_row_is_written(box)
+        scene.cut_from_boxes(box, CutKind.RESET)
+        scene.cut_from_table(box, kind=CutKind.RESET)
+        await asyncio.sleep(0.1)
+        joined = await scene.join()
+        await scene.begin(*scene.others(box))
+
+        def leave_and_heal() -> None:
+            for engine in joined:
+                engine.crash()
+                scene.boxes[0].table.remove("servers", engine.id)
+            # The box is still cut from the others, and reads the list at last.
+            write_cut(box.folder, CutKind.RESET, [port_of(item.peer_address) for item in scene.others(box)])
+
+        await scene.take_up(box, leave_and_heal)
+
+    assert_not_joined(asyncio.run(play(3, scenario)))
+
+
 def test_a_box_that_stood_still_or_was_cut_joins_no_versions():
     """Guards the ways that held when issue 86 came: others answer, or the box reads a list or refuses."""
 
@@ -323,6 +356,8 @@
                 scene.cut_from_table(box, kind=kind)
             await asyncio.sleep(0.1)
             await scene.join()
+            if table:
+                scene.let_old_leave()
             await scene.begin(*scene.others(box))
             await scene.take_up(box)
 
