--- a/stairquay/adapters/program.py
+++ b/stairquay/adapters/program.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import faulthandler
+import os
 import signal
 import ssl
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from logging import getLogger
+from types import FrameType
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from aiohttp import web
 
+from stairquay.adapters.clock import monotonic
 from stairquay.adapters.early_signals import has_arrived
 
 if TYPE_CHECKING:
@@ -23,6 +26,12 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 STACKS_SIGNAL = signal.SIGUSR1
 
+MONITORING_SHUTDOWN_S = 1.0
+"""Seconds for which a program that ends waits for those who read its metrics or health."""
+
+MIN_TIMER_S = 0.001
+"""A timer of 0 s would be none."""
+
 
 def write_stacks_on_signal() -> None:
     """Write the stacks of all threads to standard error on STACKS_SIGNAL, also while the event loop hangs."""
@@ -61,24 +70,64 @@
 
 def catch_signals(*signals: signal.Signals) -> asyncio.Event:
     """Return an event that any of these signals sets, also one that arrived while the program started."""
+    return _catch(signals, lambda: None)
+
+
+def catch_stop_signals(on_stop: Callable[[float], None]) -> asyncio.Event:
+    """Return an event that the event loop sets after a stop signal, also one that came during the start.
+
+    on_stop: called with the time of each signal (monotonic seconds) between any two instructions, at once,
+    where a busy event loop handles the signal much later.
+    """
+    return _catch(STOP_SIGNALS, lambda: on_stop(monotonic()))
+
+
+def _catch(signals: Iterable[signal.Signals], on_arrival: Callable[[], None]) -> asyncio.Event:
+    # Handlers of the event loop would end with it, and a signal would then end the process.
     loop = asyncio.get_running_loop()
     caught = asyncio.Event()
+
+    def on_signal(_: int, __: FrameType | None) -> None:
+        on_arrival()
+        if not loop.is_closed():
+            loop.call_soon_threadsafe(caught.set)
+
     for number in signals:
-        loop.add_signal_handler(number, caught.set)
+        signal.signal(number, on_signal)
         if has_arrived(number):
-            caught.set()
+            on_signal(number, None)
     return caught
 
 
+def exit_at(at: float) -> None:
+    """End the process at a time (monotonic seconds), whatever its event loop is doing then."""
+    signal.signal(signal.SIGALRM, _exit)
+    signal.setitimer(signal.ITIMER_REAL, max(MIN_TIMER_S, at - monotonic()))
+
+
+def _exit(_: int, __: FrameType | None) -> None:
+    try:
+        # Whoever reads it may be stuck.
+        os.set_blocking(2, False)
+        os.write(2, b"ended at the end of the grace time, with work left\n")
+    finally:
+        os._exit(0)
+
+
 async def wait_for_stop(tasks: BackgroundTasks, stopped: asyncio.Event | None = None) -> None:
-    """Wait for a stop signal, or the event that one sets; raise the error of a background task that fails."""
-    stopped = stopped or catch_signals(*STOP_SIGNALS)
+    """Wait for a stop signal, or the event that one sets, and log it; raise the error of a background task
+    that fails."""
+    await wait_for_event(tasks, stopped or catch_signals(*STOP_SIGNALS))
+    LOGGER.info("stopping: finishing requests in progress")
+
+
+async def wait_for_event(tasks: BackgroundTasks, stopped: asyncio.Event) -> None:
+    """Wait for an event; raise the error of a background task that fails."""
     stop_wait = asyncio.ensure_future(stopped.wait())
     outcomes: set[asyncio.Future[Any]] = {stop_wait, tasks.failed}
     await asyncio.wait(outcomes, return_when=asyncio.FIRST_COMPLETED)
     if tasks.failed.done():
         tasks.failed.result()
-    LOGGER.info("stopping: finishing requests in progress")
 
 
 def being_cancelled() -> bool:
@@ -137,7 +186,7 @@
     app = web.Application()
     app.add_routes(health_routes(ready))
     app.add_routes([web.get("/metrics", scrape)])
-    return await listen(app, address)
+    return await listen(app, address, shutdown_timeout=MONITORING_SHUTDOWN_S)
 
 
 def server_tls_context(tls: "TlsSettings") -> ssl.SSLContext | None:
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from stairquay.adapters.clock import monotonic
+from stairquay.adapters.shutdown import PendingRequest
 from stairquay.core.attempt import Attempt, combine_execution_status
 from stairquay.core.call import Dispatch
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
@@ -40,6 +41,7 @@
     no_room,
     overloaded,
     reconcile_status,
+    stopping,
 )
 from stairquay.serving.relay import (
     abort_connection,
@@ -93,8 +95,22 @@
         self.origins = origins
 
     async def run(self, job: Job, request: web.BaseRequest) -> Result[web.StreamResponse, Refusal]:
-        """Run a job to its end. Return the response, already sent if it is a stream, or a refusal."""
+        """Run a job to its end, or to that of this box. Return the response, already sent if it is a stream,
+        or a refusal."""
         progress = JobProgress()
+        pending = PendingRequest(self.state.shutdown, job.deadline, progress.is_held)
+        try:
+            async with pending:
+                return await self._run(job, progress, request)
+        except TimeoutError:
+            if not pending.was_ended:
+                raise
+            progress.break_off()
+            return self._give_up(job, progress, stopping(progress.ran), request)
+
+    async def _run(
+        self, job: Job, progress: JobProgress, request: web.BaseRequest
+    ) -> Result[web.StreamResponse, Refusal]:
         # First of all, since the service that the request counts for follows from it.
         unknown = await self.origins.resolve(job, progress)
         job = at_origin(job, progress)
@@ -167,6 +183,8 @@
         """Return the refusal if nothing may be sent now, else None."""
         if job.deadline - monotonic() < MIN_REMAINING_S:
             return Refusal(ErrorKind.DEADLINE, progress.ran)
+        if not self._may_pass_on(job, progress):
+            return stopping(progress.ran)
         if not self._keys_fresh(job):
             return Refusal(ErrorKind.NOT_READY, progress.ran, "the configuration's view is too old")
         version_gone = self.origins.refuses(job, progress)
@@ -181,6 +199,13 @@
             return Refusal(ErrorKind.QUARANTINED, progress.ran, f"digest {', '.join(digests)}", quarantined_s)
         return None
 
+    def _may_pass_on(self, job: Job, progress: JobProgress) -> bool:
+        """Tell whether a request may be sent although this box may be stopping.
+
+        A stream that has begun goes on, since it would be broken off now in place of later or not at all.
+        """
+        return bool(progress.stream.events) or self.state.shutdown.allows(job.deadline)
+
     def _with_retry_after(self, job: Job, refusal: Refusal) -> Refusal:
         """Return the refusal, with Retry-After set if all endpoints asked for a backoff."""
         backoff_s = None if refusal.kind == ErrorKind.OVERLOADED else self.chooser.retry_after_backoff_s(job)
@@ -230,6 +255,8 @@
                 return refusal
         elif progress.refused >= MAX_REFUSED:
             return refusal
+        if not self._may_pass_on(job, progress):
+            return refusal
         if not self.state.take_retry(job.service.id):
             record_retry_denied(self.state, job)
             return refusal
@@ -252,6 +279,7 @@
         record_probe(endpoint_state, started_attempt.sent_at)
         record_sent(self.state, job, choice, progress)
         endpoint_state.silence.on_sent(started_attempt.sent_at, progress.last is not None)
+        progress.attempt = attempt
         try:
             sent = await self._send_and_record(job, started_attempt, progress)
             self._record_reach(started_attempt, sent)
@@ -314,6 +342,8 @@
         def guard() -> bool:
             if not self._keys_fresh(job) or job.deadline <= monotonic():
                 return False
+            if not self._may_pass_on(job, progress):
+                return False
             if self._quarantined_s(job) > 0 and not progress.is_trial:
                 return False
             endpoint = started_attempt.choice.endpoint
--- a/stairquay/serving/forwarding.py
+++ b/stairquay/serving/forwarding.py
@@ -27,7 +27,7 @@
     SendFailure,
 )
 from stairquay.serving.records import record_answered_elsewhere, record_first_byte
-from stairquay.serving.refusals import RETRY_AFTER_S, is_false_promise
+from stairquay.serving.refusals import RETRY_AFTER_S, is_false_promise, stopping
 from stairquay.serving.relay import buffered_response, relay_or_read
 from stairquay.serving.state import BoxState
 
@@ -115,6 +115,8 @@
         full: Refusal | None = None
         left = MAX_HOLDERS_ASKED if holders else MAX_BOXES_ASKED
         while left > 0 and job.deadline > monotonic():
+            if not self.state.shutdown.allows(job.deadline):
+                return Err(stopping(progress.ran))
             fronts = {box: at for box, at in candidates.items() if box not in asked}
             box = helpers.pick(fronts, monotonic(), self.random)
             if box is None:
@@ -148,6 +150,7 @@
             progress.stream.last_event_id or job.call.resume_after,
             self.state.catalog_version,
         )
+        progress.attempt = attempt
         sent = await self.boxes.send(job.call, job.body, forward, attempt)
         if isinstance(sent, Err):
             self._log(job, box, sent.err_value.kind.value, attempt, sent.err_value.detail, sent_at)
@@ -185,7 +188,9 @@
     ) -> Err[Refusal] | None:
         """Return the refusal to pass on, or None if the request may have run."""
         if refusal.ran != ExecutionStatus.NOT_RUN:
-            failure = SendFailure(refusal.kind, refusal.ran, refusal.detail, fault=False)
+            # This box does not stop, so that its caller is told of a failure.
+            kind = ErrorKind.ENDPOINT_FAILED if refusal.kind == ErrorKind.STOPPED else refusal.kind
+            failure = SendFailure(kind, refusal.ran, refusal.detail, fault=False)
             _record_failure(progress, failure, forward.attempts if refusal.runs is None else refusal.runs)
             return None
         if refusal.kind in OTHER_CONFIGURATION:
--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -8,7 +8,9 @@
 from result import Err, Ok, Result
 
 from stairquay.adapters.clock import monotonic
-from stairquay.adapters.early_answer import RequestHead
+from stairquay.adapters.early_answer import LINGER_S, RequestHead
+from stairquay.adapters.shutdown import PendingRequest
+from stairquay.adapters.unfinished import has_next_request
 from stairquay.core.call import Call
 from stairquay.core.catalog import Catalog, Route, WorkspacePolicy, engine_priority, pick_service
 from stairquay.core.errors import ErrorKind, ExecutionStatus, Refusal
@@ -18,6 +20,7 @@
 from stairquay.serving.jobs import Job
 from stairquay.serving.overload import overload_refusal
 from stairquay.serving.ports import CallerCodec
+from stairquay.serving.refusals import stopping
 from stairquay.serving.state import BoxState
 
 BODY_TIMEOUT_S = 10.0
@@ -27,9 +30,6 @@
 """Retry-After in seconds when this box's view is too old. The connection is closed as well, so that the retry
 reaches another box."""
 
-STOPPING_RETRY_S = 0.05
-"""Retry-After in seconds when this box is stopping: another box can serve the retry."""
-
 MAX_REQUESTS_PER_DESCRIPTOR = 0.35
 """Below 0.5, as each request has a connection on both sides and idle connections stay open."""
 
@@ -60,9 +60,13 @@
         if self.state.in_flight == 1:
             self.state.load_wakeup.notify_all()
         try:
-            if EXPECT in request.headers:
+            if EXPECT in request.headers and not self.state.shutdown.is_refusing():
                 await _invite_body(request)
-            return await self._handle(request, arrived_at)
+            response = await self._handle(request, arrived_at)
+            await _write(request, response)
+            if self.state.stopping and not response.keep_alive:
+                await _linger(request)
+            return response
         finally:
             self.state.in_flight -= 1
 
@@ -73,7 +77,7 @@
         """
         catalog = self.state.catalog
         call = self.callers.decode_head(head)
-        if catalog is None or call is None or self.state.refusing or not self.state.fleet_known:
+        if catalog is None or call is None or self.state.shutdown.is_refusing() or not self.state.fleet_known:
             return None
         resolved = self._route_and_authenticate(catalog, call)
         if isinstance(resolved, Err):
@@ -87,7 +91,7 @@
     async def _handle(self, request: web.BaseRequest, arrived_at: float) -> web.StreamResponse:
         decoded = self.callers.decode(request)
         if isinstance(decoded, Err):
-            return self._refuse("", decoded.err_value, arrived_at)
+            return self._refuse(request, "", decoded.err_value, arrived_at)
         call = decoded.ok_value
         try:
             outcome = await self._serve(request, call, arrived_at)
@@ -100,17 +104,25 @@
             self.state.log.line(LogEvent.ENDED, call.id, outcome="caller_left", detail=type(error).__name__)
             return web.Response(status=499)
         if isinstance(outcome, Err):
-            return self._refuse(call.id, outcome.err_value, arrived_at)
+            return self._refuse(request, call.id, outcome.err_value, arrived_at)
         response = outcome.ok_value
-        if self.state.should_close_connections() and not response.prepared:
-            response.force_close()
+        if not response.prepared:
+            self._close_after(request, response)
         return response
 
+    def _close_after(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
+        """Let an answer end its connection if callers should move to another box.
+
+        Not while the caller has sent a further request on it, which would get no answer.
+        """
+        if self.state.should_close_connections() and not has_next_request(request):
+            response.force_close()
+
     async def _serve(
         self, request: web.BaseRequest, call: Call, arrived_at: float
     ) -> Result[web.StreamResponse, Refusal]:
-        if self.state.refusing:
-            return Err(Refusal(ErrorKind.STOPPING, ExecutionStatus.NOT_RUN, retry_after_s=STOPPING_RETRY_S))
+        if self.state.shutdown.is_refusing():
+            return Err(stopping(ExecutionStatus.NOT_RUN))
         catalog = self.state.catalog
         if catalog is None or not self.state.fleet_known:
             return Err(self._not_ready_refusal("no configuration yet"))
@@ -147,11 +159,20 @@
         arrived_at: float,
     ) -> Result[web.StreamResponse, Refusal]:
         claim = BodyClaim(self.state)
+        timeout_s = route.timeout_s if call.time_left_s is None else min(call.time_left_s, route.timeout_s)
+        deadline = arrived_at + timeout_s - DEADLINE_MARGIN_S
         try:
-            body = await self._read_body(request, catalog, claim)
+            body = await self._read_body_unless_stopped(request, catalog, claim, deadline)
             if isinstance(body, Err):
                 return body
-            job = self._create_job(call, body.ok_value, catalog, route, workspace, arrived_at)
+            if self.state.catalog is not None and self.state.catalog is not catalog:
+                # The body came slowly: the key may have been taken away, the route may be another one.
+                catalog = self.state.catalog
+                resolved = self._route_and_authenticate(catalog, call)
+                if isinstance(resolved, Err):
+                    return resolved
+                route, workspace = resolved.ok_value
+            job = self._create_job(call, body.ok_value, catalog, route, workspace, arrived_at, deadline)
             if isinstance(job, Err):
                 return job
             self._count_request(job.ok_value)
@@ -159,6 +180,20 @@
         finally:
             claim.release()
 
+    async def _read_body_unless_stopped(
+        self, request: web.BaseRequest, catalog: Catalog, claim: BodyClaim, deadline: float
+    ) -> Result[bytes, Refusal]:
+        """Read the body, or return a refusal at once when the request may not be passed on any more."""
+        pending = PendingRequest(self.state.shutdown, deadline)
+        try:
+            async with pending:
+                body = await self._read_body(request, catalog, claim)
+        except TimeoutError:
+            if not pending.was_ended:
+                raise
+            return Err(stopping(ExecutionStatus.NOT_RUN))
+        return body if self.state.shutdown.allows(deadline) else Err(stopping(ExecutionStatus.NOT_RUN))
+
     def _knows_less_than_sender(self, call: Call) -> bool:
         """Tell whether another box passed a request on by a newer configuration than is in force here."""
         sent_by, known = call.forwarded_configuration, self.state.catalog_version
@@ -228,12 +263,11 @@
         route: Route,
         workspace: WorkspacePolicy | None,
         arrived_at: float,
+        deadline: float,
     ) -> Result[Job, Refusal]:
         service = catalog.services_by_id.get(pick_service(route, self.random.random()))
         if service is None:
             return Err(Refusal(ErrorKind.NO_ENDPOINT, detail="the route names no known service"))
-        timeout_s = route.timeout_s if call.time_left_s is None else min(call.time_left_s, route.timeout_s)
-        deadline = arrived_at + timeout_s - DEADLINE_MARGIN_S
         return Ok(Job(call, body, catalog, route, service, workspace, arrived_at, deadline))
 
     def _count_request(self, job: Job) -> None:
@@ -241,7 +275,9 @@
         labels = metrics.labels.of(job.workspace_id), metrics.labels.of(job.route.id)
         metrics.child(metrics.requests, *labels).inc()
 
-    def _refuse(self, call_id: str, refusal: Refusal, arrived_at: float) -> web.Response:
+    def _refuse(
+        self, request: web.BaseRequest, call_id: str, refusal: Refusal, arrived_at: float
+    ) -> web.Response:
         catalog = self.state.catalog
         self.state.metrics.refusals.labels(refusal.kind.value, refusal.ran.value).inc()
         self.state.log.line(
@@ -257,11 +293,38 @@
             took_s=monotonic() - arrived_at,
         )
         response = self.callers.refuse(call_id, refusal)
-        if self.state.should_close_connections():
-            response.force_close()
+        self._close_after(request, response)
         return response
 
 
+async def _write(request: web.BaseRequest, response: web.StreamResponse) -> None:
+    """Write the answer here and not in the HTTP server, so that a box that stops waits for it."""
+    try:
+        await response.prepare(request)
+        await response.write_eof()
+    except ConnectionError:
+        # The caller has left; the HTTP server finds the connection closed.
+        return
+
+
+async def _linger(request: web.BaseRequest) -> None:
+    """Read what still comes after the last answer on a connection, until the caller closes it: closing before
+    would reset the connection, and the caller might lose the answer."""
+    transport = request.transport
+    if transport is None:
+        return
+    try:
+        transport.write_eof()
+        async with asyncio.timeout(LINGER_S):
+            while not request.content.at_eof():
+                await request.content.readany()
+            # Ended by the server as the caller closes the connection.
+            await asyncio.sleep(LINGER_S)
+    except (TimeoutError, web.RequestPayloadError, ConnectionError):
+        # The caller has the answer by now, or has left.
+        return
+
+
 async def _invite_body(request: web.BaseRequest) -> None:
     """Answer the Expect header of a caller that waits before it sends the body."""
     if request.version < HttpVersion11:
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -5,7 +5,7 @@
 from itertools import count
 from math import inf
 
-from stairquay.core.attempt import Attempt
+from stairquay.core.attempt import Attempt, combine_execution_status
 from stairquay.core.call import Call, request_digest
 from stairquay.core.catalog import (
     HIGHEST_PRIORITY,
@@ -120,7 +120,7 @@
     if they don't. unreached: attempts that found no connection to their endpoint. asked_other_boxes: it was
     passed on to other boxes, none of which served it. origin: where its stream began, None before the first
     event. origin_basis: how that was found out, None where it was not asked. is_trial: it is sent once
-    although its parts are quarantined.
+    although its parts are quarantined. attempt: the last one, at an endpoint or at another box.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -138,6 +138,20 @@
     origin: StreamOrigin | None = None
     origin_basis: OriginBasis | None = None
     is_trial: bool = False
+    attempt: Attempt | None = None
+
+    def is_held(self) -> bool:
+        """Tell whether the request goes on while this box stops: an endpoint or another box may be running
+        it, or its stream has begun."""
+        return bool(self.stream.events) or (self.attempt is not None and self.attempt.is_running)
+
+    def break_off(self) -> None:
+        """Record that this box ended the attempt in progress, if there is one."""
+        if self.attempt is None or not self.attempt.is_running:
+            return
+        self.attempt.lose()
+        self.runs += 1
+        self.ran = combine_execution_status(self.ran, self.attempt.ran)
 
 
 @dataclass
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -5,6 +5,7 @@
 from math import inf
 
 from stairquay.adapters.clock import monotonic
+from stairquay.adapters.shutdown import Shutdown
 from stairquay.core.absence import RefusedConnections
 from stairquay.core.budget import WindowedRetryBudget
 from stairquay.core.buffers import BufferBudget
@@ -18,6 +19,7 @@
 from stairquay.core.position import Position
 from stairquay.core.reach import Reach
 from stairquay.core.routers import Member, capacity, pick_followers, pick_placing_routers
+from stairquay.core.shutdown import shutdown_times
 from stairquay.core.software import SoftwareHistory
 from stairquay.core.stream_origins import StreamOrigins
 from stairquay.core.versions import VersionHistory
@@ -57,6 +59,10 @@
 their rows that was read in that time takes nothing back."""
 
 
+MAX_PAUSE_SHARE = 0.5
+"""Share of the grace time for which a process may have stood still at a stop signal, at most: with less time
+left, requests in progress would be ended in vain where the signal came late in the pause."""
+
 MAX_ANSWER_BYTES = 64_000_000
 """Bytes that all incomplete answers may take together."""
 
@@ -181,8 +187,9 @@
     body_bytes: int = 0
     # Of what this box keeps of incomplete answers.
     answer_buffers: BufferBudget = field(default_factory=lambda: BufferBudget(MAX_ANSWER_BYTES))
-    stopping: bool = False
-    refusing: bool = False
+    shutdown: Shutdown = field(default_factory=Shutdown)
+    # When the next tick of the event loop is due that measures its lateness; infinite while there is none.
+    tick_due_at: float = inf
     # Notified when views, routers or their suspicion change, an endpoint is marked as leaving, routers start
     # or stop reporting crashes, and on stop.
     changed: ChangeNotifier = field(default_factory=ChangeNotifier)
@@ -325,6 +332,21 @@
         known = self.catalog is not None and self.fleet_known and self.crashes_known()
         return known and not self.should_close_connections() and self.load.ready(monotonic())
 
+    def begin_shutdown(self, handled_at: float) -> None:
+        """Begin to stop, on the first stop signal.
+
+        If a tick is overdue, the process may have stood still, and the signal may have come as that began.
+        """
+        grace_s = self.settings.stop_s
+        earliest = handled_at - grace_s * MAX_PAUSE_SHARE
+        signalled_at = max(earliest, min(handled_at, self.tick_due_at))
+        self.shutdown.begin(shutdown_times(signalled_at, grace_s))
+
+    @property
+    def stopping(self) -> bool:
+        """Tell whether this box has got the stop signal."""
+        return self.shutdown.times is not None
+
     def should_close_connections(self) -> bool:
         """Tell whether callers should move to another box."""
         return self.stopping or self.view_age() >= self.settings.freshness.ready_s
