Bound the repeats that lie unread, whoever counts them when they are read

Endpoints got more repeats than the rule BUDGET allows where an endpoint's process was stopped at a busy time and went on when there were few requests, or after the boxes that had sent the repeats were killed.

Cause: half a second of repeats could be sent to an endpoint before it counted as silent, at a busy time nearly a whole budget. They counted by the requests of that time, and the rule counts them by those of the time in which they are read; a killed box takes the account along.

Now a box has at most its part of the slack's unused 0.3 unread at endpoints that have answered nothing for 0.05 s, at least one repeat. The slack holds without any request, and 0.3 of it fits beside the 0.7 that later processes spend, so that nobody needs to remember. Further repeats go to endpoints that have just answered or have nothing to answer, and else wait until one answers, for half a second at most: after an engine breaks many streams at once, most would be refused otherwise.

--- a/stairquay/core/budget.py
+++ b/stairquay/core/budget.py
@@ -18,6 +18,10 @@
 SLACK_SHARE = 0.7
 """Share of the slack to use; the margin covers boxes not known yet."""
 
+UNREAD_SLACK_SHARE = 1 - SLACK_SHARE
+"""Share of the slack that retries may take which endpoints have not read yet. They may be read when there are
+few requests, and after the boxes that sent them have ended, beside the retries of a whole slack."""
+
 FIRST_WINDOW_SLACK_SHARE = 0.4
 """Share of its slack that a box reaches during its first window. Its previous process may have spent the
 whole slack just before, and 0.7 * 1.4 is still below 1."""
@@ -34,6 +38,10 @@
     slack: float = 10.0
     window_s: float = 10.0
 
+    def most_unread(self, boxes: int) -> int:
+        """Return how many retries of a box may be unread at endpoints that may have stopped, at least one."""
+        return max(1, int(self.slack * UNREAD_SLACK_SHARE / max(1, boxes)))
+
 
 @dataclass
 class RequestCounter:
--- a/stairquay/core/silence.py
+++ b/stairquay/core/silence.py
@@ -10,6 +10,9 @@
 """Seconds without any answer after which an endpoint counts as silent. All its requests together are answered
 many times in half a second, unless each of them takes longer."""
 
+QUIET_AFTER_S = 0.05
+"""Seconds without any answer after which an endpoint may have stopped, so that it gets few repeats."""
+
 UNREAD_TTL_S = 60.0
 """Seconds for which an unanswered repeat counts as one that may still be read. Where its process or link has
 ended, which is not always seen, it is lost, and would take of the retry budget for ever."""
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -47,7 +47,7 @@
     is_event_stream,
     relay_or_read,
 )
-from stairquay.serving.silent_endpoints import record_result
+from stairquay.serving.silent_endpoints import record_result, wait_for_answers
 from stairquay.serving.state import BoxState
 from stairquay.serving.statements import apply_feedback, is_backing_off, record_probe
 
@@ -114,6 +114,8 @@
                 if forwarded is not None:
                     return forwarded
                 continue
+            if progress.last is not None:
+                await wait_for_answers(self.state, job, progress.tried)
             most_backlog_s = _most_backlog_s(job, progress)
             choice = await self.chooser.choose(job, progress, most_backlog_s)
             if choice is None:
--- a/stairquay/serving/silent_endpoints.py
+++ b/stairquay/serving/silent_endpoints.py
@@ -2,19 +2,26 @@
 
 New requests go to other endpoints, as long as there are any, and one at a time tries a silent endpoint anew.
 Repeats never go there: an endpoint that goes on after a long silence would read those of several windows of
-the retry budget at once. Those sent before the silence was known count until they have been read.
+the retry budget at once. Those sent before the silence was known count until they have been read. They are
+few: of a service's endpoints, only those that have just answered get repeats while some lie unread.
 """
 
+import asyncio
+from collections.abc import Collection
+
 from result import Ok, Result
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.errors import ExecutionStatus
-from stairquay.core.silence import SILENT_AFTER_S, Silence
+from stairquay.core.silence import QUIET_AFTER_S, SILENT_AFTER_S, Silence
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.jobs import Job, StartedAttempt
 from stairquay.serving.ports import Reply, SendFailure
 from stairquay.serving.state import BoxState
 
+CHECK_INTERVAL_S = 0.05
+"""Seconds between two checks of whether an endpoint has answered."""
+
 
 def record_result(state: BoxState, started_attempt: StartedAttempt, sent: Result[Reply, SendFailure]) -> None:
     """Record whether an attempt was answered; one whose connection broke shows that its endpoint goes on."""
@@ -33,14 +40,48 @@
 def silent_ids(state: BoxState, job: Job) -> frozenset[str]:
     """Return the endpoints to which a repeat of this job must not be sent, as they may read it late.
 
-    An endpoint whose answers usually take as long as the objective allows is not silent yet.
+    An endpoint whose answers usually take as long as the objective allows is not silent yet, unless as many
+    repeats are unread as may be.
     """
-    now, after_s = monotonic(), max(SILENT_AFTER_S, job.route.objective_s)
-    return frozenset(
-        item.id
+    after_s = QUIET_AFTER_S if _most_are_unread(state, job) else _silent_after_s(job)
+    return frozenset(name for name, lasts_s in _silences_s(state, job).items() if lasts_s > after_s)
+
+
+async def wait_for_answers(state: BoxState, job: Job, tried: Collection[str]) -> None:
+    """Wait while a repeat may go to no endpoint that it has not tried, but may once one of them answers."""
+    until = min(job.deadline, monotonic() + SILENT_AFTER_S)
+    while monotonic() < until and _must_wait(state, job, tried):
+        await asyncio.sleep(CHECK_INTERVAL_S)
+
+
+def _must_wait(state: BoxState, job: Job, tried: Collection[str]) -> bool:
+    if not _most_are_unread(state, job):
+        return False
+    silences_s = _silences_s(state, job)
+    usable = state.fleet.usable(job.service.id, monotonic())
+    untried_s = [silences_s[item.id] for item in usable if item.id not in tried]
+    return QUIET_AFTER_S < min(untried_s, default=0.0) <= _silent_after_s(job)
+
+
+def _most_are_unread(state: BoxState, job: Job) -> bool:
+    """Tell whether as many repeats are unread as may be at endpoints that may have stopped."""
+    service = job.service.id
+    most = state.retry_budget(service).allowance.most_unread(len(state.boxes))
+    return len(state.unread_repeats(service, monotonic())) >= most
+
+
+def _silent_after_s(job: Job) -> float:
+    return max(SILENT_AFTER_S, job.route.objective_s)
+
+
+def _silences_s(state: BoxState, job: Job) -> dict[str, float]:
+    """Return for how many seconds each endpoint of a service has answered nothing, by id."""
+    now = monotonic()
+    return {
+        item.id: state.endpoint_state(item).silence.lasts_s(now)
         for item in state.fleet.by_id.values()
-        if item.service == job.service.id and state.endpoint_state(item).silence.lasts_s(now) > after_s
-    )
+        if item.service == job.service.id
+    }
 
 
 def _record_end(state: BoxState, started_attempt: StartedAttempt, ended: Silence, now: float) -> None:
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -474,13 +474,17 @@
     def take_retry(self, service: str) -> bool:
         """Spend one retry of a service's budget, if it permits."""
         now = monotonic()
-        unread = (
+        unread = self.unread_repeats(service, now)
+        return self.retry_budget(service).take(now, len(self.boxes), self.known_boxes_for_s(now), unread)
+
+    def unread_repeats(self, service: str, now: float) -> list[float]:
+        """Return when repeats were sent that a service's endpoints may not have read yet."""
+        return [
             at
             for endpoint in self.fleet.by_id.values()
             if endpoint.service == service
             for at in self.endpoint_state(endpoint).silence.unread_repeats(now)
-        )
-        return self.retry_budget(service).take(now, len(self.boxes), self.known_boxes_for_s(now), unread)
+        ]
 
     def boxes_not_gone(self, now: float) -> tuple[str, ...]:
         """Return the boxes believed alive, without those that refuse connections."""
--- a/tests/soak_retries.py
+++ b/tests/soak_retries.py
@@ -3,8 +3,9 @@
 `python -m tests.soak_retries --seed 1 --seconds 40` runs it, with the bounds of the smallest deployments. Six
 boxes serve two services at once, plain requests and streams. Endpoints reject, fail, reset connections and
 hang, are stopped by signals, so that what was sent to them waits in their system, and are killed. Boxes are
-killed, stopped, paused, reloaded, and cut off from all endpoints, so that they pass requests on. Callers move
-to one box, or nearly all of them stay away. All of it comes in series and overlaps.
+killed, also while their repeats lie unread, stopped, paused, reloaded, and cut off from all endpoints, so
+that they pass requests on. Callers move to one box, or nearly all of them stay away. All of it comes in
+series and overlaps.
 """
 
 import asyncio
@@ -45,6 +46,7 @@
 TROUBLE_S = (1.0, 8.0)
 MOVED_S = (1.0, 5.0)
 ENDPOINT_AWAY_S = (0.3, 12.0)
+UNREAD_S, SENT_S = (3.0, 12.0), (0.2, 1.0)
 BOX_PAUSE_S = (0.3, 3.0)
 TABLE_AWAY_S = (0.5, 4.0)
 GRACE_S = 12.0
@@ -181,6 +183,7 @@
             "move callers": (2, lambda: self._start(self._move_callers())),
             "few requests": (1, lambda: self._start(self._send_few())),
             "silent table service": (1, lambda: self._start(self._silence_table())),
+            "boxes end with unread repeats": (1, lambda: self._start(self._end_with_unread_repeats())),
         }
         kind = self.random.choices(list(faults), [weight for weight, _ in faults.values()])[0]
         self.outcome.faults[kind] += 1
@@ -219,6 +222,24 @@
         for box in self.random.sample(here, self.random.choice((len(here) // 2, len(here)))):
             self._take(box, fault(box))
 
+    async def _end_with_unread_repeats(self) -> None:
+        """Stop some endpoints of a service while all others fail, and kill all boxes."""
+        service = self.random.choice(("plain", "llm"))
+        of_service = [item for item in self.endpoints if item.endpoint.service == service]
+        here = [item for item in of_service if id(item) not in self.away]
+        stopped = self.random.sample(here, len(here) // 2)
+        failing = [item for item in of_service if item not in stopped]
+        for endpoint in failing:
+            endpoint.set_trouble(Trouble.FAIL, 1.0)
+        for endpoint in stopped:
+            self._take(endpoint, endpoint.stop_for(self.random.uniform(*UNREAD_S)))
+        await asyncio.sleep(self.random.uniform(*SENT_S))
+        for box in [box for box in self.boxes if id(box) not in self.away]:
+            self._take(box, self._kill(box))
+        await asyncio.sleep(self.random.uniform(*TROUBLE_S))
+        for endpoint in failing:
+            endpoint.set_trouble(Trouble.NONE, 0.0)
+
     def _take(self, part: object, work: Coroutine[Any, Any, None]) -> None:
         async def take() -> None:
             self.away.add(id(part))
@@ -365,12 +386,15 @@
     return made
 
 
-async def soak(seed: int, seconds: float, allowance: RetryAllowance = USUAL_ALLOWANCE) -> Outcome:
+async def soak(
+    seed: int, seconds: float, allowance: RetryAllowance = USUAL_ALLOWANCE, number: int = BOXES
+) -> Outcome:
+    """Run a soak with a number of boxes, and return its result."""
     bounds = budget_bounds(allowance)
-    async with several_boxes(BOXES, module="tests.cut_box", engines=0, bounds=bounds) as boxes:
+    async with several_boxes(number, module="tests.cut_box", engines=0, bounds=bounds) as boxes:
         endpoints = await start_endpoints(boxes)
         try:
-            await eventually(lambda: len(box_rows(boxes[0])) == BOXES)
+            await eventually(lambda: len(box_rows(boxes[0])) == number)
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
             return await Soak(boxes, endpoints, allowance, Random(seed), seconds).run()
         finally:
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -4,12 +4,17 @@
 from collections import Counter
 from random import Random
 
+import pytest
+
 from stairquay.adapters.clock import monotonic
 from stairquay.core.budget import RetryAllowance, WindowedRetryBudget
-from stairquay.core.catalog import ServiceSpec
+from stairquay.core.call import Call
+from stairquay.core.catalog import Catalog, Route, ServiceSpec
 from stairquay.core.fleet import Endpoint
-from stairquay.core.silence import SILENT_AFTER_S, UNREAD_TTL_S, Silence
+from stairquay.core.silence import QUIET_AFTER_S, SILENT_AFTER_S, UNREAD_TTL_S, Silence
 from stairquay.serving.endpoint_choice import ChoiceRequest, choose_endpoint
+from stairquay.serving.jobs import Job
+from stairquay.serving.silent_endpoints import silent_ids, wait_for_answers
 from stairquay.serving.state import BoxState
 from tests.site import eventually, site
 from tests.states import box_state
@@ -92,6 +97,60 @@
     assert silence.unread_repeats(2.0 + UNREAD_TTL_S) == []
 
 
+def plain_job() -> Job:
+    route, service = Route("plain", "svc", "/", (), timeout_s=5.0, repeatable=True), ServiceSpec("plain")
+    now, call = monotonic(), Call("call-1", "GET", "svc", "/x", "/x", ())
+    catalog = Catalog(1, services_by_id={"plain": service})
+    return Job(call, b"", catalog, route, service, None, now, now + 5.0)
+
+
+def send_repeats(state: BoxState, endpoint: str, number: int) -> Silence:
+    """Count repeats that were sent to an endpoint just long enough ago that it may have stopped."""
+    silence = state.endpoint_state(state.fleet.by_id[endpoint]).silence
+    for _ in range(number):
+        silence.on_sent(monotonic() - QUIET_AFTER_S - 0.01, True)
+    return silence
+
+
+def test_few_repeats_are_unread_at_an_endpoint_that_may_have_stopped():
+    """Guards against a budget of a busy time that one endpoint reads when there are few requests."""
+    state = plain_state()
+    most = state.settings.repeats.most_unread(1)
+    send_repeats(state, "p-0", most - 1)
+    assert not silent_ids(state, plain_job())
+    send_repeats(state, "p-0", 1)
+    assert silent_ids(state, plain_job()) == {"p-0"}
+
+
+def test_boxes_that_have_hardly_any_slack_may_have_one_repeat_unread():
+    """Guards against boxes that never repeat, as there are many of them."""
+    assert RetryAllowance(0.2, 26, 10).most_unread(330) == 1
+
+
+def test_a_repeat_waits_for_an_answer_rather_than_be_refused_but_not_for_long():
+    """Guards against refusals after an engine has broken many streams at once, and against long waits."""
+
+    async def waited_s(answered_after_s: float | None) -> float:
+        state, now = plain_state(2), monotonic()
+        silence = send_repeats(state, "p-0", state.settings.repeats.most_unread(1))
+        if answered_after_s is not None:
+            asyncio.get_running_loop().call_later(answered_after_s, lambda: silence.on_answered(monotonic()))
+        await wait_for_answers(state, plain_job(), {"p-1"})
+        return monotonic() - now
+
+    assert 0.1 <= asyncio.run(waited_s(0.1)) < SILENT_AFTER_S - QUIET_AFTER_S
+    assert SILENT_AFTER_S / 2 < asyncio.run(waited_s(None)) < 2 * SILENT_AFTER_S
+
+
+def test_a_repeat_does_not_wait_where_an_endpoint_has_nothing_to_answer():
+    """Guards against repeats that take longer though an idle endpoint is there."""
+
+    state = plain_state(2)
+    send_repeats(state, "p-0", state.settings.repeats.most_unread(1))
+    with pytest.raises(StopIteration):
+        wait_for_answers(state, plain_job(), set()).send(None)
+
+
 def test_repeats_that_no_endpoint_has_read_count_in_each_window():
     """An endpoint that goes on reads the repeats of earlier windows together with the new ones."""
     budget = WindowedRetryBudget(ALLOWANCE)
