Ask other endpoints before a crash counts, so that cut boxes report none

A box that was cut from its endpoints while it had one connection open to a service reported that endpoint as crashed, though it ran: the row and the quarantine count such crashes against the request that was there.

Cause: that a service is lost takes two endpoints that were not reached, and a box waited 0.02 s for further connections to break. Where no other was open, or they broke later, it took the first for a crash. Now it tries to connect to two other endpoints of the service first: if one accepts, the crash is recorded at once, without the pause; if none does, the service counts as lost at once, and the wait of a second for another box's proof applies as before.

--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -16,7 +16,7 @@
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.jobs import Job, StartedAttempt
 from stairquay.serving.ports import Peers
-from stairquay.serving.reach import record_unreached
+from stairquay.serving.reach import record_reached, record_unreached
 from stairquay.serving.state import BoxState
 
 CUT_KNOWN_AFTER_S = 1.0
@@ -24,7 +24,10 @@
 request has been passed on to another box, unless there is none that reaches the service."""
 
 CUT_CHECK_S = 0.02
-"""Seconds between two looks, and before the first: connections to several endpoints break one by one."""
+"""Seconds between two looks."""
+
+OTHERS_TRIED = 2
+"""Other endpoints that are tried: one of them may have crashed as well."""
 
 SETTLE_S = 0.1
 """Most seconds for which a request waits for the check of the endpoint that it may have crashed."""
@@ -119,7 +122,7 @@
                 record_unreached(self.state, endpoint)
             if accepts and self._is_still_running(endpoint.id, born):
                 return
-            if not accepts and await self._is_cut_off(endpoint.service):
+            if not accepts and await self._is_cut_off(endpoint):
                 self.state.log.line(
                     LogEvent.REACH, service=endpoint.service, outcome="no_crash", endpoint=endpoint.id
                 )
@@ -143,20 +146,33 @@
         )
         self.state.quarantine.record_crashes(suspected.values())
 
-    async def _is_cut_off(self, service: str) -> bool:
-        """Return whether this box is cut from a service, as soon as that is known.
+    async def _is_cut_off(self, endpoint: Endpoint) -> bool:
+        """Return whether this box is cut from an endpoint's service, as soon as that is known.
 
         Crashes that cut boxes report would quarantine requests that crashed nothing. While the service is
         lost, this box sends it nothing, so that waiting lets no further endpoint crash.
         """
-        until = monotonic() + CUT_KNOWN_AFTER_S
-        await asyncio.sleep(CUT_CHECK_S)
+        service, until = endpoint.service, monotonic() + CUT_KNOWN_AFTER_S
+        await self._try_others(endpoint)
         while service in self.state.lost_services and monotonic() < until:
             if self.state.is_cut_from(service):
                 return True
             await asyncio.sleep(CUT_CHECK_S)
         return False
 
+    async def _try_others(self, endpoint: Endpoint) -> None:
+        """Record whether this box reaches other endpoints of a service: one alone does not show a cut."""
+        usable = self.state.fleet.usable(endpoint.service, monotonic())
+        by_id = {item.id: item for item in usable if item.id != endpoint.id}
+        reach = self.state.reach_by_service[endpoint.service]
+        others = [by_id[name] for name in reach.untried(list(by_id), monotonic())[:OTHERS_TRIED]]
+        accepting = await asyncio.gather(*(self.peers.accepts_connections(item.address) for item in others))
+        if any(accepting):
+            record_reached(self.state, endpoint.service)
+            return
+        for item in others:
+            record_unreached(self.state, item)
+
     def _is_still_running(self, endpoint_id: str, born: int) -> bool:
         """Return whether an endpoint is still listed, and was not restarted at its address."""
         known = self.state.endpoints_by_id.get(endpoint_id)
--- a/tests/test_cut_from_endpoints.py
+++ b/tests/test_cut_from_endpoints.py
@@ -168,3 +168,24 @@
 def test_endpoints_that_fall_silent_for_a_moment_lose_nothing_and_are_no_cut(whole_service: bool):
     """What is under way goes on, and nothing counts as crashed or is sent twice that must not be."""
     asyncio.run(silent_endpoints(0.9, whole_service))
+
+
+async def cut_during_one_stream(kind: CutKind) -> None:
+    async with known_boxes() as (boxes, _):
+        for engine in boxes[0].engines():
+            engine.event_count, engine.event_s = 20, 0.05
+        box = boxes[0]
+        stream = asyncio.create_task(box.prompt("/again/chat", call_id="stream"))
+        await eventually(lambda: any(engine.received for engine in box.engines()))
+        await asyncio.sleep(0.3)
+        cut([box], kind)
+        answer = await stream
+        cut([box], None)
+        crashed = [line for item in boxes for line in item.logged("crashed")]
+        assert not crashed, crashed
+        assert answer.status == 200, answer
+
+
+def test_a_cut_box_that_has_one_connection_open_reports_no_crash():
+    """Guards against crashes that a box reports as one endpoint alone could not show that it is cut off."""
+    asyncio.run(cut_during_one_stream(CutKind.RESET))
