--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -49,7 +49,7 @@
     is_event_stream,
     relay_or_read,
 )
-from stairquay.serving.silent_endpoints import record_result
+from stairquay.serving.silent_endpoints import record_result, wait_for_answers
 from stairquay.serving.state import BoxState
 from stairquay.serving.statements import apply_feedback, is_backing_off, record_probe
 
@@ -130,6 +130,8 @@
                 if forwarded is not None:
                     return forwarded
                 continue
+            if progress.last is not None:
+                await wait_for_answers(self.state, job, progress.tried)
             most_backlog_s = _most_backlog_s(job, progress)
             choice = await self.chooser.choose(job, progress, most_backlog_s)
             if choice is None:
@@ -272,6 +274,7 @@
         started_attempt = StartedAttempt(choice, attempt, endpoint_state, monotonic())
         # The local router has already counted the prompts that it placed.
         counted_by_local_router = choice.router == self.state.settings.id
+        endpoint_state.on_request(started_attempt.sent_at)
         endpoint_state.in_flight += not counted_by_local_router
         if choice.placement is not None and not counted_by_local_router:
             endpoint_state.waiting_tokens_by_job[job.number] = choice.placement.read
@@ -492,9 +495,7 @@
             digests = (job.digest, *job.part_digests)
             self.state.quarantine.record_served(digests, started_attempt.first_byte_at)
         started_attempt.endpoint_state.on_outcome(False, now)
-        started_attempt.endpoint_state.response_time_s += RESPONSE_TIME_WEIGHT * (
-            (now - started_attempt.sent_at) - started_attempt.endpoint_state.response_time_s
-        )
+        started_attempt.endpoint_state.on_response_time(started_attempt.sent_at, now, RESPONSE_TIME_WEIGHT)
         if reply.version is not None and job.call.prompt is not None:
             began_at = now if started_attempt.first_byte_at is None else started_attempt.first_byte_at
             started_attempt.endpoint_state.on_answered_version(job.call.prompt.model, reply.version, began_at)
