--- a/stairquay/core/crashes.py
+++ b/stairquay/core/crashes.py
@@ -24,7 +24,7 @@
 PART_PREFIX = "part "
 """Begins the digest of a part; digests of requests are hexadecimal."""
 
-MIN_UNEXPLAINED_PROVEN, MIN_UNEXPLAINED_POPULAR = 3, 4
+MIN_UNEXPLAINED_PROVEN, MIN_UNEXPLAINED_POPULAR = 3, 12
 """Minimum of these that no other quarantined request explains, for a part that prompts have ended well with
 lately, and for such a part of many prompts: it is at most crashes, and refusing it costs the most. The first
 is enough of those that no other part can have caused."""
