--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -105,7 +105,8 @@
     if they don't. unreached: attempts that found no connection to their endpoint. asked_other_boxes: it was
     passed on to other boxes, none of which served it. origin: where its stream began, None before the first
     event, or if it may go on at any endpoint. origin_source: how that was found out, empty where it was not
-    asked. is_trial: it is sent once although its parts are quarantined.
+    asked. is_trial: it is sent once although its parts are quarantined. tried_parts: held parts that the next
+    attempt tries.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -123,6 +124,7 @@
     origin: StreamOrigin | None = None
     origin_source: str = ""
     is_trial: bool = False
+    tried_parts: frozenset[str] = frozenset()
 
 
 @dataclass
