Refuse a part at three crashes where four prompts with it should have ended well since

Trace: all six boxes count three crashes at 12.0 s, and no request with the part comes until 14.9 s, when three go out within 0.1 s, from three boxes, and a fourth follows before the next rows: four crashes were asked for.

Change: where the part's share of the prompts that ended well since its first crash is four or more, three crashes are enough, as for a request. If it were innocent, the chance of none is 2 %.

The new case of tests/test_quarantine.py fails before.

--- a/stairquay/core/crashes.py
+++ b/stairquay/core/crashes.py
@@ -37,6 +37,9 @@
 which the part does not count as one of many prompts. If it were innocent, the chance of none is 13 %, and it
 has to be at three unexplained crashes all the same."""
 
+MANY_MISSED_ENDS = 4.0
+"""The same from which three crashes are enough. If the part were innocent, the chance of none is 2 %."""
+
 PROGRESSED_WEIGHT = 0.5
 """Weight of a prompt that was answered well until its engine crashed, beside one that ended well: several of
 them are often at the same crash."""
@@ -114,12 +117,15 @@
         progressed_at: when prompts were sent that got so much of their answer, before a crash, that none of
         their parts crashes engines.
         """
-        share = self.share_by_part[part]
+        missed = self.missed_ends(part, first_crash_at, progressed_at)
+        is_popular = self.share_by_part[part] >= POPULAR_SHARE and missed < MIN_MISSED_ENDS
+        return MIN_UNEXPLAINED_POPULAR if is_popular else MIN_UNEXPLAINED_PROVEN
+
+    def missed_ends(self, part: str, first_crash_at: float, progressed_at: Iterable[float] = ()) -> float:
+        """Return how many prompts with a part should have ended well since its first crash."""
         ends = sum(at > first_crash_at for at in self.began_at)
         progressed = sum(at > first_crash_at for at in progressed_at)
-        missed = share * (ends + PROGRESSED_WEIGHT * progressed)
-        is_popular = share >= POPULAR_SHARE and missed < MIN_MISSED_ENDS
-        return MIN_UNEXPLAINED_POPULAR if is_popular else MIN_UNEXPLAINED_PROVEN
+        return self.share_by_part.get(part, 0.0) * (ends + PROGRESSED_WEIGHT * progressed)
 
 
 NO_GOOD_ENDS = GoodEnds()
@@ -179,18 +185,25 @@
         )
         return len(by_incarnation) - (1 - UNSTARTED_WEIGHT) * unstarted
 
-    counted = {digest: _counted(digest, by_incarnation) for digest, by_incarnation in known.items()}
-    candidates = {
-        digest: by_incarnation
-        for digest, by_incarnation in counted.items()
-        if weight(by_incarnation) >= min_crashes(digest)
-    }
     progressed_at = [
         crash.at - crash.ran_s
         for digest, by_incarnation in known.items()
         for crash in by_incarnation.values()
         if not is_part(digest) and event_count(crash) >= INNOCENT_EVENTS
     ]
+
+    def least(digest: str, by_incarnation: CrashesByIncarnation) -> int:
+        """Return the crashes required."""
+        first_at = min((crash.at for crash in by_incarnation.values()), default=now)
+        missed = good_ends.missed_ends(digest, first_at, progressed_at)
+        return MIN_CRASHES if missed >= MANY_MISSED_ENDS else min_crashes(digest)
+
+    counted = {digest: _counted(digest, by_incarnation) for digest, by_incarnation in known.items()}
+    candidates = {
+        digest: by_incarnation
+        for digest, by_incarnation in counted.items()
+        if weight(by_incarnation) >= MIN_CRASHES and weight(by_incarnation) >= least(digest, by_incarnation)
+    }
     required = {
         digest: good_ends.min_unexplained(
             digest, min(crash.at for crash in by_incarnation.values()), progressed_at
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -317,3 +317,12 @@
     here.unpublished = False
     here.apply_rows({"b-3": CrashReport(tuple(crashes))}, False)
     assert not here.unpublished and here.remaining_s(digest) > 0
+
+
+def test_three_crashes_are_enough_for_a_part_of_many_prompts_of_which_none_ends_well_while_others_do():
+    """Guards against a part that is sent on for seconds at three crashes, as no fourth one has come."""
+    crashes = [part_crash("turned", number, 9.0) for number in range(3)]
+    turned = part_digest("turned")
+    assert not find_quarantined(crashes, 10.0, GoodEnds({turned: 0.4}, (9.5,) * 9))
+    assert set(find_quarantined(crashes, 10.0, GoodEnds({turned: 0.4}, (9.5,) * 10))) == {turned}
+    assert not find_quarantined(crashes[:2], 10.0, GoodEnds({turned: 0.4}, (9.5,) * 40))
