Count the crash of an endpoint that leaves the list though others reach the service

What callers saw: after all engines of a service fell, more of them crashed under one part than any box counted.

Cause: engines come back one by one. The one that is listed first crashes, so that its box reaches no endpoint; it passes its requests on to another box, which reaches the next engine for a moment. The first box takes this for a sign that it is cut off, and drops the crash.

Change: an endpoint that leaves the list within the second in which this is decided has crashed: the platform has lost it as well. A box that is cut sees its endpoints stay listed. The crash of the last endpoint is known as soon as its entry is missing, not after the second.

--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -130,7 +130,7 @@
                 record_unreached(self.state, endpoint)
             if accepts and self._is_still_running(endpoint.id, born):
                 return
-            if not accepts and await self._is_cut_off(endpoint.service):
+            if not accepts and await self._is_cut_off(endpoint):
                 self.state.log.line(
                     LogEvent.REACH, service=endpoint.service, outcome="no_crash", endpoint=endpoint.id
                 )
@@ -154,19 +154,22 @@
         )
         self.state.quarantine.record_crashes(suspected.values())
 
-    async def _is_cut_off(self, service: str) -> bool:
-        """Return whether this box is cut from a service, as soon as that is known.
+    async def _is_cut_off(self, endpoint: Endpoint) -> bool:
+        """Return whether this box is cut from an endpoint's service.
 
         Crashes that cut boxes report would quarantine requests that crashed nothing. While the service is
-        lost, this box sends it nothing, so that waiting lets no further endpoint crash.
+        lost, this box sends it nothing, so that waiting lets no further endpoint crash. An endpoint that has
+        left the list has ended: that others reach the service only shows that another one has started.
         """
-        until = monotonic() + CUT_KNOWN_AFTER_S
+        service, until, is_cut = endpoint.service, monotonic() + CUT_KNOWN_AFTER_S, False
         await asyncio.sleep(CUT_CHECK_S)
-        while service in self.state.lost_services and monotonic() < until:
-            if self.state.is_cut_from(service):
-                return True
+        while (is_cut or service in self.state.lost_services) and monotonic() < until:
+            fleet = self.state.fleet
+            if endpoint.id not in fleet.by_id or endpoint.id in fleet.missing_since_by_id:
+                return False
+            is_cut = is_cut or self.state.is_cut_from(service)
             await asyncio.sleep(CUT_CHECK_S)
-        return False
+        return is_cut
 
     def _is_still_running(self, endpoint_id: str, born: int) -> bool:
         """Return whether an endpoint is still listed, and was not restarted at its address."""
