--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 
 from msgspec.structs import replace
@@ -87,16 +87,27 @@
 
         Where all callers leave early, no answer ever ends, and this is all that can show a part innocent.
         """
-        if started_attempt.first_byte_at is None or not job.part_digests:
-            return
+        if started_attempt.first_byte_at is not None and job.part_digests:
+            self._once_outlived(job, started_attempt, self.state.quarantine.record_served)
+
+    def answer_began(self, job: Job, started_attempt: StartedAttempt) -> None:
+        """Take an answer that has begun as evidence for held parts, without waiting for its end."""
+        held = self.state.quarantine.held_by_part
+        if any(digest in held for digest in job.part_digests):
+            self._once_outlived(job, started_attempt, self.state.quarantine.record_outlived)
+
+    def _once_outlived(
+        self, job: Job, started_attempt: StartedAttempt, record: Callable[[Collection[str], float], None]
+    ) -> None:
+        """Record the parts of a prompt, unless its engine has crashed by then."""
         incarnation = _incarnation(started_attempt)
 
-        def record() -> None:
+        def record_unless_crashed() -> None:
             crashed = (known for _, known in self.state.quarantine.own_crashes)
             if incarnation not in self.probes_by_incarnation and incarnation not in crashed:
-                self.state.quarantine.record_served(job.part_digests, _began_at(started_attempt))
+                record(job.part_digests, _began_at(started_attempt))
 
-        asyncio.get_running_loop().call_later(OUTLIVED_S, record)
+        asyncio.get_running_loop().call_later(OUTLIVED_S, record_unless_crashed)
 
     async def settle(self, digest: str) -> None:
         """Wait until it is known whether a request has crashed an endpoint, but not for long.
@@ -147,18 +158,21 @@
         self.state.quarantine.record_crashes(suspected.values())
 
     async def _is_cut_off(self, endpoint: Endpoint) -> bool:
-        """Return whether this box is cut from an endpoint's service, as soon as that is known.
+        """Return whether this box is cut from an endpoint's service.
 
         Crashes that cut boxes report would quarantine requests that crashed nothing. While the service is
-        lost, this box sends it nothing, so that waiting lets no further endpoint crash.
+        lost, this box sends it nothing, so that waiting lets no further endpoint crash. An endpoint that has
+        left the list has ended: that others reach the service only shows that another one has started.
         """
-        service, until = endpoint.service, monotonic() + CUT_KNOWN_AFTER_S
+        service, until, is_cut = endpoint.service, monotonic() + CUT_KNOWN_AFTER_S, False
         await self._try_others(endpoint)
-        while service in self.state.lost_services and monotonic() < until:
-            if self.state.is_cut_from(service):
-                return True
+        while (is_cut or service in self.state.lost_services) and monotonic() < until:
+            fleet = self.state.fleet
+            if endpoint.id not in fleet.by_id or endpoint.id in fleet.missing_since_by_id:
+                return False
+            is_cut = is_cut or self.state.is_cut_from(service)
             await asyncio.sleep(CUT_CHECK_S)
-        return False
+        return is_cut
 
     async def _try_others(self, endpoint: Endpoint) -> None:
         """Record whether this box reaches other endpoints of a service: one alone does not show a cut."""
