--- a/tests/standins/byte_endpoints.py
+++ b/tests/standins/byte_endpoints.py
@@ -277,14 +277,19 @@
     async def _slot(self, channel: Channel, request: Request) -> AsyncIterator[None]:
         """Hold a slot. Raises CallerGoneError or TooLateError if none was free in time."""
         end = asyncio.get_running_loop().time() + int(request.headers.get("deadline-ms", "3000")) / 1000
-        while self.free.locked():
-            if channel.reader.at_eof():
-                raise CallerGoneError
-            if asyncio.get_running_loop().time() > end:
-                raise TooLateError
-            await asyncio.sleep(CLOSE_CHECK_S)
-        async with self.free:
+        # In the order of arrival: one that looked for a free slot again and again would wait for seconds.
+        turn = asyncio.create_task(self.free.acquire())
+        try:
+            while not (await asyncio.wait((turn,), timeout=CLOSE_CHECK_S))[0]:
+                if channel.reader.at_eof():
+                    raise CallerGoneError
+                if asyncio.get_running_loop().time() > end:
+                    raise TooLateError
             yield
+        finally:
+            if turn.done():
+                self.free.release()
+            turn.cancel()
 
     async def _work(self, channel: Channel, request: Request) -> None:
         harm = self._draw(Harm)
