Try a plain endpoint anew that was slow while its peers are idle

Now an endpoint that got nothing for ten times its mean response time counts as quick as the quickest of its peers, for one request at a time. That answer weighs half of the mean, as the rest is old; if it is as late as those before, or does not come, the pause doubles, up to sixteen times. So where an endpoint stays slow, a late request is spent ever more rarely.

--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -247,6 +247,7 @@
         started_attempt = StartedAttempt(choice, attempt, endpoint_state, monotonic())
         # The local router has already counted the prompts that it placed.
         counted_by_local_router = choice.router == self.state.settings.id
+        endpoint_state.on_request(started_attempt.sent_at)
         endpoint_state.in_flight += not counted_by_local_router
         if choice.placement is not None and not counted_by_local_router:
             endpoint_state.waiting_tokens_by_job[job.number] = choice.placement.read
@@ -464,9 +465,7 @@
             digests = (job.digest, *job.part_digests)
             self.state.quarantine.record_served(digests, started_attempt.first_byte_at)
         started_attempt.endpoint_state.on_outcome(False, now)
-        started_attempt.endpoint_state.response_time_s += RESPONSE_TIME_WEIGHT * (
-            (now - started_attempt.sent_at) - started_attempt.endpoint_state.response_time_s
-        )
+        started_attempt.endpoint_state.on_response_time(started_attempt.sent_at, now, RESPONSE_TIME_WEIGHT)
         if reply.version is not None and job.call.prompt is not None:
             began_at = now if started_attempt.first_byte_at is None else started_attempt.first_byte_at
             started_attempt.endpoint_state.on_answered_version(job.call.prompt.model, reply.version, began_at)
--- a/stairquay/serving/endpoint.py
+++ b/stairquay/serving/endpoint.py
@@ -44,6 +44,19 @@
 LIMIT_TTL_S = 600.0
 """Seconds for which a rate limit is remembered for an endpoint that is no longer listed."""
 
+TRIAL_PAUSE_FACTOR = 10.0
+"""Multiple of an endpoint's mean response time for which it gets nothing before a request tries it anew.
+Where others are idle, a slow one is busy with trials for a tenth of the time at most."""
+
+TRIAL_WEIGHT = 0.5
+"""Weight of the answer to a trial in the moving average of response times: what is known is old by then."""
+
+LATE_TRIAL_SHARE = 0.5
+"""Share of the mean response time above which a trial has shown the endpoint as slow as before."""
+
+MAX_LATE_TRIALS = 4
+"""Trials that showed no change for which the pause doubles."""
+
 
 @dataclass(frozen=True)
 class AnsweredVersion:
@@ -96,6 +109,11 @@
     failure_rate: float = 0.0
     failure_rate_at: float = NEVER
     response_time_s: float = 0.05
+    # When a request was last sent there, and when one that tried it anew and is not answered, NEVER if none.
+    sent_at: float = NEVER
+    trial_at: float = NEVER
+    # Trials in a row that got no answer, or one as late as those before.
+    late_trials: int = 0
     # When the engine will have prefilled all that this box, as its router, placed there.
     prefill_until: float = NEVER
     # Of the runs that this box placed as its router.
@@ -180,6 +198,35 @@
             used += tokens
         return float(used)
 
+    def on_request(self, now: float) -> None:
+        """Record when a request is sent, which tries the endpoint anew if it got none for long."""
+        if self.is_trial_due(now):
+            if self.trial_at != NEVER:
+                self._end_trial(is_late=True)
+            self.trial_at = now
+        self.sent_at = now
+
+    def on_response_time(self, sent_at: float, now: float, weight: float) -> None:
+        """Update the moving average of response times with an answer, by more if it ends a trial."""
+        took_s, before_s = now - sent_at, self.response_time_s
+        if sent_at == self.trial_at:
+            weight = TRIAL_WEIGHT
+            self._end_trial(is_late=took_s > LATE_TRIAL_SHARE * before_s)
+        self.response_time_s += weight * (took_s - before_s)
+
+    def _end_trial(self, is_late: bool) -> None:
+        self.trial_at = NEVER
+        self.late_trials = min(self.late_trials + 1, MAX_LATE_TRIALS) if is_late else 0
+
+    def is_trial_due(self, now: float) -> bool:
+        """Tell whether the endpoint got nothing for so long that its response time says little of it."""
+        pause_s = TRIAL_PAUSE_FACTOR * self.response_time_s * 2**self.late_trials
+        return self.in_flight == 0 and now - self.sent_at > pause_s
+
+    def expected_response_time_s(self, peers_s: float, now: float) -> float:
+        """Return the response time to choose by: that of its peers if it is time to try it anew."""
+        return min(self.response_time_s, peers_s) if self.is_trial_due(now) else self.response_time_s
+
     def on_outcome(self, failed: bool, now: float) -> None:
         """Update the failure rate with the outcome of an attempt."""
         self.failure_rate = self.current_failure_rate(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * failed
--- a/stairquay/serving/endpoint_choice.py
+++ b/stairquay/serving/endpoint_choice.py
@@ -207,9 +207,13 @@
 
 
 def _least_busy(state: BoxState, candidates: Sequence[Endpoint], now: float, random: Random) -> Endpoint:
+    quickest_s = min(state.endpoint_state(item).response_time_s for item in candidates)
+
     def cost(endpoint: Endpoint) -> tuple[float, bool, float]:
         load = state.endpoint_state(endpoint)
-        waits = (load.in_flight + 1) * load.response_time_s + load.current_failure_rate(now)
+        waits = (load.in_flight + 1) * load.expected_response_time_s(
+            quickest_s, now
+        ) + load.current_failure_rate(now)
         return round(waits, 3), endpoint.data_hall != state.settings.data_hall, random.random()
 
     return min(candidates, key=cost)
