--- a/tests/stops.py
+++ b/tests/stops.py
@@ -389,7 +389,9 @@
     try:
         returncode = await asyncio.wait_for(box.box.wait(), GRACE_S)
     except TimeoutError:
-        await box.kill_box()
+        # It may have ended since.
+        with suppress(ProcessLookupError):
+            await box.kill_box()
         returncode = None
     took_s = loop_time() - at
     await box.log_reader
