Answer a request that was read behind one that an overloaded box refuses

It ends it only where none was, as other answers do.

Evidence: the new case fails before, both pass.

--- a/stairquay/serving/front.py
+++ b/stairquay/serving/front.py
@@ -141,7 +141,8 @@
         if not self.state.load.admits(priority):
             refusal = overload_refusal(self.state, priority, route.objective_s)
             response = self.callers.refuse(call.id, refusal)
-            response.force_close()
+            if not has_next_request(request):
+                response.force_close()
             return Ok(response)
         self.state.load.started(priority)
         try:
--- a/tests/test_forwarded_configurations.py
+++ b/tests/test_forwarded_configurations.py
@@ -104,6 +104,23 @@
     return state
 
 
+# Guards against a request that was read behind one that an overloaded box refuses, and gets no answer.
+@pytest.mark.parametrize("has_next", [False, True])
+def test_the_refusal_of_an_overloaded_box_ends_its_connection_only_if_no_further_request_was_read(
+    has_next: bool, monkeypatch: pytest.MonkeyPatch
+):
+    path = "/x"
+    catalog = replace(OLD, version=7, routes=(structs.replace(OLD.routes[0], path_prefix=path),))
+    state = box_that_knows(catalog, 1)
+    monkeypatch.setattr(state.load, "admits", lambda priority: False)
+    front = Frontend(state, PlatformCallerCodec(), Dispatched(), Random(1))
+    request = make_mocked_request("GET", path)
+    request.protocol._messages = ["next"] if has_next else []
+    call = replace(call_of(), path=path, target=path)
+    result = asyncio.run(front._serve(request, call, monotonic()))
+    assert (result.ok_value.keep_alive is False) != has_next
+
+
 @pytest.mark.parametrize("path", ["/x", "/nowhere"])
 @pytest.mark.parametrize(
     ("known", "sender", "is_served"),
