--- a/stairquay/core/shutdown.py
+++ b/stairquay/core/shutdown.py
@@ -10,7 +10,7 @@
 MAX_LAME_DUCK_SHARE = 1 / 3
 """The same as a share of the grace time at most."""
 
-ANSWER_MARGIN_S = 0.8
+ANSWER_MARGIN_S = 1.0
 """Seconds before the end of the grace time at which requests in progress are answered. Writing many answers,
 closing connections and ending the process take a few tenths on a busy machine."""
 
@@ -18,7 +18,7 @@
 """The same as a share of the grace time at most. Ended earlier, an answer would be lost that its endpoint
 may still give."""
 
-EXIT_MARGIN_SHARE = 0.35
+EXIT_MARGIN_SHARE = 0.28
 """Part of that margin that is left when the process ends, whatever it has still to do."""
 
 
