--- a/tests/test_cut_or_crashed.py
+++ b/tests/test_cut_or_crashed.py
@@ -6,6 +6,7 @@
 import pytest
 
 from stairquay.core.fleet import Endpoint
+from stairquay.core.reach import Reach
 from stairquay.serving import crashes as crashes_module
 from stairquay.serving.crashes import CrashDetector
 from tests.states import box_state
@@ -29,7 +30,11 @@
         missing_since_by_id={},
         usable=lambda service, now: list(listed),
     )
-    monkeypatch.setattr(crashes_module, "record_unreached", lambda state, endpoint: None)
+    monkeypatch.setattr(
+        crashes_module,
+        "record_unreached",
+        lambda state, endpoint: state.reach_by_service.setdefault(endpoint.service, Reach()),
+    )
     monkeypatch.setattr(crashes_module, "CUT_KNOWN_AFTER_S", 0.2)
     state.lost_services.add(SERVICE)
     state.helpers_by_service[SERVICE] = SimpleNamespace(has_helped=lambda now: True)
