Revert "Hold parts that are at crashes since they ended well, and try them with one prompt"

This takes back: innocent requests were refused, which tests/test_crash_soak.py asks not to happen. Half of the prompts with a turned part are late again (tests/test_turned_parts.py, listed); three crashes for parts that should have ended well four times and crashes of endpoints that leave the list stay.

--- a/stairquay/core/crashes.py
+++ b/stairquay/core/crashes.py
@@ -130,32 +130,6 @@
 
 NO_GOOD_ENDS = GoodEnds()
 
-MIN_HELD_CRASHES = 2
-"""Unexplained crashes since its last good end from which a part that ended well lately is held: few of its
-prompts are sent, until one shows it innocent."""
-
-HELD_TRIALS_S = (0.5, 2.0, 4.0, 8.0, 16.0, 30.0)
-"""Seconds from the last crash to the next prompt that tries a held part, by the crashes since it is held.
-Most held parts are innocent, and a prompt that was sent before the hold shows it sooner. The last one counts
-from MIN_UNEXPLAINED_PROVEN crashes on that no other part can have caused."""
-
-HELD_TRIAL_SPREAD_S = 0.5
-"""Seconds between the trials of several held parts. Those at the fewest crashes go first: one that crashes
-its engine must not make another one look guilty."""
-
-
-@dataclass(frozen=True)
-class HeldPart:
-    """A part that may crash engines.
-
-    crashes: those that nothing quarantined explains. try_at: when one prompt with it may be sent.
-    """
-
-    digest: str
-    crashes: int
-    try_at: float
-
-
 CrashesByIncarnation = dict[str, Crash]
 """The crashes of one request, by the incarnation of the endpoint."""
 
@@ -238,34 +212,6 @@
     return found
 
 
-def find_held(
-    crashes: Iterable[Crash], now: float, good_ends: GoodEnds, found: Mapping[str, QuarantinedRequest]
-) -> dict[str, HeldPart]:
-    """Return by digest the parts that ended well lately and are at several crashes which nothing quarantined
-    explains. found: what is quarantined."""
-    known = _by_digest(crashes, now)
-    counted = {digest: _since_innocent(known[digest]) for digest in filter(is_part, known)}
-    explained = {crash.incarnation for item in found.values() for crash in item.crashes}
-    unexplained = {
-        digest: _without(by_incarnation, explained)
-        for digest, by_incarnation in counted.items()
-        if digest in good_ends.share_by_part and digest not in found
-    }
-    held = [digest for digest, left in unexplained.items() if len(left) >= MIN_HELD_CRASHES]
-    fewest_first = sorted(held, key=lambda digest: (len(unexplained[digest]), digest))
-    beside_others = _at_several_parts(counted)
-
-    def hold(digest: str, turn: int) -> HeldPart:
-        left = unexplained[digest]
-        step = min(len(left) - MIN_HELD_CRASHES, len(HELD_TRIALS_S) - 1)
-        if len(_without(left, beside_others)) >= MIN_UNEXPLAINED_PROVEN:
-            step = -1
-        last_at = max(crash.at for crash in left.values())
-        return HeldPart(digest, len(left), last_at + HELD_TRIALS_S[step] + turn * HELD_TRIAL_SPREAD_S)
-
-    return {digest: hold(digest, turn) for turn, digest in enumerate(fewest_first)}
-
-
 def _at_several_parts(counted: Mapping[str, CrashesByIncarnation]) -> set[str]:
     """Return the incarnations whose crash may count against more than one part."""
     by_part = (by_incarnation for digest, by_incarnation in counted.items() if is_part(digest))
--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from msgspec.structs import replace
@@ -87,27 +87,16 @@
 
         Where all callers leave early, no answer ever ends, and this is all that can show a part innocent.
         """
-        if started_attempt.first_byte_at is not None and job.part_digests:
-            self._once_outlived(job, started_attempt, self.state.quarantine.record_served)
-
-    def answer_began(self, job: Job, started_attempt: StartedAttempt) -> None:
-        """Take an answer that has begun as evidence for held parts, without waiting for its end."""
-        held = self.state.quarantine.held_by_part
-        if any(digest in held for digest in job.part_digests):
-            self._once_outlived(job, started_attempt, self.state.quarantine.record_outlived)
-
-    def _once_outlived(
-        self, job: Job, started_attempt: StartedAttempt, record: Callable[[Collection[str], float], None]
-    ) -> None:
-        """Record the parts of a prompt, unless its engine has crashed by then."""
+        if started_attempt.first_byte_at is None or not job.part_digests:
+            return
         incarnation = _incarnation(started_attempt)
 
-        def record_unless_crashed() -> None:
+        def record() -> None:
             crashed = (known for _, known in self.state.quarantine.own_crashes)
             if incarnation not in self.probes_by_incarnation and incarnation not in crashed:
-                record(job.part_digests, _began_at(started_attempt))
+                self.state.quarantine.record_served(job.part_digests, _began_at(started_attempt))
 
-        asyncio.get_running_loop().call_later(OUTLIVED_S, record_unless_crashed)
+        asyncio.get_running_loop().call_later(OUTLIVED_S, record)
 
     async def settle(self, digest: str) -> None:
         """Wait until it is known whether a request has crashed an endpoint, but not for long.
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -19,7 +19,6 @@
 from stairquay.serving.endpoint_chooser import Chooser
 from stairquay.serving.evacuation import takes_work
 from stairquay.serving.forwarding import Forwarder, unreached_refusal
-from stairquay.serving.holds import PartHolds, held_refusal
 from stairquay.serving.jobs import Job, JobProgress, StartedAttempt, attempt_timing
 from stairquay.serving.messages import Outcome
 from stairquay.serving.origins import OriginTracker, at_origin, may_use
@@ -94,7 +93,6 @@
         self.crashes = crashes
         self.forwarder = forwarder
         self.origins = origins
-        self.holds = PartHolds(state)
 
     async def run(self, job: Job, request: web.BaseRequest) -> Result[web.StreamResponse, Refusal]:
         """Run a job to its end, or to that of this box. Return the response, already sent if it is a stream,
@@ -124,10 +122,7 @@
         while True:
             if self.crashes.probes_by_incarnation:
                 await self.crashes.settle(job.digest)
-            may_send = await self.holds.wait(job, progress)
             refusal = self._refusal_before_attempt(job, progress)
-            if refusal is None and not may_send:
-                refusal = held_refusal(self.holds.held(job, progress), progress.ran)
             if refusal is not None:
                 return self._give_up(job, progress, refusal, request)
             if self.forwarder.applies(job, progress):
@@ -140,7 +135,6 @@
             most_backlog_s = _most_backlog_s(job, progress)
             choice = await self.chooser.choose(job, progress, most_backlog_s)
             if choice is None:
-                self.holds.not_sent(progress)
                 retry_after_s = self.chooser.retry_after_s(job, progress)
                 if retry_after_s is not None and not progress.rejected and _can_wait(job, retry_after_s):
                     await asyncio.sleep(retry_after_s)
@@ -353,7 +347,7 @@
                 return False
             if not self._may_pass_on(job, progress):
                 return False
-            if self._quarantined_s(job) > 0 and not progress.is_trial or self.holds.held(job, progress):
+            if self._quarantined_s(job) > 0 and not progress.is_trial:
                 return False
             endpoint = started_attempt.choice.endpoint
             listed = self.state.fleet.by_id.get(endpoint.id, endpoint)
@@ -455,7 +449,6 @@
 
     def _on_first_event(self, job: Job, started_attempt: StartedAttempt, progress: JobProgress) -> None:
         self.origins.begun(job, progress, started_attempt.choice.endpoint)
-        self.crashes.answer_began(job, started_attempt)
         self._on_first_output(job, started_attempt)
 
     def _on_first_output(self, job: Job, started_attempt: StartedAttempt) -> None:
--- a/stairquay/serving/jobs.py
+++ b/stairquay/serving/jobs.py
@@ -120,8 +120,7 @@
     if they don't. unreached: attempts that found no connection to their endpoint. asked_other_boxes: it was
     passed on to other boxes, none of which served it. origin: where its stream began, None before the first
     event. origin_basis: how that was found out, None where it was not asked. is_trial: it is sent once
-    although its parts are quarantined. tried_parts: held parts that the next attempt tries. attempt: the last
-    one, at an endpoint or at another box.
+    although its parts are quarantined. attempt: the last one, at an endpoint or at another box.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -139,7 +138,6 @@
     origin: StreamOrigin | None = None
     origin_basis: OriginBasis | None = None
     is_trial: bool = False
-    tried_parts: frozenset[str] = frozenset()
     attempt: Attempt | None = None
 
     def is_begun(self) -> bool:
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -15,9 +15,7 @@
     POPULAR_SHARE,
     Crash,
     GoodEnds,
-    HeldPart,
     QuarantinedRequest,
-    find_held,
     find_quarantined,
     is_part,
     min_crashes,
@@ -132,11 +130,6 @@
         # The same where no part is blamed, for the time in which no part may be refused.
         self.requests_by_digest: dict[str, QuarantinedRequest] = {}
         self.trials_by_part: dict[str, Trial] = {}
-        # Parts of which few prompts are sent until it is known whether they crash engines.
-        self.held_by_part: dict[str, HeldPart] = {}
-        self.held_changed = ChangeNotifier()
-        # Those that this box has tried since they are held.
-        self.tried_while_held: set[str] = set()
         self.crashes_by_digest: Counter[str] = Counter()
         self.first_crash_at_by_digest: dict[str, float] = {}
         # Parts at many crashes for which they are not quarantined.
@@ -150,15 +143,6 @@
         entry = (self.quarantined_by_digest if parts_refused else self.requests_by_digest).get(digest)
         return 0.0 if entry is None else max(0.0, entry.until - now)
 
-    def reconsider(self) -> None:
-        """Decide again what is quarantined and held, since prompts have ended well without a new crash."""
-        self._update_quarantine()
-
-    def record_held_trial(self, part: str) -> None:
-        """Record that a prompt with a held part is sent, to learn whether it crashes engines."""
-        self.tried_while_held.add(part)
-        self.log.line(LogEvent.QUARANTINE, outcome="held_tried", digest=part)
-
     def take_trial(self, digests: Collection[str]) -> bool:
         """Tell whether a request with these quarantined parts may be sent once, to learn whether they crash
         engines; only one box may ask for each part."""
@@ -194,13 +178,6 @@
         """
         now = monotonic()
         self._count_ends(digests, now, now if began_at is None else began_at)
-        self._clear_served(digests, began_at, now)
-
-    def record_outlived(self, parts: Collection[str], began_at: float) -> None:
-        """Record an answer that goes on, and shows that parts of its prompt crash nothing."""
-        self._clear_served(parts, began_at, monotonic())
-
-    def _clear_served(self, digests: Collection[str], began_at: float | None, now: float) -> None:
         for digest in digests:
             at = now if began_at is None or not is_part(digest) else began_at
             self.served_at[digest] = max(at, self.served_at.get(digest, NEVER))
@@ -210,7 +187,7 @@
         while len(self.served_at) > MAX_SERVED:
             forgotten, _ = self.served_at.popitem(last=False)
             self.ends_by_part.pop(forgotten, None)
-        suspected = [digest for digest in digests if self._clears_elsewhere(digest)]
+        suspected = [digest for digest in digests if self.is_suspected(digest)]
         if self.own_crashes:
             # What few crashes suggest needs no published clearance.
             self.own_crashes = {
@@ -237,10 +214,6 @@
         """Tell whether a crash of a part came after all prompts with it that ended well at this box."""
         return is_part(crash.digest) and crash.at > self.served_at.get(crash.digest, NEVER)
 
-    def _clears_elsewhere(self, digest: str) -> bool:
-        """Tell whether other boxes may have to know that a request or a part was served."""
-        return self.is_suspected(digest) or digest in self.held_by_part
-
     def is_suspected(self, digest: str) -> bool:
         """Tell whether one more crash may quarantine a request or a part at some box."""
         return self.crashes_by_digest.get(digest, 0) >= min_crashes(digest) - 1
@@ -339,7 +312,7 @@
         served = [
             digest
             for digest in self.crashes_by_digest
-            if self._clears_elsewhere(digest) and now - self.served_at.get(digest, NEVER) < SERVED_TRUST_S
+            if self.is_suspected(digest) and now - self.served_at.get(digest, NEVER) < SERVED_TRUST_S
         ]
         if served:
             self._clear_suspicion(served)
@@ -376,32 +349,19 @@
         self.first_crash_at_by_digest = _first_at(crashes)
         shares = self._shares_of_proven_parts(cleared)
         judged = [crash for crash in crashes if not is_part(crash.digest) or self._counts_since_served(crash)]
-        now, good_ends = monotonic(), GoodEnds(shares, self.ends_began_at)
         before, self.quarantined_by_digest = (
             self.quarantined_by_digest,
-            find_quarantined(judged, now, good_ends),
+            find_quarantined(judged, monotonic(), GoodEnds(shares, self.ends_began_at)),
         )
         self.requests_by_digest = self._without_parts(crashes)
         for digest in self.quarantined_by_digest.keys() - before.keys():
             self._on_begun(self.quarantined_by_digest[digest], shares)
-        self._hold(find_held(judged, now, good_ends, self.quarantined_by_digest))
         while len(self.trials_by_part) > MAX_OWN_CRASHES:
             del self.trials_by_part[next(iter(self.trials_by_part))]
         for digest in before.keys() - self.quarantined_by_digest.keys():
             self.log.line(LogEvent.QUARANTINE, outcome="ended", digest=digest)
         self._log_spared(judged, shares)
 
-    def _hold(self, held: dict[str, HeldPart]) -> None:
-        """Replace the parts that are held, and wake the prompts that wait for them."""
-        before, self.held_by_part = self.held_by_part, held
-        self.tried_while_held &= held.keys()
-        for digest in held.keys() - before.keys():
-            self.log.line(LogEvent.QUARANTINE, outcome="held", digest=digest, crashes=held[digest].crashes)
-        for digest in before.keys() - held.keys():
-            self.log.line(LogEvent.QUARANTINE, outcome="not_held", digest=digest)
-        if held != before:
-            self.held_changed.notify_all()
-
     def _on_begun(self, begun: QuarantinedRequest, shares: Mapping[str, float]) -> None:
         """Log that a quarantine has begun, and plan when a part is tried again."""
         digest, incarnations = begun.digest, [crash.incarnation for crash in begun.crashes]
@@ -409,9 +369,7 @@
         self.log.line(LogEvent.QUARANTINE, outcome="begun", digest=digest, crashed=incarnations, **fields)
         self.urgent |= any(crash_digest == digest for crash_digest, _ in self.own_crashes)
         if is_part(digest):
-            was_tried = digest in self.tried_while_held
-            first_trial_s = NEXT_TRIAL_S if was_tried else _first_trial_s(digest, shares)
-            self.trials_by_part.setdefault(digest, Trial(monotonic() + first_trial_s))
+            self.trials_by_part.setdefault(digest, Trial(monotonic() + _first_trial_s(digest, shares)))
 
     def _log_spared(self, judged: Iterable[Crash], shares: Mapping[str, float]) -> None:
         """Log once which parts are at enough crashes to be quarantined, and are not."""
