Try endpoints of a service in one place, for lost services and for crashes

The check of whether a box is cut from a service wrote again what the probes of lost services do: pick endpoints without a failure, try them at once, record one that is reached or all that are not. serving/reach.py has probe_endpoints for both; what is tried, recorded and waited for is the same.

--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -16,7 +16,7 @@
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.jobs import Job, StartedAttempt
 from stairquay.serving.ports import Peers
-from stairquay.serving.reach import record_reached, record_unreached
+from stairquay.serving.reach import probe_endpoints, record_unreached
 from stairquay.serving.state import BoxState
 
 CUT_KNOWN_AFTER_S = 1.0
@@ -166,15 +166,9 @@
     async def _try_others(self, endpoint: Endpoint) -> None:
         """Record whether this box reaches other endpoints of a service: one alone does not show a cut."""
         usable = self.state.fleet.usable(endpoint.service, monotonic())
-        by_id = {item.id: item for item in usable if item.id != endpoint.id}
-        reach = self.state.reach_by_service[endpoint.service]
-        others = [by_id[name] for name in reach.untried(list(by_id), monotonic())[:OTHERS_TRIED]]
-        accepting = await asyncio.gather(*(self.peers.accepts_connections(item.address) for item in others))
-        if any(accepting):
-            record_reached(self.state, endpoint.service)
-            return
-        for item in others:
-            record_unreached(self.state, item)
+        others = [item for item in usable if item.id != endpoint.id]
+        accepts = self.peers.accepts_connections
+        await probe_endpoints(self.state, endpoint.service, others, OTHERS_TRIED, accepts)
 
     def _is_still_running(self, endpoint_id: str, born: int) -> bool:
         """Return whether an endpoint is still listed, and was not restarted at its address."""
--- a/stairquay/serving/reach.py
+++ b/stairquay/serving/reach.py
@@ -1,6 +1,7 @@
 """Keeps track of services none of whose endpoints this box reaches, and probes those endpoints."""
 
 import asyncio
+from collections.abc import Awaitable, Callable, Iterable
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.fleet import Endpoint
@@ -50,16 +51,29 @@
 
 
 async def _probe_service(state: BoxState, endpoints: RequestSender, service: str, count: int) -> None:
-    now = monotonic()
-    by_id = {item.id: item for item in state.fleet.usable(service, now)}
-    names = state.reach_by_service[service].untried(list(by_id), now)[:count]
-    opened = await asyncio.gather(*(endpoints.probe(by_id[name].address) for name in names))
+    if not await probe_endpoints(
+        state, service, state.fleet.usable(service, monotonic()), count, endpoints.probe
+    ):
+        _update(state, service, monotonic())
+
+
+async def probe_endpoints(
+    state: BoxState,
+    service: str,
+    candidates: Iterable[Endpoint],
+    count: int,
+    probe: Callable[[str], Awaitable[bool]],
+) -> bool:
+    """Try some of a service's endpoints by their addresses, and record and return whether one is reached."""
+    by_id = {item.id: item for item in candidates}
+    names = state.reach_by_service[service].untried(list(by_id), monotonic())[:count]
+    opened = await asyncio.gather(*(probe(by_id[name].address) for name in names))
     if any(opened):
         record_reached(state, service)
-        return
+        return True
     for name in names:
         record_unreached(state, by_id[name])
-    _update(state, service, monotonic())
+    return False
 
 
 def _update(state: BoxState, service: str, now: float) -> None:
