Tell how a call to free kept context ended, and until when a fetch may last

Lines of freed parts had one outcome for a refusal, a call without connection and one without answer, of which only the last may still be carried out. They now also tell for how long the weights had been replaced, the age of the list and of the view, and lines of sent prompts tell until when their fetch may last. No decision changes.

--- a/stairquay/platform/peers.py
+++ b/stairquay/platform/peers.py
@@ -6,7 +6,7 @@
 from typing import Any, TypeVar
 
 import msgspec
-from aiohttp import ClientError, ClientSession
+from aiohttp import ClientConnectorError, ClientError, ClientSession
 
 from stairquay.core.holdings import PartEvent, PartKey
 from stairquay.core.malformed import MALFORMED
@@ -24,7 +24,14 @@
 )
 from stairquay.platform.polling import PollClient
 from stairquay.platform.weights import WireModel, versions_by_model
-from stairquay.serving.ports import CacheChanges, CacheSnapshot, EngineReport, OrderAnswer, VersionOrder
+from stairquay.serving.ports import (
+    CacheChanges,
+    CacheSnapshot,
+    EngineReport,
+    FreeOutcome,
+    OrderAnswer,
+    VersionOrder,
+)
 
 LOGGER = getLogger(__name__)
 
@@ -153,11 +160,16 @@
         partial = tuple((item[0] or "", item[1]) for item in found.partial)
         return CacheSnapshot(found.boot_epoch, found.next_page_token, parts, partial)
 
-    async def free(self, address: str, keys: tuple[PartKey, ...], incarnation: int) -> bool:
-        """Free parts at one incarnation of a store box; tell whether it did."""
+    async def free(self, address: str, keys: tuple[PartKey, ...], incarnation: int) -> FreeOutcome:
+        """Free parts at one incarnation of a store box."""
         body = {"parts": [list(key) for key in keys], "boot_epoch": incarnation}
-        status = await self._post(f"http://{address}{CACHE_FREE_PATH}", body, {})
-        return status == HTTP_OK
+        try:
+            status = await self._post_once(f"http://{address}{CACHE_FREE_PATH}", body, {})
+        except ClientConnectorError:
+            return FreeOutcome.UNREACHED
+        except (ClientError, TimeoutError, OSError):
+            return FreeOutcome.SILENT
+        return FreeOutcome.FREED if status == HTTP_OK else FreeOutcome.REFUSED
 
     async def order(self, order: VersionOrder) -> OrderAnswer:
         """Order an engine to load weights. It may do so later even if it does not answer."""
@@ -207,10 +219,13 @@
 
     async def _post(self, url: str, body: dict[str, Any], headers: dict[str, str]) -> int | None:
         try:
-            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                async with self.order_session.post(url, json=body, headers=headers) as response:
-                    if len(await response.content.read(MAX_ORDER_ANSWER_BYTES)) == MAX_ORDER_ANSWER_BYTES:
-                        response.close()
-                    return response.status
+            return await self._post_once(url, body, headers)
         except (ClientError, TimeoutError, OSError):
             return None
+
+    async def _post_once(self, url: str, body: dict[str, Any], headers: dict[str, str]) -> int:
+        async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+            async with self.order_session.post(url, json=body, headers=headers) as response:
+                if len(await response.content.read(MAX_ORDER_ANSWER_BYTES)) == MAX_ORDER_ANSWER_BYTES:
+                    response.close()
+                return response.status
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -177,6 +177,15 @@
     SILENT = "silent"
 
 
+class FreeOutcome(str, Enum):
+    """How a call to free parts ended. After SILENT, it may still be carried out."""
+
+    FREED = "freed"
+    REFUSED = "refused"
+    UNREACHED = "unreached"
+    SILENT = "silent"
+
+
 class VersionOrder(msgspec.Struct, frozen=True):
     """An order to load weights, with the fencing token of the lease that it is issued under."""
 
@@ -201,8 +210,8 @@
     async def cache_snapshot(self, address: str) -> CacheSnapshot | None:
         """Return all cached parts."""
 
-    async def free(self, address: str, keys: tuple[PartKey, ...], incarnation: int) -> bool:
-        """Free parts at a store box, unless it was restarted; tell whether it was done."""
+    async def free(self, address: str, keys: tuple[PartKey, ...], incarnation: int) -> FreeOutcome:
+        """Free parts at a store box, unless it was restarted."""
 
     async def order(self, order: VersionOrder) -> OrderAnswer:
         """Send an order to an engine."""
--- a/stairquay/serving/records.py
+++ b/stairquay/serving/records.py
@@ -88,6 +88,7 @@
         "report_age_s": monotonic() - state.endpoint_state(choice.endpoint).reported_at,
         "resident": placement.engine.resident,
         "fetch": placement.fetch_from,
+        "fetch_until_ms": choice.fetch_until_ms,
         "used": placement.engine.used_tokens,
         "waiting": placement.engine.waiting_tokens,
         "running": placement.engine.running,
--- a/stairquay/serving/upkeep.py
+++ b/stairquay/serving/upkeep.py
@@ -14,7 +14,7 @@
 from stairquay.serving.endpoint_choice import FETCH_TIMEOUT_S
 from stairquay.serving.engine_views import fresh_stores
 from stairquay.serving.event_log import LogEvent
-from stairquay.serving.ports import Peers
+from stairquay.serving.ports import FreeOutcome, Peers
 from stairquay.serving.state import BoxState
 
 INTERVAL_S = 1.0
@@ -80,8 +80,9 @@
         keys = tuple(key for key in holding.tokens_by_key if self._is_unused(key))[:MAX_PARTS_PER_CALL]
         if not keys:
             return
-        freed = await self.peers.free(store.address, keys, holding.incarnation)
-        if freed:
+        decided_at = monotonic()
+        outcome = await self.peers.free(store.address, keys, holding.incarnation)
+        if outcome == FreeOutcome.FREED:
             self.state.metrics.freed.inc(len(keys))
         self.state.log.line(
             LogEvent.FREED,
@@ -89,9 +90,22 @@
             parts=len(keys),
             life=holding.incarnation,
             oldest=self.oldest_version_by_model,
-            outcome="freed" if freed else "refused or silent",
+            replaced_s=self._replaced_s(keys),
+            list_age_s=self.state.list_age(),
+            view_age_s=self.state.view_age(),
+            took_s=monotonic() - decided_at,
+            outcome=outcome.value,
         )
 
+    def _replaced_s(self, keys: tuple[PartKey, ...]) -> dict[str, float]:
+        """Return for how many seconds the versions of parts have been replaced, by scope."""
+        scope_by_name = {name: parse_scope(name) for name in {key[0] for key in keys}}
+        return {
+            name: round(self.state.replaced_for_s(scope.model, scope.version), 4)
+            for name, scope in scope_by_name.items()
+            if scope is not None
+        }
+
     def _is_unused(self, key: PartKey) -> bool:
         scope = parse_scope(key[0])
         if scope is None:
