Free kept context only once no box can still have it fetched

Cause: parts of replaced weights were freed 4 s after one box saw the last engine on them in its own list, by a call that a store box may carry out at any later time, while other boxes may begin prompts on these weights, and fetch, until the rollout's time is over. A box that knows of no newer version had no bound at all, and one that doesn't know the endpoints' clock sent fetches without an end.

Change: one rule for all boxes, by times that each takes from its own views. A fetch ends, by the endpoints' clock, at most versions_within_s after the last view in which its box knew no newer version; a process that never knew the version as the newest fetches nothing of it. Parts are freed once a box has known a newer version for longer. The first is no later than the naming plus the time, the second later, for any box that is frozen, cut or new. The call to free names its end (until_ms), half a second on.

The list of endpoints decides nothing any more. Parts that a store box has freed are dropped from the view at once, so that a lost event doesn't make the box free them each second.

--- a/stairquay/core/holdings.py
+++ b/stairquay/core/holdings.py
@@ -75,6 +75,14 @@
         if holding.tokens_by_key.get(key, 0) < tokens:
             self._set(address, holding, key, tokens, holding.number_by_key.get(key, -1))
 
+    def drop(self, address: str, incarnation: int, keys: Iterable[PartKey]) -> None:
+        """Drop parts that one incarnation of a holder has freed, until its events say otherwise."""
+        holding = self.by_address.get(address)
+        if holding is None or holding.incarnation != incarnation:
+            return
+        for key in keys:
+            self._set(address, holding, key, 0, holding.number_by_key.get(key, -1))
+
     def forget(self, address: str) -> None:
         """Forget a holder."""
         holding = self.by_address.pop(address, None)
--- a/stairquay/platform/peers.py
+++ b/stairquay/platform/peers.py
@@ -8,7 +8,7 @@
 import msgspec
 from aiohttp import ClientConnectorError, ClientError, ClientSession
 
-from stairquay.core.holdings import PartEvent, PartKey
+from stairquay.core.holdings import PartEvent
 from stairquay.core.malformed import MALFORMED
 from stairquay.core.whole_numbers import WholeNumber
 from stairquay.platform.connections import CONNECT_TIMEOUT_S
@@ -28,6 +28,7 @@
     CacheChanges,
     CacheSnapshot,
     EngineReport,
+    FreeOrder,
     FreeOutcome,
     OrderAnswer,
     VersionOrder,
@@ -160,11 +161,15 @@
         partial = tuple((item[0] or "", item[1]) for item in found.partial)
         return CacheSnapshot(found.boot_epoch, found.next_page_token, parts, partial)
 
-    async def free(self, address: str, keys: tuple[PartKey, ...], incarnation: int) -> FreeOutcome:
+    async def free(self, order: FreeOrder) -> FreeOutcome:
         """Free parts at one incarnation of a store box."""
-        body = {"parts": [list(key) for key in keys], "boot_epoch": incarnation}
+        body = {
+            "parts": [list(key) for key in order.keys],
+            "boot_epoch": order.incarnation,
+            "until_ms": order.until_ms,
+        }
         try:
-            status = await self._post_once(f"http://{address}{CACHE_FREE_PATH}", body, {})
+            status = await self._post_once(f"http://{order.address}{CACHE_FREE_PATH}", body, {})
         except ClientConnectorError:
             return FreeOutcome.UNREACHED
         except (ClientError, TimeoutError, OSError):
--- a/stairquay/serving/endpoint_choice.py
+++ b/stairquay/serving/endpoint_choice.py
@@ -12,6 +12,7 @@
 from stairquay.core.ownership import rank_owners
 from stairquay.core.placement import EngineView, Placement, Source, backlog_s, pick_quickest, rank_placements
 from stairquay.core.scope import Scope
+from stairquay.serving.context_lifetime import endpoints_clock_ms, fetch_until
 from stairquay.serving.endpoint import EndpointState
 from stairquay.serving.engine_views import VersionContext, best_sources, engine_view, usable_sources
 from stairquay.serving.evacuation import takes_work
@@ -22,9 +23,6 @@
 """Share of an endpoint's connection limit that all boxes use together. The endpoint resets connections beyond
 its limit."""
 
-FETCH_TIMEOUT_S = 2.0
-"""Seconds after which a fetch of cached context is abandoned, or not started."""
-
 PREFERRED_SHARE = 0.25
 """Share of a router's engines that a box prefers, to reuse connections before they are closed as idle. With
 19 engines and 6 prompts a second, a box uses each of these connections about once a second."""
@@ -243,7 +241,9 @@
         version = versions[item.id]
         context = contexts.get(version)
         if context is None:
-            context = contexts[version] = _version_context(state, request.workspace, prompt, version, usable)
+            context = contexts[version] = _version_context(
+                state, request.workspace, prompt, version, usable, now
+            )
         sources_by_address[item.address] = context.sources
         endpoint_state = state.endpoint_state(item)
         views.append(engine_view(state, item, endpoint_state, context, engine.slots, preferred, now))
@@ -273,13 +273,15 @@
     prompt: PromptShape,
     version: int,
     usable: dict[str, Source],
+    now: float,
 ) -> VersionContext:
     scope = context_scope(workspace, prompt.model, version)
+    may_fetch = fetch_until(state, prompt.model, version, now) > now
     return VersionContext(
         outdated=state.replaced_for_s(prompt.model, version) > OUTDATED_AFTER_S,
         keys=[(scope, part.id) for part in prompt.parts],
         shared_parts=tuple([((scope, part.id), part.tokens) for part in prompt.shared]),
-        sources=[best_sources(state, usable, scope, part) for part in prompt.parts],
+        sources=[best_sources(state, usable, scope, part) if may_fetch else [] for part in prompt.parts],
     )
 
 
@@ -313,11 +315,9 @@
         placement=best,
         backlog_s=min(backlog_s(item.engine) for item in placements),
         alternative_s=placements[1].first_token_s if len(placements) > 1 else None,
-        fetch_until_ms=_fetch_until_ms(state, now),
+        fetch_until_ms=_fetch_until_ms(state, prompt.model, version, now) if any(best.fetch_from) else None,
     )
 
 
-def _fetch_until_ms(state: BoxState, now: float) -> int | None:
-    if state.clock_offset_ms is None:
-        return None
-    return int(now * 1000 + state.clock_offset_ms + FETCH_TIMEOUT_S * 1000)
+def _fetch_until_ms(state: BoxState, model: str, version: int, now: float) -> int | None:
+    return endpoints_clock_ms(state, fetch_until(state, model, version, now))
--- a/stairquay/serving/following.py
+++ b/stairquay/serving/following.py
@@ -12,6 +12,7 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.position import NO_POSITION, Position
 from stairquay.serving.cold import cold_for_s
+from stairquay.serving.context_lifetime import observe_versions
 from stairquay.serving.endpoint import NEVER
 from stairquay.serving.evacuation import apply_evacuations
 from stairquay.serving.event_log import LogEvent
@@ -185,6 +186,7 @@
         if version > state.target_version_by_model.get(model, 0):
             state.target_version_by_model[model] = version
             state.record_target_version(model, version, named_at, "operators")
+    observe_versions(state, asked_at - changes.behind_s, monotonic())
     after = _operators_state(state)
     # Boxes that know an earlier era have to get all of this one.
     if before != after or changes.era > state.operators_position.era:
--- a/stairquay/serving/place_replies.py
+++ b/stairquay/serving/place_replies.py
@@ -9,9 +9,9 @@
 def choice_from_reply(endpoint: Endpoint, reply: PlaceReply, router: str, ticket: str) -> Choice:
     """Return the choice of a router, for the attempt with a ticket."""
     engine = EngineView(id=endpoint.id, address=endpoint.address, resident=())
-    placement = Placement(
-        engine, reply.fetch_from, reply.reused, reply.fetched, reply.read, reply.first_token_s
-    )
+    # A router of an earlier release names no end where it doesn't know the endpoints' clock.
+    fetch_from = () if reply.fetch_until_ms is None else reply.fetch_from
+    placement = Placement(engine, fetch_from, reply.reused, reply.fetched, reply.read, reply.first_token_s)
     return Choice(
         endpoint=endpoint,
         version=reply.version,
--- a/stairquay/serving/ports.py
+++ b/stairquay/serving/ports.py
@@ -177,6 +177,16 @@
     SILENT = "silent"
 
 
+class FreeOrder(msgspec.Struct, frozen=True):
+    """A call to free parts at a store box, which does nothing after `until_ms` by the endpoints' clock, or in
+    another incarnation."""
+
+    address: str
+    keys: tuple[PartKey, ...]
+    incarnation: int
+    until_ms: int
+
+
 class FreeOutcome(str, Enum):
     """How a call to free parts ended. After SILENT, it may still be carried out."""
 
@@ -210,8 +220,8 @@
     async def cache_snapshot(self, address: str) -> CacheSnapshot | None:
         """Return all cached parts."""
 
-    async def free(self, address: str, keys: tuple[PartKey, ...], incarnation: int) -> FreeOutcome:
-        """Free parts at a store box, unless it was restarted."""
+    async def free(self, order: FreeOrder) -> FreeOutcome:
+        """Free parts at a store box."""
 
     async def order(self, order: VersionOrder) -> OrderAnswer:
         """Send an order to an engine."""
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -22,6 +22,7 @@
 from stairquay.core.shutdown import shutdown_times
 from stairquay.core.software import SoftwareHistory
 from stairquay.core.stream_origins import StreamOrigins
+from stairquay.core.version_views import VersionViews
 from stairquay.core.versions import VersionHistory
 from stairquay.serving.change_notifier import ChangeNotifier
 from stairquay.serving.endpoint import NEVER, EndpointState
@@ -102,6 +103,8 @@
     # Newest target versions that this box has seen.
     target_version_by_model: dict[str, int] = field(default_factory=dict)
     version_history_by_model: dict[str, VersionHistory] = field(default_factory=dict)
+    # What this process has itself seen of target versions.
+    version_views: VersionViews = field(default_factory=VersionViews)
     endpoints_by_id: dict[str, EndpointState] = field(default_factory=dict)
     holdings: Holdings = field(default_factory=Holdings)
     # The versions of endpoints' software, and the streams that callers may take up again.
--- a/tests/cut_answers.py
+++ b/tests/cut_answers.py
@@ -35,6 +35,7 @@
 from stairquay.platform.surroundings import open_clients
 from stairquay.serving.ports import (
     Forward,
+    FreeOrder,
     FreeOutcome,
     IncompleteResponseError,
     OrderAnswer,
@@ -227,7 +228,7 @@
 
 async def free_parts(address: str) -> Outcome:
     async with clients() as ports:
-        found = await ports.peers.free(address, (("s", "aa"),), 1)
+        found = await ports.peers.free(FreeOrder(address, (("s", "aa"),), 1, 1_000))
         return _by_head(found in (FreeOutcome.FREED, FreeOutcome.REFUSED))
 
 
--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
+from time import monotonic
 from typing import Any
 
 from aiohttp import web
@@ -74,25 +76,49 @@
 
 @dataclass
 class ReceivedRequest:
-    """A request as an endpoint received it."""
+    """A request as an endpoint received it. at_ms: when, by the endpoints' clock."""
 
     id: str
     method: str
     target: str
     headers: CIMultiDict[str]
     body: bytes
+    at_ms: int = field(default_factory=lambda: endpoints_clock_ms())
+
+
+CLOCK_STARTED_S = monotonic() - 1_000.0
+"""Monotonic time at which the endpoints' clock was 0."""
+
+
+def endpoints_clock_ms() -> int:
+    """Return the clock that all endpoints share, in milliseconds."""
+    return int((monotonic() - CLOCK_STARTED_S) * 1000)
 
 
 @dataclass
 class CacheServer:
-    """Cached parts, served as events and as a list; common to engines and store boxes."""
+    """Cached parts, served as events and as a list; common to engines and store boxes.
+
+    free_delay_s: time for which a call to free parts is held up before it is looked at. tells_clock: whether
+    reports and events tell the endpoints' clock. freed_at_ms: by that clock, when each part was freed last.
+    free_calls: calls that came. late_frees: those that it looked at after the end that they name.
+    """
 
     incarnation: int = 1
     parts_by_key: dict[tuple[str, str], int] = field(default_factory=dict)
     events: list[list[Any]] = field(default_factory=list)
     freed: list[tuple[str, str]] = field(default_factory=list)
     silent: bool = False
-    clock_ms: int = 1_000_000
+    free_delay_s: float = 0.0
+    tells_clock: bool = True
+    freed_at_ms: dict[tuple[str, str], int] = field(default_factory=dict)
+    free_calls: int = 0
+    late_frees: int = 0
+
+    @property
+    def clock_ms(self) -> int | None:
+        """What this endpoint tells of the clock."""
+        return endpoints_clock_ms() if self.tells_clock else None
 
     def add_part(self, scope: str, part: str, tokens: int) -> None:
         self.parts_by_key[scope, part] = tokens
@@ -134,10 +160,20 @@
 
     async def _free(self, request: web.Request) -> web.Response:
         body = await request.json()
+        self.free_calls += 1
+        # Carried out even if the caller has left, as a call that a link held up.
+        return await asyncio.shield(self._free_later(body))
+
+    async def _free_later(self, body: dict[str, Any]) -> web.Response:
+        await asyncio.sleep(self.free_delay_s)
         if body.get("boot_epoch") not in (None, self.incarnation):
             return web.Response(status=409)
+        if endpoints_clock_ms() > body.get("until_ms", inf):
+            self.late_frees += 1
+            return web.Response(status=409)
         for scope, part in body["parts"]:
             self.freed.append((scope, part))
+            self.freed_at_ms[scope, part] = endpoints_clock_ms()
             self.remove_part(scope, part)
         return web.json_response({})
 
@@ -170,6 +206,8 @@
     next answers, written as they are. silent_until: time of the event loop until which it does and sends
     nothing; its system goes on taking connections and bytes, as that of a stopped process.
 
+    refuses_orders: it takes no order, so that it stays on its weights.
+
     arrivals, limits_sent, leaving_sent and retry_after_sent have times of the event loop. ended_at_by_id:
     when the work at a request ended, also where its caller left.
     """
@@ -201,6 +239,7 @@
     leaving: str | None = None
     retry_after: str | None = None
     lose_orders: int = 0
+    refuses_orders: bool = False
     load_s: float = 0.1
     queued: int = 0
     slots: int = 4
@@ -283,6 +322,8 @@
     async def _order(self, request: web.Request) -> web.Response:
         order = await request.json()
         self.orders.append(order)
+        if self.refuses_orders:
+            return web.Response(status=503)
         if order.get("expected") not in (None, self.sequence):
             return web.Response(status=409)
         self.sequence += 1
--- a/tests/test_box_weights.py
+++ b/tests/test_box_weights.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from tests.site import KEY, MODEL, SCOPE, Site, box_rows, eventually, site
-from tests.standins.endpoints import StoreBox
+from tests.standins.endpoints import StoreBox, endpoints_clock_ms
 
 
 async def store_part(here: Site) -> StoreBox:
@@ -138,18 +138,20 @@
     asyncio.run(scenario())
 
 
-def test_parts_of_replaced_weights_are_freed_once_no_engine_runs_them():
+def test_parts_of_replaced_weights_are_freed_once_their_rollout_is_over():
     async def scenario():
-        async with site(plain=0, engines=1, stores=1) as here:
+        async with site(plain=0, engines=1, stores=1, version_ms=3_000) as here:
             store = here.stores[0]
             store.add_part("/m/1", "aa", 500)
             store.add_part("/m/2", "aa", 500)
             await eventually(lambda: here.logged("store_view", outcome="read"))
             await asyncio.sleep(1.0)
             assert not store.freed
+            named_ms = endpoints_clock_ms()
             here.table.put("op", f"version/{MODEL}", {"model": MODEL, "version": 2})
             await eventually(lambda: here.engines()[0].version == 2)
             await eventually(lambda: store.freed, 10.0)
+            assert store.freed_at_ms["/m/1", "aa"] - named_ms >= 3_000
             assert store.freed == [("/m/1", "aa")]
             await eventually(lambda: here.logged("freed", outcome="freed"))
 
--- a/tests/test_surplus_answers.py
+++ b/tests/test_surplus_answers.py
@@ -10,7 +10,15 @@
 from stairquay.core.holdings import PartEvent
 from stairquay.platform.surroundings import open_clients
 from stairquay.serving import watching
-from stairquay.serving.ports import CacheChanges, CacheSnapshot, FreeOutcome, OrderAnswer, Ports, VersionOrder
+from stairquay.serving.ports import (
+    CacheChanges,
+    CacheSnapshot,
+    FreeOrder,
+    FreeOutcome,
+    OrderAnswer,
+    Ports,
+    VersionOrder,
+)
 from stairquay.serving.state import BoxState
 from stairquay.serving.watching import EndpointWatcher
 from tests.states import box_state
@@ -83,7 +91,7 @@
 
     async def scenario() -> list[FreeOutcome]:
         async with repeating_holder(lambda before, _: (409 if before else 200, {})) as (address, ports):
-            return [await ports.peers.free(address, (("s", "aa"),), LIFE) for _ in range(3)]
+            return [await ports.peers.free(FreeOrder(address, (("s", "aa"),), LIFE, 1_000)) for _ in range(3)]
 
     assert asyncio.run(scenario()) == [FreeOutcome.FREED, FreeOutcome.REFUSED, FreeOutcome.REFUSED]
 
