--- a/tests/many_boxes.py
+++ b/tests/many_boxes.py
@@ -244,14 +244,15 @@
     engines: int = 5,
     software: tuple[str, ...] = (),
     bounds: dict[str, float] | None = None,
+    stores: int = 0,
 ) -> AsyncIterator[list[Site]]:
-    """Start boxes that share one table service, some engines and three plain endpoints.
+    """Start boxes that share one table service, some engines and store boxes, and three plain endpoints.
 
     software: as for site(). bounds: settings that differ from the usual ones.
     """
     bounds = {"budget_window_s": 2, "budget_slack": 400} | (bounds or {})
     async with site(
-        ready=False, plain=3, engines=engines, module=module, software=software, **bounds
+        ready=False, plain=3, engines=engines, stores=stores, module=module, software=software, **bounds
     ) as first:
         boxes = [first]
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -101,7 +101,8 @@
 
     free_delay_s: time for which a call to free parts is held up before it is looked at. tells_clock: whether
     reports and events tell the endpoints' clock. freed_at_ms: by that clock, when each part was freed last.
-    free_calls: calls that came. late_frees: those that it looked at after the end that they name.
+    frees: each part that was freed, and when. free_calls: calls that came. late_frees: those that it looked
+    at after the end that they name.
     """
 
     incarnation: int = 1
@@ -112,6 +113,7 @@
     free_delay_s: float = 0.0
     tells_clock: bool = True
     freed_at_ms: dict[tuple[str, str], int] = field(default_factory=dict)
+    frees: list[tuple[tuple[str, str], int]] = field(default_factory=list)
     free_calls: int = 0
     late_frees: int = 0
 
@@ -174,6 +176,7 @@
         for scope, part in body["parts"]:
             self.freed.append((scope, part))
             self.freed_at_ms[scope, part] = endpoints_clock_ms()
+            self.frees.append(((scope, part), endpoints_clock_ms()))
             self.remove_part(scope, part)
         return web.json_response({})
 
