--- a/stairquay/serving/saving.py
+++ b/stairquay/serving/saving.py
@@ -28,10 +28,10 @@
 def save_targets(state: BoxState, catalog: Catalog, prompt: PromptShape, choice: Choice) -> tuple[str, ...]:
     """Return for each part the address of the store box to save it to, empty for none.
 
-    Only parts that other requests may share are saved, each to one store box. A busy box saves
-    none.
+    Only parts that other requests may share are saved, each to one store box. A busy box saves none, nor
+    does any box on replaced weights: these parts would take the room of newer ones until they are freed.
     """
-    if state.load.is_busy:
+    if state.load.is_busy or state.replaced_for_s(prompt.model, choice.version or 0) > 0:
         return ()
     stores = fresh_stores(state, catalog)
     if not stores:
--- a/tests/test_kept_context.py
+++ b/tests/test_kept_context.py
@@ -185,6 +185,24 @@
     asyncio.run(scenario())
 
 
+def test_nothing_is_saved_on_replaced_weights():
+    """Guards against parts of old weights that take the room of newer ones at the store boxes."""
+
+    async def scenario():
+        async with site(plain=0, engines=1, stores=1) as here:
+            await eventually(lambda: here.logged("store_view", outcome="read"))
+            stay_on_old_weights(*here.engines())
+            assert set(await prompts_for(here, 0.5, "before")) == {200}
+            assert all("Kv-Save" in item.headers for item in received(here))
+            set_target_version(here, 2)
+            await eventually(lambda: here.logged("version_named", version=2))
+            here.engines()[0].received.clear()
+            assert set(await prompts_for(here, 1.0, "after")) == {200}
+            assert not [item for item in received(here) if "Kv-Save" in item.headers]
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("held_up_s", (0.0, 2.0, 4.0))
 def test_an_engine_that_returns_on_old_weights_fetches_nothing_that_is_freed_meanwhile(held_up_s: float):
     """Guards against parts that are freed while an engine whose entry had lapsed takes them over again."""
