Save nothing to a store box that has just started anew

What callers may have seen: an answer made from memory that was not whole (MIXED). Found by review, not from a record.

Cause: a box's view of a store box counts for 1.2 s after the last answer, and a fetch chosen by it may last 2 s. A store box that starts anew is empty, and the first box that sees this has the parts saved again at once, by whatever prompt comes next. Another box's prompt that was chosen by the old view then fetches a part that is being written. A call to fetch names no life of the store box, so the fetch can't be refused there.

Change: nothing is saved to a store box for 3.2 s after it was first seen in another life than before. A life that is the first one seen by a process counts as old: a box that starts beside a store box within these seconds is not covered.

That a prompt fetched an incomplete part was not brought about.

--- a/stairquay/core/holdings.py
+++ b/stairquay/core/holdings.py
@@ -43,10 +43,14 @@
 
 @dataclass
 class Holdings:
-    """All holders by address, and the holders of each part."""
+    """All holders by address, and the holders of each part.
+
+    life_by_address: the incarnation, and when its first list was received, -inf if no earlier one is known.
+    """
 
     by_address: dict[str, Holding] = field(default_factory=dict)
     holders_by_key: dict[PartKey, set[str]] = field(default_factory=dict)
+    life_by_address: dict[str, tuple[int, float]] = field(default_factory=dict)
 
     def replace(
         self, address: str, incarnation: int, position: int, parts: Iterable[tuple[PartKey, int]], now: float
@@ -58,6 +62,19 @@
         for key, tokens in parts:
             self._set(address, holding, key, tokens, position)
 
+    def record_list(self, address: str, incarnation: int, received_at: float) -> None:
+        """Record that a list of an incarnation was received."""
+        known = self.life_by_address.get(address)
+        if known is None:
+            self.life_by_address[address] = incarnation, float("-inf")
+        elif known[0] != incarnation:
+            self.life_by_address[address] = incarnation, received_at
+
+    def started_anew_at(self, address: str) -> float:
+        """Return when a holder was first seen in another incarnation than before, -inf for never."""
+        known = self.life_by_address.get(address)
+        return float("-inf") if known is None else known[1]
+
     def apply(self, address: str, events: Iterable[PartEvent], position: int, now: float) -> None:
         """Apply a holder's events; an event older than the last one about its part is ignored."""
         holding = self.by_address.setdefault(address, Holding())
--- a/stairquay/serving/saving.py
+++ b/stairquay/serving/saving.py
@@ -5,15 +5,21 @@
 
 import xxhash
 
+from stairquay.adapters.clock import monotonic
 from stairquay.core.call import Part, PromptShape
 from stairquay.core.catalog import Catalog, StoreSpec
+from stairquay.serving.context_lifetime import FETCH_TIMEOUT_S
 from stairquay.serving.endpoint_choice import Choice, ChoiceRequest, choose_endpoint
-from stairquay.serving.engine_views import fresh_stores
+from stairquay.serving.engine_views import STORE_VIEW_TTL_S, fresh_stores
 from stairquay.serving.state import BoxState
 
 MAX_FILL_SHARE = 0.95
 """Share of a store box's memory to fill, which leaves room for saves by others that are not visible yet."""
 
+NEW_LIFE_GRACE_S = STORE_VIEW_TTL_S + FETCH_TIMEOUT_S
+"""Seconds for which nothing is saved to a store box that has started anew. Prompts that other boxes chose by
+its content before may still fetch, and a part that is being saved again would be fetched incomplete."""
+
 
 def choose_with_save_targets(
     state: BoxState, catalog: Catalog, request: ChoiceRequest, random: Random
@@ -33,7 +39,12 @@
     """
     if state.load.is_busy or state.replaced_for_s(prompt.model, choice.version or 0) > 0:
         return ()
-    stores = fresh_stores(state, catalog)
+    now = monotonic()
+    stores = [
+        store
+        for store in fresh_stores(state, catalog)
+        if now - state.holdings.started_anew_at(store.address) > NEW_LIFE_GRACE_S
+    ]
     if not stores:
         return ()
     store_addresses = {store.address for store in stores}
--- a/stairquay/serving/watching.py
+++ b/stairquay/serving/watching.py
@@ -173,6 +173,7 @@
             self.state.holdings.replace(
                 address, snapshot.incarnation, snapshot.position, snapshot.parts, asked_at
             )
+            self.state.holdings.record_list(address, snapshot.incarnation, monotonic())
             self.state.log.line(
                 LogEvent.STORE_VIEW,
                 store=address,
--- a/tests/test_kept_context.py
+++ b/tests/test_kept_context.py
@@ -12,6 +12,9 @@
 ROLLOUT_MS = 6_000
 PARTS = ("aa", "bb")
 TOKENS = 500
+OLD_VIEW_MS = 3_200
+"""Milliseconds after the last answer of a store box's life until which a box may have its content fetched."""
+
 CALLED_S = 7.0
 """Seconds in which a box that goes by its list of endpoints alone frees the parts of a lapsed engine."""
 
@@ -203,6 +206,25 @@
     asyncio.run(scenario())
 
 
+def test_nothing_is_saved_to_a_store_box_that_started_anew_while_its_old_content_may_be_fetched():
+    """Guards against a part that is fetched incomplete as it is saved again at a store box that lost it."""
+
+    async def scenario():
+        async with site(plain=0, engines=1, stores=1) as here:
+            store = await keep_parts(here)
+            assert set(await prompts_for(here, 0.3, "before")) == {200}
+            assert fetches_from(store, received(here))
+            store.incarnation, store.parts_by_key, store.events = 2, {}, []
+            restarted_ms = endpoints_clock_ms()
+            here.engines()[0].received.clear()
+            assert set(await prompts_for(here, 6.0, "after")) == {200}
+            saves = [item.at_ms - restarted_ms for item in received(here) if "Kv-Save" in item.headers]
+            assert saves
+            assert min(saves) >= OLD_VIEW_MS
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("held_up_s", (0.0, 2.0, 4.0))
 def test_an_engine_that_returns_on_old_weights_fetches_nothing_that_is_freed_meanwhile(held_up_s: float):
     """Guards against parts that are freed while an engine whose entry had lapsed takes them over again."""
