Keep to both times of a rollout when settings change it

What callers may have seen: an answer made from memory that was freed before the fetch had ended (MIXED), after settings were reloaded with another time of a rollout.

Cause: both the end of a fetch and the freeing go by the time in force. With a shorter one, a box freed at once what its own prompts had been told to fetch until the longer one was over; with a longer one, it had parts fetched for longer than a box waits that has not reloaded its settings yet.

Change: a fetch ends by the shortest time that the process has had, parts are freed by the longest. A box that reloads long after another, and a new process with other settings, are not covered.

--- a/stairquay/core/version_views.py
+++ b/stairquay/core/version_views.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass, field
+from math import inf
 
 NEVER = float("-inf")
 
@@ -18,13 +19,16 @@
 
     viewed_at: when the newest view was requested. newest_at_by_version: by model, when the last view was
     requested in which a version was the target that isn't any more. learned_at_by_version: by model, when the
-    first view of a target was received.
+    first view of a target was received. shortest_term_s, longest_term_s: of the times of a rollout that
+    earlier settings named.
     """
 
     viewed_at: float = NEVER
     target_by_model: dict[str, int] = field(default_factory=dict)
     newest_at_by_version: dict[str, dict[int, float]] = field(default_factory=dict)
     learned_at_by_version: dict[str, dict[int, float]] = field(default_factory=dict)
+    shortest_term_s: float = inf
+    longest_term_s: float = 0.0
 
     def observe(self, target_by_model: dict[str, int], asked_at: float, received_at: float) -> None:
         """Record a complete view; a target never falls."""
@@ -34,6 +38,11 @@
                 self._replace(model, before, version, received_at)
         self.viewed_at = max(self.viewed_at, asked_at)
 
+    def observe_term(self, term_s: float) -> None:
+        """Record a time of a rollout that other settings replace."""
+        self.shortest_term_s = min(self.shortest_term_s, term_s)
+        self.longest_term_s = max(self.longest_term_s, term_s)
+
     def newest_at(self, model: str, version: int) -> float:
         """Return the last time at which no newer version was named for certain, NEVER if there is none."""
         if version >= self.target_by_model.get(model, 0):
--- a/stairquay/serving/context_lifetime.py
+++ b/stairquay/serving/context_lifetime.py
@@ -32,14 +32,19 @@
     """Return until when a fetch of a version's context that begins now may last; `now` or before for none."""
     if state.clock_offset_ms is None:
         return NEVER
-    newest_at = state.version_views.newest_at(model, version)
-    return min(now + FETCH_TIMEOUT_S, newest_at + state.settings.versions_within_s)
+    views = state.version_views
+    # Another box may still free by a shorter time that earlier settings named.
+    term_s = min(state.settings.versions_within_s, views.shortest_term_s)
+    return min(now + FETCH_TIMEOUT_S, views.newest_at(model, version) + term_s)
 
 
 def may_free(state: BoxState, model: str, version: int, now: float) -> bool:
     """Tell whether no box can still have context of a version fetched."""
-    replaced_by = state.version_views.replaced_by(model, version)
-    return replaced_by is not None and now > replaced_by + state.settings.versions_within_s + FREE_MARGIN_S
+    views = state.version_views
+    replaced_by = views.replaced_by(model, version)
+    # Fetches by a longer time that earlier settings named may be in progress.
+    term_s = max(state.settings.versions_within_s, views.longest_term_s)
+    return replaced_by is not None and now > replaced_by + term_s + FREE_MARGIN_S
 
 
 def endpoints_clock_ms(state: BoxState, at: float) -> int | None:
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -214,6 +214,7 @@
 
     def use_settings(self, settings: BoxSettings) -> None:
         """Apply changed settings; addresses take effect at the next start."""
+        self.version_views.observe_term(self.settings.versions_within_s)
         self.settings = settings
         for budget in self.retry_budgets_by_service.values():
             budget.use_allowance(settings.repeats)
