Let a late notice end only what was asked for before it

What callers may have seen: prompts that wait at an engine, or are refused by one with a limit, since their router counted fewer than ran there. Found by review, not from a record.

Cause: a box that asks a router again for the same attempt, as while the engines are full, uses the same ticket. The notice that gave up the first question is sent after it, again and again until it is answered, and may reach the router after the second question. It then ended what was placed for that one, took it out of the engine's count and gave back its place in the engine's limit, while the prompt ran.

Change: a notice names for how long the request had waited when it was asked for, and leaves alone what was placed for a later question. One of an earlier release names none and ends both. Not covered: a late notice still takes a prompt that waits in the router's queue out of it; it is queued anew with the next question.

--- a/stairquay/serving/endpoint_choice.py
+++ b/stairquay/serving/endpoint_choice.py
@@ -49,8 +49,8 @@
 
     alternative_s: predicted time to first token of the second best. backlog_s: shortest wait at any
     candidate. fetch_until_ms: by the endpoints' clock. save_to: the store box address for each part of the
-    prompt. router: id of the router that decided, empty if the box chose by itself. ticket: as in
-    PlaceRequest. again_s, decided: as in PlaceReply.
+    prompt. router: id of the router that decided, empty if the box chose by itself. ticket,
+    waited_s: as in PlaceRequest. again_s, decided: as in PlaceReply.
     """
 
     endpoint: Endpoint
@@ -63,6 +63,7 @@
     save_to: tuple[str, ...] = ()
     router: str = ""
     ticket: str = ""
+    waited_s: float = 0.0
     again_s: float = 0.0
     decided: bool = False
 
--- a/stairquay/serving/endpoint_chooser.py
+++ b/stairquay/serving/endpoint_chooser.py
@@ -216,7 +216,7 @@
         if timing is not None and is_useful(timing.first_token_s, timing.events):
             sample = SpeedSample(choice.ticket, timing.first_token_s, timing.stream_s, timing.events)
             self.notices.add_sample(router, sample)
-        self.notices.add_ended(router, EndedAttempt(choice.ticket, outcome))
+        self.notices.add_ended(router, EndedAttempt(choice.ticket, outcome, choice.waited_s))
 
     async def _place(
         self, router: Member, request: PlaceRequest, prompt: PromptShape, progress: JobProgress
@@ -226,7 +226,7 @@
             reply = await self._ask_with_feedback(router, request)
         except asyncio.CancelledError:
             # The caller has disconnected.
-            self.notices.add_ended(router, EndedAttempt(request.ticket, Outcome.NOT_SENT))
+            self.notices.add_ended(router, _not_sent(request))
             raise
         if reply is None:
             return None
@@ -239,9 +239,9 @@
         if endpoint is not None:
             self.state.learn_start(endpoint, reply.born, monotonic(), "router")
         if endpoint is None or not may_use(self.state, progress, endpoint):
-            self.notices.add_ended(router, EndedAttempt(request.ticket, Outcome.NOT_SENT))
+            self.notices.add_ended(router, _not_sent(request))
             return None
-        return choice_from_reply(endpoint, reply, router.id, request.ticket)
+        return choice_from_reply(endpoint, reply, router.id, request)
 
     def _keep_shorter_wait(self, first: Choice | None, second: Choice | None) -> Choice | None:
         """Return the choice with the smaller backlog, and release the other."""
@@ -263,7 +263,7 @@
         reply = await self._ask(router, structs.replace(request, said=feedback))
         if reply is not None and (not reply.endpoint or self._lacks_feedback(reply)):
             # Release the first placement, which is not used.
-            self.notices.add_ended(router, EndedAttempt(request.ticket, Outcome.NOT_SENT))
+            self.notices.add_ended(router, _not_sent(request))
             return PlaceReply(come_back_s=reply.come_back_s, rejected=reply.rejected)
         return reply
 
@@ -296,7 +296,7 @@
             record_router_lateness(self.state, router.id, reply.late_s)
         else:
             # It may have placed the prompt and only answered too late.
-            self.notices.add_ended(router, EndedAttempt(request.ticket, Outcome.NOT_SENT))
+            self.notices.add_ended(router, _not_sent(request))
         return reply
 
     def _usable_endpoint(self, reply: PlaceReply, prompt: PromptShape) -> Endpoint | None:
@@ -378,6 +378,10 @@
         )
 
 
+def _not_sent(request: PlaceRequest) -> EndedAttempt:
+    return EndedAttempt(request.ticket, Outcome.NOT_SENT, request.waited_s)
+
+
 def _is_deferred(choice: Choice) -> bool:
     """Return whether a prompt waits in its router's queue, and has no engine yet."""
     return choice.decided and choice.again_s > 0
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -89,7 +89,8 @@
     """A prompt placed on an endpoint.
 
     at: when, in monotonic seconds. shared_parts: parts that other prompts may reuse, with their tokens.
-    rate_limited: it was counted against the endpoint's rate limit. engine: the endpoint's id.
+    rate_limited: it was counted against the endpoint's rate limit. engine: the endpoint's id. waited_s: of
+    the request to place it.
     """
 
     at: float
@@ -102,6 +103,7 @@
     engine: str = ""
     service: str = ""
     priority: int = LOWEST_PRIORITY
+    waited_s: float = 0.0
 
 
 class LocalRouter:
@@ -218,13 +220,15 @@
 
     def finished(self, ended: EndedAttempt) -> None:
         """Stop counting a prompt on its engine, and record the outcome."""
+        placed = self.placed_by_ticket.get(ended.ticket)
+        if placed is not None and placed.waited_s > ended.waited_s:
+            return
         self.speeds.forget(ended.ticket)
-        placed = self.placed_by_ticket.pop(ended.ticket, None)
-        if placed is not None:
-            self._forget_prefill(ended.ticket, placed)
         if placed is None:
             self.admission.leave(ended.ticket)
             return
+        del self.placed_by_ticket[ended.ticket]
+        self._forget_prefill(ended.ticket, placed)
         endpoint_state, now = placed.endpoint_state, monotonic()
         kind = placed.service, placed.priority
         self.accounts.end(ended.ticket, placed.engine, kind, ended.outcome == Outcome.DONE, now)
@@ -294,6 +298,7 @@
             choice.endpoint.id,
             request.service,
             request.priority,
+            request.waited_s,
         )
         self.accounts.place(request, parts, choice.endpoint, now)
         self.placed_by_ticket[request.ticket] = placed
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -127,10 +127,15 @@
 
 
 class EndedAttempt(msgspec.Struct, frozen=True, array_like=True):
-    """An attempt that has ended at its endpoint."""
+    """An attempt that has ended at its endpoint.
+
+    waited_s: of the PlaceRequest that this is the answer to. What was placed for a later one with the same
+    ticket goes on. Infinite from an earlier release, which ends both.
+    """
 
     ticket: str
     outcome: Outcome = Outcome.DONE
+    waited_s: float = inf
 
 
 class SpeedSample(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/place_replies.py
+++ b/stairquay/serving/place_replies.py
@@ -3,11 +3,11 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.placement import EngineView, Placement
 from stairquay.serving.endpoint_choice import Choice
-from stairquay.serving.messages import PlaceReply
+from stairquay.serving.messages import PlaceReply, PlaceRequest
 
 
-def choice_from_reply(endpoint: Endpoint, reply: PlaceReply, router: str, ticket: str) -> Choice:
-    """Return the choice of a router, for the attempt with a ticket."""
+def choice_from_reply(endpoint: Endpoint, reply: PlaceReply, router: str, request: PlaceRequest) -> Choice:
+    """Return the choice of a router."""
     engine = EngineView(id=endpoint.id, address=endpoint.address, resident=())
     # A router of an earlier release names no end where it doesn't know the endpoints' clock.
     fetch_from = () if reply.fetch_until_ms is None else reply.fetch_from
@@ -22,7 +22,8 @@
         fetch_until_ms=reply.fetch_until_ms,
         save_to=reply.save_to,
         router=router,
-        ticket=ticket,
+        ticket=request.ticket,
+        waited_s=request.waited_s,
         again_s=reply.again_s,
         decided=reply.decided,
     )
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -5,6 +5,8 @@
 from dataclasses import replace
 from random import Random
 
+from msgspec import structs
+
 from stairquay.adapters.clock import monotonic
 from stairquay.core.call import Part, PromptShape
 from stairquay.core.catalog import Catalog, EngineSpec, ServiceSpec, StoreSpec
@@ -174,3 +176,20 @@
     assert retry_pause_s(state, MAX_QUICK_RETRIES) == RETRY_S
     state.routers = ()
     assert retry_pause_s(state, 9) == RETRY_S
+
+
+def test_a_late_notice_about_an_unanswered_question_ends_nothing_that_was_placed_since():
+    """Guards against a running prompt that its router no longer counts, at an engine that is full then."""
+    state = router_state()
+    local_router = LocalRouter(state, RANDOM)
+    parts = (PromptPart("aa", 500), PromptPart("bb", 300))
+    unanswered = PlaceRequest("t", "b-2", "llm", "m", parts, 800, 20, "", (), waited_s=0.1)
+    local_router.place(structs.replace(unanswered, waited_s=1.4))
+    endpoint_state = state.endpoints_by_id["e-0"]
+    local_router.finished(EndedAttempt("t", Outcome.NOT_SENT, unanswered.waited_s))
+    assert endpoint_state.in_flight == 1 and endpoint_state.used_tokens(monotonic()) == 800
+    local_router.finished(EndedAttempt("t"))
+    assert endpoint_state.in_flight == 0
+    local_router.place(unanswered)
+    local_router.finished(EndedAttempt("t", Outcome.NOT_SENT, unanswered.waited_s))
+    assert endpoint_state.in_flight == 0
