Fetch and keep context of replaced weights for 0.6 of a rollout's time, in half of a store box

Change: both sides of the rule, the end of fetches and the freeing, go by the same share of the time; parts of replaced weights are saved while a store box is less than half full.

--- a/stairquay/serving/context_lifetime.py
+++ b/stairquay/serving/context_lifetime.py
@@ -1,9 +1,9 @@
 """Until when kept context of a version may be fetched, and from when it may be freed.
 
-All boxes keep to one rule, by times that each takes from its own views alone: a fetch ends by the time of
-a rollout after its box last knew the version to be the newest, and parts are freed by a box that has known a
-newer one for longer than that. So no fetch is in progress then, also of a box that was frozen or cut, that
-knows other endpoints or that has just started.
+All boxes keep to one rule, by times that each takes from its own views alone: a fetch ends by a share of the
+time of a rollout after its box last knew the version to be the newest, and parts are freed by a box that has
+known a newer one for longer than that. So no fetch is in progress then, also of a box that was frozen or cut,
+that knows other endpoints or that has just started.
 """
 
 from stairquay.core.lease import FIRST_ERA
@@ -13,6 +13,10 @@
 FETCH_TIMEOUT_S = 2.0
 """Seconds after which a fetch of cached context is abandoned, or not started."""
 
+TERM_SHARE = 0.6
+"""Share of the time of a rollout for which context of replaced weights may be fetched; then it is freed. Most
+engines have loaded newer weights by then, which need the room at the store boxes."""
+
 FREE_MARGIN_S = 0.25
 """Seconds between the last possible fetch and the freeing, for rates of clocks that differ."""
 
@@ -35,7 +39,7 @@
     views = state.version_views
     # Another box may still free by a shorter time that earlier settings named.
     term_s = min(state.settings.versions_within_s, views.shortest_term_s)
-    return min(now + FETCH_TIMEOUT_S, views.newest_at(model, version) + term_s)
+    return min(now + FETCH_TIMEOUT_S, views.newest_at(model, version) + term_s * TERM_SHARE)
 
 
 def may_free(state: BoxState, model: str, version: int, now: float) -> bool:
@@ -44,7 +48,7 @@
     replaced_by = views.replaced_by(model, version)
     # Fetches by a longer time that earlier settings named may be in progress.
     term_s = max(state.settings.versions_within_s, views.longest_term_s)
-    return replaced_by is not None and now > replaced_by + term_s + FREE_MARGIN_S
+    return replaced_by is not None and now > replaced_by + term_s * TERM_SHARE + FREE_MARGIN_S
 
 
 def endpoints_clock_ms(state: BoxState, at: float) -> int | None:
--- a/stairquay/serving/saving.py
+++ b/stairquay/serving/saving.py
@@ -16,6 +16,9 @@
 MAX_FILL_SHARE = 0.95
 """Share of a store box's memory to fill, which leaves room for saves by others that are not visible yet."""
 
+REPLACED_FILL_SHARE = 0.5
+"""The same for parts of replaced weights, which are freed soon and would take the room of newer ones."""
+
 NEW_LIFE_GRACE_S = STORE_VIEW_TTL_S + FETCH_TIMEOUT_S
 """Seconds for which nothing is saved to a store box that has started anew. Prompts that other boxes chose by
 its content before may still fetch, and a part that is being saved again would be fetched incomplete."""
@@ -34,10 +37,10 @@
 def save_targets(state: BoxState, catalog: Catalog, prompt: PromptShape, choice: Choice) -> tuple[str, ...]:
     """Return for each part the address of the store box to save it to, empty for none.
 
-    Only parts that other requests may share are saved, each to one store box. A busy box saves none, nor
-    does any box on replaced weights: these parts would take the room of newer ones until they are freed.
+    Only parts that other requests may share are saved, each to one store box. A busy box saves
+    none.
     """
-    if state.load.is_busy or state.replaced_for_s(prompt.model, choice.version or 0) > 0:
+    if state.load.is_busy:
         return ()
     now = monotonic()
     stores = [
@@ -48,23 +51,30 @@
     if not stores:
         return ()
     store_addresses = {store.address for store in stores}
-    targets = [_save_target(state, stores, store_addresses, choice.scope, part) for part in prompt.shared]
+    replaced = state.replaced_for_s(prompt.model, choice.version or 0) > 0
+    share = REPLACED_FILL_SHARE if replaced else MAX_FILL_SHARE
+
+    def save_target(part: Part) -> str:
+        if state.holdings.holders(choice.scope, part.id) & store_addresses:
+            return ""
+        with_room = [store for store in stores if _has_room(state, store, part.tokens, share)]
+        return _preferred_store(with_room, choice.scope, part)
+
+    targets = [save_target(part) for part in prompt.shared]
     if not any(targets):
         return ()
     return (*targets, "")
 
 
-def _save_target(
-    state: BoxState, stores: list[StoreSpec], store_addresses: set[str], scope: str, part: Part
-) -> str:
-    if state.holdings.holders(scope, part.id) & store_addresses:
-        return ""
-    stores_with_room = [store for store in stores if _has_room(state, store, part.tokens)]
-    if not stores_with_room:
+def _preferred_store(stores: list[StoreSpec], scope: str, part: Part) -> str:
+    """Return the address of one of several store boxes, empty if there are none.
+
+    Weighted rendezvous hashing: boxes that don't see each other's saves choose the same store box for a part,
+    and each store box gets parts in proportion to its memory.
+    """
+    if not stores:
         return ""
-    # Weighted rendezvous hashing: boxes that don't see each other's saves choose the same store box for a
-    # part, and each store box gets parts in proportion to its memory.
-    return max(stores_with_room, key=lambda store: _rendezvous_weight(store, scope, part)).address
+    return max(stores, key=lambda store: _rendezvous_weight(store, scope, part)).address
 
 
 def _rendezvous_weight(store: StoreSpec, scope: str, part: Part) -> float:
@@ -72,6 +82,6 @@
     return float(uniform ** (1.0 / store.memory_tokens))
 
 
-def _has_room(state: BoxState, store: StoreSpec, tokens: int) -> bool:
+def _has_room(state: BoxState, store: StoreSpec, tokens: int, share: float) -> bool:
     holding = state.holdings.by_address.get(store.address)
-    return holding is not None and holding.total + tokens < store.memory_tokens * MAX_FILL_SHARE
+    return holding is not None and holding.total + tokens < store.memory_tokens * share
