--- a/tests/test_many_boxes.py
+++ b/tests/test_many_boxes.py
@@ -25,7 +25,7 @@
             assert taken.headers["Kv-Save"] == "10.0.0.8:1,-,-"
             assert (asked.model, asked.tokens, asked.wall) == (MODEL, 900, "")
             assert asked.parts == (PromptPart("aa", 500), PromptPart("bb", 300), PromptPart("cc", 100))
-            await eventually(lambda: EndedAttempt(asked.ticket) in router.ended)
+            await eventually(lambda: EndedAttempt(asked.ticket, waited_s=asked.waited_s) in router.ended)
 
     asyncio.run(scenario())
 
@@ -37,12 +37,16 @@
             engine = here.engines()[0]
             engine.break_after = 1
             _, broken = await prompt_until_placed(here, router, "broken")
-            await eventually(lambda: EndedAttempt(broken.ticket, Outcome.FAILED) in router.ended)
+            await eventually(
+                lambda: EndedAttempt(broken.ticket, Outcome.FAILED, broken.waited_s) in router.ended
+            )
             engine.break_after = None
             _, refused = await prompt_until_placed(
                 here, router, "refused", before=lambda: refuse_once(engine)
             )
-            await eventually(lambda: EndedAttempt(refused.ticket, Outcome.TURNED_AWAY) in router.ended)
+            await eventually(
+                lambda: EndedAttempt(refused.ticket, Outcome.TURNED_AWAY, refused.waited_s) in router.ended
+            )
 
     def refuse_once(engine: Endpoint) -> None:
         engine.refuse = 1
@@ -57,7 +61,9 @@
             await here.engines()[0].runner.cleanup()
             answer, asked = await prompt_until_placed(here, router, "dead")
             assert answer.status == 503
-            await eventually(lambda: EndedAttempt(asked.ticket, Outcome.UNREACHED) in router.ended)
+            await eventually(
+                lambda: EndedAttempt(asked.ticket, Outcome.UNREACHED, asked.waited_s) in router.ended
+            )
 
     asyncio.run(scenario())
 
