--- a/stairquay/serving/saving.py
+++ b/stairquay/serving/saving.py
@@ -8,7 +8,7 @@
 from stairquay.adapters.clock import monotonic
 from stairquay.core.call import Part, PromptShape
 from stairquay.core.catalog import Catalog, StoreSpec
-from stairquay.serving.context_lifetime import FETCH_TIMEOUT_S
+from stairquay.serving.context_lifetime import FETCH_TIMEOUT_S, fetch_until
 from stairquay.serving.endpoint_choice import Choice, ChoiceRequest, choose_endpoint
 from stairquay.serving.engine_views import STORE_VIEW_TTL_S, fresh_stores
 from stairquay.serving.state import BoxState
@@ -38,11 +38,12 @@
     """Return for each part the address of the store box to save it to, empty for none.
 
     Only parts that other requests may share are saved, each to one store box. A busy box saves
-    none.
+    none, and nothing is saved that may not be fetched any more.
     """
-    if state.load.is_busy:
-        return ()
     now = monotonic()
+    may_fetch = fetch_until(state, prompt.model, choice.version or 0, now) > now
+    if state.load.is_busy or not may_fetch:
+        return ()
     stores = [
         store
         for store in fresh_stores(state, catalog)
