--- a/tests/test_many_boxes.py
+++ b/tests/test_many_boxes.py
@@ -16,16 +16,30 @@
 def test_a_box_sends_a_prompt_where_its_router_says_and_tells_when_it_ended():
     async def scenario():
         async with routed_box(engines=3) as (here, router):
-            router.reply = reply_for("e-2", fetch_from=("", "10.0.0.9:1", ""), save_to=("10.0.0.8:1", "", ""))
+            fetch = {"fetch_from": ("", "10.0.0.9:1", ""), "fetch_until_ms": 2_000}
+            router.reply = reply_for("e-2", **fetch, save_to=("10.0.0.8:1", "", ""))
             answer, asked = await prompt_until_placed(here, router, "call-7")
             assert answer.status == 200
             taken = next(item for item in here.engines() if item.id == "e-2").received[-1]
             assert taken.headers["Cache-Salt"] == SCOPE and taken.headers["Expect-Version"] == "1"
-            assert taken.headers["Kv-Fetch"] == "-,10.0.0.9:1,-"
+            assert taken.headers["Kv-Fetch"] == "-,10.0.0.9:1,-" and taken.headers["Kv-Until"] == "2000"
             assert taken.headers["Kv-Save"] == "10.0.0.8:1,-,-"
             assert (asked.model, asked.tokens, asked.wall) == (MODEL, 900, "")
             assert asked.parts == (PromptPart("aa", 500), PromptPart("bb", 300), PromptPart("cc", 100))
-            await eventually(lambda: EndedAttempt(asked.ticket) in router.ended)
+            await eventually(lambda: EndedAttempt(asked.ticket, waited_s=asked.waited_s) in router.ended)
+
+    asyncio.run(scenario())
+
+
+def test_a_box_fetches_nothing_that_its_router_names_no_end_for():
+    """Guards against a fetch without an end that a router of an earlier release has placed."""
+
+    async def scenario():
+        async with routed_box(engines=3) as (here, router):
+            router.reply = reply_for("e-2", fetch_from=("", "10.0.0.9:1", ""))
+            await prompt_until_placed(here, router, "call-7")
+            taken = next(item for item in here.engines() if item.id == "e-2").received[-1]
+            assert "Kv-Fetch" not in taken.headers
 
     asyncio.run(scenario())
 
@@ -37,12 +51,16 @@
             engine = here.engines()[0]
             engine.break_after = 1
             _, broken = await prompt_until_placed(here, router, "broken")
-            await eventually(lambda: EndedAttempt(broken.ticket, Outcome.FAILED) in router.ended)
+            await eventually(
+                lambda: EndedAttempt(broken.ticket, Outcome.FAILED, broken.waited_s) in router.ended
+            )
             engine.break_after = None
             _, refused = await prompt_until_placed(
                 here, router, "refused", before=lambda: refuse_once(engine)
             )
-            await eventually(lambda: EndedAttempt(refused.ticket, Outcome.TURNED_AWAY) in router.ended)
+            await eventually(
+                lambda: EndedAttempt(refused.ticket, Outcome.TURNED_AWAY, refused.waited_s) in router.ended
+            )
 
     def refuse_once(engine: Endpoint) -> None:
         engine.refuse = 1
@@ -57,7 +75,9 @@
             await here.engines()[0].runner.cleanup()
             answer, asked = await prompt_until_placed(here, router, "dead")
             assert answer.status == 503
-            await eventually(lambda: EndedAttempt(asked.ticket, Outcome.UNREACHED) in router.ended)
+            await eventually(
+                lambda: EndedAttempt(asked.ticket, Outcome.UNREACHED, asked.waited_s) in router.ended
+            )
 
     asyncio.run(scenario())
 
