Bound what a box keeps of the table service's answers

Cause: TableClient read a body whole, however long it was; nothing but the time of the call ended it, 0.7 s and up to the wait of a long poll.

Change: incomplete answers have a budget of 32 MB, as those of polls. An answer that is given up closes its connection and counts as none in time.

What callers saw: a box that keeps up to 1 GB is killed for its memory, and all requests of its callers end.

--- a/stairquay/platform/rows.py
+++ b/stairquay/platform/rows.py
@@ -15,6 +15,7 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.ports import Changes, Commit, Committed, Conflict, PlatformFault
+from stairquay.core.buffers import BufferBudget
 from stairquay.core.clock import ClockOffset
 from stairquay.core.malformed import MALFORMED
 from stairquay.core.position import Position
@@ -35,6 +36,9 @@
 PAGE_ROWS = 500
 """Rows requested per page."""
 
+MAX_INCOMPLETE_BYTES = 32 * 1024 * 1024
+"""Bytes that all incomplete answers of a client may have together."""
+
 HTTP_OK = 200
 HTTP_CONFLICT = 412
 HTTP_GONE = 410
@@ -86,6 +90,7 @@
     def __init__(self, address: str, session: ClientSession) -> None:
         self.url = f"http://{address}"
         self.session = session
+        self.budget = BufferBudget(MAX_INCOMPLETE_BYTES)
         self.clock_offset: ClockOffset | None = None
         self.newest_era = 0
 
@@ -175,9 +180,14 @@
         try:
             async with asyncio.timeout(timeout_s):
                 async with call() as response:
-                    content = await response.read()
+                    content = await self._read(response)
         except (ClientError, TimeoutError, OSError):
             return None
+        if content is None:
+            LOGGER.warning(
+                "an answer of the table service was given up: incomplete ones take too much memory"
+            )
+            return None
         # An answer that names no era is taken for one of the newest.
         era = decode_era(response.headers.get(ERA)) or self.newest_era
         if era < self.newest_era:
@@ -185,6 +195,18 @@
         self.newest_era = era
         return Answer(response.status, content, era)
 
+    async def _read(self, response: ClientResponse) -> bytes | None:
+        """Return the body of an answer, or None if it was given up for its size."""
+        buffer = self.budget.buffer()
+        try:
+            async for data in response.content.iter_any():
+                if not buffer.extend(data):
+                    response.close()
+                    return None
+            return None if buffer.dropped else buffer.take()
+        finally:
+            buffer.release()
+
     def _decode(self, answer: Answer, requested_at: float) -> WireRows:
         """Decode a page of rows and update the clock offset from it."""
         found = msgspec.json.decode(answer.content, type=WireRows)
--- a/tests/standins/endpoints.py
+++ b/tests/standins/endpoints.py
@@ -16,7 +16,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from tests.standins.table import serve_app
+from tests.standins.table import answer_without_end, serve_app
 
 
 class Framing(str, Enum):
@@ -102,7 +102,7 @@
     free_delay_s: time for which a call to free parts is held up before it is looked at. tells_clock: whether
     reports and events tell the endpoints' clock. freed_at_ms: by that clock, when each part was freed last.
     frees: each part that was freed, and when. free_calls: calls that came. late_frees: those that it looked
-    at after the end that they name.
+    at after the end that they name. endless_paths: paths whose answers never end.
     """
 
     incarnation: int = 1
@@ -116,6 +116,7 @@
     frees: list[tuple[tuple[str, str], int]] = field(default_factory=list)
     free_calls: int = 0
     late_frees: int = 0
+    endless_paths: set[str] = field(default_factory=set)
 
     @property
     def clock_ms(self) -> int | None:
@@ -130,8 +131,10 @@
         self.parts_by_key.pop((scope, part), None)
         self.events.append([len(self.events) + 1, "-", scope, part, 0, "m"])
 
-    async def handle_cache_request(self, request: web.Request) -> web.Response | None:
+    async def handle_cache_request(self, request: web.Request) -> web.StreamResponse | None:
         """Answer a request about the cache, or return None for another request."""
+        if request.path in self.endless_paths:
+            return await answer_without_end(request)
         if self.silent and request.path.startswith("/-/"):
             await asyncio.sleep(30)
         if request.path == "/-/kv-events":
--- a/tests/standins/table.py
+++ b/tests/standins/table.py
@@ -30,6 +30,21 @@
     return runner, f"{host}:{port}"
 
 
+ENDLESS_BLOCK = b"x" * 65_536
+ENDLESS_BYTES = 400_000_000
+"""Bytes after which an answer without end does end, for the sake of the machine that runs the test."""
+
+
+async def answer_without_end(request: web.Request) -> web.StreamResponse:
+    """Send a body until the caller closes."""
+    response = web.StreamResponse()
+    await response.prepare(request)
+    for _ in range(ENDLESS_BYTES // len(ENDLESS_BLOCK)):
+        await response.write(ENDLESS_BLOCK)
+        await asyncio.sleep(0)
+    return response
+
+
 @dataclass(frozen=True)
 class Snapshot:
     """Content of the table service at one time."""
@@ -46,7 +61,8 @@
     down: no request is answered. lost_answers: number of writes that are done but not answered.
     refused_by_prefix: number of writes to refuse, by prefix of their keys. compacted_before: the feed refuses
     older revisions. delay_s: delay of every answer. delay_s_by_table: delay of a table's rows after they are
-    read. unavailable_tables: tables whose rows cannot be read. era: rises with each restore of a snapshot.
+    read. unavailable_tables: tables whose rows cannot be read. endless_paths: paths whose answers never end.
+    era: rises with each restore of a snapshot.
     """
 
     rows_by_key: dict[tuple[str, str], tuple[str, int]] = field(default_factory=dict)
@@ -59,6 +75,7 @@
     delay_s: float = 0.0
     delay_s_by_table: dict[str, float] = field(default_factory=dict)
     unavailable_tables: set[str] = field(default_factory=set)
+    endless_paths: set[str] = field(default_factory=set)
     era: int = 1
     calls: list[str] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -107,6 +124,8 @@
         self.changed = asyncio.Event()
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
+        if request.path in self.endless_paths:
+            return await answer_without_end(request)
         answer = await self._answer(request)
         answer.headers["Store-Era"] = str(self.era)
         return answer
