Share one budget for incomplete answers between a box's clients

Cause: each client had a budget of its own: answers for callers 0.15 of the box's memory, polls of engines and store boxes 32 MB, the table service 32 MB, whatever the box is told. Each held, their sum did not.

Change: the budget of answers for callers (`answer_buffers`, at most 64 MB and 0.15 of the memory) is that of polls and the table service as well; the largest incomplete answer of all is given up.

What callers saw: with six endless endpoints, eight engines' reports, six store boxes and the table service at once a box of 150 MB is killed, and the requests of all its callers end.

So memory is bounded; the processor time that endless answers take isn't.

--- a/stairquay/box.py
+++ b/stairquay/box.py
@@ -54,7 +54,7 @@
         run_box(
             boot.ok_value.settings,
             lambda: load_boot_settings(settings_path, metrics_port).map(lambda reloaded: reloaded.settings),
-            lambda: open_clients(table_address),
+            lambda buffers: open_clients(table_address, buffers),
         )
     )
     return ExitStatus.SUCCESS
--- a/stairquay/platform/rows.py
+++ b/stairquay/platform/rows.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import msgspec
-from aiohttp import ClientError, ClientResponse, ClientSession
+from aiohttp import ClientError, ClientPayloadError, ClientResponse, ClientSession
 from result import Err, Ok, Result
 
 from stairquay.adapters.clock import monotonic
@@ -85,12 +85,15 @@
 
 
 class TableClient:
-    """Client of the table service. A call that times out may still take effect."""
+    """Client of the table service. A call that times out may still take effect.
 
-    def __init__(self, address: str, session: ClientSession) -> None:
+    buffers: bounds incomplete answers, also those of other clients that share it.
+    """
+
+    def __init__(self, address: str, session: ClientSession, buffers: BufferBudget | None = None) -> None:
         self.url = f"http://{address}"
         self.session = session
-        self.budget = BufferBudget(MAX_INCOMPLETE_BYTES)
+        self.buffers = BufferBudget(MAX_INCOMPLETE_BYTES) if buffers is None else buffers
         self.clock_offset: ClockOffset | None = None
         self.newest_era = 0
 
@@ -195,15 +198,17 @@
         self.newest_era = era
         return Answer(response.status, content, era)
 
-    async def _read(self, response: ClientResponse) -> bytes | None:
-        """Return the body of an answer, or None if it was given up for its size."""
-        buffer = self.budget.buffer()
+    async def _read(self, response: ClientResponse) -> bytes:
+        """Return the body of an answer. Raises ClientPayloadError if it was given up for its size."""
+        buffer = self.buffers.buffer()
         try:
             async for data in response.content.iter_any():
                 if not buffer.extend(data):
-                    response.close()
-                    return None
-            return None if buffer.dropped else buffer.take()
+                    break
+            if buffer.dropped:
+                response.close()
+                raise ClientPayloadError("incomplete answers take too much memory")
+            return buffer.take()
         finally:
             buffer.release()
 
--- a/stairquay/platform/surroundings.py
+++ b/stairquay/platform/surroundings.py
@@ -1,5 +1,6 @@
 """Creates all of the platform's clients, as the ports of the one-process program."""
 
+from stairquay.core.buffers import BufferBudget
 from stairquay.platform.box_client import BoxClient
 from stairquay.platform.callers import PlatformCallerCodec
 from stairquay.platform.connection_pool import ConnectionPool
@@ -13,13 +14,13 @@
 from stairquay.serving.ports import Ports
 
 
-def open_clients(table_address: str) -> Ports:
-    """Open the clients; an event loop must be running."""
+def open_clients(table_address: str, buffers: BufferBudget) -> Ports:
+    """Open the clients; an event loop must be running. buffers: bounds the incomplete answers of all."""
     request_pool = ConnectionPool()
     table_session = open_session()
     order_session = open_session(reuse=False)
-    polls = PollClient()
-    table = TableClient(table_address, table_session)
+    polls = PollClient(budget=buffers)
+    table = TableClient(table_address, table_session, buffers)
 
     async def close() -> None:
         await request_pool.close()
--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -24,6 +24,7 @@
     wait_for_event,
     wait_until,
 )
+from stairquay.core.buffers import BufferBudget
 from stairquay.core.limits import UNLIMITED
 from stairquay.core.mistake import Mistake
 from stairquay.serving.boxes import BoxRegistry
@@ -78,7 +79,7 @@
 """Seconds between reloads of the settings, which may change without a signal."""
 
 LoadSettings = Callable[[], Result[BoxSettings, list[Mistake]]]
-OpenSurroundings = Callable[[], Ports]
+OpenSurroundings = Callable[[BufferBudget], Ports]
 TaskFunction = Callable[[], Coroutine[Any, Any, None]]
 
 
@@ -93,7 +94,7 @@
     stopped = catch_stop_signals(partial(_begin_shutdown, state))
     state.boxes = (settings.id,)
     state.load.readiness.jitter = random.random()
-    surroundings = open_surroundings()
+    surroundings = open_surroundings(state.answer_buffers)
     rng = random.Random()
     links = RouterClients(state)
     new_lists = NewLists(state, surroundings.feeds.read_endpoints)
