--- a/tests/stops.py
+++ b/tests/stops.py
@@ -470,8 +470,8 @@
         f"{request}: reset {reset_after_s(request):.3f} s after its answer"
         for request in requests
         if request.channel is not None
-        and request is request.channel.requests[-1]
         and reset_after_s(request) < LINGER_S
+        and request is request.channel.requests[-1]
     ]
 
 
