Check the time last before a request is written

Cause: no await lies between the check and the write, but work does: after the time was compared, the guard looked at quarantine, endpoint and version, then headers were built, the head was encoded and a parser made, and only then the transport got the bytes. A process that is stopped at any of these points writes as it goes on.

Change: headers and head are encoded before the check, the parser is made after the write, and the guard compares the time last. What is left between the two is the return of the check and the change of the attempt's state. ValueError for a line break in a header is now raised before the attempt counts as sent.

Two tests, six cases, let the process stand still at one of these points.

--- a/stairquay/platform/connection_pool.py
+++ b/stairquay/platform/connection_pool.py
@@ -77,8 +77,15 @@
         return self.protocol.is_connected() and not self.protocol.has_begun_answer()
 
     def send(self, method: str, target: str, headers: list[tuple[str, str]], body: bytes) -> None:
-        """Write a request. Raises ValueError if a header has a line break."""
-        head = encode_head(method, target, headers, len(body))
+        """Encode a request and write it. Raises ValueError if a header has a line break."""
+        self.write(method, encode_request(method, target, headers, body))
+
+    def write(self, method: str, request: bytes) -> None:
+        """Write an encoded request, before anything else is done: its sender may have checked the time."""
+        transport = self.protocol.transport
+        if transport is None:
+            raise ConnectionResetError("the connection was closed")
+        transport.write(request)
         self.protocol.set_response_params(
             skip_payload=method == "HEAD",
             read_until_eof=True,
@@ -87,10 +94,6 @@
             max_line_size=MAX_FIELD_BYTES,
             max_field_size=MAX_FIELD_BYTES,
         )
-        transport = self.protocol.transport
-        if transport is None:
-            raise ConnectionResetError("the connection was closed")
-        transport.write(head + body)
 
     async def read_head(self) -> tuple[RawResponseMessage, StreamReader]:
         """Return the head of the answer and the reader of its body, without interim answers.
@@ -172,6 +175,11 @@
     return found[0] if len(found) == 1 else None
 
 
+def encode_request(method: str, target: str, headers: list[tuple[str, str]], body: bytes) -> bytes:
+    """Return a request as it is sent. Raises ValueError if a part of its head has a line break."""
+    return encode_head(method, target, headers, len(body)) + body
+
+
 def encode_head(method: str, target: str, headers: list[tuple[str, str]], body_bytes: int) -> bytes:
     """Return the head of a request. Raises ValueError if a part of it has a line break."""
     lines = [f"{method} {target} HTTP/1.1"]
--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -18,6 +18,7 @@
     ConnectionPool,
     ConnectTimeoutError,
     PooledConnection,
+    encode_request,
     named_request,
 )
 from stairquay.platform.names import (
@@ -79,10 +80,13 @@
         try:
             async with asyncio.timeout(wait_s):
                 connection = await self.pool.acquire(dispatch.address, call.id)
+                headers = _request_headers(call, dispatch)
+                request = encode_request(call.method, request_target(call), headers, body)
+                # Checked last: the process may be stopped at any point before the write.
                 if not (guard() and attempt.send()):
                     self.pool.release(connection)
                     return _not_sent(attempt)
-                connection.send(call.method, request_target(call), _request_headers(call, dispatch), body)
+                connection.write(call.method, request)
                 message, payload = await connection.read_answer(call.id, wait_s)
         except ConnectTimeoutError as error:
             attempt.lose()
--- a/stairquay/serving/dispatch.py
+++ b/stairquay/serving/dispatch.py
@@ -343,10 +343,6 @@
         dispatch = self._dispatch(job, started_attempt.choice, left_s, after)
 
         def guard() -> bool:
-            if not self._keys_fresh(job) or job.deadline <= monotonic():
-                return False
-            if not self._may_pass_on(job, progress):
-                return False
             if self._quarantined_s(job) > 0 and not progress.is_trial:
                 return False
             endpoint = started_attempt.choice.endpoint
@@ -357,7 +353,10 @@
                 started_attempt.endpoint_state, monotonic()
             ):
                 return False
-            return not self._version_too_old(job, started_attempt.choice)
+            if self._version_too_old(job, started_attempt.choice) or not self._keys_fresh(job):
+                return False
+            # What ends at a time is checked last, since the process may be stopped in between.
+            return job.deadline > monotonic() and self._may_pass_on(job, progress)
 
         return await self.endpoints.send(job.call, job.body, dispatch, started_attempt.attempt, guard, left_s)
 
--- a/tests/test_shutdown_edges.py
+++ b/tests/test_shutdown_edges.py
@@ -6,7 +6,9 @@
 import socket
 import subprocess
 import sys
+from functools import partial
 from random import Random
+from time import sleep
 
 import pytest
 from hypothesis import given
@@ -15,13 +17,23 @@
 
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.program import STOP_SIGNALS, catch_stop_signals
-from stairquay.core.call import Call
+from stairquay.core.attempt import Attempt
+from stairquay.core.call import Call, Dispatch
 from stairquay.core.catalog import Route
 from stairquay.core.errors import ErrorKind, ExecutionStatus
 from stairquay.core.shutdown import ShutdownTimes, shutdown_times
+from stairquay.platform import connection_pool, endpoints
+from stairquay.platform.connection_pool import ConnectionPool
+from stairquay.platform.connections import CheckedProtocol
+from stairquay.platform.endpoints import EndpointClient
+from stairquay.serving import dispatch
+from stairquay.serving.app import SETTLED_S
+from stairquay.serving.crashes import CrashDetector
+from stairquay.serving.dispatch import Dispatcher
 from stairquay.serving.forwarding import Forwarder
 from stairquay.serving.jobs import Job, JobProgress
-from stairquay.serving.ports import BoxRefusal
+from stairquay.serving.origins import OriginTracker
+from stairquay.serving.ports import BoxRefusal, Feedback
 from tests.loads.test_limits_of_endpoints import CATALOG
 from tests.site import ROOT, configuration, site
 from tests.standins.endpoints import Framing, RawAnswer
@@ -35,7 +47,12 @@
     put_long_routes,
     until_configured,
 )
+from tests.test_connection_pool import endpoint
 from tests.test_front import HEAD, connect, status
+from tests.test_statements_held import FeedbackDuringConnect, state_with_endpoint
+
+STANDS_STILL_S = 0.2
+"""Seconds for which the process stands still while it sends a request."""
 
 
 class BoxThatStopsToo:
@@ -310,3 +327,75 @@
             await stop.ended()
 
     asyncio.run(scenario())
+
+
+def stands_still_in(function):
+    """Return the function, in which the process stands still until the box refuses."""
+
+    def wrapped(*args, **options):
+        sleep(STANDS_STILL_S)
+        return function(*args, **options)
+
+    return wrapped
+
+
+@pytest.mark.parametrize(
+    ("where", "name"),
+    [
+        (endpoints, "_request_headers"),
+        (connection_pool, "encode_head"),
+        (CheckedProtocol, "set_response_params"),
+    ],
+)
+def test_a_process_that_stands_still_as_it_sends_a_request_writes_none_after_it(where, name, monkeypatch):
+    """Guards against a request that is checked, and written after a pause that lasts beyond `refuse_at`."""
+    monkeypatch.setattr(where, name, stands_still_in(getattr(where, name)))
+    written_at = []
+
+    async def scenario() -> None:
+        async with endpoint() as here:
+            pool = ConnectionPool()
+            transport = (await pool.open(here.address)).protocol.transport
+            write = type(transport).write
+
+            def record(self, data):
+                # The endpoint's own writes are none of the box's.
+                if data.startswith(b"POST"):
+                    written_at.append(monotonic())
+                write(self, data)
+
+            monkeypatch.setattr(type(transport), "write", record)
+            state, now = box_state(), monotonic()
+            refuse_at = now + STANDS_STILL_S / 2
+            state.shutdown.begin(ShutdownTimes(refuse_at, now + 5.0, now + 6.0))
+            attempt, call = Attempt("call-1", "e-1"), Call("call-1", "POST", "h", "/x", "/x", ())
+            sent_to, guard = Dispatch("e-1", here.address, 60.0), partial(state.shutdown.allows, now + 60.0)
+            await EndpointClient(pool).send(call, b"a body", sent_to, attempt, guard, 1.0)
+            await pool.close()
+            await asyncio.sleep(SETTLED_S)
+            assert [at - refuse_at for at in written_at if at > refuse_at] == []
+            assert written_at or attempt.ran == ExecutionStatus.NOT_RUN
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("name", ("may_use", "takes_work", "is_backing_off"))
+def test_a_process_that_stands_still_as_it_checks_a_request_does_not_send_it(name, monkeypatch):
+    """Guards against a check of the time that is older than the other checks before a request is written."""
+    state = state_with_endpoint()
+    ports = FeedbackDuringConnect(state, Feedback())
+    send, now = ports.send, monotonic()
+
+    async def send_after_pause(*args):
+        monkeypatch.setattr(dispatch, name, stands_still_in(getattr(dispatch, name)))
+        refuse_at = monotonic() + STANDS_STILL_S / 2
+        state.shutdown.begin(ShutdownTimes(refuse_at, refuse_at + 5.0, refuse_at + 6.0))
+        return await send(*args)
+
+    monkeypatch.setattr(ports, "send", send_after_pause)
+    call, route = Call("call-1", "GET", "svc", "/x", "/x", ()), Route("plain", "svc", "/", (), timeout_s=60.0)
+    job = Job(call, b"", CATALOG, route, CATALOG.services_by_id["plain"], None, now, now + 60.0)
+    forwarder, origins = Forwarder(state, None, Random(0)), OriginTracker(state, None, None, None)
+    dispatcher = Dispatcher(state, ports, ports, CrashDetector(state, None), forwarder, origins)
+    asyncio.run(dispatcher.run(job, None))
+    assert ports.guard_results == [False]
