--- a/tests/test_stop_measures.py
+++ b/tests/test_stop_measures.py
@@ -53,7 +53,7 @@
         None,
         0.0,
         status=503,
-        headers=headers,
+        headers=named,
         body=body,
         complete=True,
         answered_at=seen_at,
