Keep the bound on the age of keys out of the scenes of boxes out of step

Seen once: test_a_box_that_stood_still_or_was_cut_joins_no_versions told of streams that were neither whole nor refused as stream_unresumable, none joined.

Trace: with streams taken up 6 s after the new version was used, at a box that is cut from the table service (three scenes, trials), 24 of 24, 24 of 24 and 19 of 19 got 503 not_ready: its configuration is older than revoke_ms (5 s), and a key may have been revoked since. That is right. Without the wait 24 of 24 are refused as stream_unresumable. The time from the cut to the taking up is not bounded by the test: boxes have 6 s to learn of the endpoints and up to 20 rounds of streams, and a round took 4 s at a load of 37.

Change: boxes of these scenes go by keys for 60 s, so that what the test asks is decided however long the scene takes; not_ready is still no allowed end. Four more scenes take streams up 6 s later; their streams are to be whole or refused like all others.

--- a/tests/test_box_out_of_step.py
+++ b/tests/test_box_out_of_step.py
@@ -55,6 +55,14 @@
 """Seconds for which requests wait at a stopped process before it goes on."""
 
 JOINS_S = 6.0
+
+REVOKE_MS = 60_000
+"""Longest age of the keys that boxes go by: a box that is cut for longer refuses any request as `not_ready`,
+which tells nothing of versions."""
+
+LATE_S = 6.0
+"""Seconds after the new version was used: beyond the usual bound on the age of keys."""
+
 REFUSED = 2**30
 
 
@@ -182,7 +190,13 @@
 
 async def play(count: int, scenario: Callable[[Scene], Awaitable[None]]) -> dict[str, int]:
     """Play a scenario with boxes that know each other, and return what became of its streams."""
-    async with several_boxes(count, engines=ENGINES, software=(OLD,), module="tests.cut_box") as boxes:
+    async with several_boxes(
+        count,
+        engines=ENGINES,
+        software=(OLD,),
+        module="tests.cut_box",
+        bounds={"revoke_ms": REVOKE_MS},
+    ) as boxes:
         slow_streams(boxes[0].engines())
         await eventually(lambda: len(box_rows(boxes[0])) == count)
         await asyncio.sleep(HEARTBEAT_INTERVAL_S * 1.2)
@@ -347,7 +361,9 @@
 
         return await play(count, scenario)
 
-    async def cut(table: bool, boxes: bool, kind: CutKind, router: bool) -> dict[str, int]:
+    async def cut(
+        table: bool, boxes: bool, kind: CutKind, router: bool, waits_s: float = 0.0
+    ) -> dict[str, int]:
         async def scenario(scene: Scene) -> None:
             box = (scene.routers() if router else scene.others(*scene.routers()))[0]
             if boxes:
@@ -359,6 +375,7 @@
             if table:
                 scene.let_old_leave()
             await scene.begin(*scene.others(box))
+            await asyncio.sleep(waits_s)
             await scene.take_up(box)
 
         return await play(3, scenario)
@@ -371,6 +388,10 @@
                 cut(False, True, CutKind.HANG, router),
                 cut(True, True, CutKind.RESET, router),
             )
+            found += await asyncio.gather(
+                cut(True, False, CutKind.RESET, router, LATE_S),
+                cut(True, True, CutKind.RESET, router, LATE_S),
+            )
         return found
 
     assert_not_joined(*asyncio.run(all_ways()))
