--- a/stairquay/adapters/channels.py
+++ b/stairquay/adapters/channels.py
@@ -2,12 +2,14 @@
 
 from typing import Any
 
+MAX_MESSAGE_OPTION = "grpc.max_receive_message_length"
+
 CHANNEL_OPTIONS: list[tuple[str, Any]] = [
     ("grpc.enable_retries", 0),
     ("grpc.max_reconnect_backoff_ms", 1_000),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100),
-    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
+    (MAX_MESSAGE_OPTION, 64 * 1024 * 1024),
     ("grpc.enable_http_proxy", 0),
 ]
 """Without gRPC's own retries; a configuration may exceed its default message size."""
--- a/stairquay/serving/links.py
+++ b/stairquay/serving/links.py
@@ -10,7 +10,7 @@
 import grpc
 import msgspec
 
-from stairquay.adapters.channels import CHANNEL_OPTIONS
+from stairquay.adapters.channels import CHANNEL_OPTIONS, MAX_MESSAGE_OPTION
 from stairquay.adapters.clock import monotonic
 from stairquay.adapters.program import being_cancelled
 from stairquay.core.answer_times import AnswerTimes
@@ -47,8 +47,13 @@
 SUSPECT_S = 1.0
 """How long a router that did not answer is skipped."""
 
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+"""Size above which a message fails its call. The largest holds a configuration, which the table service takes
+with 1 MB at most; a faulty box's larger ones would cost a box of 150 MB its memory."""
+
 GRPC_OPTIONS: list[tuple[str, Any]] = [
-    *CHANNEL_OPTIONS,
+    *(option for option in CHANNEL_OPTIONS if option[0] != MAX_MESSAGE_OPTION),
+    (MAX_MESSAGE_OPTION, MAX_MESSAGE_BYTES),
     ("grpc.keepalive_time_ms", KEEPALIVE_INTERVAL_MS),
     ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     # Without it, a ping to a peer whose kernel still acknowledges bytes is waited for a minute.
