Send no repeats of a later process to endpoints that have not answered it

Cause: each process of a box may have repeats unread at stopped endpoints, and nobody knows those of the process before. Boxes that end one after another while endpoints stay stopped leave some each; all are read together when the endpoints go on.

Change: a box that finds its own row at its start has had a process before. For a minute, the time for which unread repeats count, it sends repeats only to endpoints that have answered it since its start. So only the processes that run when an endpoint stops can leave repeats there. A fleet's first processes are not affected.

Callers see: where a box has just been started again and hardly any request has come by, a request whose first attempt failed is refused at once in place of tried at an endpoint that has not answered yet.

--- a/stairquay/core/silence.py
+++ b/stairquay/core/silence.py
@@ -24,11 +24,13 @@
 
     waiting: those that are not given up. since: of the last answer, or of the first request after it; None if
     all have been answered. repeats: when those of them were sent that an endpoint had got before.
+    has_answered: whether it has ever answered this process.
     """
 
     waiting: int = 0
     since: float | None = None
     repeats: list[float] = field(default_factory=list)
+    has_answered: bool = field(default=False, compare=False)
 
     def on_sent(self, now: float, is_repeat: bool) -> None:
         """Count a request."""
@@ -44,6 +46,7 @@
         What has arrived until then is being read as well.
         """
         self.waiting -= 1
+        self.has_answered = True
         ended = None
         if self.lasts_s(now) > SILENT_AFTER_S:
             ended = replace(self, repeats=self.unread_repeats(now))
--- a/stairquay/serving/boxes.py
+++ b/stairquay/serving/boxes.py
@@ -190,6 +190,7 @@
         }
         if self.state.boxes_known_at == NEVER:
             self._learn_begun_streams(rows)
+            self.state.predecessor_ended_by = asked_at if self.revision else NEVER
         self._advance_counted_from(asked_at)
         self.state.rows_asked_at = asked_at
         self.state.row_valid_s = (MISSED_HEARTBEATS - 1) * self._heartbeat_interval_s()
--- a/stairquay/serving/silent_endpoints.py
+++ b/stairquay/serving/silent_endpoints.py
@@ -4,16 +4,19 @@
 Repeats never go there: an endpoint that goes on after a long silence would read those of several windows of
 the retry budget at once. Those sent before the silence was known count until they have been read. They are
 few: of a service's endpoints, only those that have just answered get repeats while some lie unread.
+An endpoint that has answered an earlier process of this box only may hold repeats of that one, and gets none.
 """
 
 import asyncio
 from collections.abc import Collection
+from math import inf
 
 from result import Ok, Result
 
 from stairquay.adapters.clock import monotonic
 from stairquay.core.errors import ExecutionStatus
-from stairquay.core.silence import QUIET_AFTER_S, SILENT_AFTER_S, Silence
+from stairquay.core.silence import QUIET_AFTER_S, SILENT_AFTER_S, UNREAD_TTL_S, Silence
+from stairquay.serving.endpoint import NEVER
 from stairquay.serving.event_log import LogEvent
 from stairquay.serving.jobs import Job, StartedAttempt
 from stairquay.serving.ports import Reply, SendFailure
@@ -70,15 +73,28 @@
     return len(state.unread_repeats(service, monotonic())) >= most
 
 
+def _has_predecessor(state: BoxState) -> bool:
+    """Tell whether repeats of an earlier process of this box may still be unread."""
+    ended_by = state.predecessor_ended_by
+    return ended_by != NEVER and monotonic() - ended_by < UNREAD_TTL_S
+
+
 def _silent_after_s(job: Job) -> float:
     return max(SILENT_AFTER_S, job.route.objective_s)
 
 
 def _silences_s(state: BoxState, job: Job) -> dict[str, float]:
-    """Return for how many seconds each endpoint of a service has answered nothing, by id."""
-    now = monotonic()
+    """Return for how many seconds each endpoint of a service has answered nothing, by id.
+
+    It is infinite where only an earlier process of this box may have had answers, and repeats unread.
+    """
+    now, has_predecessor = monotonic(), _has_predecessor(state)
+
+    def lasts_s(silence: Silence) -> float:
+        return inf if has_predecessor and not silence.has_answered else silence.lasts_s(now)
+
     return {
-        item.id: state.endpoint_state(item).silence.lasts_s(now)
+        item.id: lasts_s(state.endpoint_state(item).silence)
         for item in state.fleet.by_id.values()
         if item.service == job.service.id
     }
--- a/stairquay/serving/state.py
+++ b/stairquay/serving/state.py
@@ -116,6 +116,8 @@
     # Ids of boxes believed alive.
     boxes: tuple[str, ...] = ()
     boxes_known_at: float = NEVER
+    # By when an earlier process of this box had ended, if there was one.
+    predecessor_ended_by: float = NEVER
     # The other boxes believed alive, as their rows tell of them.
     other_boxes: tuple[Member, ...] = ()
     # When this box last read a list of boxes that differs from the one before.
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -151,6 +151,18 @@
         wait_for_answers(state, plain_job(), set()).send(None)
 
 
+def test_a_later_process_repeats_only_to_endpoints_that_have_answered_it():
+    """Guards against repeats at a stopped endpoint that already has those of an earlier process."""
+    state = plain_state(2)
+    state.predecessor_ended_by = monotonic()
+    answering = state.endpoint_state(state.fleet.by_id["p-0"]).silence
+    answering.on_sent(monotonic(), False)
+    answering.on_answered(monotonic())
+    assert silent_ids(state, plain_job()) == {"p-1"}
+    state.predecessor_ended_by = monotonic() - UNREAD_TTL_S
+    assert not silent_ids(state, plain_job())
+
+
 def test_repeats_that_no_endpoint_has_read_count_in_each_window():
     """An endpoint that goes on reads the repeats of earlier windows together with the new ones."""
     budget = WindowedRetryBudget(ALLOWANCE)
