Send one repeat at a time to endpoints that may have stopped

Cause: as many repeats as arrive within 0.05 s of an endpoint's last answer were sent there, though as many were unread already as may be. At a busy time these are several for each box. Callers leave, all boxes are killed, and the endpoints read them beside the slack of the next processes.

Change: while as many repeats of a box are unread as may be, an endpoint that holds one gets no other one. A box that runs when k endpoints stop at once leaves at most its part and k - 1 more. A repeat that may go nowhere waits up to 1.5 s, in place of 0.5 s, as long as endpoints go on answering, and counts in the budget as of when it is sent.

Callers see: where more requests repeat at once at one box than endpoints may get, some are served later, and some are refused that were served before.

In test_silence.py the two tests of unread repeats at once and the one of the time that counts fail before.

--- a/stairquay/serving/silent_endpoints.py
+++ b/stairquay/serving/silent_endpoints.py
@@ -25,6 +25,9 @@
 CHECK_INTERVAL_S = 0.05
 """Seconds between two checks of whether an endpoint has answered."""
 
+MAX_WAIT_S = 1.5
+"""Seconds for which a repeat waits at most while endpoints answer others."""
+
 
 def record_result(state: BoxState, started_attempt: StartedAttempt, sent: Result[Reply, SendFailure]) -> None:
     """Record whether an attempt was answered; one whose connection broke shows that its endpoint goes on."""
@@ -44,26 +47,54 @@
     """Return the endpoints to which a repeat of this job must not be sent, as they may read it late.
 
     An endpoint whose answers usually take as long as the objective allows is not silent yet, unless as many
-    repeats are unread as may be.
+    repeats are unread as may be. Then one that has not read a repeat gets no other one either, however short
+    its silence is, as many may be sent at once.
     """
-    after_s = QUIET_AFTER_S if _most_are_unread(state, job) else _silent_after_s(job)
-    return frozenset(name for name, lasts_s in _silences_s(state, job).items() if lasts_s > after_s)
+    if not _most_are_unread(state, job):
+        return _silent_for(state, job, _silent_after_s(job))
+    now = monotonic()
+    return _silent_for(state, job, QUIET_AFTER_S).union(
+        item.id
+        for item in state.fleet.by_id.values()
+        if item.service == job.service.id and state.endpoint_state(item).silence.unread_repeats(now)
+    )
 
 
 async def wait_for_answers(state: BoxState, job: Job, tried: Collection[str]) -> None:
-    """Wait while a repeat may go to no endpoint that it has not tried, but may once one of them answers."""
-    until = min(job.deadline, monotonic() + SILENT_AFTER_S)
-    while monotonic() < until and _must_wait(state, job, tried):
+    """Wait while a repeat may go to no endpoint that it has not tried, but may once one of them answers.
+
+    The wait lasts longer where endpoints go on answering, as each answer lets only few repeats go. The budget
+    counts the repeat as of its end, when it is sent.
+    """
+    began = monotonic()
+    while _must_wait(state, job, tried) and monotonic() < _wait_ends_at(state, job, tried, began):
         await asyncio.sleep(CHECK_INTERVAL_S)
+    now = monotonic()
+    if now - began >= CHECK_INTERVAL_S:
+        state.retry_budget(job.service.id).on_read_late((began,), now)
+
+
+def _wait_ends_at(state: BoxState, job: Job, tried: Collection[str], began: float) -> float:
+    answering = _untried(state, job, tried) - _silent_for(state, job, SILENT_AFTER_S)
+    return min(job.deadline, began + (MAX_WAIT_S if answering else SILENT_AFTER_S))
 
 
 def _must_wait(state: BoxState, job: Job, tried: Collection[str]) -> bool:
     if not _most_are_unread(state, job):
         return False
-    silences_s = _silences_s(state, job)
+    untried = _untried(state, job, tried)
+    may_answer = untried - _silent_for(state, job, _silent_after_s(job))
+    return bool(may_answer) and untried <= silent_ids(state, job)
+
+
+def _untried(state: BoxState, job: Job, tried: Collection[str]) -> frozenset[str]:
     usable = state.fleet.usable(job.service.id, monotonic())
-    untried_s = [silences_s[item.id] for item in usable if item.id not in tried]
-    return QUIET_AFTER_S < min(untried_s, default=0.0) <= _silent_after_s(job)
+    return frozenset(item.id for item in usable if item.id not in tried)
+
+
+def _silent_for(state: BoxState, job: Job, after_s: float) -> frozenset[str]:
+    """Return the endpoints of a service that have answered nothing for longer than some seconds."""
+    return frozenset(name for name, lasts_s in _silences_s(state, job).items() if lasts_s > after_s)
 
 
 def _most_are_unread(state: BoxState, job: Job) -> bool:
--- a/tests/loads/test_retries_of_killed_boxes.py
+++ b/tests/loads/test_retries_of_killed_boxes.py
@@ -139,3 +139,16 @@
         fleet.start(box)
     fleet.run(2 * BETWEEN_KILLS_S)
     assert all(not silent_ids(box.state, job()) for box in fleet.boxes)
+
+
+@pytest.mark.parametrize("load", (1.0, 4.0, 16.0))
+@pytest.mark.parametrize("boxes", (6, 71))
+def test_a_burst_of_repeats_leaves_few_at_endpoints_that_have_just_stopped(boxes: int, load: float):
+    """Guards against repeats of the moment before a box can know that an endpoint has stopped."""
+    fleet = Simulation(boxes)
+    fleet.per_s *= load
+    fleet.run(SETTLED_S)
+    fleet.is_stopped = True
+    fleet.run(SENT_S)
+    most_of_box = fleet.allowance.most_unread(boxes) + len(STOPPED) - 1
+    assert 0 < len(fleet.read_later) <= boxes * most_of_box
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -122,6 +122,70 @@
     assert silent_ids(state, plain_job()) == {"p-0"}
 
 
+def test_an_endpoint_with_an_unread_repeat_gets_no_others_at_once_while_most_are_unread():
+    """Guards against a burst of repeats that one endpoint gets before it is known that it has stopped."""
+    state = plain_state()
+    silence = state.endpoint_state(state.fleet.by_id["p-0"]).silence
+    for _ in range(state.settings.repeats.most_unread(1)):
+        assert not silent_ids(state, plain_job())
+        silence.on_sent(monotonic(), True)
+    assert silent_ids(state, plain_job()) == {"p-0"}
+    silence.on_answered(monotonic())
+    assert not silent_ids(state, plain_job())
+
+
+def test_a_repeat_that_finds_an_unread_one_everywhere_waits_for_an_answer():
+    """Guards against refusals where many requests repeat at once and endpoints go on answering."""
+
+    async def waited_s() -> float:
+        state, now = plain_state(2), monotonic()
+        silence = state.endpoint_state(state.fleet.by_id["p-0"]).silence
+        for _ in range(state.settings.repeats.most_unread(1)):
+            silence.on_sent(now, True)
+        asyncio.get_running_loop().call_later(0.1, lambda: silence.on_answered(monotonic()))
+        await wait_for_answers(state, plain_job(), {"p-1"})
+        return monotonic() - now
+
+    assert 0.1 <= asyncio.run(waited_s()) < SILENT_AFTER_S - QUIET_AFTER_S
+
+
+def test_many_repeats_at_once_all_go_where_endpoints_answer():
+    """Guards against refusals after an engine has crashed with more streams than may be repeated at once."""
+    answered_after_s, repeats = 0.1, 20
+
+    async def sent() -> int:
+        state, random = plain_state(5), Random(1)
+
+        async def repeat() -> int:
+            await wait_for_answers(state, plain_job(), {"p-0"})
+            ids = sorted(state.fleet.by_id.keys() - silent_ids(state, plain_job()) - {"p-0"})
+            if ids:
+                silence = state.endpoint_state(state.fleet.by_id[random.choice(ids)]).silence
+                silence.on_sent(monotonic(), True)
+                loop = asyncio.get_running_loop()
+                loop.call_later(answered_after_s, lambda: silence.on_answered(monotonic()))
+            return bool(ids)
+
+        return sum(await asyncio.gather(*(repeat() for _ in range(repeats))))
+
+    assert asyncio.run(sent()) == repeats
+
+
+def test_a_repeat_that_waited_counts_as_of_when_it_is_sent():
+    """Guards against repeats of two windows that are sent in one, as answers let them go late."""
+
+    async def counted_at() -> tuple[float, list[float]]:
+        state, taken_at = plain_state(2), monotonic()
+        silence = send_repeats(state, "p-0", state.settings.repeats.most_unread(1))
+        state.retry_budget("plain").retries.append(taken_at)
+        asyncio.get_running_loop().call_later(0.1, lambda: silence.on_answered(monotonic()))
+        await wait_for_answers(state, plain_job(), {"p-1"})
+        return taken_at, list(state.retry_budget("plain").retries)
+
+    taken_at, counted = asyncio.run(counted_at())
+    assert len(counted) == 1 and counted[0] >= taken_at + 0.1
+
+
 def test_boxes_that_have_hardly_any_slack_may_have_one_repeat_unread():
     """Guards against boxes that never repeat, as there are many of them."""
     assert RetryAllowance(0.2, 26, 10).most_unread(330) == 1
