Play boxes that are killed in series after their callers have left

Two scenes more of repeats that stopped endpoints read late, with six and with twelve real boxes: callers leave, then the boxes are killed in halves, four times. Counted at the endpoints.

--- a/tests/test_retries_read_by_no_sender.py
+++ b/tests/test_retries_read_by_no_sender.py
@@ -63,6 +63,11 @@
     await kill_all(soak)
 
 
+async def callers_leave_boxes_killed_in_series(soak: Soak) -> None:
+    await callers_leave(soak)
+    await kill_again_and_again(soak)
+
+
 async def restart_killed(box: Site) -> None:
     await box.kill_box()
     await box.start_box(same_addresses=True)
@@ -110,6 +115,8 @@
         ("plain", BOXES, LEAVING_PER_S, callers_leave),
         ("plain", BOXES, LEAVING_PER_S, callers_leave_killed_boxes),
         ("llm", BOXES, LEAVING_PER_S, callers_leave_killed_boxes),
+        ("plain", BOXES, LEAVING_PER_S, callers_leave_boxes_killed_in_series),
+        ("plain", MORE_THAN_CORES, LEAVING_PER_S, callers_leave_boxes_killed_in_series),
     ),
 )
 def test_repeats_that_are_read_after_their_boxes_ended_or_callers_left_are_within_the_budget(
