--- a/stairquay/platform/rows.py
+++ b/stairquay/platform/rows.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import msgspec
-from aiohttp import ClientError, ClientPayloadError, ClientResponse, ClientSession
+from aiohttp import ClientError, ClientResponse, ClientSession
 from result import Err, Ok, Result
 
 from stairquay.adapters.clock import monotonic
@@ -198,8 +198,8 @@
         self.newest_era = era
         return Answer(response.status, content, era)
 
-    async def _read(self, response: ClientResponse) -> bytes:
-        """Return the body of an answer. Raises ClientPayloadError if it was given up for its size."""
+    async def _read(self, response: ClientResponse) -> bytes | None:
+        """Return the body of an answer, or None if it was given up for its size."""
         buffer = self.buffers.buffer()
         try:
             async for data in response.content.iter_any():
@@ -207,7 +207,7 @@
                     break
             if buffer.dropped:
                 response.close()
-                raise ClientPayloadError("incomplete answers take too much memory")
+                return None
             return buffer.take()
         finally:
             buffer.release()
