--- a/stairquay/serving/saving.py
+++ b/stairquay/serving/saving.py
@@ -40,9 +40,10 @@
     Only parts that other requests may share are saved, each to one store box. A busy box saves
     none, and nothing is saved that may not be fetched any more.
     """
+    if state.load.is_busy:
+        return ()
     now = monotonic()
-    may_fetch = fetch_until(state, prompt.model, choice.version or 0, now) > now
-    if state.load.is_busy or not may_fetch:
+    if fetch_until(state, prompt.model, choice.version or 0, now) <= now:
         return ()
     stores = [
         store
