--- a/tests/loads/simulated_engines.py
+++ b/tests/loads/simulated_engines.py
@@ -16,6 +16,7 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.placement import prefill_s
 from stairquay.core.routers import Member
+from stairquay.serving.context_lifetime import observe_versions
 from stairquay.serving.local_router import LocalRouter
 from stairquay.serving.messages import EndedAttempt, PlaceRequest, PromptPart, SpeedSample
 from stairquay.serving.ports import EngineReport
@@ -235,6 +236,7 @@
         ]
         state.fleet.apply(listed, [], self.now)
         state.version_history_known = True
+        state.clock_offset_ms = 0.0
         state.target_version_by_model[MODEL] = VERSION
         state.routers = (Member("b-1"),)
         state.routed_engines = frozenset(self.engines)
@@ -294,6 +296,8 @@
                 total_tokens=engine.kind.memory_tokens,
             )
             self.state.apply_report(self.state.fleet.by_id[name], found, self.now)
+            # Prompts fetch only while the box's view of the versions is recent.
+            observe_versions(self.state, self.now, self.now)
             held = [((SCOPE, part), tokens) for part, tokens in engine.cache.items()]
             self.state.holdings.replace(f"{name}:1", 1, 1, held, self.now)
             self.at(self.now + REPORT_INTERVAL_S, report)
