Keep one copy of a body while its endpoint works

The head alone is encoded before now. test_body_memory: 10 passed; test_shutdown_edges patches the encoding where it is called from, and its cases pass as before.

--- a/stairquay/platform/connection_pool.py
+++ b/stairquay/platform/connection_pool.py
@@ -78,14 +78,14 @@
 
     def send(self, method: str, target: str, headers: list[tuple[str, str]], body: bytes) -> None:
         """Encode a request and write it. Raises ValueError if a header has a line break."""
-        self.write(method, encode_request(method, target, headers, body))
+        self.write(method, encode_head(method, target, headers, len(body)), body)
 
-    def write(self, method: str, request: bytes) -> None:
-        """Write an encoded request, before anything else is done: its sender may have checked the time."""
+    def write(self, method: str, head: bytes, body: bytes) -> None:
+        """Write a request with an encoded head before anything else, as its sender has just checked the time."""
         transport = self.protocol.transport
         if transport is None:
             raise ConnectionResetError("the connection was closed")
-        transport.write(request)
+        transport.write(head + body)
         self.protocol.set_response_params(
             skip_payload=method == "HEAD",
             read_until_eof=True,
@@ -175,11 +175,6 @@
     return found[0] if len(found) == 1 else None
 
 
-def encode_request(method: str, target: str, headers: list[tuple[str, str]], body: bytes) -> bytes:
-    """Return a request as it is sent. Raises ValueError if a part of its head has a line break."""
-    return encode_head(method, target, headers, len(body)) + body
-
-
 def encode_head(method: str, target: str, headers: list[tuple[str, str]], body_bytes: int) -> bytes:
     """Return the head of a request. Raises ValueError if a part of it has a line break."""
     lines = [f"{method} {target} HTTP/1.1"]
--- a/stairquay/platform/endpoints.py
+++ b/stairquay/platform/endpoints.py
@@ -18,7 +18,7 @@
     ConnectionPool,
     ConnectTimeoutError,
     PooledConnection,
-    encode_request,
+    encode_head,
     named_request,
 )
 from stairquay.platform.names import (
@@ -81,12 +81,12 @@
             async with asyncio.timeout(wait_s):
                 connection = await self.pool.acquire(dispatch.address, call.id)
                 headers = _request_headers(call, dispatch)
-                request = encode_request(call.method, request_target(call), headers, body)
+                head = encode_head(call.method, request_target(call), headers, len(body))
                 # Checked last: the process may be stopped at any point before the write.
                 if not (guard() and attempt.send()):
                     self.pool.release(connection)
                     return _not_sent(attempt)
-                connection.write(call.method, request)
+                connection.write(call.method, head, body)
                 message, payload = await connection.read_answer(call.id, wait_s)
         except ConnectTimeoutError as error:
             attempt.lose()
--- a/tests/test_shutdown_edges.py
+++ b/tests/test_shutdown_edges.py
@@ -22,7 +22,7 @@
 from stairquay.core.catalog import Route
 from stairquay.core.errors import ErrorKind, ExecutionStatus
 from stairquay.core.shutdown import ShutdownTimes, shutdown_times
-from stairquay.platform import connection_pool, endpoints
+from stairquay.platform import endpoints
 from stairquay.platform.connection_pool import ConnectionPool
 from stairquay.platform.connections import CheckedProtocol
 from stairquay.platform.endpoints import EndpointClient
@@ -343,7 +343,7 @@
     ("where", "name"),
     [
         (endpoints, "_request_headers"),
-        (connection_pool, "encode_head"),
+        (endpoints, "encode_head"),
         (CheckedProtocol, "set_response_params"),
     ],
 )
