--- a/stairquay/platform/connection_pool.py
+++ b/stairquay/platform/connection_pool.py
@@ -81,7 +81,7 @@
         self.write(method, encode_head(method, target, headers, len(body)), body)
 
     def write(self, method: str, head: bytes, body: bytes) -> None:
-        """Write a request with an encoded head before anything else, as its sender has just checked the time."""
+        """Write a request with an encoded head at once, as its sender has just checked the time."""
         transport = self.protocol.transport
         if transport is None:
             raise ConnectionResetError("the connection was closed")
