Keep one function for the port of an address in tests

The soak of kept context wrote it a fourth time; soak_out_of_step, test_box_out_of_step and test_forwarded_configurations had their own. It stands in tests/ports.py now.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -44,3 +44,8 @@
                 continue
             return port
     raise RuntimeError("no port is free")
+
+
+def port_of(address: str) -> int:
+    """Return the port of an address."""
+    return int(address.rpartition(":")[2])
--- a/tests/soak_kept_context.py
+++ b/tests/soak_kept_context.py
@@ -12,6 +12,7 @@
 
 from tests.cut_box import CutKind, write_cut
 from tests.many_boxes import several_boxes
+from tests.ports import port_of
 from tests.site import MODEL, Site
 from tests.soak_command import run_soak
 from tests.standins.endpoints import Endpoint, ReceivedRequest, StoreBox
@@ -49,10 +50,6 @@
     left: int = 0
 
 
-def port_of(address: str) -> int:
-    return int(address.rpartition(":")[2])
-
-
 class Play:
     """One run: the boxes, and what goes on beside the prompts."""
 
--- a/tests/soak_out_of_step.py
+++ b/tests/soak_out_of_step.py
@@ -15,6 +15,7 @@
 from stairquay.serving.boxes import HEARTBEAT_INTERVAL_S
 from tests.cut_box import CutKind, write_cut
 from tests.many_boxes import several_boxes
+from tests.ports import port_of
 from tests.site import Site, box_rows, configuration, eventually, route
 from tests.soak_command import run_soak
 from tests.standins.endpoints import Endpoint
@@ -50,10 +51,6 @@
     return f"/again{number}/x"
 
 
-def port_of(address: str) -> int:
-    return int(address.rpartition(":")[2])
-
-
 def put_services(box: Site) -> None:
     """Write a configuration with a service and a route for each round."""
     base = configuration(1, [])
--- a/tests/test_box_out_of_step.py
+++ b/tests/test_box_out_of_step.py
@@ -23,6 +23,7 @@
 from stairquay.serving.ports import EndpointChanges, FeedFault
 from tests.cut_box import CutKind, write_cut
 from tests.many_boxes import several_boxes
+from tests.ports import port_of
 from tests.site import Site, box_rows, eventually
 from tests.standins.endpoints import Endpoint
 from tests.states import box_state
@@ -66,10 +67,6 @@
 REFUSED = 2**30
 
 
-def port_of(address: str) -> int:
-    return int(address.rpartition(":")[2])
-
-
 def box_id(box: Site) -> str:
     return f"{box.name}@127.0.0.1"
 
--- a/tests/test_forwarded_configurations.py
+++ b/tests/test_forwarded_configurations.py
@@ -31,6 +31,7 @@
 from stairquay.serving.view_replies import operators_reply
 from tests.cut_box import CutKind, write_cut
 from tests.many_boxes import several_boxes
+from tests.ports import port_of
 from tests.site import Site, box_rows, configuration, eventually, route
 from tests.states import box_state
 from tests.test_cut_from_endpoints import cut
@@ -277,10 +278,6 @@
     here.put_configuration(version, routes=routes, services=services)
 
 
-def port_of(address: str) -> int:
-    return int(address.rpartition(":")[2])
-
-
 def cut_from_store(box: Site, others: list[Site]) -> None:
     """Cut a box from the table service, and from the boxes that would pass on what it says."""
     write_cut(
