--- a/tests/many_boxes.py
+++ b/tests/many_boxes.py
@@ -247,14 +247,23 @@
     software: tuple[str, ...] = (),
     bounds: dict[str, float] | None = None,
     stores: int = 0,
+    box_halls: tuple[str, ...] = ("hall-a",),
 ) -> AsyncIterator[list[Site]]:
     """Start boxes that share one table service, some engines and store boxes, and three plain endpoints.
 
-    software: as for site(). bounds: settings that differ from the usual ones.
+    software: as for site(). bounds: settings that differ from the usual ones. box_halls: data halls that the
+    boxes are in by turns.
     """
     bounds = {"budget_window_s": 2, "budget_slack": 400} | (bounds or {})
     async with site(
-        ready=False, plain=3, engines=engines, stores=stores, module=module, software=software, **bounds
+        ready=False,
+        plain=3,
+        engines=engines,
+        stores=stores,
+        module=module,
+        software=software,
+        box_hall=box_halls[0],
+        **bounds,
     ) as first:
         boxes = [first]
         with tempfile.TemporaryDirectory() as folder:
@@ -270,6 +279,7 @@
                         name=f"box-{number}",
                         bounds=first.bounds,
                         module=module,
+                        hall=box_halls[(number - 1) % len(box_halls)],
                     )
                     box.session = ClientSession(timeout=ClientTimeout(total=20), auto_decompress=False)
                     await box.start_box()
--- a/tests/site.py
+++ b/tests/site.py
@@ -24,6 +24,8 @@
 READY_S = 20.0
 PROGRAM_VARIABLE = "STAIRQUAY_TEST_PROGRAM"
 """Environment variable with the module to run as a box, such as one that profiles it."""
+ROOT_VARIABLE = "STAIRQUAY_TEST_ROOT"
+"""Environment variable with the checkout that boxes run from, such as one of an older release."""
 MODEL = "m"
 SCOPE = "/m/1"
 
@@ -106,6 +108,7 @@
     bounds: dict[str, float] = field(default_factory=dict)
     limits: dict[str, int] = field(default_factory=dict)
     module: str = "stairquay"
+    hall: str = "hall-a"
     # When the box's processes ended, in monotonic seconds.
     ended_at: list[float] = field(default_factory=list)
 
@@ -134,7 +137,7 @@
         command = [sys.executable, "-m", module, "box", "--metrics-port", str(self.metrics_port)]
         self.box = await asyncio.create_subprocess_exec(
             *command,
-            cwd=ROOT,
+            cwd=os.environ.get(ROOT_VARIABLE, ROOT),
             env={**os.environ, "STAIRQUAY_BOOT": str(path)},
             stdout=asyncio.subprocess.PIPE,
             limit=2**20,
@@ -153,7 +156,7 @@
         return f"""
 node_name = "{self.name}"
 ip = "127.0.0.1"
-zone = "hall-a"
+zone = "{self.hall}"
 unknown_field = 7
 internal_ports = [1, {self.peer_address.rpartition(":")[2]}]
 [listen]
@@ -315,11 +318,12 @@
     halls: tuple[str, ...] = ("hall-a",),
     module: str = "stairquay",
     software: tuple[str, ...] = (),
+    box_hall: str = "hall-a",
     **bounds: float,
 ) -> AsyncIterator[Site]:
     """Run a box and its stand-ins. The endpoints of a service are spread over the data halls in turn.
 
-    software: versions that the engines have in turn.
+    software: versions that the engines have in turn. box_hall: the data hall of the box.
     """
     endpoints = [Endpoint(id=f"p-{number}", service="plain") for number in range(plain)]
     endpoints += [Endpoint(id=f"e-{number}", service="llm", model=MODEL) for number in range(engines)]
@@ -330,7 +334,14 @@
     with tempfile.TemporaryDirectory() as folder:
         boxes = [StoreBox() for _ in range(stores)]
         made = Site(
-            TableService(), endpoints, boxes, Path(folder), bounds=bounds, limits=limits or {}, module=module
+            TableService(),
+            endpoints,
+            boxes,
+            Path(folder),
+            bounds=bounds,
+            limits=limits or {},
+            module=module,
+            hall=box_hall,
         )
         try:
             await made.start(ready)
--- a/tests/soak_retries.py
+++ b/tests/soak_retries.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from itertools import count
@@ -26,8 +26,9 @@
 from tests.retries import beyond_the_first, budget_bounds
 from tests.sent_repeats import Asked, count_repeats, sent_arrivals
 from tests.site import HOST, KEY, MODEL, Site, box_rows, eventually, route
+from tests.site_days.budget_lines import Lines, SentRequest, count_runs, count_times
 from tests.soak_command import run_soak
-from tests.standins.endpoint_process import Arrival, EndpointProcess, Trouble
+from tests.standins.endpoint_process import EndpointProcess, Trouble
 
 BOXES = 6
 PLAIN_ENDPOINTS, ENGINES = 3, 5
@@ -53,15 +54,6 @@
 GRACE_S = 12.0
 SETTLE_S = 1.0
 
-MAX_RUNS_OVER = 3
-"""Requests that may run on more endpoints than `max_attempts`: the platform's bound."""
-
-READ_S = 1.0
-"""Seconds in which an endpoint that goes on reads what had waited for it."""
-
-MAX_TIMES_OVER, MAX_SHARE_OVER, TIME_MARGIN_S = 20, 0.2, 0.5
-"""Requests that may be handed more time than is left, and by how much: the platform's bounds."""
-
 
 @dataclass
 class Outcome:
@@ -298,8 +290,7 @@
             self.outcome.shares[service] = round(window.share, 2)
             if window.share > 1.0:
                 self.outcome.broken["repeats above the budget"] = f"{service} {window}"
-        self._check_runs()
-        self._check_times()
+        self._check_lines()
 
     def window_of(self, service: str) -> Window:
         """Return the window in which a service's repeats come closest to what is allowed."""
@@ -318,62 +309,20 @@
         arrivals = sent_arrivals(of_service, self.callers.asked_by_id, ended_at_by_box)
         return count_repeats(arrivals, ended_at_by_box, window.start, self.allowance.window_s)
 
-    def _check_runs(self) -> None:
-        """Check at how many endpoints requests ran, besides those that were away meanwhile."""
-        runs_by_id: dict[str, list[tuple[float, EndpointProcess]]] = defaultdict(list)
-        for item in self.endpoints:
-            for arrival in item.arrivals:
-                if arrival.runs:
-                    runs_by_id[arrival.id].append((arrival.at, item))
-        over = []
-        for call_id, runs in runs_by_id.items():
-            first, last = min(at for at, _ in runs), max(at for at, _ in runs)
-            ran_at = {
-                item.endpoint.id
-                for _, item in runs
-                if not any(begun <= last and first <= ended for begun, ended in item.away_spans)
-            }
-            if len(ran_at) > MAX_ATTEMPTS:
-                over.append(f"{call_id} at {sorted(ran_at)}")
-        self.outcome.runs_over = len(over)
-        if len(over) > MAX_RUNS_OVER:
-            self.outcome.broken["more runs than max_attempts"] = f"{len(over)}, such as {over[0]}"
-
-    def _check_times(self) -> None:
-        """Check that no request is handed more time than its caller gave it."""
-        by_id: dict[str, list[Arrival]] = defaultdict(list)
-        for item in self.endpoints:
-            for arrival in item.arrivals:
-                # What waited at a stopped endpoint was sent earlier than it was read.
-                if not any(begun <= arrival.at <= ended + READ_S for begun, ended in item.away_spans):
-                    by_id[arrival.id].append(arrival)
-        over = [call_id for call_id, found in by_id.items() if is_handed_too_much(found)]
-        sent_late = {call_id for call_id, found in by_id.items() if is_sent_late(found)}
-        self.outcome.times_over, self.outcome.sent_late = len(over), len(sent_late)
-        if len(over) > MAX_TIMES_OVER and len(over) > MAX_SHARE_OVER * len(sent_late.union(over)):
-            example = f"{len(over)}, such as {by_id[over[0]]}"
-            self.outcome.broken["handed more time than is left"] = example
-
-
-def is_sent_late(arrivals: list[Arrival]) -> bool:
-    """Tell whether a request arrives again so late that it has to be handed less time."""
-    times = [arrival.at for arrival in arrivals]
-    return max(times) - min(times) > TIME_MARGIN_S
-
-
-def is_handed_too_much(arrivals: list[Arrival]) -> bool:
-    """Tell whether an arrival has no time, more than the caller's, or ends later than the first one."""
-    first = min(arrivals, key=lambda arrival: arrival.at)
-    most_ms = DEADLINE_MS + TIME_MARGIN_S * 1000
-    if first.left_ms is None:
-        return True
-    ends = first.at + first.left_ms / 1000 + TIME_MARGIN_S
-    for arrival in arrivals:
-        if arrival.left_ms is None or arrival.left_ms > most_ms:
-            return True
-        if arrival.at - first.at > TIME_MARGIN_S and arrival.at + arrival.left_ms / 1000 > ends:
-            return True
-    return False
+    def _check_lines(self) -> None:
+        """Check at how many endpoints requests ran, and the time that they were handed."""
+        lines = Lines()
+        by_id = {
+            call_id: self._sent_request(call_id, asked) for call_id, asked in self.callers.asked_by_id.items()
+        }
+        count_runs(self.endpoints, by_id, lines)
+        count_times(self.endpoints, by_id, lines)
+        self.outcome.runs_over, self.outcome.times_over = lines.runs_over, lines.times_over
+        self.outcome.sent_late = lines.sent_late
+        self.outcome.broken |= lines.broken
+
+    def _sent_request(self, call_id: str, asked: Asked) -> SentRequest:
+        return SentRequest(call_id, "", asked.at, DEADLINE_MS / 1000, MAX_ATTEMPTS, asked.box)
 
 
 async def start_endpoints(boxes: list[Site]) -> list[EndpointProcess]:
--- a/tests/standins/endpoint_process.py
+++ b/tests/standins/endpoint_process.py
@@ -7,6 +7,7 @@
 import argparse
 import asyncio
 import json
+import os
 import signal
 import sys
 from dataclasses import dataclass, field
@@ -22,6 +23,11 @@
 
 HANG_S = 30.0
 READY_S = 10.0
+ERROR_SHARE_HEADER = "X-Error-Share"
+"""Header of a request with the share of runs that fail with 500."""
+
+CRASH_HEADER = "X-Crash"
+"""Header of a request that crashes the process. Its value names the cause, which requests may share."""
 
 
 class Trouble(str, Enum):
@@ -41,20 +47,27 @@
     """A request that arrived at an endpoint.
 
     at: monotonic seconds. left_ms: the time that it was handed, None if none. runs: work began on it.
+    cause: what it crashes endpoints by. rest_s: seconds of rest that the endpoint asked for in its answer.
     """
 
     at: float
     id: str
     left_ms: int | None
     runs: bool
+    cause: str = ""
+    rest_s: float = 0.0
 
 
 @dataclass
 class TroubledEndpoint(Endpoint):
-    """An endpoint that has some trouble with a share of its requests, and tells of each that arrives."""
+    """An endpoint that has some trouble with a share of its requests, and tells of each that arrives.
+
+    rest_s: seconds of rest that it asks for where it rejects, 0 for none.
+    """
 
     trouble: Trouble = Trouble.NONE
     share: float = 0.0
+    rest_s: float = 0.0
     random: Random = field(default_factory=Random)
 
     async def _run(self, request: web.Request) -> web.StreamResponse:
@@ -62,18 +75,29 @@
         self.received.clear()
         self.arrivals.clear()
         trouble = self.trouble if self.random.random() < self.share else Trouble.NONE
-        rejects = trouble == Trouble.REJECT or request.headers.get("Target-Instance", self.id) != self.id
+        is_meant = request.headers.get("Target-Instance", self.id) == self.id
+        is_meant &= request.headers.get("Expect-Version", str(self.version)) == str(self.version)
+        rejects = trouble == Trouble.REJECT or not is_meant
         left = request.headers.get("Deadline-Ms")
         call_id = request.headers.get("Request-Id", "")
         arrival = Arrival(
-            asyncio.get_running_loop().time(), call_id, None if left is None else int(left), not rejects
+            asyncio.get_running_loop().time(),
+            call_id,
+            None if left is None else int(left),
+            not rejects,
+            request.headers.get(CRASH_HEADER, ""),
+            self.rest_s if trouble == Trouble.REJECT else 0.0,
         )
         print(json.dumps(vars(arrival)), flush=True)
         if trouble == Trouble.REJECT:
-            return web.Response(status=503, headers=self._rejection_headers(call_id))
+            rest = {"Retry-After": str(self.rest_s)} if self.rest_s else {}
+            return web.Response(status=503, headers=self._rejection_headers(call_id) | rest)
+        if arrival.cause and not rejects:
+            await self._crash_process(request, arrival)
         if trouble == Trouble.HANG:
             await asyncio.sleep(HANG_S)
-        if trouble == Trouble.FAIL:
+        error_share = float(request.headers.get(ERROR_SHARE_HEADER, "0"))
+        if trouble == Trouble.FAIL or self.random.random() < error_share:
             self.errors = 1
         if trouble == Trouble.RESET and self.model:
             self.break_after = 1
@@ -83,6 +107,23 @@
             return web.Response()
         return await super()._run(request)
 
+    async def _crash_process(self, request: web.Request, arrival: Arrival) -> None:
+        """End this process as it begins to answer, without a word to those whose requests it has."""
+        if self.model:
+            await self._begin_answer(request, arrival.id)
+        await asyncio.sleep(self.crash_s)
+        crash = Crash(asyncio.get_running_loop().time(), arrival.cause)
+        print(json.dumps({"crash": vars(crash)}), flush=True)
+        os._exit(1)
+
+
+@dataclass(frozen=True)
+class Crash:
+    """An endpoint process that a request ended. at: monotonic seconds. cause: as in Arrival."""
+
+    at: float
+    cause: str
+
 
 class EndpointProcess:
     """The test's side of an endpoint process, which is started again at its address after it was killed."""
@@ -90,6 +131,7 @@
     def __init__(self, endpoint_id: str, service: str, model: str = "", slots: int = 64) -> None:
         self.endpoint = Endpoint(id=endpoint_id, service=service, model=model, slots=slots)
         self.arrivals: list[Arrival] = []
+        self.crashes: list[Crash] = []
         self.process: asyncio.subprocess.Process | None = None
         self.reader: asyncio.Task[None] | None = None
         self.away_spans: list[tuple[float, float]] = []
@@ -115,14 +157,20 @@
     async def _read(self, lines: asyncio.StreamReader) -> None:
         async for line in lines:
             # A killed process may have written a part of its last line.
-            if line.endswith(b"\n"):
-                self.arrivals.append(Arrival(**json.loads(line)))
-
-    def set_trouble(self, trouble: Trouble, share: float) -> None:
-        """Have some trouble from now on."""
+            if not line.endswith(b"\n"):
+                continue
+            told = json.loads(line)
+            if "crash" in told:
+                self.crashes.append(Crash(**told["crash"]))
+            else:
+                self.arrivals.append(Arrival(**told))
+
+    def set_trouble(self, trouble: Trouble, share: float, rest_s: float = 0.0) -> None:
+        """Have some trouble from now on. rest_s: seconds of rest to ask for in rejections."""
         assert self.process is not None and self.process.stdin is not None
         if self.process.returncode is None:
-            self.process.stdin.write(json.dumps({"trouble": trouble.value, "share": share}).encode() + b"\n")
+            settings = {"trouble": trouble.value, "share": share, "rest_s": rest_s}
+            self.process.stdin.write(json.dumps(settings).encode() + b"\n")
 
     async def stop_for(self, seconds: float) -> None:
         """Stop the process for a while; what arrives waits in its system."""
@@ -160,6 +208,7 @@
     async for line in reader:
         settings: dict[str, Any] = json.loads(line)
         endpoint.trouble, endpoint.share = Trouble(settings["trouble"]), settings["share"]
+        endpoint.rest_s = settings["rest_s"]
 
 
 async def _serve(endpoint: TroubledEndpoint, port: int) -> None:
