--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -365,7 +365,8 @@
     def _on_begun(self, begun: QuarantinedRequest, shares: Mapping[str, float]) -> None:
         """Log that a quarantine has begun, and plan when a part is tried again."""
         digest, incarnations = begun.digest, [crash.incarnation for crash in begun.crashes]
-        fields = _share_field(digest, shares)
+        own = sum((digest, incarnation) in self.own_crashes for incarnation in incarnations)
+        fields = {"own": own} | _share_field(digest, shares)
         self.log.line(LogEvent.QUARANTINE, outcome="begun", digest=digest, crashed=incarnations, **fields)
         self.urgent |= any(crash_digest == digest for crash_digest, _ in self.own_crashes)
         if is_part(digest):
