Tell routers of crashes in notices, so that boxes know of each other's without the table service

What callers and operators see: while the table service is away, a part of prompts crashes 10 to 15 engines, as each box waits for four crashes of its own.

Cause: crashes pass from box to box by rows alone, and a router's view is not used once it is 0.9 s old. Class: what boxes tell each other goes by a service that may be away while they reach each other.

Change: a box that notices crashes sends its own report to all routers at once, in the notices that it sends anyway. A router judges the reports of all boxes together (every 0.1 s at most), and its replies to notices bring its report where the box has another one. Routers tell only what they know at first hand, as ages of crashes grow with each message. A report is kept until the row of its box says as much. Messages get trailing fields; those of earlier releases are read as before. Calls to the table service stay the same.

--- a/stairquay/serving/app.py
+++ b/stairquay/serving/app.py
@@ -155,6 +155,8 @@
         "reach": partial(probe_lost_services, state, surroundings.endpoints),
         "crashes told": crash_rows.publish,
         "crashes followed": crash_rows.follow,
+        "crashes heard": crash_rows.apply_heard,
+        "crashes told to routers": notices.tell_crashes,
     }
 
 
--- a/stairquay/serving/crash_rows.py
+++ b/stairquay/serving/crash_rows.py
@@ -19,8 +19,8 @@
 from stairquay.core.position import NO_POSITION
 from stairquay.core.row import Row
 from stairquay.core.whole_numbers import WholeNumber
+from stairquay.serving.heard_crashes import CrashReport
 from stairquay.serving.ports import CrashTable, FeedFault
-from stairquay.serving.quarantine import CrashReport
 from stairquay.serving.state import BoxState
 
 LOGGER = getLogger(__name__)
@@ -39,6 +39,9 @@
 """Seconds before a failed call is retried. After an outage a call in progress may hang for 2.7 s; with a
 retry after 1 s, a crash was known at all boxes only 3.4 s after the outage."""
 
+HEARD_PAUSE_S = 0.1
+"""Seconds between two judgements of what other boxes tell: all of a deployment tell of the same crash."""
+
 LONG_POLL_S = 2.0
 """Seconds for which a call waits for changes of rows. Calls are billed, and two routers always wait."""
 
@@ -91,6 +94,14 @@
                 else:
                     await asyncio.sleep(RETRY_S)
 
+    async def apply_heard(self) -> None:
+        """Judge what other boxes tell in messages, several reports at a time, until cancelled."""
+        quarantine = self.state.quarantine
+        while True:
+            await quarantine.changed.wait_for(lambda: quarantine.heard.is_new)
+            quarantine.apply_heard()
+            await asyncio.sleep(HEARD_PAUSE_S)
+
     async def follow(self) -> None:
         """Apply the rows of all boxes while this box has to read them itself, until cancelled."""
         quarantine = self.state.quarantine
--- a/stairquay/serving/local_router.py
+++ b/stairquay/serving/local_router.py
@@ -21,6 +21,7 @@
 from stairquay.core.prompt_queue import Admitted, Deferred, Rejected
 from stairquay.core.routers import Engine, engines_of
 from stairquay.serving.brittleness import record_rejection
+from stairquay.serving.crash_reports import apply_notice, reply_to_notice
 from stairquay.serving.endpoint import BUSY_BACKOFF_S, EndpointState
 from stairquay.serving.endpoint_choice import Choice, ChoiceRequest, HasRoom
 from stairquay.serving.engine_accounts import EngineAccounts
@@ -412,7 +413,8 @@
         for ended in notice.ended:
             self.finished(ended)
         record_told_streams(self.state, notice.begun, monotonic())
-        return NoticeReply(self.state.load.reported_late_s, self.started)
+        apply_notice(self.state, notice)
+        return reply_to_notice(self.state, notice, self.started)
 
     async def _on_origin(self, request: OriginRequest) -> OriginReply:
         received_at = monotonic()
--- a/stairquay/serving/messages.py
+++ b/stairquay/serving/messages.py
@@ -184,11 +184,33 @@
         return self.list_age_s <= self.held_s
 
 
+class PeerCrash(msgspec.Struct, frozen=True, array_like=True):
+    """A crash of an endpoint `ago_s` seconds ago; the other fields are those of core.crashes.Crash."""
+
+    digest: str
+    life: str
+    ago_s: float
+    ran_s: float
+    events: int | None
+
+
+class PeerCrashes(msgspec.Struct, frozen=True, array_like=True):
+    """Crashes that a box or a router knows of.
+
+    cleared: digests of requests cleared of suspicion, and how many seconds ago.
+    """
+
+    crashes: tuple[PeerCrash, ...]
+    cleared: tuple[tuple[str, float], ...]
+
+
 class FinishedNotice(msgspec.Struct, frozen=True, array_like=True):
     """Attempts that have ended, and tickets of those whose prefill has finished (`read`); empty for a ping.
 
     said: feedback of endpoints. speeds: of attempts among those that have ended. begun: streams of services
-    whose endpoints differ in version.
+    whose endpoints differ in version. box: the sender, empty from an earlier release. crashes: that the
+    sender noticed, None if the router has been told. crashes_seen: the number of the router's report that the
+    sender has.
     """
 
     ended: tuple[EndedAttempt, ...]
@@ -196,34 +218,20 @@
     said: tuple[PeerFeedback, ...] = ()
     speeds: tuple[SpeedSample, ...] = ()
     begun: tuple[BegunStream, ...] = ()
+    box: str = ""
+    crashes: PeerCrashes | None = None
+    crashes_seen: int = 0
 
 
 class NoticeReply(msgspec.Struct, frozen=True, array_like=True):
     """The reply to a FinishedNotice. late_s: as in PlaceReply. started: differs after each start of the
-    router, empty from an older release."""
+    router, empty from an older release. crashes: the router's report if the sender has another one, and
+    crashes_number its number since that start."""
 
     late_s: float = 0.0
     started: str = ""
-
-
-class PeerCrash(msgspec.Struct, frozen=True, array_like=True):
-    """A crash of an endpoint `ago_s` seconds ago; the other fields are those of core.crashes.Crash."""
-
-    digest: str
-    life: str
-    ago_s: float
-    ran_s: float
-    events: int | None
-
-
-class PeerCrashes(msgspec.Struct, frozen=True, array_like=True):
-    """Crashes that a router knows of.
-
-    cleared: digests of requests cleared of suspicion, and how many seconds ago.
-    """
-
-    crashes: tuple[PeerCrash, ...]
-    cleared: tuple[tuple[str, float], ...]
+    crashes_number: int = 0
+    crashes: PeerCrashes | None = None
 
 
 class OperatorsRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/stairquay/serving/notices.py
+++ b/stairquay/serving/notices.py
@@ -11,9 +11,16 @@
 from stairquay.core.routers import Member
 from stairquay.serving.brittleness import has_brittle_service
 from stairquay.serving.change_notifier import ChangeNotifier
+from stairquay.serving.crash_reports import apply_reply, encode_report
 from stairquay.serving.links import RouterClients
 from stairquay.serving.local_router import LocalRouter
-from stairquay.serving.messages import BegunStream, EndedAttempt, FinishedNotice, SpeedSample
+from stairquay.serving.messages import (
+    BegunStream,
+    EndedAttempt,
+    FinishedNotice,
+    PeerCrashes,
+    SpeedSample,
+)
 from stairquay.serving.overload import record_router_lateness
 from stairquay.serving.state import BoxState
 from stairquay.serving.telling import feedback_for_peers
@@ -50,6 +57,9 @@
         self.samples_by_router: dict[Member, list[SpeedSample]] = {}
         self.begun_by_router: dict[Member, list[BegunStream]] = {}
         self.sending_by_router: dict[Member, asyncio.Task[None]] = {}
+        # `own_number` of the quarantine that each router was told, and that notices were last queued for.
+        self.told_by_router: dict[str, int] = {}
+        self.queued_number = 0
         self.queue_changed = ChangeNotifier()
 
     async def run(self) -> None:
@@ -67,6 +77,16 @@
             self._queue_pings()
             await asyncio.sleep(PING_INTERVAL_S)
 
+    async def tell_crashes(self) -> None:
+        """Tell the routers of crashes that this box noticed, until cancelled."""
+        quarantine = self.state.quarantine
+        while True:
+            await quarantine.changed.wait_for(lambda: quarantine.own_number != self.queued_number)
+            self.queued_number = quarantine.own_number
+            for router in self.state.routers:
+                self._queue_empty(router)
+            await asyncio.sleep(BATCH_S)
+
     def _next_send_in_s(self) -> float | None:
         """Return the seconds until the next notice may be sent, None if none is queued.
 
@@ -137,12 +157,23 @@
                     feedback,
                     tuple(self.samples_by_router.pop(router, ())),
                     tuple(self.begun_by_router.pop(router, ())),
+                    self.state.settings.id,
+                    self._untold_crashes(router),
+                    self.state.quarantine.heard.number_of(router.id),
                 )
-                self.sending_by_router[router] = asyncio.create_task(self._send(router, notice))
+                told = self.state.quarantine.own_number
+                self.sending_by_router[router] = asyncio.create_task(self._send(router, notice, told))
             elif router not in live:
                 self.prefilled_by_router.pop(router, None)
                 self.samples_by_router.pop(router, None)
 
+    def _untold_crashes(self, router: Member) -> PeerCrashes | None:
+        """Return this box's crashes, None if the router has been told of them."""
+        quarantine = self.state.quarantine
+        if self.told_by_router.get(router.id, 0) == quarantine.own_number:
+            return None
+        return encode_report(quarantine.own_report(), monotonic())
+
     def _notified_routers(self) -> Sequence[Member]:
         """Return the routers that get notices: those that are not suspected, and all while one is brittle.
 
@@ -154,11 +185,16 @@
     def _queue_pings(self) -> None:
         """Queue a notice, which may be empty, for every other live router."""
         for router in self._notified_routers():
-            if router.id != self.state.settings.id:
-                self.ended_by_router.setdefault(router, [])
-        self.queue_changed.notify_all()
+            self._queue_empty(router)
+
+    def _queue_empty(self, router: Member) -> None:
+        """Queue a notice for another router, which may be empty."""
+        if router.id != self.state.settings.id:
+            self.ended_by_router.setdefault(router, [])
+            self.queue_changed.notify_all()
 
-    async def _send(self, router: Member, notice: FinishedNotice) -> None:
+    async def _send(self, router: Member, notice: FinishedNotice, told: int) -> None:
+        """Send a notice. told: `own_number` of the quarantine as it was made."""
         try:
             answer = await self.links.client_for(router).finished(notice, NOTICE_TIMEOUT_S)
         finally:
@@ -166,16 +202,26 @@
             self.queue_changed.notify_all()
         if answer is not None:
             record_router_lateness(self.state, router.id, answer.late_s)
-            self._record_start(router, answer.started)
+            if self._record_start(router, answer.started) and notice.crashes is None:
+                self._queue_empty(router)
+            else:
+                self.told_by_router[router.id] = told
+            apply_reply(self.state, router.id, answer)
         if self.links.record_answer(router, answer, "ended prompts") is None:
             # Retried once the router is back; notices are idempotent.
+            if notice.crashes is not None:
+                self._queue_empty(router)
             for item in notice.ended:
                 self.add_ended(router, item)
             for stream in notice.begun:
                 self.add_begun(router, stream)
 
-    def _record_start(self, router: Member, started: str) -> None:
-        """Record which start of a router answered: one after a restart has lost what it was told."""
-        if started != self.state.starts_by_router.get(router.id, ""):
-            self.state.starts_by_router[router.id] = started
-            self.state.changed.notify_all()
+    def _record_start(self, router: Member, started: str) -> bool:
+        """Record which start of a router answered. Return whether it is a new one, which was told nothing."""
+        if started == self.state.starts_by_router.get(router.id, ""):
+            return False
+        self.state.starts_by_router[router.id] = started
+        self.told_by_router.pop(router.id, None)
+        self.state.quarantine.heard.forget_number(router.id)
+        self.state.changed.notify_all()
+        return True
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -6,7 +6,7 @@
 
 from collections import Counter, OrderedDict, deque
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from stairquay.adapters.clock import monotonic
@@ -26,6 +26,7 @@
 from stairquay.serving.change_notifier import ChangeNotifier
 from stairquay.serving.endpoint import NEVER
 from stairquay.serving.event_log import EventLog, LogEvent
+from stairquay.serving.heard_crashes import CrashReport, HeardReports
 
 MAX_OWN_CRASHES = 64
 """Crashes that a box publishes in its row (6 kB)."""
@@ -69,21 +70,6 @@
     next_s: float = NEXT_TRIAL_S
 
 
-@dataclass(frozen=True)
-class CrashReport:
-    """Crashes that a box reports, and when it cleared requests of suspicion (by digest).
-
-    Times are in monotonic seconds.
-    """
-
-    crashes: tuple[Crash, ...] = ()
-    cleared: Mapping[str, float] = field(default_factory=dict)
-
-    def timestamps(self) -> list[float]:
-        """Return the times of all crashes and clearances."""
-        return [*(crash.at for crash in self.crashes), *self.cleared.values()]
-
-
 class Quarantine:
     """Crashes known to this box, and the requests that it quarantines for them.
 
@@ -109,6 +95,12 @@
         self.router_reporting = False
         # `rows_changed_position` of the router that reported.
         self.router_position = NO_POSITION
+        # Reports that came in messages, as the rows may lag or be away.
+        self.heard = HeardReports()
+        # Number of changes since the start, of own crashes and clearances, and of all that this box knows.
+        self.own_number = 0
+        self.report_number = 0
+        self.forwardable: CrashReport | None = None
         # When this box last served a request, by digest.
         self.served_at: OrderedDict[str, float] = OrderedDict()
         # Good ends of prompts by part, and of all of them; both are halved from time to time.
@@ -230,8 +222,28 @@
                 self.reports_by_key.pop(key, None)
             else:
                 self.reports_by_key[key] = report
+        self.heard.drop_read(reports_by_key)
+        self._on_reports_changed()
+
+    def hear_box(self, box: str, report: CrashReport) -> None:
+        """Take what a box tells this router that it noticed; `apply_heard` judges it."""
+        self.heard.keep_box(box, report)
+        self.changed.notify_all()
+
+    def hear_router(self, router: str, number: int, report: CrashReport) -> None:
+        """Take what a router tells this box, likewise."""
+        self.heard.keep_router(router, number, report)
+        self.changed.notify_all()
+
+    def apply_heard(self) -> None:
+        """Judge the reports that came in messages."""
+        self.heard.is_new = False
         self._on_reports_changed()
 
+    def own_report(self) -> CrashReport:
+        """Return the crashes that this box noticed, and its clearances, as its row has them."""
+        return CrashReport(tuple(self.own_crashes.values()), dict(self.cleared))
+
     def restore_own_row(self, report: CrashReport) -> None:
         """Merge the row written by an earlier process of this box."""
         self.own_crashes = {
@@ -265,23 +277,38 @@
         self.router_position = NO_POSITION
 
     def report_to_forward(self) -> CrashReport:
-        """Return clearances, and crashes of requests that are quarantined or present at several crashes."""
+        """Return clearances, and crashes of requests that are quarantined or present at several crashes.
+
+        What only another router told is left out.
+        """
+        if self.forwardable is None:
+            self.forwardable = self._make_report()
+        return self.forwardable
+
+    def _make_report(self) -> CrashReport:
         by_digest: dict[str, list[Crash]] = {}
         latest = self._latest_clearances()
-        for crash in unexplained_crashes(self._counted_crashes(latest), self.quarantined_by_digest):
+        counted = self._counted_crashes(latest, self._received_reports())
+        for crash in unexplained_crashes(counted, self.quarantined_by_digest):
             by_digest.setdefault(crash.digest, []).append(crash)
         suspected = [group for group in by_digest.values() if _incriminating(group) > 1]
         suspected.sort(key=lambda group: -_incriminating(group))
         requests = [item for item in self.requests_by_digest.values() if item.digest not in by_digest]
         known = {item.digest: item for item in (*self.quarantined_by_digest.values(), *requests)}
         groups = [list(item.crashes) for item in known.values()] + suspected
-        newest = (sorted(group, key=_newest_first)[:MAX_FORWARDED_PER_REQUEST] for group in groups)
+        own = {
+            (crash.digest, crash.incarnation)
+            for crash in self._counted_crashes(latest, self._reports_at_first_hand())
+        }
+        told = ([crash for crash in group if (crash.digest, crash.incarnation) in own] for group in groups)
+        newest = (sorted(group, key=_newest_first)[:MAX_FORWARDED_PER_REQUEST] for group in told)
         crashes = tuple(crash for group in newest for crash in group)[:MAX_FORWARDED]
         cleared = sorted(latest.items(), key=lambda item: -item[1])
         return CrashReport(crashes, dict(cleared[:MAX_FORWARDED]))
 
     def _mark_unpublished(self) -> None:
         self.unpublished = True
+        self.own_number += 1
         self.changed.notify_all()
 
     def _clear_suspicion(self, digests: Iterable[str]) -> None:
@@ -318,7 +345,10 @@
             self._clear_suspicion(served)
 
     def _received_reports(self) -> list[CrashReport]:
-        return [*self.reports_by_key.values(), self.router_report]
+        return [*self._reports_at_first_hand(), *self.heard.reports_of_routers()]
+
+    def _reports_at_first_hand(self) -> list[CrashReport]:
+        return [*self.reports_by_key.values(), *self.heard.by_box.values(), self.router_report]
 
     def _latest_clearances(self) -> dict[str, float]:
         """Return by digest when any box last cleared a request."""
@@ -328,9 +358,9 @@
                 cleared[digest] = max(at, cleared.get(digest, NEVER))
         return cleared
 
-    def _counted_crashes(self, cleared: Mapping[str, float]) -> list[Crash]:
-        """Return the crashes that no later clearance covers, duplicates included."""
-        received = [crash for source in self._received_reports() for crash in source.crashes]
+    def _counted_crashes(self, cleared: Mapping[str, float], reports: Iterable[CrashReport]) -> list[Crash]:
+        """Return own crashes and those of reports that no later clearance covers, duplicates included."""
+        received = [crash for source in reports for crash in source.crashes]
         if len(received) > MAX_PEER_CRASHES:
             received = sorted(received, key=_newest_first)[:MAX_PEER_CRASHES]
         return [
@@ -341,7 +371,9 @@
 
     def _update_quarantine(self) -> None:
         cleared = self._latest_clearances()
-        crashes = self._counted_crashes(cleared)
+        crashes = self._counted_crashes(cleared, self._received_reports())
+        self.report_number += 1
+        self.forwardable = None
         self.part_cleared_at = max((at for digest, at in cleared.items() if is_part(digest)), default=NEVER)
         self.crashes_by_digest = Counter(
             digest for digest, _ in {(item.digest, item.incarnation) for item in crashes}
--- a/stairquay/serving/sharing.py
+++ b/stairquay/serving/sharing.py
@@ -13,9 +13,9 @@
 from result import Ok, Result
 
 from stairquay.adapters.clock import monotonic
-from stairquay.core.crashes import Crash
 from stairquay.core.position import NO_POSITION, Position
 from stairquay.core.routers import routers_for
+from stairquay.serving.crash_reports import decode_report
 from stairquay.serving.links import RouterClient, RouterClients
 from stairquay.serving.messages import (
     EndpointsReply,
@@ -27,7 +27,6 @@
     ViewsRequest,
 )
 from stairquay.serving.ports import EndpointChanges, FeedFault, Feeds, OperatorChanges
-from stairquay.serving.quarantine import CrashReport
 from stairquay.serving.state import BoxState
 from stairquay.serving.telling import apply_peer_feedback, feedback_for_peers
 
@@ -133,17 +132,12 @@
 
     def _apply_crash_report(self, position: Position, report: PeerCrashes | None) -> None:
         """Apply a router's crash report. position: NO_POSITION for none; report: None if unchanged."""
-        quarantine, now = self.state.quarantine, monotonic()
+        quarantine = self.state.quarantine
         was_reporting = quarantine.router_reporting
         if position.revision < 0:
             quarantine.end_router_reports()
         elif report is not None:
-            crashes = tuple(
-                Crash(item.digest, item.life, now - item.ago_s, item.ran_s, item.events)
-                for item in report.crashes
-            )
-            cleared = {digest: now - ago_s for digest, ago_s in report.cleared}
-            quarantine.apply_router_report(CrashReport(crashes, cleared), position)
+            quarantine.apply_router_report(decode_report(report, monotonic()), position)
         if was_reporting != quarantine.router_reporting:
             self.state.changed.notify_all()
 
--- a/stairquay/serving/view_replies.py
+++ b/stairquay/serving/view_replies.py
@@ -6,13 +6,13 @@
 from stairquay.core.fleet import Endpoint
 from stairquay.core.position import NO_POSITION, Position
 from stairquay.serving.cold import cold_for_s
+from stairquay.serving.crash_reports import encode_report
 from stairquay.serving.crash_rows import STALE_S
 from stairquay.serving.messages import (
     EndpointsReply,
     EndpointsRequest,
     OperatorsReply,
     OperatorsRequest,
-    PeerCrash,
     PeerCrashes,
 )
 from stairquay.serving.ports import EndpointChanges, OperatorChanges
@@ -63,12 +63,7 @@
     if quarantine.rows_changed_position == known:
         return known, None
     report = quarantine.report_to_forward()
-    crashes = tuple(
-        PeerCrash(crash.digest, crash.incarnation, now - crash.at, crash.ran_s, crash.events)
-        for crash in report.crashes
-    )
-    cleared = tuple((digest, now - at) for digest, at in report.cleared.items())
-    return quarantine.rows_changed_position, PeerCrashes(crashes, cleared)
+    return quarantine.rows_changed_position, encode_report(report, now)
 
 
 def _listed_endpoints(state: BoxState) -> tuple[Endpoint, ...]:
