Count prompts that callers left for sound where another part explains their engine's crash

What callers saw: where all callers leave early, a part of prompts crashed 12 engines of 12 at a box, and then sound prompts got 503.

What callers leave counts once the engine has outlived it by 0.3 s; here each of these engines had crashed by then, by the part itself. Whether that happens hangs on which engines the prompts went to.

Change: the crash of an engine says nothing against a prompt that was left there before, if something that is quarantined and not in that prompt explains it. A part that all prompts share is in each of them, so that it explains nothing.

--- a/stairquay/serving/crashes.py
+++ b/stairquay/serving/crashes.py
@@ -85,16 +85,20 @@
     def caller_left(self, job: Job, started_attempt: StartedAttempt) -> None:
         """Take an answer that its caller left for one that ended well as far as it went, if it had begun.
 
-        Where all callers leave early, no answer ever ends, and this is all that can show a part innocent.
+        Where all callers leave early, no answer ever ends, and this is all that can show a part innocent. An
+        engine that crashed since shows nothing, unless what is not in the prompt explains its crash.
         """
         if started_attempt.first_byte_at is None or not job.part_digests:
             return
         incarnation = _incarnation(started_attempt)
 
         def record() -> None:
-            crashed = (known for _, known in self.state.quarantine.own_crashes)
-            if incarnation not in self.probes_by_incarnation and incarnation not in crashed:
-                self.state.quarantine.record_served(job.part_digests, _began_at(started_attempt))
+            quarantine = self.state.quarantine
+            crashed = any(incarnation == known for _, known in quarantine.own_crashes)
+            if incarnation in self.probes_by_incarnation:
+                return
+            if not crashed or quarantine.explains(incarnation, without=(job.digest, *job.part_digests)):
+                quarantine.record_served(job.part_digests, _began_at(started_attempt))
 
         asyncio.get_running_loop().call_later(OUTLIVED_S, record)
 
--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -206,6 +206,15 @@
         """Tell whether a crash of a part came after all prompts with it that ended well at this box."""
         return is_part(crash.digest) and crash.at > self.served_at.get(crash.digest, NEVER)
 
+    def explains(self, incarnation: str, without: Collection[str]) -> bool:
+        """Tell whether what is quarantined, other than some requests and parts, explains a crash."""
+        return any(
+            crash.incarnation == incarnation
+            for digest, item in self.quarantined_by_digest.items()
+            if digest not in without
+            for crash in item.crashes
+        )
+
     def is_suspected(self, digest: str) -> bool:
         """Tell whether one more crash may quarantine a request or a part at some box."""
         return self.crashes_by_digest.get(digest, 0) >= min_crashes(digest) - 1
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -161,6 +161,21 @@
     asyncio.run(scenario())
 
 
+def test_a_part_explains_the_crash_of_an_engine_that_a_prompt_without_it_had_left():
+    """Guards against a box that refuses no part, as each engine that callers leave crashes soon after."""
+    quarantine, now = box_state().quarantine, monotonic()
+    quarantine.record_crashes(
+        Crash(digest, f"e-{number}/1", now, 0.1, None)
+        for number in range(4)
+        for digest in ("part aa", "part bad")
+    )
+    assert quarantine.explains("e-1/1", without=("part aa", "part left"))
+    assert not quarantine.explains("e-1/1", without=("part aa", "part bad"))
+    assert not quarantine.explains("e-9/1", without=("part aa",))
+    quarantine.record_served(["part aa", "part left"], now - 0.1)
+    assert quarantine.remaining_s("part bad") > 0 and quarantine.remaining_s("part aa") == 0
+
+
 def test_a_part_that_was_served_and_crashes_engines_from_now_on_is_refused():
     """Guards against a part that what ended well before the first crash keeps innocent for a minute."""
 
