Tell other boxes only clearances that are known at first hand

Found on reading the diff: a router's report left out crashes that only another router had told, and passed clearances on. Their ages grow with each message, so that two routers could tell each other an ever later one, which covers later crashes as well. Expired crashes of heard reports still made a request count as suspected.

Change: both are taken from rows, boxes and this box; expired crashes are left out everywhere.

--- a/stairquay/serving/quarantine.py
+++ b/stairquay/serving/quarantine.py
@@ -296,8 +296,7 @@
 
     def _make_report(self) -> CrashReport:
         by_digest: dict[str, list[Crash]] = {}
-        latest = self._latest_clearances()
-        counted = self._counted_crashes(latest, self._received_reports())
+        counted = self._counted_crashes(self._latest_clearances(), self._received_reports())
         for crash in unexplained_crashes(counted, self.quarantined_by_digest):
             by_digest.setdefault(crash.digest, []).append(crash)
         suspected = [group for group in by_digest.values() if _incriminating(group) > 1]
@@ -305,11 +304,10 @@
         requests = [item for item in self.requests_by_digest.values() if item.digest not in by_digest]
         known = {item.digest: item for item in (*self.quarantined_by_digest.values(), *requests)}
         groups = [list(item.crashes) for item in known.values()] + suspected
-        own = {
-            (crash.digest, crash.incarnation)
-            for crash in self._counted_crashes(latest, self._reports_at_first_hand())
-        }
-        told = ([crash for crash in group if (crash.digest, crash.incarnation) in own] for group in groups)
+        first_hand = self._reports_at_first_hand()
+        latest = self._clearances_in(first_hand)
+        seen = {(crash.digest, crash.incarnation) for crash in self._counted_crashes(latest, first_hand)}
+        told = ([crash for crash in group if (crash.digest, crash.incarnation) in seen] for group in groups)
         newest = (sorted(group, key=_newest_first)[:MAX_FORWARDED_PER_REQUEST] for group in told)
         crashes = tuple(crash for group in newest for crash in group)[:MAX_FORWARDED]
         cleared = sorted(latest.items(), key=lambda item: -item[1])
@@ -361,21 +359,29 @@
 
     def _latest_clearances(self) -> dict[str, float]:
         """Return by digest when any box last cleared a request."""
+        return self._clearances_in(self._received_reports())
+
+    def _clearances_in(self, reports: Iterable[CrashReport]) -> dict[str, float]:
+        """Return the same by this box's clearances and those of some reports."""
         cleared = dict(self.cleared)
-        for report in self._received_reports():
+        for report in reports:
             for digest, at in report.cleared.items():
                 cleared[digest] = max(at, cleared.get(digest, NEVER))
         return cleared
 
     def _counted_crashes(self, cleared: Mapping[str, float], reports: Iterable[CrashReport]) -> list[Crash]:
-        """Return own crashes and those of reports that no later clearance covers, duplicates included."""
+        """Return own crashes and those of reports, duplicates included.
+
+        What has expired, or a later clearance covers, is left out.
+        """
+        now = monotonic()
         received = [crash for source in reports for crash in source.crashes]
         if len(received) > MAX_PEER_CRASHES:
             received = sorted(received, key=_newest_first)[:MAX_PEER_CRASHES]
         return [
             crash
             for crash in (*self.own_crashes.values(), *received)
-            if crash.at > cleared.get(crash.digest, NEVER)
+            if now - crash.at < CRASH_TTL_S and crash.at > cleared.get(crash.digest, NEVER)
         ]
 
     def _update_quarantine(self) -> None:
--- a/tests/test_heard_crashes.py
+++ b/tests/test_heard_crashes.py
@@ -59,7 +59,7 @@
 
 
 def test_what_another_router_told_is_not_passed_on():
-    """Guards against crashes that routers tell each other for ever, a little later each time."""
+    """Guards against crashes and clearances that routers tell each other, a little later each time."""
     box, router = crashed_box("b-1", 1, 2, 3, 4), crashed_box(ROUTER)
     tell(box, router)
     other = crashed_box("r-2")
@@ -67,6 +67,12 @@
     other.quarantine.apply_heard()
     assert other.quarantine.remaining_s(PART)
     assert other.quarantine.report_to_forward().crashes == ()
+    box.quarantine.record_served([PART])
+    tell(box, router)
+    apply_reply(other, ROUTER, reply_to_notice(router, FinishedNotice((), box="r-2"), STARTED))
+    other.quarantine.apply_heard()
+    assert not other.quarantine.remaining_s(PART)
+    assert other.quarantine.report_to_forward() == CrashReport()
 
 
 def test_a_report_is_kept_until_the_row_of_its_box_says_as_much():
