--- a/tests/site_days/callers.py
+++ b/tests/site_days/callers.py
@@ -9,7 +9,7 @@
 
 from tests.site import HOST, KEY, MODEL, Site
 from tests.site_days.budget_lines import SentRequest
-from tests.site_days.site_file import Kind, SiteFile, Traffic
+from tests.site_days.site_file import PLAIN_METHOD, Kind, SiteFile, Traffic
 from tests.standins.endpoint_process import CRASH_HEADER, ERROR_SHARE_HEADER
 from tests.standins.endpoints import WORK_HEADER
 
@@ -20,6 +20,10 @@
 
 PLAIN_WORK_S, PREFILL_S = 0.03, 0.06
 LEAVE_S = (0.02, 0.6)
+SAME_REQUEST = -1
+"""Content of a request that comes again and again, with the same body and prompt. All others differ: boxes
+know what crashes endpoints by its path, caller and body."""
+
 REFUSALS = (408, 421, 429, 503)
 """Statuses that say that a request has not run, after which any request may be sent again."""
 
@@ -70,40 +74,49 @@
 
     async def _request(self, kind: Kind, hall: str, cause: str, new_part: str) -> None:
         number, ends_at = next(self.numbers), loop_time() + kind.deadline_s
-        prompt, cause = self._prompt(kind, number, cause, new_part)
+        content = SAME_REQUEST if cause and not new_part else number
+        prompt, cause = self._prompt(kind, content, cause, new_part)
+        body = None if kind.method == PLAIN_METHOD else f"{kind.name} {content}".encode()
         abuses = self.random.random() < self.abuse_share
         times = 1 + kind.retries + (self.abuse_times if abuses else 0)
         for attempt in range(times):
             left_s = ends_at - loop_time()
             if left_s <= 0:
                 return
-            status, told_s = await self._attempt(
-                kind, hall, f"call-{number}-{attempt}", prompt, cause, left_s
-            )
+            call_id = f"call-{number}-{attempt}"
+            status, told_s = await self._attempt(kind, hall, call_id, prompt, body, cause, left_s)
             if status == 200 or not (status in REFUSALS or kind.route_kind == "idempotent"):
                 return
             wait_s = RETRY_AFTER_S if told_s is None else told_s
             await asyncio.sleep(0.0 if abuses else min(wait_s, (ends_at - loop_time()) * MAX_WAIT_SHARE))
 
-    def _prompt(self, kind: Kind, number: int, cause: str, new_part: str) -> tuple[str, str]:
+    def _prompt(self, kind: Kind, content: int, cause: str, new_part: str) -> tuple[str, str]:
         """Return a prompt's parts, empty for a plain service, and what it crashes engines by."""
         if not kind.shared_parts:
             return "", cause
-        if cause and not new_part:
-            number = -1  # The same request again, with the same prompt.
-        drawn = [self.random.randrange(part.things) for part in kind.shared_parts]
+        if content == SAME_REQUEST:
+            drawn = [0] * len(kind.shared_parts)
+        else:
+            drawn = [self.random.randrange(part.things) for part in kind.shared_parts]
         parts = [
-            f"{kind.name}{place}x{0 if number < 0 else which}:{part.tokens}"
+            f"{kind.name}{place}x{which}:{part.tokens}"
             for place, (part, which) in enumerate(zip(kind.shared_parts, drawn, strict=True))
         ]
         if new_part:
             parts.insert(1, f"{new_part}:100")
         if drawn[0] == self.deadly_parts.get(kind.name) and not cause:
             cause = f"part {kind.name}0x{drawn[0]}"
-        return ",".join([*parts, f"own{number}:{max(1, kind.prompt_tokens)}"]), cause
+        return ",".join([*parts, f"own{content}:{max(1, kind.prompt_tokens)}"]), cause
 
     async def _attempt(
-        self, kind: Kind, hall: str, call_id: str, prompt: str, cause: str, left_s: float
+        self,
+        kind: Kind,
+        hall: str,
+        call_id: str,
+        prompt: str,
+        body: bytes | None,
+        cause: str,
+        left_s: float,
     ) -> tuple[int, float | None]:
         """Send one attempt, and return its status, 0 if its connection broke, and its Retry-After."""
         near = [box for box in self.used if box.hall == hall] or self.used
@@ -127,7 +140,7 @@
         self.sent.append(request)
         session = self.new if self.random.random() < NEW_CONNECTION_SHARE else self.kept
         leave_s = self.random.uniform(*LEAVE_S) if self.random.random() < self.leave_share else None
-        url, body = f"http://{box.front}/{kind.name}/x", None if kind.method == "GET" else b"x"
+        url = f"http://{box.front}/{kind.name}/x"
         try:
             async with asyncio.timeout(leave_s):
                 async with session.request(kind.method, url, headers=headers, data=body) as response:
