--- a/tests/site_days/callers.py
+++ b/tests/site_days/callers.py
@@ -9,7 +9,7 @@
 
 from tests.site import HOST, KEY, MODEL, Site
 from tests.site_days.budget_lines import SentRequest
-from tests.site_days.site_file import PLAIN_METHOD, Kind, SiteFile, Traffic
+from tests.site_days.site_file import BODILESS_METHOD, Kind, SiteFile, Traffic
 from tests.standins.endpoint_process import CRASH_HEADER, ERROR_SHARE_HEADER
 from tests.standins.endpoints import WORK_HEADER
 
@@ -31,7 +31,7 @@
 class Callers:
     """Sends the requests of a day.
 
-    used: the boxes that take callers, by hall. pressed: factor of the rate. leave_share: callers that leave
+    used: the boxes that take callers. pressed: factor of the rate. leave_share: callers that leave
     early. abuse_share, abuse_times: callers that repeat at once, and how often. deadly_parts: the number of
     the first part that crashes engines, by kind.
     """
@@ -76,7 +76,7 @@
         number, ends_at = next(self.numbers), loop_time() + kind.deadline_s
         content = SAME_REQUEST if cause and not new_part else number
         prompt, cause = self._prompt(kind, content, cause, new_part)
-        body = None if kind.method == PLAIN_METHOD else f"{kind.name} {content}".encode()
+        body = None if kind.method == BODILESS_METHOD else f"{kind.name} {content}".encode()
         abuses = self.random.random() < self.abuse_share
         times = 1 + kind.retries + (self.abuse_times if abuses else 0)
         for attempt in range(times):
--- a/tests/site_days/player.py
+++ b/tests/site_days/player.py
@@ -8,7 +8,7 @@
 import asyncio
 import json
 from collections import Counter
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Iterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
@@ -24,6 +24,7 @@
 from tests.site_days.site_file import Day, Kind, Service, SiteFile, Trouble, read_site_file
 from tests.site_days.troubles import Troubles
 from tests.standins.endpoint_process import EndpointProcess
+from tests.standins.endpoints import StoreBox
 
 SETTLE_S = 2.0
 QUIET_S = 12.0
@@ -142,7 +143,8 @@
     return {"routes": [route_entry(kind) for kind in site.kinds_by_name.values()], "services": services}
 
 
-def _service_entry(service: Service, stores: Any) -> dict[str, Any]:
+def _service_entry(service: Service, stores: Iterator[StoreBox]) -> dict[str, Any]:
+    """Return a service's entry in a configuration; a store box takes the next stand-in."""
     if service.is_store:
         entry = {"name": service.name, "kv_store_addr": next(stores).address, "managed": True}
         return entry | {"kv_capacity_tokens": service.kv_tokens, "max_concurrency": 12}
--- a/tests/site_days/site_file.py
+++ b/tests/site_days/site_file.py
@@ -9,7 +9,7 @@
 from stairquay.core.budget import RetryAllowance
 
 STORE_MODEL, ENGINE_MODEL = "kvstore", "llm"
-PLAIN_METHOD = "GET"
+BODILESS_METHOD = "GET"
 DEFAULT_TROUBLE_S = 5.0
 """Seconds for which a trouble lasts whose entry does not say so."""
 
--- a/tests/site_days/troubles.py
+++ b/tests/site_days/troubles.py
@@ -38,7 +38,7 @@
     "mute": EndpointTrouble.HANG,
 }
 
-Play = Callable[[Trouble], Awaitable[None]]
+PlayTrouble = Callable[[Trouble], Awaitable[None]]
 
 
 class Troubles:
@@ -63,7 +63,7 @@
         self.tasks: list[asyncio.Future[None]] = []
         self.version = self.weights = 2
         self.replaced = 0
-        self.plays_by_kind: dict[str, Play] = {
+        self.plays_by_kind: dict[str, PlayTrouble] = {
             "srv_crash": self._crash_endpoints,
             "srv_grey": self._grey_endpoints,
             "answer_lost": self._lose_answers,
