--- a/tests/site_days/budget_lines.py
+++ b/tests/site_days/budget_lines.py
@@ -3,10 +3,12 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from bench.repeats import ServiceLoad, fullest_window
 from stairquay.core.budget import RetryAllowance
 from tests.retries import beyond_the_first
+from tests.soak_crashes import MAX_LATE, MIN_CRASHES, MIN_PART_CRASHES
 from tests.standins.endpoint_process import Arrival, EndpointProcess
 
 Spans = Sequence[tuple[float, float]]
@@ -21,16 +23,13 @@
 """Seconds in which an endpoint that goes on reads what had waited for it."""
 
 PART_PREFIX = "part "
-MIN_CRASHES, MIN_PART_CRASHES, MAX_LATE = 3, 5, 3
-"""Crashes from which a request, or those with one part, may reach few endpoints more, and how many."""
-
 REST_REACTION_S, MAX_IN_REST = 0.5, 2
 """Seconds after an endpoint asked a box for rest, and requests that may reach it from there on."""
 
 
 @dataclass(frozen=True)
 class SentRequest:
-    """A caller's request. box: that it was sent to. cause: what it crashes endpoints by, or empty."""
+    """A caller's request. box: that it was sent to."""
 
     id: str
     service: str
@@ -38,7 +37,6 @@
     deadline_s: float
     max_attempts: int
     box: str
-    cause: str = ""
 
 
 @dataclass(frozen=True)
@@ -57,6 +55,11 @@
     allowance: RetryAllowance
     contact_s: float
 
+    @cached_property
+    def box_by_id(self) -> dict[str, str]:
+        """Return the box that sent each request on, as far as logs tell, or that was asked."""
+        return {request.id: request.box for request in self.sent} | dict(self.sender_by_id)
+
     def in_touch(self, box: str, at: float) -> bool:
         """Tell whether a box and the table service were undisturbed for the contact time."""
         spans = (*self.away_by_box.get(box, ()), *self.table_away)
@@ -92,7 +95,7 @@
     count_runs(play.endpoints, sent_by_id, lines)
     count_times(play.endpoints, sent_by_id, lines)
     _count_crashes(play, lines)
-    _count_rests(play, sent_by_id, lines)
+    _count_rests(play, lines)
     return lines
 
 
@@ -175,7 +178,6 @@
     for item in play.endpoints:
         for crash in item.crashes:
             crashes_by_cause[crash.cause].append(crash.at)
-    box_by_id = {request.id: request.box for request in play.sent} | dict(play.sender_by_id)
     for cause, times in sorted(crashes_by_cause.items()):
         lines.crashes[cause] = len(times)
         borne = MIN_PART_CRASHES if cause.startswith(PART_PREFIX) else MIN_CRASHES
@@ -188,21 +190,20 @@
             for arrival in item.arrivals
             if arrival.cause == cause and arrival.at > known_at
         ]
-        lines.late[cause] = sum(play.in_touch(box_by_id[arrival.id], arrival.at) for arrival in late)
+        lines.late[cause] = sum(play.in_touch(play.box_by_id[arrival.id], arrival.at) for arrival in late)
         lines.late_untouched[cause] = len(late) - lines.late[cause]
         if lines.late[cause] > MAX_LATE:
             lines.broken[f"crashes by a {cause.partition(' ')[0]}"] = f"{lines.late[cause]} late of {cause}"
 
 
-def _count_rests(play: Play, sent_by_id: Mapping[str, SentRequest], lines: Lines) -> None:
+def _count_rests(play: Play, lines: Lines) -> None:
     """Count what reached an endpoint from a box in the rest that it had asked this box for."""
-    box_by_id = {request.id: request.box for request in play.sent} | dict(play.sender_by_id)
     for item in play.endpoints:
         for asked in [arrival for arrival in item.arrivals if arrival.rest_s]:
-            box, until = box_by_id[asked.id], asked.at + asked.rest_s
+            box, until = play.box_by_id[asked.id], asked.at + asked.rest_s
             if any(begun <= until and asked.at <= ended for begun, ended in play.away_by_box.get(box, ())):
                 continue
-            within = _count_within(item.arrivals, box_by_id, box, asked.at + REST_REACTION_S, until)
+            within = _count_within(item.arrivals, play.box_by_id, box, asked.at + REST_REACTION_S, until)
             lines.most_in_rest = max(lines.most_in_rest, within)
             if within > MAX_IN_REST:
                 lines.broken["requests in a rest"] = f"{within} from {box} at {item.endpoint.id}"
--- a/tests/site_days/callers.py
+++ b/tests/site_days/callers.py
@@ -135,7 +135,6 @@
             left_s,
             kind.max_attempts,
             box.name,
-            headers.get(CRASH_HEADER, ""),
         )
         self.sent.append(request)
         session = self.new if self.random.random() < NEW_CONNECTION_SHARE else self.kept
--- a/tests/site_days/player.py
+++ b/tests/site_days/player.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Iterator, Mapping
 from contextlib import asynccontextmanager
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -156,7 +156,7 @@
     return entry | {"engine": engine}
 
 
-def route_entry(kind: Kind, timeout_factor: float = 1.0) -> dict[str, Any]:
+def route_entry(kind: Kind) -> dict[str, Any]:
     """Return a kind's route."""
     return route(
         kind.name,
@@ -164,7 +164,7 @@
         kind.service,
         kind=kind.route_kind,
         resumable=kind.resumable,
-        timeout_ms=int(kind.timeout_s * 1000 * timeout_factor),
+        timeout_ms=int(kind.timeout_s * 1000),
         target_latency_ms=int(kind.target_s * 1000),
         max_attempts=kind.max_attempts,
         priority=kind.priority,
@@ -179,7 +179,7 @@
 
 def with_added(day: Day, added: list[Trouble]) -> Day:
     troubles = sorted((*day.troubles, *added), key=lambda trouble: trouble.at)
-    return Day(day.name, tuple(troubles), day.traffic, day.closing)
+    return replace(day, troubles=tuple(troubles))
 
 
 def report(outcome: Outcome) -> Mapping[str, Any]:
--- a/tests/site_days/troubles.py
+++ b/tests/site_days/troubles.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter, defaultdict
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from math import ceil
 from random import Random
 from typing import Any
@@ -57,7 +57,6 @@
         self.away_by_box: dict[str, list[tuple[float, float]]] = defaultdict(list)
         self.table_away: list[tuple[float, float]] = []
         self.away: set[int] = set()
-        self.cut_ports_by_box: dict[str, Counter[int]] = defaultdict(Counter)
         self.played: Counter[str] = Counter()
         self.not_played: set[str] = set()
         self.tasks: list[asyncio.Future[None]] = []
@@ -117,7 +116,7 @@
         """Wait for troubles to end; raises what one of them raised."""
         await asyncio.gather(*self.tasks)
 
-    def start(self, work: Coroutine[Any, Any, None] | Awaitable[None]) -> None:
+    def start(self, work: Awaitable[None]) -> None:
         self.tasks.append(asyncio.ensure_future(work))
 
     async def restart_crashed(self, endpoint: EndpointProcess) -> None:
@@ -143,9 +142,7 @@
 
     def _endpoints_here(self, service: str) -> list[EndpointProcess]:
         return [
-            item
-            for item in self.endpoints
-            if id(item) not in self.away and service in ("", item.endpoint.service)
+            item for item in self.endpoints if id(item) not in self.away and item.endpoint.service == service
         ]
 
     def _some_endpoints(self, trouble: Trouble, share: float) -> list[EndpointProcess]:
